--- /dev/null
+++ b/features/run.py
@@ -0,0 +1,128 @@
+"""Runs the feature files, a few at a time, and counts scenarios.
+
+A scenario listed in ``KNOWN-RED.txt`` may fail; a listed one that passes, or a list entry
+that names no scenario, counts as a failure, so that the list stays true.
+"""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+_ROOT = Path(__file__).resolve().parent.parent
+_KNOWN_RED = _ROOT / 'KNOWN-RED.txt'
+_WORKERS = 4
+_TIMEOUT_S = 1500
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """A scenario and how it ended."""
+
+    name: str
+    status: str
+    error: str = ''
+
+
+def run_feature(path: Path) -> list[Outcome]:
+    """Run one feature file in a process of its own."""
+    with tempfile.TemporaryDirectory() as folder:
+        report = Path(folder) / 'report.json'
+        command = [sys.executable, '-m', 'behave', '--no-capture', '--no-summary']
+        arguments = ['--format', 'json', '--outfile', str(report), str(path)]
+        done = subprocess.run(
+            [*command, *arguments],
+            cwd=_ROOT,
+            capture_output=True,
+            text=True,
+            timeout=_TIMEOUT_S,
+            check=False,
+        )
+        try:
+            document = json.loads(report.read_text())
+        except (OSError, ValueError):
+            return [Outcome(path.stem, 'failed', done.stdout + done.stderr)]
+    outcomes = [_outcome(path, scenario) for scenario in _scenarios(document)]
+    is_sound = done.returncode == 0 or any(
+        outcome.status != 'passed' for outcome in outcomes
+    )
+    if is_sound and outcomes:
+        return outcomes
+    return [Outcome(path.stem, 'failed', done.stdout + done.stderr)]
+
+
+def _scenarios(document: list[dict]) -> list[dict]:
+    return [
+        element
+        for feature in document
+        for element in feature.get('elements', [])
+        if element['type'] != 'background'
+    ]
+
+
+def _outcome(path: Path, scenario: dict) -> Outcome:
+    endings = (step.get('result', {}) for step in scenario['steps'])
+    errors = (ending.get('error_message', '') for ending in endings)
+    texts = ('\n'.join(text) if isinstance(text, list) else text for text in errors)
+    name = f'{path.stem}: {scenario["name"]}'
+    return Outcome(name, scenario['status'], '\n'.join(filter(None, texts)))
+
+
+def read_known_red() -> dict[str, str]:
+    """Return the listed scenarios with what is written of each."""
+    if not _KNOWN_RED.exists():
+        return {}
+    lines = _KNOWN_RED.read_text().splitlines()
+    entries = (line.split(' | ', 1) for line in lines if line and line[0] != '#')
+    return {entry[0]: entry[-1] for entry in entries}
+
+
+def run_all(names: list[str]) -> list[Outcome]:
+    """Run the named features, or all."""
+    folder = _ROOT / 'features'
+    paths = [folder / f'{name}.feature' for name in names]
+    with ThreadPoolExecutor(_WORKERS) as pool:
+        runs = pool.map(run_feature, paths or sorted(folder.glob('*.feature')))
+        return [outcome for outcomes in runs for outcome in outcomes]
+
+
+def main(names: list[str]) -> int:
+    """Run all features, or those named; return the exit code."""
+    outcomes = run_all(names)
+    known_red = read_known_red()
+    not_passed = [outcome for outcome in outcomes if outcome.status != 'passed']
+    failed = [outcome for outcome in not_passed if outcome.name not in known_red]
+    stale = _stale_entries(known_red, outcomes, is_whole=not names)
+    _say(f'FAILED {outcome.name}: {outcome.error}' for outcome in failed)
+    _say(f'FAILED KNOWN-RED entry does not hold: {name}' for name in stale)
+    _say(f'KNOWN-RED {name} | {note}' for name, note in known_red.items())
+    passes = len(outcomes) - len(not_passed)
+    failures = len(failed) + len(stale)
+    _say([f'{passes} passed, {failures} failed'])
+    return 1 if failures or not passes else 0
+
+
+def _say(lines: Iterable[str]) -> None:
+    for line in lines:
+        sys.stdout.write(f'{line}\n')
+
+
+def _stale_entries(
+    known_red: dict[str, str], outcomes: list[Outcome], *, is_whole: bool
+) -> list[str]:
+    statuses = {outcome.name: outcome.status for outcome in outcomes}
+    return [
+        name
+        for name in known_red
+        if statuses.get(name) == 'passed' or (is_whole and name not in statuses)
+    ]
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/src/pimentohoist/__init__.py
@@ -0,0 +1,1 @@
+"""A serving layer for very many LoRA adapters."""
--- /dev/null
+++ b/src/pimentohoist/_callers_app.py
@@ -0,0 +1,218 @@
+"""What callers see: the usual completions format, services and entry addresses."""
+
+from __future__ import annotations
+
+import json
+import logging
+import math
+import time
+import uuid
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+from werkzeug.exceptions import HTTPException, RequestEntityTooLarge
+from werkzeug.routing import Map, Rule
+from werkzeug.wrappers import Request, Response
+
+from pimentohoist._openai import (
+    count_tokens,
+    error_document,
+    parse_body,
+    read_max_tokens,
+    read_prompt,
+)
+from pimentohoist.exceptions import (
+    InvalidRequestError,
+    NotFoundError,
+    OversizedRequestError,
+    PimentohoistError,
+)
+from pimentohoist.exchanges import Answer, CallerRequest, Exchange, RequestKind
+from pimentohoist.protocols import Handler
+from pimentohoist.settings import CallersSettings
+
+_STEP = 'callers_app'
+_JSON = 'application/json'
+_TIMEOUT_HEADER = 'X-Request-Timeout-S'
+_METHODS = ('GET', 'POST', 'PUT', 'DELETE', 'PATCH')
+_logger = logging.getLogger(__name__)
+
+_ROUTES = Map(
+    [
+        Rule('/v1/completions', endpoint=RequestKind.COMPLETION, methods=['POST']),
+        Rule('/v1/chat/completions', endpoint=RequestKind.CHAT, methods=['POST']),
+        Rule('/v1/models', endpoint=RequestKind.MODELS, methods=['GET']),
+        Rule('/v1/entries', endpoint='entries', methods=['GET']),
+        Rule('/services/<route>', endpoint=RequestKind.SERVICE, methods=_METHODS),
+        Rule(
+            '/services/<route>/<path:path>',
+            endpoint=RequestKind.SERVICE,
+            methods=_METHODS,
+        ),
+    ]
+)
+
+
+class CallersApp:
+    """WSGI application on the callers' address.
+
+    Parameters
+    ----------
+    handler : Handler
+        The filter chain.
+    entries : callable
+        Returns the addresses that callers may use.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        entries: Callable[[], tuple[str, ...]],
+        settings: CallersSettings,
+    ) -> None:
+        self.handler = handler
+        self.entries = entries
+        self.settings = settings
+
+    def __call__(self, environ: Any, start_response: Any) -> Iterable[bytes]:
+        """Answer one request."""
+        request_id = uuid.uuid4().hex
+        try:
+            response = self._respond(environ, request_id)
+        except PimentohoistError as error:
+            response = self._refuse(error, request_id)
+        except Exception:
+            _logger.exception('request failed', extra={'request_id': request_id})
+            response = self._refuse(
+                PimentohoistError('internal error', step=_STEP), request_id
+            )
+        response.headers['X-Request-Id'] = request_id
+        return response(environ, start_response)
+
+    def _respond(self, environ: Any, request_id: str) -> Response:
+        request = Request(environ)
+        request.max_content_length = self.settings.max_body_bytes
+        try:
+            kind, arguments = _ROUTES.bind_to_environ(environ).match()
+        except HTTPException as error:
+            raise NotFoundError(f'no such path: {request.path}', step=_STEP) from error
+        if kind == 'entries':
+            return self._entries()
+        exchange = _read_exchange(
+            self._read(request, kind, arguments, request_id), environ
+        )
+        answer = self.handler(exchange)
+        _logger.info('request answered', extra=_log_fields(exchange, answer))
+        return Response(
+            answer.body,
+            answer.status,
+            answer.headers,
+            content_type=answer.content_type,
+            direct_passthrough=True,
+        )
+
+    def _entries(self) -> Response:
+        document = {
+            'entries': self.entries(),
+            'max_age_s': self.settings.entries_max_age_s,
+        }
+        return Response(json.dumps(document), content_type=_JSON)
+
+    def _read(
+        self,
+        request: Request,
+        kind: RequestKind,
+        arguments: Mapping[str, str],
+        request_id: str,
+    ) -> CallerRequest:
+        body = _read_body(request)
+        is_generation = kind in {RequestKind.COMPLETION, RequestKind.CHAT}
+        return CallerRequest(
+            request_id,
+            kind,
+            request.method,
+            path='/' + arguments.get('path', '') + _query(request),
+            authorization=request.headers.get('Authorization', ''),
+            body=body,
+            content_type=request.headers.get('Content-Type', ''),
+            deadline=time.monotonic() + self._timeout_s(request),
+            idempotency_key=request.headers.get('Idempotency-Key', ''),
+            route=arguments.get('route', ''),
+            document=parse_body(body) if is_generation else {},
+        )
+
+    def _timeout_s(self, request: Request) -> float:
+        text = request.headers.get(_TIMEOUT_HEADER)
+        if text is None:
+            return self.settings.timeout_s
+        try:
+            timeout_s = float(text)
+        except ValueError:
+            timeout_s = math.nan
+        if not 0 < timeout_s <= self.settings.timeout_s:
+            raise InvalidRequestError(
+                f'{_TIMEOUT_HEADER}: more than 0 and at most '
+                f'{self.settings.timeout_s:g} is required',
+                step=_STEP,
+            )
+        return timeout_s
+
+    def _refuse(self, error: PimentohoistError, request_id: str) -> Response:
+        _logger.info(
+            'request refused: %s',
+            error.message,
+            extra={
+                'request_id': request_id,
+                'step': error.step,
+                'peer': error.peer,
+                'code': error.code,
+                'run': error.run_state.value,
+            },
+        )
+        body = json.dumps({'error': error_document(error)})
+        response = Response(body, error.status, content_type=_JSON)
+        if error.retry_after_s is not None:
+            response.headers['Retry-After'] = str(math.ceil(error.retry_after_s))
+        return response
+
+
+def _read_body(request: Request) -> bytes:
+    try:
+        return request.get_data(cache=False)
+    except RequestEntityTooLarge as error:
+        raise OversizedRequestError(
+            f'more than {request.max_content_length} bytes', step=_STEP
+        ) from error
+
+
+def _query(request: Request) -> str:
+    text = request.query_string.decode('latin-1')
+    return f'?{text}' if text else ''
+
+
+def _read_exchange(request: CallerRequest, environ: Mapping[str, Any]) -> Exchange:
+    exchange = Exchange(request)
+    exchange.is_cancelled = environ.get(
+        'waitress.client_disconnected', _never_cancelled
+    )
+    if request.kind in {RequestKind.COMPLETION, RequestKind.CHAT}:
+        exchange.prompt = read_prompt(request.kind, request.document)
+        exchange.max_tokens = read_max_tokens(request.document)
+        exchange.cost_tokens = count_tokens(exchange.prompt) + exchange.max_tokens
+    return exchange
+
+
+def _never_cancelled() -> bool:
+    return False
+
+
+def _log_fields(exchange: Exchange, answer: Answer) -> dict[str, Any]:
+    return {
+        'request_id': exchange.request.request_id,
+        'step': 'answered',
+        'peer': exchange.endpoint,
+        'workspace': exchange.workspace.name if exchange.workspace else '',
+        'key_name': exchange.key_name,
+        'adapter': str(exchange.adapter_version or ''),
+        'status': int(answer.status),
+    }
--- /dev/null
+++ b/src/pimentohoist/_controllers/configuration.py
@@ -0,0 +1,110 @@
+"""The configuration in force on this daemon."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any, Self
+
+from pimentohoist._configuration_fold import (
+    CONFIGURATION_STREAM,
+    ConfigurationFold,
+    Verdict,
+)
+from pimentohoist._controllers.follower import StreamFollower
+from pimentohoist.configuration import (
+    Adapter,
+    Configuration,
+    EndpointGroup,
+    Key,
+    Route,
+    Workspace,
+)
+from pimentohoist.exceptions import UnavailableError
+from pimentohoist.protocols import Log
+
+_STEP = 'configuration'
+_RETRY_AFTER_S = 1.0
+
+
+class ConfigurationController:
+    """Follows the configuration stream and answers questions about it.
+
+    Attributes
+    ----------
+    follower : StreamFollower of ConfigurationFold
+        Position, freshness and state.
+    """
+
+    def __init__(self, log: Log) -> None:
+        self.follower = StreamFollower(log, CONFIGURATION_STREAM, ConfigurationFold())
+
+    def __enter__(self) -> Self:
+        """Start following the stream."""
+        self.follower.__enter__()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Stop following."""
+        self.follower.__exit__(*exc_info)
+
+    def require_known(self) -> None:
+        """Raise UnavailableError if no configuration was read yet."""
+        if self.follower.head_read_at == float('-inf'):
+            raise UnavailableError(
+                'no configuration yet', step=_STEP, retry_after_s=_RETRY_AFTER_S
+            )
+
+    def configuration(self) -> Configuration:
+        """Return a copy of the configuration in force."""
+        with self.follower.changed:
+            return self.follower.fold.configuration
+
+    def in_force(self) -> tuple[Configuration, dict[str, int]]:
+        """Return the configuration in force and the versions of its sections."""
+        with self.follower.changed:
+            fold = self.follower.fold
+            return fold.configuration, dict(fold.versions)
+
+    def verdict(self, publish_id: str) -> Verdict | None:
+        """Return what was decided on a publish; None if it was not read yet."""
+        with self.follower.changed:
+            return self.follower.fold.verdicts.get(publish_id)
+
+    def workspace(self, name: str) -> Workspace | None:
+        """Return a workspace by name."""
+        section = self._section(f'workspaces/{name}')
+        return section if isinstance(section, Workspace) else None
+
+    def key(self, name: str) -> Key | None:
+        """Return a key by name."""
+        section = self._section(f'keys/{name}')
+        return section if isinstance(section, Key) else None
+
+    def adapter(self, name: str) -> Adapter | None:
+        """Return an adapter by name."""
+        section = self._section(f'adapters/{name}')
+        return section if isinstance(section, Adapter) else None
+
+    def group(self, name: str) -> EndpointGroup | None:
+        """Return an endpoint group by name."""
+        section = self._section(f'groups/{name}')
+        return section if isinstance(section, EndpointGroup) else None
+
+    def route(self, name: str) -> Route | None:
+        """Return a route by name."""
+        section = self._section(f'routes/{name}')
+        return section if isinstance(section, Route) else None
+
+    def dump(self) -> Mapping[str, Any]:
+        """Return position, size and skipped records."""
+        with self.follower.changed:
+            fold = self.follower.fold
+            return {
+                **self.follower.dump(),
+                'sections': len(fold.sections),
+                'skipped_records': fold.skipped_records,
+            }
+
+    def _section(self, identity: str) -> Any:
+        with self.follower.changed:
+            return self.follower.fold.sections.get(identity)
--- /dev/null
+++ b/src/pimentohoist/_controllers/endpoints.py
@@ -0,0 +1,136 @@
+"""Endpoints of each group: clients, and where an adapter is resident."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any, Self
+
+from pimentohoist._platform.engine import HttpEngine
+from pimentohoist._platform.service import HttpService
+from pimentohoist._view_fold import rank_names
+from pimentohoist.configuration import Endpoint, EndpointGroup
+from pimentohoist.exceptions import UnavailableError
+from pimentohoist.models import AdapterOrder, AdapterVersion
+from pimentohoist.protocols import Engine, Homes, Service
+
+_STEP = 'endpoints'
+_RETRY_AFTER_S = 1.0
+_READ_TIMEOUT_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Slot:
+    """A place on an endpoint for one request, held until the context ends."""
+
+    endpoint: Endpoint
+    release: Callable[[], None]
+
+    def __enter__(self) -> Self:
+        """Hold the slot."""
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Give the slot back."""
+        self.release()
+
+
+class EndpointsController:
+    """Gives slots on endpoints to requests and loads adapters there."""
+
+    def __init__(self, homes: Homes) -> None:
+        self.homes = homes
+        self.in_flight: dict[str, int] = {}
+        self.resident: dict[str, set[AdapterVersion]] = {}
+        self._engines: dict[str, Engine] = {}
+        self._services: dict[str, Service] = {}
+        self._lock = threading.RLock()
+        self._loading: dict[tuple[str, AdapterVersion], threading.Lock] = {}
+
+    def __enter__(self) -> Self:
+        """Start."""
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Stop."""
+
+    def engine(self, endpoint: Endpoint) -> Engine:
+        """Return the client of an engine."""
+        with self._lock:
+            if endpoint.address not in self._engines:
+                engine = HttpEngine(endpoint.address, timeout_s=_READ_TIMEOUT_S)
+                self._engines[endpoint.address] = engine
+            return self._engines[endpoint.address]
+
+    def service(self, endpoint: Endpoint) -> Service:
+        """Return the client of a plain service."""
+        with self._lock:
+            if endpoint.address not in self._services:
+                service = HttpService(endpoint.address, timeout_s=_READ_TIMEOUT_S)
+                self._services[endpoint.address] = service
+            return self._services[endpoint.address]
+
+    def acquire_service(self, group: EndpointGroup) -> Slot:
+        """Return a slot on the least busy service of the group."""
+        with self._lock:
+            endpoint = min(
+                _required(group),
+                key=lambda candidate: self.in_flight.get(candidate.address, 0),
+            )
+            return self._hold(endpoint)
+
+    def acquire_engine(self, group: EndpointGroup, adapter: AdapterVersion) -> Slot:
+        """Return a slot on an engine where the adapter version is resident."""
+        by_name = {endpoint.name: endpoint for endpoint in _required(group)}
+        endpoint = by_name[rank_names(str(adapter), by_name)[0]]
+        slot = self._hold(endpoint)
+        try:
+            self._ensure_resident(endpoint, adapter)
+        except Exception:
+            slot.release()
+            raise
+        return slot
+
+    def dump(self) -> Mapping[str, Any]:
+        """Return requests in flight and resident adapters by address."""
+        with self._lock:
+            return {
+                'in_flight': dict(self.in_flight),
+                'resident': {
+                    address: sorted(str(adapter) for adapter in adapters)
+                    for address, adapters in self.resident.items()
+                },
+            }
+
+    def _hold(self, endpoint: Endpoint) -> Slot:
+        with self._lock:
+            in_flight = self.in_flight.get(endpoint.address, 0)
+            self.in_flight[endpoint.address] = in_flight + 1
+        return Slot(endpoint, lambda: self._release(endpoint.address))
+
+    def _release(self, address: str) -> None:
+        with self._lock:
+            self.in_flight[address] -= 1
+
+    def _ensure_resident(self, endpoint: Endpoint, adapter: AdapterVersion) -> None:
+        with self._lock:
+            resident = self.resident.setdefault(endpoint.address, set())
+            place = (endpoint.address, adapter)
+            loading = self._loading.setdefault(place, threading.Lock())
+        with loading:
+            if adapter in resident:
+                return
+            order = AdapterOrder(adapter, self.homes.epoch)
+            self.engine(endpoint).load(order)
+            resident.add(adapter)
+
+
+def _required(group: EndpointGroup) -> tuple[Endpoint, ...]:
+    if not group.endpoints:
+        raise UnavailableError(
+            f'group {group.name} has no endpoints',
+            step=_STEP,
+            retry_after_s=_RETRY_AFTER_S,
+        )
+    return group.endpoints
--- /dev/null
+++ b/src/pimentohoist/_filters/__init__.py
@@ -0,0 +1,1 @@
+"""Filters: the steps of a request, each with one job."""
--- /dev/null
+++ b/src/pimentohoist/_filters/dispatch.py
@@ -0,0 +1,159 @@
+"""Sends the request to an endpoint and gives its answer back."""
+
+from __future__ import annotations
+
+import contextlib
+import hashlib
+import itertools
+import json
+from collections.abc import Generator
+from http import HTTPStatus
+
+from pimentohoist._controllers.configuration import ConfigurationController
+from pimentohoist._controllers.endpoints import EndpointsController, Slot
+from pimentohoist._openai import AnswerWriter
+from pimentohoist.configuration import Adapter, EndpointGroup
+from pimentohoist.exceptions import NotFoundError, WrongAnswerError
+from pimentohoist.exchanges import Answer, Exchange, RequestKind
+from pimentohoist.models import AdapterVersion, Generation, ServiceCall, TokenChunk
+from pimentohoist.protocols import Clock
+
+_STEP = 'dispatch'
+_SHORTEST_TIMEOUT_S = 0.001
+_JSON = 'application/json'
+_EVENTS = 'text/event-stream'
+
+
+class Dispatch:
+    """The last handler of the chain."""
+
+    def __init__(
+        self,
+        configuration: ConfigurationController,
+        endpoints: EndpointsController,
+        clock: Clock,
+    ) -> None:
+        self.configuration = configuration
+        self.endpoints = endpoints
+        self.clock = clock
+
+    def __call__(self, exchange: Exchange) -> Answer:
+        """Run the request and return its answer."""
+        match exchange.request.kind:
+            case RequestKind.MODELS:
+                return self._list_models(exchange)
+            case RequestKind.SERVICE:
+                return self._call_service(exchange)
+            case _:
+                return self._generate(exchange)
+
+    def _list_models(self, exchange: Exchange) -> Answer:
+        workspace = exchange.workspace
+        sections = self.configuration.configuration().sections.values()
+        entries = [
+            {
+                'id': f'{section.name}@{version}',
+                'object': 'model',
+                'created': 0,
+                'owned_by': section.group,
+            }
+            for section in sections
+            if isinstance(section, Adapter)
+            and workspace is not None
+            and workspace.name in section.workspaces
+            for version in section.versions
+        ]
+        body = json.dumps({'object': 'list', 'data': entries}).encode()
+        return Answer(HTTPStatus.OK, _JSON, [body])
+
+    def _call_service(self, exchange: Exchange) -> Answer:
+        request = exchange.request
+        call = ServiceCall(
+            request.request_id,
+            request.method,
+            request.path,
+            request.body,
+            request.content_type,
+            exchange.route is not None and exchange.route.is_idempotent,
+            request.idempotency_key,
+        )
+        slot = self.endpoints.acquire_service(_group(exchange))
+        exchange.endpoint = slot.endpoint.name
+        with slot:
+            reply = self.endpoints.service(slot.endpoint).call(
+                call, timeout_s=self._remaining_s(exchange)
+            )
+        return Answer(reply.status, reply.content_type, [reply.body])
+
+    def _generate(self, exchange: Exchange) -> Answer:
+        adapter = _adapter(exchange)
+        slot = self.endpoints.acquire_engine(_group(exchange), adapter)
+        exchange.endpoint = slot.endpoint.name
+        chunks = self._chunks(exchange, slot)
+        writer = AnswerWriter(exchange)
+        if not exchange.request.document.get('stream'):
+            with contextlib.closing(chunks):
+                body = writer.whole(chunks)
+            return Answer(HTTPStatus.OK, _JSON, [body])
+        try:
+            first = next(chunks)
+        except StopIteration:
+            first_chunks: tuple[TokenChunk, ...] = ()
+        else:
+            first_chunks = (first,)
+        events = writer.events(itertools.chain(first_chunks, chunks))
+        answer = Answer(HTTPStatus.OK, _EVENTS, events, {'Cache-Control': 'no-cache'})
+        return answer.on_close(chunks.close)
+
+    def _chunks(
+        self, exchange: Exchange, slot: Slot
+    ) -> Generator[TokenChunk, None, None]:
+        with slot:
+            parts = self.endpoints.engine(slot.endpoint).generate(
+                _generation(exchange), timeout_s=self._remaining_s(exchange)
+            )
+            for chunk in parts:
+                _check(exchange, chunk, slot)
+                exchange.used_tokens = chunk.offset + 1
+                yield chunk
+
+    def _remaining_s(self, exchange: Exchange) -> float:
+        return max(_SHORTEST_TIMEOUT_S, exchange.request.deadline - self.clock())
+
+
+def _group(exchange: Exchange) -> EndpointGroup:
+    if exchange.group is None:
+        raise NotFoundError('the endpoint group is gone', step=_STEP)
+    return exchange.group
+
+
+def _adapter(exchange: Exchange) -> AdapterVersion:
+    if exchange.adapter_version is None:
+        raise NotFoundError('no adapter was resolved', step=_STEP)
+    return exchange.adapter_version
+
+
+def _generation(exchange: Exchange) -> Generation:
+    workspace = exchange.workspace
+    return Generation(
+        exchange.request.request_id,
+        _adapter(exchange),
+        exchange.prompt,
+        exchange.max_tokens,
+        cache_salt=_cache_salt(workspace.name if workspace else ''),
+        is_urgent=workspace is not None and workspace.is_urgent,
+    )
+
+
+def _cache_salt(workspace: str) -> str:
+    return hashlib.sha256(f'prefix-cache\n{workspace}'.encode()).hexdigest()
+
+
+def _check(exchange: Exchange, chunk: TokenChunk, slot: Slot) -> None:
+    asked = (exchange.request.request_id, exchange.adapter_version)
+    if (chunk.request_id, chunk.adapter) != asked:
+        raise WrongAnswerError(
+            f'answer is of {chunk.request_id} on {chunk.adapter}',
+            step=_STEP,
+            peer=slot.endpoint.address,
+        )
--- /dev/null
+++ b/src/pimentohoist/_generated/__init__.py
@@ -0,0 +1,1 @@
+"""Code generated from ``proto/peer.proto`` by ``make generate``."""
--- /dev/null
+++ b/src/pimentohoist/_platform/instances.py
@@ -0,0 +1,22 @@
+"""The platform's lagging list of instances over HTTP."""
+
+from __future__ import annotations
+
+from pimentohoist._http_client import HttpClient, HttpRequest
+from pimentohoist.models import InstanceEntry
+
+_STEP = 'instance_list'
+
+
+class HttpInstanceList:
+    """Implements `InstanceList`."""
+
+    def __init__(self, address: str, *, timeout_s: float) -> None:
+        self.client = HttpClient(address, timeout_s=timeout_s, step=_STEP)
+
+    def entries(self) -> tuple[InstanceEntry, ...]:
+        """Return all known instances."""
+        document = self.client.ask_json(HttpRequest.of_json('GET', '/instances'))
+        return tuple(
+            InstanceEntry(entry['address'], entry['is_leaving']) for entry in document
+        )
--- /dev/null
+++ b/src/pimentohoist/_platform/service.py
@@ -0,0 +1,29 @@
+"""Plain services over HTTP."""
+
+from __future__ import annotations
+
+from pimentohoist._http_client import HttpClient, HttpRequest
+from pimentohoist.models import ServiceAnswer, ServiceCall
+
+_STEP = 'service'
+_CONTENT_TYPE = 'Content-Type'
+_DEFAULT_TYPE = 'application/octet-stream'
+
+
+class HttpService:
+    """Implements `Service`."""
+
+    def __init__(self, address: str, *, timeout_s: float) -> None:
+        self.client = HttpClient(address, timeout_s=timeout_s, step=_STEP)
+
+    def call(self, call: ServiceCall, *, timeout_s: float) -> ServiceAnswer:
+        """Send one call and return the whole answer."""
+        headers = {'X-Request-Id': call.request_id, _CONTENT_TYPE: call.content_type}
+        if call.idempotency_key:
+            headers['Idempotency-Key'] = call.idempotency_key
+        request = HttpRequest(
+            call.method, call.path, call.body, headers, call.is_idempotent
+        )
+        reply = self.client.ask(request, timeout_s=timeout_s)
+        content_type = reply.headers.get(_CONTENT_TYPE, _DEFAULT_TYPE)
+        return ServiceAnswer(reply.status, reply.body, content_type, reply.headers)
--- /dev/null
+++ b/src/pimentohoist/_platform/weights.py
@@ -0,0 +1,21 @@
+"""The weight store over HTTP."""
+
+from __future__ import annotations
+
+from pimentohoist._http_client import HttpClient, HttpRequest
+from pimentohoist.models import AdapterVersion, WeightInfo
+
+_STEP = 'weight_store'
+
+
+class HttpWeightStore:
+    """Implements `WeightStore`."""
+
+    def __init__(self, address: str, *, timeout_s: float) -> None:
+        self.client = HttpClient(address, timeout_s=timeout_s, step=_STEP)
+
+    def describe(self, adapter: AdapterVersion) -> WeightInfo:
+        """Return size and loads in flight."""
+        path = f'/weights/{adapter.adapter}/{adapter.version}'
+        document = self.client.ask_json(HttpRequest.of_json('GET', path))
+        return WeightInfo(document['size_bytes'], document['loads_in_flight'])
--- /dev/null
+++ b/src/pimentohoist/_view_fold.py
@@ -0,0 +1,125 @@
+"""Fold of the view stream, and homes by rendezvous hashing."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from collections.abc import Iterable
+from dataclasses import asdict, replace
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, Field, TypeAdapter, ValidationError
+
+from pimentohoist.models import LogRecord, Member
+
+VIEW_STREAM = 'view'
+
+
+class Join(BaseModel, frozen=True, extra='forbid'):
+    """A daemon's incarnation enters the view."""
+
+    kind: Literal['join'] = 'join'
+    incarnation: str
+    peer_address: str
+    callers_address: str
+    failure_domain: str
+
+
+class Leave(BaseModel, frozen=True, extra='forbid'):
+    """An incarnation leaves of its own will."""
+
+    kind: Literal['leave'] = 'leave'
+    incarnation: str
+
+
+class Expire(BaseModel, frozen=True, extra='forbid'):
+    """An incarnation is removed by another that lost sight of it."""
+
+    kind: Literal['expire'] = 'expire'
+    incarnation: str
+    reporter: str
+
+
+_RECORD: TypeAdapter[Join | Leave | Expire] = TypeAdapter(
+    Annotated[Join | Leave | Expire, Field(discriminator='kind')]
+)
+
+
+class ViewFold:
+    """State of the view stream: the members and the epoch.
+
+    An incarnation joins once: after it has left or expired, its later records are void.
+    """
+
+    def __init__(self) -> None:
+        self.members: dict[str, Member] = {}
+        self.departed: set[str] = set()
+        self.epoch = 0
+        self.skipped_records = 0
+        self._next_offset = 0
+
+    @property
+    def next_offset(self) -> int:
+        """Offset of the first record not yet applied."""
+        return self._next_offset
+
+    def apply(self, record: LogRecord) -> None:
+        """Apply one record; a broken or foreign one is counted and skipped."""
+        self._next_offset = record.offset + 1
+        try:
+            event = _RECORD.validate_json(record.body)
+        except ValidationError:
+            self.skipped_records += 1
+            return
+        if isinstance(event, Join):
+            self._join(event, record.offset + 1)
+        elif self.members.pop(event.incarnation, None):
+            self.departed.add(event.incarnation)
+            self.epoch = record.offset + 1
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return json.dumps(
+            {
+                'next_offset': self._next_offset,
+                'epoch': self.epoch,
+                'members': [asdict(member) for member in self.members.values()],
+                'departed': sorted(self.departed),
+                'skipped_records': self.skipped_records,
+            }
+        ).encode()
+
+    def restore(self, body: bytes) -> None:
+        """Replace the state by a snapshot's, if that covers more."""
+        document = json.loads(body)
+        if document['next_offset'] <= self._next_offset:
+            return
+        members = (Member(**fields) for fields in document['members'])
+        self.members = {member.incarnation: member for member in members}
+        self.departed = set(document['departed'])
+        self.epoch = document['epoch']
+        self.skipped_records = document['skipped_records']
+        self._next_offset = document['next_offset']
+
+    def _join(self, event: Join, epoch: int) -> None:
+        if event.incarnation in self.members or event.incarnation in self.departed:
+            return
+        member = Member(**event.model_dump(exclude={'kind'}))
+        self.members[event.incarnation] = replace(member, epoch=epoch)
+        self.epoch = epoch
+
+
+def rank(thing: str, members: Iterable[Member]) -> list[Member]:
+    """Return the members by rendezvous weight for `thing`, the home first."""
+    by_name = {member.incarnation: member for member in members}
+    return [by_name[name] for name in rank_names(thing, by_name)]
+
+
+def rank_names(thing: str, names: Iterable[str]) -> list[str]:
+    """Return the names by rendezvous weight for `thing`, the highest first."""
+    return sorted(names, key=lambda name: _weight(thing, name), reverse=True)
+
+
+def _weight(thing: str, name: str) -> bytes:
+    text = f'{thing}\n{name}'.encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
--- /dev/null
+++ b/src/pimentohoist/daemon.py
@@ -0,0 +1,119 @@
+"""The daemon, one on each entry instance."""
+
+from __future__ import annotations
+
+import logging
+import sys
+import time
+from contextlib import ExitStack
+from typing import Self
+
+import fire
+
+from pimentohoist._callers_app import CallersApp
+from pimentohoist._chain import build_handler
+from pimentohoist._controllers.configuration import ConfigurationController
+from pimentohoist._controllers.endpoints import EndpointsController
+from pimentohoist._controllers.view import ViewController
+from pimentohoist._filters.authenticate import Authenticate
+from pimentohoist._filters.dispatch import Dispatch
+from pimentohoist._filters.resolve import Resolve
+from pimentohoist._http_server import HttpServer
+from pimentohoist._logs import configure_logs
+from pimentohoist._operators_app import OperatorsApp
+from pimentohoist._signals import stop_event
+from pimentohoist._platform.log import HttpLog
+from pimentohoist.exceptions import SettingsError
+from pimentohoist.protocols import Controller, Handler
+from pimentohoist.settings import Settings, read_settings
+
+_EXIT_SETTINGS = 2
+_OPERATORS_THREADS = 4
+_logger = logging.getLogger(__name__)
+
+
+class Daemon:
+    """Everything that one daemon runs, from start to stop of its context."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        platform = settings.platform
+        self.log = HttpLog(platform.log_address, timeout_s=platform.timeout_s)
+        self.configuration = ConfigurationController(self.log)
+        self.view = ViewController(self.log, settings.daemon)
+        self.endpoints = EndpointsController(self.view)
+        self.controllers: dict[str, Controller] = {
+            'configuration': self.configuration,
+            'view': self.view,
+            'endpoints': self.endpoints,
+        }
+        self._stack = ExitStack()
+
+    def __enter__(self) -> Self:
+        """Start the controllers, then serve operators and callers."""
+        with ExitStack() as stack:
+            for controller in self.controllers.values():
+                stack.enter_context(controller)
+            stack.enter_context(self._operators_server())
+            stack.enter_context(self._callers_server())
+            self._stack = stack.pop_all()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Stop serving, then stop the controllers."""
+        self._stack.close()
+
+    def handler(self) -> Handler:
+        """Return the filter chain."""
+        filters = (
+            Authenticate(self.configuration),
+            Resolve(self.configuration),
+        )
+        last = Dispatch(self.configuration, self.endpoints, time.monotonic)
+        return build_handler(filters, last)
+
+    def entries(self) -> tuple[str, ...]:
+        """Return the addresses that callers may use."""
+        return tuple(sorted(member.callers_address for member in self.view.members()))
+
+    def _callers_server(self) -> HttpServer:
+        callers = self.settings.callers
+        return HttpServer(
+            CallersApp(self.handler(), self.entries, callers),
+            self.settings.daemon.callers_address,
+            threads=callers.threads,
+        )
+
+    def _operators_server(self) -> HttpServer:
+        app = OperatorsApp(
+            self.settings.daemon.name, self.controllers, self.configuration
+        )
+        return HttpServer(
+            app, self.settings.daemon.operators_address, threads=_OPERATORS_THREADS
+        )
+
+
+def serve(settings: str) -> None:
+    """Run a daemon until SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    settings : str
+        Path of the TOML settings file.
+    """
+    try:
+        checked = read_settings(settings)
+    except SettingsError as error:
+        sys.stderr.write(f'pimentohoistd: {error}\n')
+        sys.exit(_EXIT_SETTINGS)
+    configure_logs(checked.logging.level, instance=checked.daemon.name)
+    stopped = stop_event()
+    with Daemon(checked):
+        _logger.info('started', extra={'step': 'start'})
+        stopped.wait()
+        _logger.info('stopping', extra={'step': 'stop'})
+
+
+def main() -> None:
+    """Run ``pimentohoistd``."""
+    fire.Fire(serve, name='pimentohoistd')
--- /dev/null
+++ b/src/pimentohoist/exchanges.py
@@ -0,0 +1,112 @@
+"""A caller's request on its way through the filter chain, and its answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any
+
+from pimentohoist.configuration import Adapter, EndpointGroup, Route, Workspace
+from pimentohoist.models import AdapterVersion
+
+
+class RequestKind(StrEnum):
+    """What a caller asks for."""
+
+    COMPLETION = 'completion'
+    CHAT = 'chat'
+    SERVICE = 'service'
+    MODELS = 'models'
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A caller's request as received.
+
+    Attributes
+    ----------
+    request_id : str
+        Made by the daemon.
+    authorization : str
+        Header as received; used by the authenticating filter alone.
+    idempotency_key : str
+        Header ``Idempotency-Key``; empty if absent.
+    body : bytes
+        Whole body.
+    document : mapping
+        Parsed JSON body of completions and chats.
+    deadline : float
+        Monotonic time in seconds by which the caller wants the answer.
+    """
+
+    request_id: str
+    kind: RequestKind
+    method: str
+    path: str
+    authorization: str = field(repr=False)
+    body: bytes = field(repr=False)
+    content_type: str
+    deadline: float
+    idempotency_key: str = ''
+    route: str = ''
+    document: Mapping[str, Any] = field(default_factory=dict, repr=False)
+
+
+@dataclass(slots=True)
+class Exchange:
+    """A request with what the filters found out about it so far."""
+
+    request: CallerRequest
+    workspace: Workspace | None = None
+    key_name: str = ''
+    adapter: Adapter | None = None
+    adapter_version: AdapterVersion | None = None
+    route: Route | None = None
+    group: EndpointGroup | None = None
+    prompt: str = ''
+    max_tokens: int = 0
+    cost_tokens: int = 0
+    used_tokens: int = 0
+    endpoint: str = ''
+    is_cancelled: Callable[[], bool] = field(default=lambda: False)
+    facts: dict[str, Any] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Answer:
+    """What goes back to the caller.
+
+    Attributes
+    ----------
+    body : iterable of bytes
+        Parts in order; closed by the server when sent or given up.
+    """
+
+    status: int
+    content_type: str
+    body: Iterable[bytes]
+    headers: dict[str, str] = field(default_factory=dict)
+
+    def on_close(self, callback: Callable[[], None]) -> Answer:
+        """Return the answer with `callback` run once its body has ended."""
+        self.body = _ClosingBody(self.body, callback)
+        return self
+
+
+class _ClosingBody:
+    def __init__(self, parts: Iterable[bytes], callback: Callable[[], None]) -> None:
+        self._parts = parts
+        self._callback: Callable[[], None] | None = callback
+
+    def __iter__(self) -> Any:
+        yield from self._parts
+
+    def close(self) -> None:
+        callback = self._callback
+        self._callback = None
+        try:
+            getattr(self._parts, 'close', lambda: None)()
+        finally:
+            if callback is not None:
+                callback()
--- /dev/null
+++ b/src/pimentohoist/protocols.py
@@ -0,0 +1,159 @@
+"""Types of what varies: the platform, endpoints, filters and controllers.
+
+Each protocol of the platform and of endpoints has one adapter class that speaks HTTP;
+another wire format is one new class.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from typing import Any, Protocol, Self
+
+from pimentohoist.exchanges import Answer, Exchange
+from pimentohoist.models import (
+    AdapterOrder,
+    AdapterVersion,
+    EngineStatus,
+    Generation,
+    InstanceEntry,
+    LogPage,
+    LogRecord,
+    Member,
+    ServiceAnswer,
+    ServiceCall,
+    TokenChunk,
+    WeightInfo,
+)
+
+Clock = Callable[[], float]
+"""Monotonic time in seconds."""
+
+Handler = Callable[[Exchange], Answer]
+"""The rest of a filter chain."""
+
+
+class Log(Protocol):
+    """The platform's append-only log with named streams."""
+
+    def append(self, stream: str, bodies: Sequence[bytes]) -> int:
+        """Append records together and return the offset of the first.
+
+        Raises
+        ------
+        LogError
+            Nothing was appended.
+        AppendUnknownError
+            The records may or may not have been appended.
+        """
+
+    def read(self, stream: str, offset: int, *, wait_s: float) -> LogPage:
+        """Read records from `offset` on, waiting up to `wait_s` for the first.
+
+        Raises
+        ------
+        OffsetExpiredError
+            The log no longer keeps `offset`.
+        LogError
+            The log did not answer.
+        """
+
+
+class WeightStore(Protocol):
+    """The platform's store of adapter weights."""
+
+    def describe(self, adapter: AdapterVersion) -> WeightInfo:
+        """Return size and loads in flight; raises PeerError."""
+
+
+class InstanceList(Protocol):
+    """The platform's lagging list of instances."""
+
+    def entries(self) -> tuple[InstanceEntry, ...]:
+        """Return all known instances; raises PeerError."""
+
+
+class Engine(Protocol):
+    """A model engine."""
+
+    def status(self) -> EngineStatus:
+        """Return residency and load as the engine reports them, late."""
+
+    def load(self, order: AdapterOrder) -> None:
+        """Load an adapter version; returns when it is resident."""
+
+    def evict(self, order: AdapterOrder) -> None:
+        """Evict an adapter version."""
+
+    def generate(
+        self, generation: Generation, *, timeout_s: float
+    ) -> Iterator[TokenChunk]:
+        """Run a request and yield its tokens in order.
+
+        Raises
+        ------
+        PeerConnectError, PeerRefusedError
+            The request was not run.
+        PeerError
+            The request may have run.
+        """
+
+    def cancel(self, request_id: str) -> None:
+        """Stop a request."""
+
+
+class Service(Protocol):
+    """A plain service."""
+
+    def call(self, call: ServiceCall, *, timeout_s: float) -> ServiceAnswer:
+        """Send one call and return the whole answer; errors as `Engine.generate`."""
+
+
+class Filter(Protocol):
+    """One step of a request; calls `proceed` for the rest of the chain."""
+
+    def __call__(self, exchange: Exchange, proceed: Handler) -> Answer:
+        """Handle the exchange or refuse it with a `PimentohoistError`."""
+
+
+class Fold(Protocol):
+    """State computed from a stream's records in order, by no other input."""
+
+    @property
+    def next_offset(self) -> int:
+        """Offset of the first record not yet applied."""
+
+    def apply(self, record: LogRecord) -> None:
+        """Apply one record; a broken record is counted and skipped."""
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+
+    def restore(self, body: bytes) -> None:
+        """Replace the state by a snapshot's, if that covers more."""
+
+
+class Controller(Protocol):
+    """Owner of one part of the daemon's state and of the threads that keep it."""
+
+    def __enter__(self) -> Self:
+        """Start the controller's threads."""
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Stop the threads and release what is held."""
+
+    def dump(self) -> Mapping[str, Any]:
+        """Return the state for operators, without secrets, ready for JSON."""
+
+
+class Homes(Protocol):
+    """Which member is the home of a thing in the present view."""
+
+    @property
+    def epoch(self) -> int:
+        """Log offset of the record that made the view; the fencing number."""
+
+    def home(self, thing: str) -> Member | None:
+        """Return the home of `thing`; None if the view is empty."""
+
+    def is_home(self, thing: str) -> bool:
+        """Return whether this daemon is the home and fresh enough to act on it."""
--- /dev/null
+++ b/src/pimentohoist_standins/engine.py
@@ -0,0 +1,260 @@
+"""Stand-in of a model engine: batches, holds adapters in slots, counts violations."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import os
+import threading
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any
+
+from werkzeug.wrappers import Request, Response
+
+from pimentohoist._http_client import HttpClient, HttpRequest
+from pimentohoist.exceptions import PeerError
+from pimentohoist_standins.faults import StandIn, json_response
+
+_EVENTS = 'text/event-stream'
+_LOAD_TIMEOUT_S = 30.0
+_EXIT_CRASHED = 70
+
+
+@dataclass(frozen=True, slots=True)
+class EngineOptions:
+    """What kind of engine this is.
+
+    Attributes
+    ----------
+    slots : int
+        Adapters held at once.
+    knee_requests : int
+        Requests in flight up to which the speed stays level.
+    token_s : float
+        Time for one token of each request in flight, up to the knee.
+    checks_fencing : bool
+        Whether orders with an old fencing number are refused.
+    status_lag_s : float
+        Age of what ``/v1/status`` reports.
+    store_address : str
+        Weight store to load from; empty for none.
+    """
+
+    slots: int = 8
+    knee_requests: int = 16
+    token_s: float = 0.01
+    checks_fencing: bool = True
+    status_lag_s: float = 0.2
+    store_address: str = ''
+
+
+@dataclass(slots=True)
+class EngineState:
+    """What the engine holds and does now."""
+
+    resident: set[str] = field(default_factory=set)
+    running: dict[str, str] = field(default_factory=dict)
+    cancelled: set[str] = field(default_factory=set)
+    fencing_number: int = 0
+    restarts: int = 0
+    violations: list[str] = field(default_factory=list)
+    loads: int = 0
+
+
+def token_text(prompt: str, adapter: str, offset: int) -> str:
+    """Return the token that an engine generates, which depends on all it is given."""
+    text = f'{prompt}\n{adapter}\n{offset}'.encode()
+    return f'{hashlib.blake2b(text, digest_size=3).hexdigest()} '
+
+
+class EngineStandIn(StandIn):
+    """Answers completions of resident adapters as a stream of tokens."""
+
+    controls = ('crash_on', 'fail_loads', 'is_leaving', 'restart_cold', 'wrong_answers')
+
+    def __init__(self, options: EngineOptions) -> None:
+        super().__init__()
+        self.options = options
+        self.state = EngineState()
+        self.crash_on = ''
+        self.fail_loads = 0
+        self.wrong_answers = 0
+        self.is_leaving = False
+        self._lock = threading.RLock()
+        self._report: tuple[float, dict[str, Any]] = (float('-inf'), {})
+        self._paths = {
+            '/v1/completions': self._complete,
+            '/v1/load_lora_adapter': self._load,
+            '/v1/unload_lora_adapter': self._unload,
+            '/v1/cancel': self._cancel,
+            '/v1/status': self._status,
+            '/v1/violations': self._violations,
+        }
+
+    @property
+    def restart_cold(self) -> bool:
+        """Set to true: all adapters are dropped and all streams cut."""
+        return False
+
+    @restart_cold.setter
+    def restart_cold(self, is_wanted: bool) -> None:
+        with self._lock:
+            if is_wanted:
+                self.state.resident.clear()
+                self.state.restarts += 1
+
+    def answer(self, request: Request) -> Response:
+        """Answer by path."""
+        if request.path not in self._paths:
+            return Response('no such path', HTTPStatus.NOT_FOUND)
+        return self._paths[request.path](request)
+
+    def _complete(self, request: Request) -> Response:
+        document = request.get_json()
+        adapter = document['model']
+        with self._lock:
+            if adapter not in self.state.resident:
+                return Response(f'not resident: {adapter}', HTTPStatus.NOT_FOUND)
+            self.state.running[document['request_id']] = adapter
+        adapter_name, _, version = adapter.rpartition('@')
+        self.note(
+            request,
+            request_id=document['request_id'],
+            adapter=adapter_name,
+            version=int(version),
+        )
+        if self.crash_on and self.crash_on in document['prompt']:
+            os._exit(_EXIT_CRASHED)
+        return Response(
+            _Tokens(self, document), content_type=_EVENTS, direct_passthrough=True
+        )
+
+    def _load(self, request: Request) -> Response:
+        document = request.get_json()
+        adapter = document['lora_name']
+        refusal = self._refusal(document)
+        if refusal is not None:
+            return refusal
+        if adapter in self.state.resident:
+            return json_response({'resident': True})
+        if not self._fetch(adapter):
+            return Response('load failed', HTTPStatus.INTERNAL_SERVER_ERROR)
+        with self._lock:
+            if len(self.state.resident) >= self.options.slots:
+                return Response('no free slot', HTTPStatus.CONFLICT)
+            self.state.resident.add(adapter)
+            self.state.loads += 1
+        self.note(request)
+        return json_response({'resident': True})
+
+    def _unload(self, request: Request) -> Response:
+        document = request.get_json()
+        refusal = self._refusal(document)
+        if refusal is not None:
+            return refusal
+        adapter = document['lora_name']
+        with self._lock:
+            if adapter in self.state.running.values():
+                self.state.violations.append(f'evicted in use: {adapter}')
+            self.state.resident.discard(adapter)
+        self.note(request)
+        return json_response({'resident': False})
+
+    def _cancel(self, request: Request) -> Response:
+        request_id = request.get_json()['request_id']
+        with self._lock:
+            if request_id in self.state.running:
+                self.state.cancelled.add(request_id)
+        return json_response({})
+
+    def _status(self, request: Request) -> Response:
+        now = time.monotonic()
+        with self._lock:
+            if now - self._report[0] >= self.options.status_lag_s:
+                document = {
+                    'resident': sorted(self.state.resident),
+                    'requests_in_flight': len(self.state.running),
+                    'slots': self.options.slots,
+                    'is_leaving': self.is_leaving,
+                }
+                self._report = (now, document)
+            return json_response(self._report[1])
+
+    def _violations(self, request: Request) -> Response:
+        document = {'violations': self.state.violations, 'loads': self.state.loads}
+        return json_response(document)
+
+    def _refusal(self, document: dict[str, Any]) -> Response | None:
+        number = document['fencing_number']
+        with self._lock:
+            if self.options.checks_fencing and number < self.state.fencing_number:
+                return Response('old fencing number', HTTPStatus.CONFLICT)
+            self.state.fencing_number = max(number, self.state.fencing_number)
+        return None
+
+    def _fetch(self, adapter: str) -> bool:
+        with self._lock:
+            if self.fail_loads > 0:
+                self.fail_loads -= 1
+                return False
+        if not self.options.store_address:
+            return True
+        client = HttpClient(
+            self.options.store_address, timeout_s=_LOAD_TIMEOUT_S, step='load'
+        )
+        name, _, version = adapter.rpartition('@')
+        path = f'/weights/{name}/{version}/content'
+        try:
+            client.ask_json(HttpRequest.of_json('GET', path))
+        except PeerError:
+            return False
+        return True
+
+
+class _Tokens:
+    """The events of one completion."""
+
+    def __init__(self, engine: EngineStandIn, document: dict[str, Any]) -> None:
+        self.engine = engine
+        self.document = document
+        self.restarts = engine.state.restarts
+
+    def __iter__(self) -> Iterator[bytes]:
+        last = self.document['max_tokens'] - 1
+        for offset in range(self.document['resume_offset'], last + 1):
+            self._work()
+            yield self._event(offset, 'length' if offset == last else None)
+        yield b'data: [DONE]\n\n'
+
+    def close(self) -> None:
+        request_id = self.document['request_id']
+        with self.engine._lock:  # noqa: SLF001
+            self.engine.state.running.pop(request_id, None)
+            self.engine.state.cancelled.discard(request_id)
+
+    def _work(self) -> None:
+        options = self.engine.options
+        state = self.engine.state
+        crowding = max(1, len(state.running) / options.knee_requests)
+        time.sleep(options.token_s * crowding)
+        is_cancelled = self.document['request_id'] in state.cancelled
+        if is_cancelled or state.restarts != self.restarts:
+            raise ConnectionAbortedError('cancelled or restarted')
+
+    def _event(self, offset: int, finish_reason: str | None) -> bytes:
+        adapter = self.document['model']
+        request_id = self.document['request_id']
+        if self.engine.wrong_answers > 0:
+            self.engine.wrong_answers -= 1
+            request_id = 'another-request'
+        event = {
+            'id': request_id,
+            'model': adapter,
+            'offset': offset,
+            'text': token_text(self.document['prompt'], adapter, offset),
+            'finish_reason': finish_reason,
+        }
+        return b'data: ' + json.dumps(event).encode() + b'\n\n'
--- /dev/null
+++ b/src/pimentohoist_standins/faults.py
@@ -0,0 +1,170 @@
+"""Faults that a stand-in can be told to show, common to all of them."""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field, fields
+from http import HTTPStatus
+from typing import Any
+
+from werkzeug.wrappers import Request, Response
+
+_JSON = 'application/json'
+_SILENCE_S = 3600.0
+_SILENCE_POLL_S = 0.05
+_CUT_LENGTH_BYTES = 1_000_000
+
+WsgiApp = Callable[..., Iterable[bytes]]
+
+
+@dataclass(slots=True)
+class Faults:
+    """Faults in force.
+
+    Attributes
+    ----------
+    is_down : bool
+        Every request is refused.
+    delay_s : float
+        Every request waits first.
+    lose_answers : int
+        So many next requests that change something take effect, but their answers are
+        cut off.
+    drop_requests : int
+        So many next requests that change something are cut off without effect.
+    silent_before : float
+        Connections first used before this monotonic time get no more bytes.
+    """
+
+    is_down: bool = False
+    delay_s: float = 0
+    lose_answers: int = 0
+    drop_requests: int = 0
+    silent_before: float = 0
+    connections: dict[str, float] = field(default_factory=dict)
+    lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def take(self, name: str) -> bool:
+        """Return whether a counted fault applies now, and count it."""
+        with self.lock:
+            left: int = getattr(self, name)
+            if left <= 0:
+                return False
+            setattr(self, name, left - 1)
+            return True
+
+    def is_silent(self, connection: str) -> bool:
+        """Return whether a connection has gone silent."""
+        with self.lock:
+            first_used = self.connections.setdefault(connection, time.monotonic())
+            return first_used < self.silent_before
+
+    def wait_while_silent(self, connection: str) -> None:
+        """Block as long as the connection is silent."""
+        give_up_at = time.monotonic() + _SILENCE_S
+        while self.is_silent(connection) and time.monotonic() < give_up_at:
+            time.sleep(_SILENCE_POLL_S)
+
+
+class StandIn:
+    """WSGI application with faults, ``/control`` and ``/seen`` around another.
+
+    A subclass adds `answer` and, as attributes named in `controls`, what else can be set
+    through ``POST /control``.
+    """
+
+    controls: tuple[str, ...] = ()
+
+    def __init__(self) -> None:
+        self.faults = Faults()
+        self.seen: list[dict[str, Any]] = []
+
+    def __call__(self, environ: Any, start_response: Any) -> Iterable[bytes]:
+        """Answer one request, with the faults in force."""
+        request = Request(environ)
+        match request.path:
+            case '/control':
+                return self._control(request)(environ, start_response)
+            case '/seen':
+                return json_response(list(self.seen))(environ, start_response)
+        return self._faulty(request)(environ, start_response)
+
+    def answer(self, request: Request) -> Response:
+        """Answer a request of the protocol."""
+        raise NotImplementedError
+
+    def note(self, request: Request, **facts: Any) -> None:
+        """Keep what was received, headers included, for ``/seen``."""
+        self.seen.append(
+            {
+                'method': request.method,
+                'path': request.full_path,
+                'headers': dict(request.headers),
+                'body': request.get_data(as_text=True),
+                **facts,
+            }
+        )
+
+    def _faulty(self, request: Request) -> Response:
+        connection = str(request.environ.get('REMOTE_PORT'))
+        self.faults.wait_while_silent(connection)
+        time.sleep(self.faults.delay_s)
+        if self.faults.is_down:
+            return Response('down', HTTPStatus.SERVICE_UNAVAILABLE)
+        if request.method == 'GET':
+            return self.answer(request)
+        if self.faults.take('drop_requests'):
+            return _cut()
+        response = self.answer(request)
+        if self.faults.take('lose_answers'):
+            return _cut()
+        return _muted(response, self.faults, connection)
+
+    def _control(self, request: Request) -> Response:
+        document = request.get_json(silent=True) or {}
+        if document.pop('silence', False):
+            document['silent_before'] = time.monotonic()
+        known = _control_names()
+        for name, value in document.items():
+            if name not in known and name not in self.controls:
+                return Response(f'unknown control: {name}', HTTPStatus.BAD_REQUEST)
+            setattr(self.faults if name in known else self, name, value)
+        return json_response(
+            {control: getattr(self.faults, control) for control in sorted(known)}
+        )
+
+
+def _control_names() -> set[str]:
+    return {entry.name for entry in fields(Faults)} - {'lock', 'connections'}
+
+
+def json_response(document: Any, status: int = HTTPStatus.OK) -> Response:
+    return Response(json.dumps(document), status, content_type=_JSON)
+
+
+def _cut() -> Response:
+    """Return an answer whose connection breaks in its middle."""
+    response = Response(_broken(), content_type=_JSON, direct_passthrough=True)
+    response.headers['Content-Length'] = str(_CUT_LENGTH_BYTES)
+    return response
+
+
+def _broken() -> Iterator[bytes]:
+    yield b'{'
+    raise ConnectionAbortedError('told to lose this answer')
+
+
+def _muted(response: Response, faults: Faults, connection: str) -> Response:
+    if not response.is_streamed:
+        return response
+    response.response = _guarded(response.response, faults, connection)
+    return response
+
+
+def _guarded(parts: Any, faults: Faults, connection: str) -> Iterator[bytes]:
+    for part in parts:
+        faults.wait_while_silent(connection)
+        yield part
--- /dev/null
+++ b/src/pimentohoist_standins/service.py
@@ -0,0 +1,34 @@
+"""Stand-in of a plain service: a ledger that writes one entry a call."""
+
+from __future__ import annotations
+
+import threading
+import time
+from http import HTTPStatus
+
+from werkzeug.wrappers import Request, Response
+
+from pimentohoist_standins.faults import StandIn, json_response
+
+
+class ServiceStandIn(StandIn):
+    """Writes an entry for each POST, without looking for duplicates; GET counts them."""
+
+    controls = ('work_s',)
+
+    def __init__(self, work_s: float) -> None:
+        super().__init__()
+        self.work_s = work_s
+        self.entries: list[str] = []
+        self._lock = threading.Lock()
+
+    def answer(self, request: Request) -> Response:
+        """Write an entry or return the number of entries."""
+        self.note(request)
+        time.sleep(self.work_s)
+        if request.method == 'GET':
+            return json_response({'entries': len(self.entries)})
+        with self._lock:
+            self.entries.append(request.get_data(as_text=True))
+            number = len(self.entries)
+        return json_response({'entry': number}, HTTPStatus.CREATED)
--- /dev/null
+++ b/src/pimentohoist_standins/weights.py
@@ -0,0 +1,63 @@
+"""Stand-in of the weight store: slower for each load beyond its concurrency."""
+
+from __future__ import annotations
+
+import threading
+import time
+from http import HTTPStatus
+
+from werkzeug.wrappers import Request, Response
+
+from pimentohoist_standins.faults import StandIn, json_response
+
+_SIZE_BYTES = 50_000_000
+_STEP_S = 0.02
+
+
+class WeightStoreStandIn(StandIn):
+    """Serves any adapter version, at a limited rate.
+
+    Parameters
+    ----------
+    loads_per_s : float
+        Loads a second over all readers.
+    loads_at_once : int
+        Loads at full speed; more share the same rate.
+    """
+
+    controls = ('loads_per_s', 'loads_at_once')
+
+    def __init__(self, loads_per_s: float, loads_at_once: int) -> None:
+        super().__init__()
+        self.loads_per_s = loads_per_s
+        self.loads_at_once = loads_at_once
+        self.in_flight = 0
+        self.most_in_flight = 0
+        self._lock = threading.Lock()
+
+    def answer(self, request: Request) -> Response:
+        """Describe a version, or transfer it with ``/content``."""
+        if request.path.endswith('/content'):
+            self.note(request)
+            self._transfer()
+        if not request.path.startswith('/weights/'):
+            return Response('no such path', HTTPStatus.NOT_FOUND)
+        return json_response(
+            {
+                'size_bytes': _SIZE_BYTES,
+                'loads_in_flight': self.in_flight,
+                'most_in_flight': self.most_in_flight,
+            }
+        )
+
+    def _transfer(self) -> None:
+        with self._lock:
+            self.in_flight += 1
+            self.most_in_flight = max(self.most_in_flight, self.in_flight)
+        done = float(0)
+        while done < 1:
+            time.sleep(_STEP_S)
+            sharers = max(self.in_flight, self.loads_at_once)
+            done += _STEP_S * self.loads_per_s / sharers
+        with self._lock:
+            self.in_flight -= 1
