--- a/src/pimentohoist/_controllers/endpoints.py
+++ b/src/pimentohoist/_controllers/endpoints.py
@@ -4,28 +4,29 @@
 
 import threading
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 from typing import Any, Self
 
 from pimentohoist._platform.engine import HttpEngine
 from pimentohoist._platform.service import HttpService
 from pimentohoist._view_fold import rank_names
-from pimentohoist.configuration import Endpoint, EndpointGroup
-from pimentohoist.exceptions import UnavailableError
+from pimentohoist.configuration import Endpoint
+from pimentohoist.exceptions import PeerError, UnavailableError
+from pimentohoist.exchanges import SlotRequest
 from pimentohoist.models import AdapterOrder, AdapterVersion
-from pimentohoist.protocols import Engine, Homes, Service
+from pimentohoist.protocols import Engine, Homes, Service, Slot
 
 _STEP = 'endpoints'
 _RETRY_AFTER_S = 1.0
 _READ_TIMEOUT_S = 10.0
 
 
-@dataclass(frozen=True, slots=True)
-class Slot:
-    """A place on an endpoint for one request, held until the context ends."""
+class HeldSlot:
+    """Implements `Slot`: one request's place on an endpoint of this daemon's count."""
 
-    endpoint: Endpoint
-    release: Callable[[], None]
+    def __init__(self, endpoint: Endpoint, release: Callable[[], None]) -> None:
+        self.endpoint = endpoint
+        self.has_failed = False
+        self._release = release
 
     def __enter__(self) -> Self:
         """Hold the slot."""
@@ -33,7 +34,11 @@
 
     def __exit__(self, *exc_info: object) -> None:
         """Give the slot back."""
-        self.release()
+        self._release()
+
+    def mark_failed(self) -> None:
+        """Say that the endpoint failed the request."""
+        self.has_failed = True
 
 
 class EndpointsController:
@@ -71,43 +76,47 @@
                 self._services[endpoint.address] = service
             return self._services[endpoint.address]
 
-    def acquire_service(self, group: EndpointGroup) -> Slot:
-        """Return a slot on the least busy service of the group."""
+    def acquire(self, request: SlotRequest) -> Slot:
+        """Return a slot on an endpoint that can run the request now."""
+        if request.adapter is None:
+            return self._acquire_service(request)
+        return self._acquire_engine(request, request.adapter)
+
+    def dump(self) -> Mapping[str, Any]:
+        """Return requests in flight and resident adapters by address."""
+        with self._lock:
+            return {
+                'in_flight': dict(self.in_flight),
+                'resident': {
+                    address: sorted(str(adapter) for adapter in adapters)
+                    for address, adapters in self.resident.items()
+                },
+            }
+
+    def _acquire_service(self, request: SlotRequest) -> Slot:
         with self._lock:
             endpoint = min(
-                _required(group),
+                _candidates(request),
                 key=lambda candidate: self.in_flight.get(candidate.address, 0),
             )
             return self._hold(endpoint)
 
-    def acquire_engine(self, group: EndpointGroup, adapter: AdapterVersion) -> Slot:
-        """Return a slot on an engine where the adapter version is resident."""
-        by_name = {endpoint.name: endpoint for endpoint in _required(group)}
+    def _acquire_engine(self, request: SlotRequest, adapter: AdapterVersion) -> Slot:
+        by_name = {endpoint.name: endpoint for endpoint in _candidates(request)}
         endpoint = by_name[rank_names(str(adapter), by_name)[0]]
         slot = self._hold(endpoint)
         try:
             self._ensure_resident(endpoint, adapter)
-        except Exception:
-            slot.release()
+        except PeerError:
+            slot.__exit__()
             raise
         return slot
 
-    def dump(self) -> Mapping[str, Any]:
-        """Return requests in flight and resident adapters by address."""
-        with self._lock:
-            return {
-                'in_flight': dict(self.in_flight),
-                'resident': {
-                    address: sorted(str(adapter) for adapter in adapters)
-                    for address, adapters in self.resident.items()
-                },
-            }
-
-    def _hold(self, endpoint: Endpoint) -> Slot:
+    def _hold(self, endpoint: Endpoint) -> HeldSlot:
         with self._lock:
             in_flight = self.in_flight.get(endpoint.address, 0)
             self.in_flight[endpoint.address] = in_flight + 1
-        return Slot(endpoint, lambda: self._release(endpoint.address))
+        return HeldSlot(endpoint, lambda: self._release(endpoint.address))
 
     def _release(self, address: str) -> None:
         with self._lock:
@@ -126,11 +135,16 @@
             resident.add(adapter)
 
 
-def _required(group: EndpointGroup) -> tuple[Endpoint, ...]:
-    if not group.endpoints:
+def _candidates(request: SlotRequest) -> tuple[Endpoint, ...]:
+    endpoints = tuple(
+        endpoint
+        for endpoint in request.group.endpoints
+        if endpoint.name not in request.excluded
+    )
+    if not endpoints:
         raise UnavailableError(
-            f'group {group.name} has no endpoints',
+            f'group {request.group.name} has no endpoint left',
             step=_STEP,
             retry_after_s=_RETRY_AFTER_S,
         )
-    return group.endpoints
+    return endpoints
--- a/src/pimentohoist/_filters/dispatch.py
+++ b/src/pimentohoist/_filters/dispatch.py
@@ -10,13 +10,12 @@
 from http import HTTPStatus
 
 from pimentohoist._controllers.configuration import ConfigurationController
-from pimentohoist._controllers.endpoints import EndpointsController, Slot
 from pimentohoist._openai import AnswerWriter
 from pimentohoist.configuration import Adapter, EndpointGroup
 from pimentohoist.exceptions import NotFoundError, WrongAnswerError
-from pimentohoist.exchanges import Answer, Exchange, RequestKind
+from pimentohoist.exchanges import Answer, Exchange, RequestKind, SlotRequest
 from pimentohoist.models import AdapterVersion, Generation, ServiceCall, TokenChunk
-from pimentohoist.protocols import Clock
+from pimentohoist.protocols import Clock, Slot, Slots
 
 _STEP = 'dispatch'
 _SHORTEST_TIMEOUT_S = 0.001
@@ -30,11 +29,11 @@
     def __init__(
         self,
         configuration: ConfigurationController,
-        endpoints: EndpointsController,
+        slots: Slots,
         clock: Clock,
     ) -> None:
         self.configuration = configuration
-        self.endpoints = endpoints
+        self.slots = slots
         self.clock = clock
 
     def __call__(self, exchange: Exchange) -> Answer:
@@ -77,17 +76,16 @@
             exchange.route is not None and exchange.route.is_idempotent,
             request.idempotency_key,
         )
-        slot = self.endpoints.acquire_service(_group(exchange))
+        slot = self.slots.acquire(_slot_request(exchange, None))
         exchange.endpoint = slot.endpoint.name
         with slot:
-            reply = self.endpoints.service(slot.endpoint).call(
+            reply = self.slots.service(slot.endpoint).call(
                 call, timeout_s=self._remaining_s(exchange)
             )
         return Answer(reply.status, reply.content_type, [reply.body])
 
     def _generate(self, exchange: Exchange) -> Answer:
-        adapter = _adapter(exchange)
-        slot = self.endpoints.acquire_engine(_group(exchange), adapter)
+        slot = self.slots.acquire(_slot_request(exchange, _adapter(exchange)))
         exchange.endpoint = slot.endpoint.name
         chunks = self._chunks(exchange, slot)
         writer = AnswerWriter(exchange)
@@ -109,7 +107,7 @@
         self, exchange: Exchange, slot: Slot
     ) -> Generator[TokenChunk, None, None]:
         with slot:
-            parts = self.endpoints.engine(slot.endpoint).generate(
+            parts = self.slots.engine(slot.endpoint).generate(
                 _generation(exchange), timeout_s=self._remaining_s(exchange)
             )
             for chunk in parts:
@@ -127,6 +125,19 @@
     return exchange.group
 
 
+def _slot_request(exchange: Exchange, adapter: AdapterVersion | None) -> SlotRequest:
+    workspace = exchange.workspace
+    return SlotRequest(
+        exchange.request.request_id,
+        _group(exchange),
+        adapter,
+        workspace.name if workspace else '',
+        exchange.cost_tokens,
+        is_urgent=workspace is not None and workspace.is_urgent,
+        deadline=exchange.request.deadline,
+    )
+
+
 def _adapter(exchange: Exchange) -> AdapterVersion:
     if exchange.adapter_version is None:
         raise NotFoundError('no adapter was resolved', step=_STEP)
--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -5,8 +5,9 @@
 import logging
 import sys
 import time
+from collections.abc import Callable
 from contextlib import ExitStack
-from typing import Self
+from typing import Any, Self
 
 import fire
 
@@ -24,7 +25,8 @@
 from pimentohoist._signals import stop_event
 from pimentohoist._platform.log import HttpLog
 from pimentohoist.exceptions import SettingsError
-from pimentohoist.protocols import Controller, Handler
+from pimentohoist._peers import PeerClients, PeerServer
+from pimentohoist.protocols import Controller, Handler, PeerAnswering
 from pimentohoist.settings import Settings, read_settings
 
 _EXIT_SETTINGS = 2
@@ -39,6 +41,7 @@
         self.settings = settings
         platform = settings.platform
         self.log = HttpLog(platform.log_address, timeout_s=platform.timeout_s)
+        self.peers = PeerClients()
         self.configuration = ConfigurationController(self.log)
         self.view = ViewController(self.log, settings.daemon)
         self.endpoints = EndpointsController(self.view)
@@ -47,13 +50,16 @@
             'view': self.view,
             'endpoints': self.endpoints,
         }
+        self.answering: tuple[PeerAnswering, ...] = ()
         self._stack = ExitStack()
 
     def __enter__(self) -> Self:
         """Start the controllers, then serve operators and callers."""
         with ExitStack() as stack:
+            stack.enter_context(self.peers)
             for controller in self.controllers.values():
                 stack.enter_context(controller)
+            stack.enter_context(self._peer_server())
             stack.enter_context(self._operators_server())
             stack.enter_context(self._callers_server())
             self._stack = stack.pop_all()
@@ -84,6 +90,12 @@
             threads=callers.threads,
         )
 
+    def _peer_server(self) -> PeerServer:
+        methods: dict[str, Callable[[Any], Any]] = {}
+        for answering in self.answering:
+            methods.update(answering.peer_methods())
+        return PeerServer(self.settings.daemon.peer_address, methods)
+
     def _operators_server(self) -> HttpServer:
         app = OperatorsApp(
             self.settings.daemon.name, self.controllers, self.configuration
--- a/src/pimentohoist/exchanges.py
+++ b/src/pimentohoist/exchanges.py
@@ -73,6 +73,34 @@
     facts: dict[str, Any] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class SlotRequest:
+    """What a request needs of an endpoint.
+
+    Attributes
+    ----------
+    adapter : AdapterVersion or None
+        Must be resident on the engine; None for a plain service.
+    deadline : float
+        Monotonic time in seconds by which the request must have ended.
+    excluded : frozenset of str
+        Names of endpoints that have failed this request before.
+    is_alone : bool
+        Whether no other request of this kind may run on the endpoint, since this one is
+        suspected of crashing endpoints.
+    """
+
+    request_id: str
+    group: EndpointGroup
+    adapter: AdapterVersion | None
+    workspace: str
+    cost_tokens: int
+    is_urgent: bool
+    deadline: float
+    excluded: frozenset[str] = frozenset()
+    is_alone: bool = False
+
+
 @dataclass(slots=True)
 class Answer:
     """What goes back to the caller.
--- a/src/pimentohoist/protocols.py
+++ b/src/pimentohoist/protocols.py
@@ -9,7 +9,8 @@
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import Any, Protocol, Self
 
-from pimentohoist.exchanges import Answer, Exchange
+from pimentohoist.configuration import Endpoint
+from pimentohoist.exchanges import Answer, Exchange, SlotRequest
 from pimentohoist.models import (
     AdapterOrder,
     AdapterVersion,
@@ -108,6 +109,47 @@
         """Send one call and return the whole answer; errors as `Engine.generate`."""
 
 
+class Slot(Protocol):
+    """A request's place on an endpoint; leaving the context gives it back."""
+
+    endpoint: Endpoint
+
+    def __enter__(self) -> Self:
+        """Hold the slot; the adapter stays resident meanwhile."""
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Give the slot back."""
+
+    def mark_failed(self) -> None:
+        """Say that the endpoint failed the request."""
+
+
+class Slots(Protocol):
+    """Gives slots on endpoints and the clients to use them."""
+
+    def acquire(self, request: SlotRequest) -> Slot:
+        """Wait for a slot and return it.
+
+        Raises
+        ------
+        UnavailableError, DeadlineError
+            There is none in time; the request was not run.
+        """
+
+    def engine(self, endpoint: Endpoint) -> Engine:
+        """Return the client of an engine."""
+
+    def service(self, endpoint: Endpoint) -> Service:
+        """Return the client of a plain service."""
+
+
+class Peers(Protocol):
+    """Calls to other daemons."""
+
+    def call(self, address: str, method: str, request: Any, *, timeout_s: float) -> Any:
+        """Call `method` of the daemon at a peer address; raises PeerError."""
+
+
 class Filter(Protocol):
     """One step of a request; calls `proceed` for the rest of the chain."""
 
@@ -145,6 +187,13 @@
         """Return the state for operators, without secrets, ready for JSON."""
 
 
+class PeerAnswering(Protocol):
+    """A controller that answers calls of other daemons."""
+
+    def peer_methods(self) -> Mapping[str, Callable[[Any], Any]]:
+        """Return the functions that answer, by method of the peer service."""
+
+
 class Homes(Protocol):
     """Which member is the home of a thing in the present view."""
 
