--- /dev/null
+++ b/features/steps/configuration_fold.py
@@ -0,0 +1,302 @@
+"""Steps on the fold of the configuration stream."""
+
+from __future__ import annotations
+
+import json
+from collections import UserDict
+from collections.abc import Iterator, Mapping
+from types import MappingProxyType
+
+from behave import given, then, when
+from behave.runner import Context
+from hypothesis import HealthCheck, Phase, seed, settings
+from hypothesis import given as given_values
+from hypothesis import strategies as st
+from naive_configuration import fold_naively
+
+from pimentohoist._configuration_fold import Change, ConfigurationFold, Publish
+from pimentohoist.configuration import (
+    Adapter,
+    Configuration,
+    Endpoint,
+    EndpointGroup,
+    GroupKind,
+    Key,
+    Route,
+    Workspace,
+    section_id,
+    section_text,
+)
+from pimentohoist.exceptions import ConfigurationError
+from pimentohoist.models import LogRecord
+
+_WINDOW = 8
+_MOST_CHANGES = 4
+_WORKSPACES = ('w1', 'w2')
+_GROUPS = ('g1', 'g2')
+_BROKEN_RECORDS = (
+    b'',
+    b'{',
+    b'\xff\xfe',
+    b'[1]',
+    b'{"kind": "other"}',
+    b'{"kind": "publish", "publish_id": "p1", "base_offset": 0, "changes": []}',
+    b'{"kind": "publish", "publish_id": 7}',
+    b'[' * 5000,
+)
+_BROKEN_TEXTS = (
+    '[workspaces.w1',
+    '[workspaces.w1]\nrate_tokens_per_s = -1.0\nburst_tokens = 1\n',
+    '[workspaces.w1]\nrate_tokens_per_s = "1"\nburst_tokens = 1\n',
+    '[nothing.w1]\n',
+    '[workspaces.w1]\nburst_tokens = 1\n',
+    f'a = {"9" * 5000}',
+    'a = ' + '[' * 5000,
+    'workspaces.' + 'a.' * 3000 + 'b = 1',
+)
+
+_names = st.sampled_from(_WORKSPACES)
+_sections = st.one_of(
+    st.builds(Workspace, _names, st.just(1.0), st.integers(1, 3)),
+    st.builds(
+        Key,
+        st.sampled_from(('k1', 'k2')),
+        _names,
+        st.just('0' * 16),
+        st.sampled_from(('a' * 64, 'b' * 64)),
+    ),
+    st.builds(
+        lambda name, kind, end: EndpointGroup(
+            name, kind, (Endpoint(end, '127.0.0.1:1', 'a'),) if end else ()
+        ),
+        st.sampled_from(_GROUPS),
+        st.sampled_from(GroupKind),
+        st.sampled_from(('', 'e1', 'e2')),
+    ),
+    st.builds(
+        lambda name, group, workspace, version: Adapter(
+            name, group, (version,), version, (workspace,)
+        ),
+        st.sampled_from(('a1', 'a2')),
+        st.sampled_from(('g1', 'g1', 'g1', 'g2')),
+        _names,
+        st.integers(1, 2),
+    ),
+    st.builds(
+        lambda name, group: Route(name, group, is_idempotent=True),
+        st.just('r1'),
+        st.sampled_from(('g2', 'g2', 'g1')),
+    ),
+)
+_replacements = st.builds(
+    lambda section, is_removed: {
+        'section': section_id(section),
+        'text': None if is_removed else section_text(section),
+    },
+    _sections,
+    st.sampled_from((False, False, False, False, False, True)),
+)
+_changes = st.one_of(
+    _replacements,
+    _replacements,
+    _replacements,
+    st.builds(
+        lambda text: {'section': 'workspaces/w1', 'text': text},
+        st.sampled_from(_BROKEN_TEXTS),
+    ),
+)
+_publishes = st.fixed_dictionaries(
+    {
+        'publish_id': st.integers(0, 20).map(str),
+        'lag': st.sampled_from((0, 0, 0, 0, 1, 2, 5, 12, -1)),
+        'changes': st.lists(_changes, min_size=1, max_size=_MOST_CHANGES),
+    }
+)
+_histories = st.lists(
+    st.one_of(
+        _publishes, _publishes, _publishes, _publishes, st.sampled_from(_BROKEN_RECORDS)
+    ),
+    min_size=1,
+    max_size=20,
+)
+
+
+_FOUNDATION = MappingProxyType(
+    {
+        'publish_id': 'foundation',
+        'lag': 0,
+        'changes': [
+            {'section': section_id(section), 'text': section_text(section)}
+            for section in (
+                Workspace('w1', 1, 1),
+                Workspace('w2', 1, 1),
+                EndpointGroup('g1', GroupKind.ENGINE),
+                EndpointGroup('g2', GroupKind.SERVICE),
+            )
+        ],
+    }
+)
+
+
+def bodies_of(history: list) -> list[bytes]:
+    """Return the records; a repeated publish id repeats its first record."""
+    first: dict[str, bytes] = {}
+    bodies = []
+    for offset, entry in enumerate(history):
+        if not isinstance(entry, Mapping):
+            bodies.append(entry)
+            continue
+        publish = {
+            'kind': 'publish',
+            'publish_id': entry['publish_id'],
+            'base_offset': max(0, offset - entry['lag']),
+            'changes': entry['changes'],
+        }
+        body = json.dumps(publish).encode()
+        bodies.append(first.setdefault(entry['publish_id'], body))
+    return bodies
+
+
+def apply_all(fold: ConfigurationFold, bodies: list[bytes], start: int = 0) -> None:
+    for offset, body in enumerate(bodies[start:], start):
+        fold.apply(LogRecord(offset, body))
+
+
+@when('{count:d} generated configuration histories are folded, seed {number:d}')
+def fold_histories(context: Context, count: int, number: int) -> None:
+    context.verdicts = []
+    collected = st.just(context.verdicts)
+    generated = given_values(collected, _histories, st.integers(0, 20))(check_history)
+    limits = settings(
+        max_examples=count,
+        database=None,
+        deadline=None,
+        suppress_health_check=list(HealthCheck),
+        phases=(Phase.generate,),
+    )
+    seed(number)(limits(generated))()
+
+
+def check_history(verdicts: list, history: list, cut: int) -> None:
+    bodies = bodies_of([_FOUNDATION, *history])
+    fold = ConfigurationFold(_WINDOW)
+    for offset, body in enumerate(bodies):
+        fold.apply(LogRecord(offset, body))
+        check_against_naive(fold, bodies[: offset + 1])
+    check_restored(fold, bodies, min(cut, len(bodies)))
+    verdicts.extend(fold.verdicts.values())
+
+
+def check_against_naive(fold: ConfigurationFold, bodies: list[bytes]) -> None:
+    naive = fold_naively(bodies, _WINDOW)
+    assert fold.texts == naive.texts, (fold.texts, naive.texts)
+    assert fold.skipped_records == naive.skipped
+    decided = {name: verdict.is_accepted for name, verdict in fold.verdicts.items()}
+    expected = {name: naive.decided[name] for name in decided}
+    assert decided == expected, (decided, naive.decided)
+    kept = (len(fold.verdicts), len(fold.removed))
+    assert max(kept) <= _WINDOW * _MOST_CHANGES, kept
+
+
+def check_restored(fold: ConfigurationFold, bodies: list[bytes], cut: int) -> None:
+    first = ConfigurationFold(_WINDOW)
+    apply_all(first, bodies[:cut])
+    second = ConfigurationFold(_WINDOW)
+    second.restore(first.snapshot())
+    apply_all(second, bodies, cut)
+    newer = second.snapshot()
+    assert newer == fold.snapshot()
+    assert fold.digest() == Configuration.parse(fold.text()).digest()
+    second.restore(first.snapshot())
+    assert second.snapshot() == newer, 'an older snapshot took effect'
+
+
+@then('the fold and the naive one agree after every record and from every snapshot')
+def check_agreement(context: Context) -> None:
+    verdicts = context.verdicts
+    accepted = sum(verdict.is_accepted for verdict in verdicts)
+    conflicts = sum(bool(verdict.conflicts) for verdict in verdicts)
+    faulty = sum(bool(verdict.faults) for verdict in verdicts)
+    assert min(accepted, conflicts, faulty) > 50, (accepted, conflicts, faulty)
+
+
+@given('a fold of {count:d} adapters')
+def fold_many(context: Context, count: int) -> None:
+    context.fold = ConfigurationFold()
+    sections = [Workspace('w1', 1, 1), EndpointGroup('g1', GroupKind.ENGINE)]
+    sections += [Adapter(f'a{index}', 'g1', (1,), 1, ('w1',)) for index in range(count)]
+    apply_sections(context.fold, sections)
+    assert len(context.fold.sections) == count + 2
+
+
+def apply_sections(fold: ConfigurationFold, sections: list) -> None:
+    offset = fold.next_offset
+    changes = tuple(
+        Change(section=section_id(section), text=section_text(section))
+        for section in sections
+    )
+    publish = Publish(publish_id=str(offset), base_offset=offset, changes=changes)
+    fold.apply(LogRecord(offset, publish.model_dump_json().encode()))
+    assert fold.verdicts[str(offset)].is_accepted, fold.verdicts[str(offset)]
+
+
+class CountingDict(UserDict):
+    """Counts how often it is walked or copied."""
+
+    def __init__(self, entries: dict) -> None:
+        super().__init__()
+        self.data = entries
+        self.walks = 0
+
+    def __iter__(self) -> Iterator:
+        self.walks += 1
+        return super().__iter__()
+
+
+@when('one adapter changes and one is removed')
+def change_one(context: Context) -> None:
+    fold = context.fold
+    fold.index.sections = CountingDict(fold.index.sections)
+    fold.texts = CountingDict(fold.texts)
+    fold.versions = CountingDict(fold.versions)
+    context.before = (fold.index.sections, fold.texts, fold.versions)
+    apply_sections(fold, [Adapter('a1', 'g1', (1, 2), 2, ('w1',))])
+    offset = fold.next_offset
+    removal = Change(section='adapters/a2', text=None)
+    publish = Publish(publish_id='r', base_offset=offset, changes=(removal,))
+    fold.apply(LogRecord(offset, publish.model_dump_json().encode()))
+    assert fold.verdicts['r'].is_accepted
+
+
+@then('the fold has not read or copied its sections as a whole')
+def check_cost(context: Context) -> None:
+    fold = context.fold
+    now = (fold.index.sections, fold.texts, fold.versions)
+    for before, after in zip(context.before, now, strict=True):
+        assert before is after
+        assert after.walks == 0
+
+
+@given('the configuration text')
+def keep_text(context: Context) -> None:
+    context.config_text = context.text
+
+
+@when('a configuration text with {count:d} faults is read')
+def read_faulty(context: Context, count: int) -> None:
+    context.fault_count = count
+    try:
+        Configuration.parse(context.config_text)
+    except ConfigurationError as error:
+        context.faults = error.faults
+    else:
+        raise AssertionError('the text was taken')
+
+
+@then('these faults are told')
+def check_lines(context: Context) -> None:
+    assert len(context.faults) == context.fault_count, context.faults
+    for row in context.table:
+        start = f'line {row["line"]}: '
+        found = [fault for fault in context.faults if fault.startswith(start)]
+        assert any(row['part'] in fault for fault in found), (row, context.faults)
--- a/src/pimentohoist/_configuration_fold.py
+++ b/src/pimentohoist/_configuration_fold.py
@@ -1,43 +1,63 @@
-"""Fold of the configuration stream: certification by section versions."""
+"""Fold of the configuration stream: certification of each publish in log order."""
 
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
-from dataclasses import dataclass
+from collections import Counter, OrderedDict
+from collections.abc import Iterator, Mapping
+from dataclasses import asdict, dataclass
 from typing import Annotated, Any, Literal
 
 from pydantic import BaseModel, Field, TypeAdapter, ValidationError
 
-from pimentohoist.configuration import (
-    Configuration,
-    Section,
-    find_faults,
+from pimentohoist._configuration_text import (
+    join_texts,
     parse_sections,
-    references,
+    text_digest,
+)
+from pimentohoist._decisions.sections import SectionIndex
+from pimentohoist._sections import (
+    Section,
     section_id,
+    section_text,
 )
+from pimentohoist.configuration import Configuration
 from pimentohoist.exceptions import ConfigurationError
 from pimentohoist.models import LogRecord
 
 CONFIGURATION_STREAM = 'configuration'
+WINDOW_RECORDS = 5000
+"""Records for which verdicts are kept; a publish with an older base is rejected."""
+
+_MOST_FAULTS = 20
 
 
 class Change(BaseModel, frozen=True, extra='forbid'):
     """A section's replacement; `text` None removes it."""
 
     section: str
-    base_version: Annotated[int, Field(ge=0)]
     text: str | None
 
 
 class Publish(BaseModel, frozen=True, extra='forbid'):
-    """A record of the configuration stream."""
+    """A record of the configuration stream.
+
+    Attributes
+    ----------
+    publish_id : str
+        Unique; a second record with the same id has no effect.
+    base_offset : int
+        Records before this offset were seen by the operator.
+    published_at : str
+        Time on the operator's clock, for the history alone.
+    """
 
     kind: Literal['publish'] = 'publish'
     publish_id: str
+    base_offset: Annotated[int, Field(ge=0)]
+    changes: Annotated[tuple[Change, ...], Field(min_length=1)]
     operator: str = ''
-    changes: tuple[Change, ...]
+    published_at: str = ''
 
 
 _RECORD: TypeAdapter[Publish] = TypeAdapter(Publish)
@@ -52,14 +72,19 @@
     offset : int
         Offset of the publish record.
     conflicts : tuple of str
-        Sections that had changed meanwhile.
+        Sections that had changed since the base.
     faults : tuple of str
         Contradictions that the result would have.
+    sections : int
+        Sections that the publish names.
     """
 
     offset: int
     conflicts: tuple[str, ...] = ()
     faults: tuple[str, ...] = ()
+    sections: int = 0
+    operator: str = ''
+    published_at: str = ''
 
     @property
     def is_accepted(self) -> bool:
@@ -70,14 +95,32 @@
 class ConfigurationFold:
     """State of the configuration stream.
 
-    A section's version is one more than the offset of the record that last changed it;
-    a section that never was has version 0.
+    A section's version is one more than the offset of the record that last changed it. A
+    publish is accepted if none of its sections has a version above the publish's base and
+    the whole that results is free of contradictions.
+
+    Parameters
+    ----------
+    window : int
+        Records for which verdicts and the versions of removed sections are kept.
+
+    Attributes
+    ----------
+    texts : dict of str to str
+        Printed sections by id.
+    versions : dict of str to int
+        By section id; removed sections included for `window` records.
+    verdicts : mapping of str to Verdict
+        By publish id, in log order.
     """
 
-    def __init__(self) -> None:
-        self.sections: dict[str, Section] = {}
+    def __init__(self, window: int = WINDOW_RECORDS) -> None:
+        self.window = window
+        self.index = SectionIndex()
+        self.texts: dict[str, str] = {}
         self.versions: dict[str, int] = {}
-        self.verdicts: dict[str, Verdict] = {}
+        self.removed: OrderedDict[str, int] = OrderedDict()
+        self.verdicts: OrderedDict[str, Verdict] = OrderedDict()
         self.skipped_records = 0
         self._next_offset = 0
 
@@ -86,98 +129,173 @@
         """Offset of the first record not yet applied."""
         return self._next_offset
 
+    @property
+    def sections(self) -> Mapping[str, Section]:
+        """The sections in force, by id."""
+        return self.index.sections
+
     @property
     def configuration(self) -> Configuration:
-        """The configuration in force."""
-        return Configuration(dict(self.sections))
+        """A copy of the configuration in force."""
+        return Configuration(dict(self.index.sections))
+
+    def text(self) -> str:
+        """Return the text in force."""
+        return join_texts(self.texts)
 
     def apply(self, record: LogRecord) -> None:
         """Apply one record; a broken or foreign one is counted and skipped."""
         self._next_offset = record.offset + 1
-        try:
-            publish = _RECORD.validate_json(record.body)
-        except ValidationError:
+        publish = _read_publish(record)
+        if publish is None:
             self.skipped_records += 1
-            return
-        if publish.publish_id in self.verdicts:
-            return
-        self.verdicts[publish.publish_id] = self._decide(publish, record.offset)
+        elif publish.publish_id not in self.verdicts:
+            verdict = self._decide(publish, record.offset)
+            self.verdicts[publish.publish_id] = verdict
+        self._forget()
 
     def snapshot(self) -> bytes:
         """Return the whole state."""
-        return json.dumps(
-            {
-                'next_offset': self._next_offset,
-                'text': self.configuration.text(),
-                'versions': self.versions,
-                'skipped_records': self.skipped_records,
-                'verdicts': {
-                    publish_id: [verdict.offset, verdict.conflicts, verdict.faults]
-                    for publish_id, verdict in self.verdicts.items()
-                },
-            }
-        ).encode()
+        verdicts = [
+            {'publish_id': publish_id, **asdict(verdict)}
+            for publish_id, verdict in self.verdicts.items()
+        ]
+        document = {
+            'next_offset': self._next_offset,
+            'text': self.text(),
+            'versions': dict(sorted(self.versions.items())),
+            'removed': list(self.removed),
+            'skipped_records': self.skipped_records,
+            'verdicts': verdicts,
+        }
+        return json.dumps(document).encode()
 
     def restore(self, body: bytes) -> None:
         """Replace the state by a snapshot's, if that covers more."""
         document: Mapping[str, Any] = json.loads(body)
         if document['next_offset'] <= self._next_offset:
             return
-        self.sections = dict(Configuration.parse(document['text']).sections)
-        self.versions = dict(document['versions'])
-        self.skipped_records = document['skipped_records']
-        self.verdicts = {
-            publish_id: Verdict(offset, tuple(conflicts), tuple(faults))
-            for publish_id, (offset, conflicts, faults) in document['verdicts'].items()
+        sections = {
+            section_id(section): section for section in parse_sections(document['text'])
         }
+        index = SectionIndex.of(sections)
+        texts = {name: section_text(section) for name, section in sections.items()}
+        versions = dict(document['versions'])
+        removed = OrderedDict((name, versions[name]) for name in document['removed'])
+        verdicts = OrderedDict(_read_verdict(entry) for entry in document['verdicts'])
+        # Nothing may fail from here on, so that the state is replaced whole or not at all.
+        self.index = index
+        self.texts = texts
+        self.versions = versions
+        self.removed = removed
+        self.verdicts = verdicts
+        self.skipped_records = document['skipped_records']
         self._next_offset = document['next_offset']
 
+    def digest(self) -> str:
+        """Return the SHA-256 of the text in force."""
+        return text_digest(self.text())
+
     def _decide(self, publish: Publish, offset: int) -> Verdict:
+        base = publish.base_offset
         conflicts = tuple(
             change.section
             for change in publish.changes
-            if self.versions.get(change.section, 0) != change.base_version
+            if self.versions.get(change.section, 0) > base
+        )
+        faults: tuple[str, ...] = ()
+        if not conflicts:
+            faults = self._find_base_faults(base, offset) or self._certify(
+                publish, offset
+            )
+        return Verdict(
+            offset,
+            conflicts,
+            faults,
+            len(publish.changes),
+            publish.operator,
+            publish.published_at,
         )
-        if conflicts:
-            return Verdict(offset, conflicts=conflicts)
+
+    def _find_base_faults(self, base: int, offset: int) -> tuple[str, ...]:
+        if base < offset - self.window:
+            return (f'its base is more than {self.window} records old',)
+        return ()
+
+    def _certify(self, publish: Publish, offset: int) -> tuple[str, ...]:
+        """Apply the changes if they are sound; else return the faults."""
+        names = Counter(change.section for change in publish.changes)
+        twice = tuple(f'{name}: changed twice' for name in names if names[name] > 1)
+        if twice:
+            return twice[:_MOST_FAULTS]
         try:
-            result = self._certify(publish)
+            changes = dict(map(_parse_change, publish.changes))
         except ConfigurationError as error:
-            return Verdict(offset, faults=error.faults)
-        self.sections = result
-        for change in publish.changes:
-            self.versions[change.section] = offset + 1
-        return Verdict(offset)
-
-    def _certify(self, publish: Publish) -> dict[str, Section]:
-        result = dict(self.sections)
-        changed: list[Section] = []
-        for change in publish.changes:
-            result.pop(change.section, None)
-            if change.text is not None:
-                changed.append(_parse_change(change))
-        result.update((section_id(section), section) for section in changed)
-        faults = tuple(find_faults(result, changed)) + _dangling(result, publish)
-        if faults:
-            raise ConfigurationError(faults, step=CONFIGURATION_STREAM)
-        return result
-
-
-def _parse_change(change: Change) -> Section:
-    sections = parse_sections(change.text or '')
+            return error.faults[:_MOST_FAULTS]
+        found = self.index.find_faults(changes)
+        faults = tuple(f'{identity}: {fault}' for identity, fault in found)
+        if not faults:
+            self._replace(changes, offset + 1)
+        return faults[:_MOST_FAULTS]
+
+    def _replace(self, changes: Mapping[str, Section | None], version: int) -> None:
+        self.index.apply(changes)
+        for name, section in changes.items():
+            self.versions[name] = version
+            self.removed.pop(name, None)
+            if section is None:
+                self.texts.pop(name)
+                self.removed[name] = version
+            else:
+                self.texts[name] = section_text(section)
+
+    def _forget(self) -> None:
+        """Drop what no publish with an admissible base can need."""
+        oldest = self._next_offset - self.window
+        for publish_id in tuple(_expired_verdicts(self.verdicts, oldest)):
+            self.verdicts.pop(publish_id)
+        for name in tuple(_expired_names(self.removed, oldest)):
+            self.removed.pop(name)
+            self.versions.pop(name)
+
+
+def _read_publish(record: LogRecord) -> Publish | None:
+    """Return the publish; None if the record is broken or of another program."""
+    try:
+        publish = _RECORD.validate_json(record.body, strict=True)
+    except ValidationError:
+        return None
+    # No state that covers the publish itself can have been its base.
+    return publish if publish.base_offset <= record.offset else None
+
+
+def _expired_verdicts(verdicts: Mapping[str, Verdict], oldest: int) -> Iterator[str]:
+    for publish_id, verdict in verdicts.items():
+        if verdict.offset >= oldest:
+            return
+        yield publish_id
+
+
+def _expired_names(removed: Mapping[str, int], oldest: int) -> Iterator[str]:
+    for name, version in removed.items():
+        if version > oldest:
+            return
+        yield name
+
+
+def _read_verdict(entry: Mapping[str, Any]) -> tuple[str, Verdict]:
+    fields = dict(entry)
+    publish_id = fields.pop('publish_id')
+    fields['conflicts'] = tuple(fields['conflicts'])
+    fields['faults'] = tuple(fields['faults'])
+    return publish_id, Verdict(**fields)
+
+
+def _parse_change(change: Change) -> tuple[str, Section | None]:
+    if change.text is None:
+        return change.section, None
+    sections = parse_sections(change.text)
     if [section_id(section) for section in sections] != [change.section]:
         fault = f'{change.section}: the text is of another section'
         raise ConfigurationError((fault,), step=CONFIGURATION_STREAM)
-    return sections[0]
-
-
-def _dangling(result: Mapping[str, Section], publish: Publish) -> tuple[str, ...]:
-    removed = {change.section for change in publish.changes if change.text is None}
-    if not removed:
-        return ()
-    return tuple(
-        f'{identity}: names {reference}, which is removed'
-        for identity, section in result.items()
-        for reference in references(section)
-        if reference in removed
-    )
+    return change.section, sections[0]
--- a/src/pimentohoist/_controllers/configuration.py
+++ b/src/pimentohoist/_controllers/configuration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import Any, Self
 
 from pimentohoist._configuration_fold import (
@@ -11,6 +12,7 @@
     Verdict,
 )
 from pimentohoist._controllers.follower import StreamFollower
+from pimentohoist._configuration_text import join_texts, text_digest
 from pimentohoist.configuration import (
     Adapter,
     Configuration,
@@ -26,6 +28,19 @@
 _RETRY_AFTER_S = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class InForce:
+    """The text in force once the records before `next_offset` were applied."""
+
+    text: str
+    next_offset: int
+
+    @property
+    def digest(self) -> str:
+        """SHA-256 of the text, in hexadecimal."""
+        return text_digest(self.text)
+
+
 class ConfigurationController:
     """Follows the configuration stream and answers questions about it.
 
@@ -59,11 +74,12 @@
         with self.follower.changed:
             return self.follower.fold.configuration
 
-    def in_force(self) -> tuple[Configuration, dict[str, int]]:
-        """Return the configuration in force and the versions of its sections."""
+    def in_force(self) -> InForce:
+        """Return the text in force and the offset that it covers."""
         with self.follower.changed:
             fold = self.follower.fold
-            return fold.configuration, dict(fold.versions)
+            texts, next_offset = dict(fold.texts), fold.next_offset
+        return InForce(join_texts(texts), next_offset)
 
     def verdict(self, publish_id: str) -> Verdict | None:
         """Return what was decided on a publish; None if it was not read yet."""
--- a/src/pimentohoist/_operators_app.py
+++ b/src/pimentohoist/_operators_app.py
@@ -51,11 +51,11 @@
         return Response(json.dumps(document), content_type=_JSON)
 
     def _configuration(self, request: Request) -> Response:
-        configuration, versions = self.configuration.in_force()
+        in_force = self.configuration.in_force()
         document = {
-            'text': configuration.text(),
-            'digest': configuration.digest(),
-            'versions': versions,
+            'text': in_force.text,
+            'digest': in_force.digest,
+            'next_offset': in_force.next_offset,
         }
         return Response(json.dumps(document), content_type=_JSON)
 
--- a/src/pimentohoist/_publisher.py
+++ b/src/pimentohoist/_publisher.py
@@ -83,12 +83,16 @@
         """
         base = self._base()
         changes = tuple(find_changes(base, configuration))
+        if not changes:
+            return Report('', configuration.digest(), 0, {})
         publish = Publish(
-            publish_id=uuid.uuid4().hex, operator=self.operator, changes=changes
+            publish_id=uuid.uuid4().hex,
+            operator=self.operator,
+            base_offset=base['next_offset'],
+            changes=changes,
         )
-        if changes:
-            self._append(publish)
-        verdicts = self._verdicts(publish.publish_id) if changes else {}
+        self._append(publish)
+        verdicts = self._verdicts(publish.publish_id)
         return Report(
             publish.publish_id, configuration.digest(), len(changes), verdicts
         )
@@ -133,7 +137,6 @@
     base: Mapping[str, Any], configuration: Configuration
 ) -> Iterator[Change]:
     """Yield the changes from what is in force to `configuration`."""
-    versions = base['versions']
     before = Configuration.parse(base['text']).sections
     after = configuration.sections
     for identity in sorted(before.keys() | after.keys()):
@@ -142,6 +145,5 @@
         section = after.get(identity)
         yield Change(
             section=identity,
-            base_version=versions.get(identity, 0),
             text=None if section is None else section_text(section),
         )
