--- a/features/steps/naive_configuration.py
+++ b/features/steps/naive_configuration.py
@@ -1,4 +1,4 @@
-"""The fold of the configuration stream, done anew from all texts after each record."""
+"""The fold of the configuration stream: the whole text is read again for each record."""
 
 from __future__ import annotations
 
@@ -14,27 +14,26 @@
 
 
 @dataclass
-class NaiveState:
+class NaiveFold:
+    window: int
     texts: dict[str, str] = field(default_factory=dict)
     changed_at: list[tuple[str, int]] = field(default_factory=list)
-    decided: dict[str, bool] = field(default_factory=dict)
+    decided: set[str] = field(default_factory=set)
+    decided_at: dict[int, bool] = field(default_factory=dict)
     skipped: int = 0
 
-
-def fold_naively(bodies: list[bytes], window: int) -> NaiveState:
-    state = NaiveState()
-    for offset, body in enumerate(bodies):
+    def apply(self, body: bytes, offset: int) -> None:
         publish = _read(body, offset)
         if publish is None:
-            state.skipped += 1
-        elif publish['publish_id'] not in state.decided:
-            result = _result(state, publish, offset, window)
-            state.decided[publish['publish_id']] = result is not None
+            self.skipped += 1
+        elif publish['publish_id'] not in self.decided:
+            self.decided.add(publish['publish_id'])
+            result = _result(self, publish, offset)
+            self.decided_at[offset] = result is not None
             if result is not None:
-                state.texts = result
+                self.texts = result
                 changes = publish['changes']
-                state.changed_at += [(change['section'], offset) for change in changes]
-    return state
+                self.changed_at += [(change['section'], offset) for change in changes]
 
 
 def _read(body: bytes, offset: int) -> dict | None:
@@ -46,13 +45,11 @@
         return None
 
 
-def _result(
-    state: NaiveState, publish: dict, offset: int, window: int
-) -> dict[str, str] | None:
+def _result(state: NaiveFold, publish: dict, offset: int) -> dict[str, str] | None:
     base = publish['base_offset']
     names = [change['section'] for change in publish['changes']]
     moved = any(name in names and at >= base for name, at in state.changed_at)
-    if moved or base < offset - window or len(set(names)) < len(names):
+    if moved or base < offset - state.window or len(set(names)) < len(names):
         return None
     result = dict(state.texts)
     for change in publish['changes']:
--- a/src/pimentohoist/_configuration_text.py
+++ b/src/pimentohoist/_configuration_text.py
@@ -20,6 +20,8 @@
 _DEEPEST_NESTING = 5
 _MOST_OPEN_BRACKETS = 50
 
+# The parser's time grows with the square of a dotted key's length.
+_LONG_DOTTED_KEY = re.compile(r'(?<![\w"\'-])(?:[\w"\'-]+[ \t]*\.[ \t]*){20}')
 _NO_BRACKETS = re.compile(r'[^\[\]{}]+')
 
 _Path: TypeAlias = tuple[str, ...]
@@ -90,7 +92,7 @@
 
 
 def _load(text: str) -> Mapping[str, Any]:
-    if _has_too_many_brackets(text):
+    if _LONG_DOTTED_KEY.search(text) or _has_too_many_brackets(text):
         raise ConfigurationError(('not TOML: nested too deep',), step=_STEP)
     try:
         return tomllib.loads(text)
