--- a/features/configuration_fold.feature
+++ b/features/configuration_fold.feature
@@ -1,7 +1,7 @@
 Feature: Every reader of the configuration stream reaches the same state
 
   Scenario: The fold agrees with a naive one over generated histories
-    When 100 generated configuration histories are folded, seed 4101
+    When 200 generated configuration histories are folded, seed 4101
     Then the fold and the naive one agree after every record and from every snapshot
 
   Scenario: The cost of a change does not follow the size of the configuration
--- a/features/steps/configuration_fold.py
+++ b/features/steps/configuration_fold.py
@@ -52,7 +52,7 @@
     '[workspaces.w1]\nburst_tokens = 1\n',
     f'a = {"9" * 5000}',
     'a = ' + '[' * 5000,
-    'workspaces.' + 'a.' * 3000 + 'b = 1',
+    'workspaces.' + 'a.' * 300 + 'b = 1',
 )
 
 _names = st.sampled_from(_WORKSPACES)
@@ -73,6 +73,8 @@
         st.sampled_from(GroupKind),
         st.sampled_from(('', 'e1', 'e2')),
     ),
+    st.builds(EndpointGroup, st.just('g1'), st.sampled_from(GroupKind)),
+    st.just(Adapter('a1', 'g1', (1,), 1)),
     st.builds(
         lambda name, group, workspace, version: Adapter(
             name, group, (version,), version, (workspace,)
@@ -193,6 +195,14 @@
     accepted = {at: verdict.is_accepted for at, verdict in decided.items()}
     expected = {at: naive.decided_at.get(at, False) for at in decided}
     assert accepted == expected, (fold.verdicts, naive.decided_at)
+    oldest = fold.next_offset - _WINDOW
+    recent = {name: at for name, at in naive.first_at.items() if at >= oldest}
+    first_at = {name: fold.verdicts[name].offset for name in recent}
+    assert first_at == recent, 'a repeat was decided anew'
+    check_kept(fold)
+
+
+def check_kept(fold: ConfigurationFold) -> None:
     kept = (len(fold.verdicts), len(fold.removed))
     assert max(kept) <= _WINDOW * _MOST_CHANGES, kept
 
--- a/features/steps/naive_configuration.py
+++ b/features/steps/naive_configuration.py
@@ -18,7 +18,7 @@
     window: int
     texts: dict[str, str] = field(default_factory=dict)
     changed_at: list[tuple[str, int]] = field(default_factory=list)
-    decided: set[str] = field(default_factory=set)
+    first_at: dict[str, int] = field(default_factory=dict)
     decided_at: dict[int, bool] = field(default_factory=dict)
     skipped: int = 0
 
@@ -26,8 +26,8 @@
         publish = _read(body, offset)
         if publish is None:
             self.skipped += 1
-        elif publish['publish_id'] not in self.decided:
-            self.decided.add(publish['publish_id'])
+        elif publish['publish_id'] not in self.first_at:
+            self.first_at[publish['publish_id']] = offset
             result = _result(self, publish, offset)
             self.decided_at[offset] = result is not None
             if result is not None:
--- a/src/pimentohoist/_controllers/configuration.py
+++ b/src/pimentohoist/_controllers/configuration.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+import time
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any, Self
 
@@ -13,6 +14,7 @@
 )
 from pimentohoist._controllers.follower import StreamFollower
 from pimentohoist._configuration_text import join_texts, text_digest
+from pimentohoist._snapshots import Snapshot
 from pimentohoist.configuration import (
     Adapter,
     Configuration,
@@ -26,6 +28,7 @@
 
 _STEP = 'configuration'
 _RETRY_AFTER_S = 1.0
+_FRESH_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,8 +53,17 @@
         Position, freshness and state.
     """
 
-    def __init__(self, log: Log) -> None:
-        self.follower = StreamFollower(log, CONFIGURATION_STREAM, ConfigurationFold())
+    def __init__(
+        self,
+        log: Log,
+        peer_snapshot: Callable[[str], Snapshot | None] | None = None,
+    ) -> None:
+        self.follower = StreamFollower(
+            log,
+            CONFIGURATION_STREAM,
+            ConfigurationFold(),
+            peer_snapshot=peer_snapshot,
+        )
 
     def __enter__(self) -> Self:
         """Start following the stream."""
@@ -64,11 +76,15 @@
 
     def require_known(self) -> None:
         """Raise UnavailableError if no configuration was read yet."""
-        if self.follower.head_read_at == float('-inf'):
+        if not self.follower.is_known():
             raise UnavailableError(
                 'no configuration yet', step=_STEP, retry_after_s=_RETRY_AFTER_S
             )
 
+    def is_fresh(self) -> bool:
+        """Return whether the log was read to its head a short while ago."""
+        return time.monotonic() - self.follower.head_read_at < _FRESH_S
+
     def configuration(self) -> Configuration:
         """Return a copy of the configuration in force."""
         with self.follower.changed:
--- a/src/pimentohoist/_controllers/follower.py
+++ b/src/pimentohoist/_controllers/follower.py
@@ -5,16 +5,19 @@
 import logging
 import threading
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, Generic, Self, TypeVar
 
-from pimentohoist.exceptions import LogError
+from pimentohoist._snapshots import Snapshot, find_snapshots
+from pimentohoist.exceptions import LogError, OffsetExpiredError, PimentohoistError
 from pimentohoist.protocols import Clock, Fold, Log
 
 FoldT = TypeVar('FoldT', bound=Fold)
 
-_LONG_POLL_S = 1.0
+# Half of a poll and its answer must stay below the time for which a read counts as fresh.
+_LONG_POLL_S = 0.5
 _PAUSE_AFTER_ERROR_S = 0.2
+_BAD_SNAPSHOT = (ValueError, LookupError, TypeError, PimentohoistError)
 _logger = logging.getLogger(__name__)
 
 
@@ -23,6 +26,8 @@
 
     Attributes
     ----------
+    peer_snapshot : callable or None
+        Returns other daemons' state of a stream; asked if the log is down at the start.
     fold : Fold
         State; read it only while holding `changed`.
     changed : threading.Condition
@@ -33,15 +38,23 @@
     """
 
     def __init__(
-        self, log: Log, stream: str, fold: FoldT, clock: Clock = time.monotonic
+        self,
+        log: Log,
+        stream: str,
+        fold: FoldT,
+        clock: Clock = time.monotonic,
+        peer_snapshot: Callable[[str], Snapshot | None] | None = None,
     ) -> None:
         self.log = log
         self.stream = stream
         self.fold = fold
         self.clock = clock
+        self.peer_snapshot = peer_snapshot
         self.changed = threading.Condition()
         self.head_read_at = float('-inf')
         self.errors = 0
+        self.restored_offset = 0
+        self.bad_snapshots = 0
         self._closed = threading.Event()
         self._thread = threading.Thread(
             target=self._follow, name=f'follow-{stream}', daemon=True
@@ -56,6 +69,25 @@
         """Stop following; the last long poll may outlive this call."""
         self._closed.set()
 
+    @property
+    def next_offset(self) -> int:
+        """Offset of the first record not yet applied."""
+        with self.changed:
+            return self.fold.next_offset
+
+    def has_read_head(self) -> bool:
+        """Return whether the fold has reached the head of the stream once."""
+        return self.head_read_at > float('-inf')
+
+    def is_known(self) -> bool:
+        """Return whether there is a state at all, from the log or from a peer."""
+        return self.has_read_head() or self.next_offset > 0
+
+    def snapshot(self) -> Snapshot:
+        """Return the present state."""
+        with self.changed:
+            return Snapshot(self.fold.next_offset, self.fold.snapshot())
+
     def wait_for(self, offset: int, timeout_s: float) -> bool:
         """Return whether the fold covers the record at `offset` in time."""
         with self.changed:
@@ -66,20 +98,21 @@
     def wait_until_read(self, timeout_s: float) -> bool:
         """Return whether the head was reached once in time."""
         with self.changed:
-            return self.changed.wait_for(
-                lambda: self.head_read_at > float('-inf'), timeout_s
-            )
+            return self.changed.wait_for(self.has_read_head, timeout_s)
 
     def dump(self) -> Mapping[str, Any]:
         """Return position and freshness."""
         with self.changed:
-            has_read = self.head_read_at > float('-inf')
-            age_s = round(self.clock() - self.head_read_at, 3) if has_read else None
+            age_s = None
+            if self.has_read_head():
+                age_s = round(self.clock() - self.head_read_at, 3)
             return {
                 'stream': self.stream,
                 'next_offset': self.fold.next_offset,
                 'head_read_s_ago': age_s,
                 'errors': self.errors,
+                'restored_offset': self.restored_offset,
+                'bad_snapshots': self.bad_snapshots,
             }
 
     def read_once(self, wait_s: float) -> None:
@@ -93,13 +126,46 @@
                 self.head_read_at = asked_at
             self.changed.notify_all()
 
+    def restore_from_log(self, least_offset: int) -> None:
+        """Take the kept snapshot that covers most, if any covers `least_offset`."""
+        for snapshot in find_snapshots(self.log, self.stream, least_offset):
+            if self._restore(snapshot):
+                return
+
     def _follow(self) -> None:
+        least_offset: int | None = 0
         while not self._closed.is_set():
-            has_read = self.head_read_at > float('-inf')
             try:
-                self.read_once(_LONG_POLL_S if has_read else 0)
+                if least_offset is not None:
+                    self.restore_from_log(least_offset)
+                    least_offset = None
+                self.read_once(_LONG_POLL_S if self.has_read_head() else 0)
+            except OffsetExpiredError as error:
+                least_offset = error.first_offset
+                self._report(error)
             except LogError as error:
                 self._report(error)
+                self._ask_peers()
+
+    def _ask_peers(self) -> None:
+        if self.peer_snapshot is None or self.is_known():
+            return
+        snapshot = self.peer_snapshot(self.stream)
+        if snapshot is not None:
+            self._restore(snapshot)
+
+    def _restore(self, snapshot: Snapshot) -> bool:
+        """Return whether the fold covers what the snapshot covers."""
+        with self.changed:
+            try:
+                self.fold.restore(snapshot.body)
+            except _BAD_SNAPSHOT:
+                self.bad_snapshots += 1
+                _logger.warning('bad snapshot', extra={'stream': self.stream})
+                return False
+            self.restored_offset = self.fold.next_offset
+            self.changed.notify_all()
+            return True
 
     def _report(self, error: LogError) -> None:
         self.errors += 1
--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -15,6 +15,7 @@
 from pimentohoist._chain import build_handler
 from pimentohoist._controllers.configuration import ConfigurationController
 from pimentohoist._controllers.endpoints import EndpointsController
+from pimentohoist._controllers.snapshots import PeerSnapshots, SnapshotsController
 from pimentohoist._controllers.view import ViewController
 from pimentohoist._filters.authenticate import Authenticate
 from pimentohoist._filters.dispatch import Dispatch
@@ -42,15 +43,23 @@
         platform = settings.platform
         self.log = HttpLog(platform.log_address, timeout_s=platform.timeout_s)
         self.peers = PeerClients()
-        self.configuration = ConfigurationController(self.log)
+        peer_snapshots = PeerSnapshots(self.peers, settings.daemon.seed_peers)
+        self.configuration = ConfigurationController(self.log, peer_snapshots.fetch)
         self.view = ViewController(self.log, settings.daemon)
         self.endpoints = EndpointsController(self.view)
+        self.snapshots = SnapshotsController(
+            self.log,
+            (self.configuration.follower, self.view.follower),
+            self.view.is_home,
+            settings.snapshots,
+        )
         self.controllers: dict[str, Controller] = {
             'configuration': self.configuration,
             'view': self.view,
             'endpoints': self.endpoints,
+            'snapshots': self.snapshots,
         }
-        self.answering: tuple[PeerAnswering, ...] = ()
+        self.answering: tuple[PeerAnswering, ...] = (self.snapshots,)
         self._stack = ExitStack()
 
     def __enter__(self) -> Self:
--- a/src/pimentohoist/settings.py
+++ b/src/pimentohoist/settings.py
@@ -22,13 +22,21 @@
 
 @checked.dataclass(frozen=True, config=_CONFIG)
 class DaemonSettings:
-    """Who this daemon is and where it listens."""
+    """Who this daemon is and where it listens.
+
+    Attributes
+    ----------
+    seed_peers : tuple of str
+        Peer addresses of daemons that are asked for the state of the streams if the log
+        is down at the start.
+    """
 
     name: Name
     failure_domain: Name
     callers_address: Address
     operators_address: Address
     peer_address: Address
+    seed_peers: tuple[Address, ...] = ()
 
 
 @checked.dataclass(frozen=True, config=_CONFIG)
@@ -63,6 +71,22 @@
     entries_max_age_s: _Seconds = 5
 
 
+@checked.dataclass(frozen=True, config=_CONFIG)
+class SnapshotSettings:
+    """How often the streams' states are appended, both well within the log's retention.
+
+    Attributes
+    ----------
+    every_s : float
+        Longest time between two snapshots of a stream.
+    every_records : int
+        Most records between two snapshots of a stream.
+    """
+
+    every_s: _Seconds = 600
+    every_records: Annotated[int, Field(ge=1)] = 500
+
+
 @checked.dataclass(frozen=True, config=_CONFIG)
 class LoggingSettings:
     """How much is logged."""
@@ -77,6 +101,7 @@
     daemon: DaemonSettings
     platform: PlatformSettings
     callers: CallersSettings = CallersSettings()
+    snapshots: SnapshotSettings = SnapshotSettings()
     logging: LoggingSettings = LoggingSettings()
 
 
