--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/installed
 PACKAGES := src features
 
-.PHONY: demo test lint format generate experiment clean
+.PHONY: demo test lint format generate experiment capacity clean
 
 $(STAMP): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -14,6 +14,9 @@
 demo: $(STAMP)
 	$(BIN)/pimentohoist-demo
 
+capacity: $(STAMP)
+	$(BIN)/pimentohoist-capacity
+
 experiment: $(STAMP)
 	$(BIN)/pimentohoist-experiment --faults all
 
