Generations survive their engine

Each attempt has an id of its own, so that a late answer to an earlier one is told apart; foreign tokens and gaps end the attempt, repeated tokens are dropped. Engines are told to cancel what nobody reads.

Ruled out: repeats inside the HTTP client (not counted, and a request lost on a kept connection followed by a refused connection was reported as not run: seen with the old line, 'not_run' instead of 'unknown').

The stand-in's streams are closed when their connection ends (its count of running requests never went down before), and a wrong answer now carries a foreign text. An error event is no longer followed by the end event, which only a whole answer has.

--- a/src/pimentohoist/_controllers/endpoints.py
+++ b/src/pimentohoist/_controllers/endpoints.py
@@ -23,7 +23,7 @@
 class HeldSlot:
     """Implements `Slot`: one request's place on an endpoint of this daemon's count."""
 
-    def __init__(self, endpoint: Endpoint, release: Callable[[], None]) -> None:
+    def __init__(self, endpoint: Endpoint, release: Callable[[HeldSlot], None]) -> None:
         self.endpoint = endpoint
         self.has_failed = False
         self._release = release
@@ -34,7 +34,7 @@
 
     def __exit__(self, *exc_info: object) -> None:
         """Give the slot back."""
-        self._release()
+        self._release(self)
 
     def mark_failed(self) -> None:
         """Say that the endpoint failed the request."""
@@ -116,11 +116,15 @@
         with self._lock:
             in_flight = self.in_flight.get(endpoint.address, 0)
             self.in_flight[endpoint.address] = in_flight + 1
-        return HeldSlot(endpoint, lambda: self._release(endpoint.address))
+        return HeldSlot(endpoint, self._release)
 
-    def _release(self, address: str) -> None:
+    def _release(self, slot: HeldSlot) -> None:
+        address = slot.endpoint.address
         with self._lock:
             self.in_flight[address] -= 1
+            if slot.has_failed:
+                # It may have restarted cold; each adapter is ordered again.
+                self.resident.pop(address, None)
 
     def _ensure_resident(self, endpoint: Endpoint, adapter: AdapterVersion) -> None:
         with self._lock:
--- /dev/null
+++ b/src/pimentohoist/_controllers/quarantine.py
@@ -0,0 +1,217 @@
+"""Requests that crash endpoints, known to all daemons."""
+
+from __future__ import annotations
+
+import logging
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
+from concurrent.futures import ThreadPoolExecutor, wait
+from typing import Any, Protocol, Self
+
+from pimentohoist._decisions.quarantine import CrashHistory, CrashRegister, Standing
+from pimentohoist._generated import peer_pb2
+from pimentohoist.exceptions import PeerError
+from pimentohoist.models import Member
+from pimentohoist.protocols import Clock, Peers
+
+_STEP = 'quarantine'
+_THREADS = 32
+_TELL_TIMEOUT_S = 0.5
+_FETCH_TIMEOUT_S = 2.0
+_FETCH_PERIOD_S = 0.5
+_MOST_SOURCES = 3
+_MS_PER_S = 1000
+_CRASHED = 'crashed'
+_SUCCEEDED = 'succeeded'
+_logger = logging.getLogger(__name__)
+
+
+class Membership(Protocol):
+    """The members of the present view, of which this daemon is one."""
+
+    incarnation: str
+
+    def members(self) -> tuple[Member, ...]:
+        """Return the members."""
+
+
+class QuarantineController:
+    """Keeps crashes by request fingerprint and tells the other daemons of them.
+
+    A report goes to all members before the request is tried again or refused, so a
+    caller that sends it again meets a daemon that knows. A daemon that joins asks other
+    members for what they know.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        peers: Peers,
+        clock: Clock = time.monotonic,
+    ) -> None:
+        self.membership = membership
+        self.peers = peers
+        self.clock = clock
+        self.register = CrashRegister()
+        self.counts: Counter[str] = Counter()
+        self._lock = threading.Lock()
+        self._closed = threading.Event()
+        self._pool = ThreadPoolExecutor(_THREADS, thread_name_prefix='crash-report')
+        self._fetcher = threading.Thread(
+            target=self._fetch, name='fetch-crashes', daemon=True
+        )
+
+    def __enter__(self) -> Self:
+        """Start asking other members for what they know."""
+        self._fetcher.start()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Stop; reports under way are given up."""
+        self._closed.set()
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def standing(self, fingerprint: str) -> Standing:
+        """Return what is known of a request."""
+        with self._lock:
+            return self.register.standing(fingerprint, self.clock())
+
+    def report_crash(self, fingerprint: str, endpoint: str) -> Standing:
+        """Tell all daemons of a crash; return what is known then."""
+        self._note(fingerprint, endpoint, _CRASHED)
+        self._tell(fingerprint, endpoint, _CRASHED)
+        standing = self.standing(fingerprint)
+        _logger.warning(
+            'request seen at a crash of an endpoint',
+            extra={
+                'fingerprint': fingerprint,
+                'step': _STEP,
+                'peer': endpoint,
+                'standing': standing.value,
+            },
+        )
+        return standing
+
+    def report_success(self, fingerprint: str) -> None:
+        """Tell all daemons that a suspect ran to its end; others need no message."""
+        if self.standing(fingerprint) is not Standing.SUSPECT:
+            return
+        self._note(fingerprint, '', _SUCCEEDED)
+        self._tell(fingerprint, '', _SUCCEEDED)
+
+    def peer_methods(self) -> Mapping[str, Callable[[Any], Any]]:
+        """Return the functions that answer other daemons."""
+        return {
+            'ReportCrash': self._answer_report,
+            'FetchCrashes': self._answer_fetch,
+        }
+
+    def dump(self) -> Mapping[str, Any]:
+        """Return counts; neither prompts nor fingerprints."""
+        with self._lock:
+            now = self.clock()
+            fingerprints = [name for name, _ in self.register.histories(now)]
+            standings = Counter(
+                self.register.standing(name, now).value for name in fingerprints
+            )
+            return {'known': dict(standings), 'reports': dict(self.counts)}
+
+    def _note(self, fingerprint: str, endpoint: str, verdict: str) -> None:
+        with self._lock:
+            self.counts[verdict] += 1
+            if verdict == _CRASHED:
+                self.register.note_crash(fingerprint, endpoint, self.clock())
+            else:
+                self.register.clear(fingerprint, self.clock())
+
+    def _tell(self, fingerprint: str, endpoint: str, verdict: str) -> None:
+        report = peer_pb2.CrashReport(
+            sender=self._sender(),
+            fingerprint=fingerprint,
+            endpoint=endpoint,
+            verdict=verdict,
+        )
+        calls = [
+            self._pool.submit(self._send, member, report) for member in self._others()
+        ]
+        wait(calls, timeout=_TELL_TIMEOUT_S)
+
+    def _send(self, member: Member, report: peer_pb2.CrashReport) -> None:
+        try:
+            self.peers.call(
+                member.peer_address, 'ReportCrash', report, timeout_s=_TELL_TIMEOUT_S
+            )
+        except PeerError as error:
+            with self._lock:
+                self.counts['untold'] += 1
+            _logger.warning(
+                'crash report not delivered: %s',
+                error.message,
+                extra={'step': _STEP, 'peer': error.peer},
+            )
+
+    def _answer_report(self, report: Any) -> peer_pb2.Acknowledgement:
+        self._note(report.fingerprint, report.endpoint, report.verdict)
+        return peer_pb2.Acknowledgement(accepted=True)
+
+    def _answer_fetch(self, request: Any) -> peer_pb2.CrashesReply:
+        with self._lock:
+            now = self.clock()
+            crashes = [
+                _message(fingerprint, history, now)
+                for fingerprint, history in self.register.histories(now)
+            ]
+        return peer_pb2.CrashesReply(crashes=crashes)
+
+    def _fetch(self) -> None:
+        """Ask a few members once; a daemon alone in the view goes on looking."""
+        asked: set[str] = set()
+        while len(asked) < _MOST_SOURCES and not self._closed.wait(_FETCH_PERIOD_S):
+            for member in self._others():
+                if member.incarnation not in asked and self._fetch_from(member):
+                    asked.add(member.incarnation)
+
+    def _fetch_from(self, member: Member) -> bool:
+        request = peer_pb2.CrashesRequest(sender=self._sender())
+        try:
+            reply = self.peers.call(
+                member.peer_address,
+                'FetchCrashes',
+                request,
+                timeout_s=_FETCH_TIMEOUT_S,
+            )
+        except PeerError:
+            return False
+        self._merge(reply.crashes)
+        return True
+
+    def _merge(self, crashes: Iterable[Any]) -> None:
+        with self._lock:
+            now = self.clock()
+            for known in crashes:
+                last_at = now - known.age_ms / _MS_PER_S
+                history = CrashHistory(known.crashes, known.endpoint, last_at)
+                self.register.merge(known.fingerprint, history)
+
+    def _others(self) -> list[Member]:
+        return [
+            member
+            for member in self.membership.members()
+            if member.incarnation != self.membership.incarnation
+        ]
+
+    def _sender(self) -> peer_pb2.Sender:
+        return peer_pb2.Sender(incarnation=self.membership.incarnation)
+
+
+def _message(
+    fingerprint: str, history: CrashHistory, now: float
+) -> peer_pb2.KnownCrash:
+    return peer_pb2.KnownCrash(
+        fingerprint=fingerprint,
+        crashes=history.crashes,
+        endpoint=history.endpoint,
+        age_ms=int((now - history.last_at) * _MS_PER_S),
+    )
--- /dev/null
+++ b/src/pimentohoist/_decisions/token_order.py
@@ -0,0 +1,52 @@
+"""Which tokens of an engine's answer go to the caller."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from enum import Enum
+
+from pimentohoist.models import AdapterVersion, TokenChunk
+
+
+class Verdict(Enum):
+    """What is done with a received token."""
+
+    PASS = 'pass'
+    REPEATED = 'repeated'
+    FOREIGN = 'foreign'
+    GAP = 'gap'
+
+
+@dataclass(frozen=True, slots=True)
+class TokenOrder:
+    """What was passed on so far of one request's answer.
+
+    Attributes
+    ----------
+    adapter : AdapterVersion
+        Adapter and version that the answer must name.
+    next_offset : int
+        Offset of the first token not yet passed on; where a retry resumes.
+    is_finished : bool
+        Whether the last token was passed on.
+    """
+
+    adapter: AdapterVersion
+    next_offset: int = 0
+    is_finished: bool = False
+
+    def judge(self, chunk: TokenChunk, request_id: str) -> Verdict:
+        """Return what to do with a token received on the attempt `request_id`."""
+        if (chunk.request_id, chunk.adapter) != (request_id, self.adapter):
+            return Verdict.FOREIGN
+        if self.is_finished or chunk.offset < self.next_offset:
+            return Verdict.REPEATED
+        return Verdict.PASS if chunk.offset == self.next_offset else Verdict.GAP
+
+    def after(self, chunk: TokenChunk) -> TokenOrder:
+        """Return the order with `chunk` passed on."""
+        return replace(
+            self,
+            next_offset=chunk.offset + 1,
+            is_finished=chunk.finish_reason is not None,
+        )
--- a/src/pimentohoist/_filters/dispatch.py
+++ b/src/pimentohoist/_filters/dispatch.py
@@ -6,16 +6,15 @@
 import hashlib
 import itertools
 import json
-from collections.abc import Generator
 from http import HTTPStatus
 
 from pimentohoist._controllers.configuration import ConfigurationController
+from pimentohoist._filters.retry import GenerationRun, RetryTools
 from pimentohoist._openai import AnswerWriter
 from pimentohoist.configuration import Adapter, EndpointGroup
-from pimentohoist.exceptions import NotFoundError, WrongAnswerError
+from pimentohoist.exceptions import NotFoundError
 from pimentohoist.exchanges import Answer, Exchange, RequestKind, SlotRequest
-from pimentohoist.models import AdapterVersion, Generation, ServiceCall, TokenChunk
-from pimentohoist.protocols import Clock, Slot, Slots
+from pimentohoist.models import AdapterVersion, Generation, ServiceCall
 
 _STEP = 'dispatch'
 _SHORTEST_TIMEOUT_S = 0.001
@@ -29,12 +28,12 @@
     def __init__(
         self,
         configuration: ConfigurationController,
-        slots: Slots,
-        clock: Clock,
+        tools: RetryTools,
     ) -> None:
         self.configuration = configuration
-        self.slots = slots
-        self.clock = clock
+        self.tools = tools
+        self.slots = tools.slots
+        self.clock = tools.clock
 
     def __call__(self, exchange: Exchange) -> Answer:
         """Run the request and return its answer."""
@@ -85,36 +84,24 @@
         return Answer(reply.status, reply.content_type, [reply.body])
 
     def _generate(self, exchange: Exchange) -> Answer:
-        slot = self.slots.acquire(_slot_request(exchange, _adapter(exchange)))
-        exchange.endpoint = slot.endpoint.name
-        chunks = self._chunks(exchange, slot)
+        run = GenerationRun(
+            exchange,
+            _slot_request(exchange, _adapter(exchange)),
+            _generation(exchange),
+            self.tools,
+        )
+        chunks = run.chunks()
         writer = AnswerWriter(exchange)
         if not exchange.request.document.get('stream'):
             with contextlib.closing(chunks):
                 body = writer.whole(chunks)
             return Answer(HTTPStatus.OK, _JSON, [body])
-        try:
-            first = next(chunks)
-        except StopIteration:
-            first_chunks: tuple[TokenChunk, ...] = ()
-        else:
-            first_chunks = (first,)
-        events = writer.events(itertools.chain(first_chunks, chunks))
+        # Waiting for the first token lets an error still become a whole JSON answer.
+        first = next(chunks)
+        events = writer.events(itertools.chain((first,), chunks))
         answer = Answer(HTTPStatus.OK, _EVENTS, events, {'Cache-Control': 'no-cache'})
         return answer.on_close(chunks.close)
 
-    def _chunks(
-        self, exchange: Exchange, slot: Slot
-    ) -> Generator[TokenChunk, None, None]:
-        with slot:
-            parts = self.slots.engine(slot.endpoint).generate(
-                _generation(exchange), timeout_s=self._remaining_s(exchange)
-            )
-            for chunk in parts:
-                _check(exchange, chunk, slot)
-                exchange.used_tokens = chunk.offset + 1
-                yield chunk
-
     def _remaining_s(self, exchange: Exchange) -> float:
         return max(_SHORTEST_TIMEOUT_S, exchange.request.deadline - self.clock())
 
@@ -158,13 +145,3 @@
 
 def _cache_salt(workspace: str) -> str:
     return hashlib.sha256(f'prefix-cache\n{workspace}'.encode()).hexdigest()
-
-
-def _check(exchange: Exchange, chunk: TokenChunk, slot: Slot) -> None:
-    asked = (exchange.request.request_id, exchange.adapter_version)
-    if (chunk.request_id, chunk.adapter) != asked:
-        raise WrongAnswerError(
-            f'answer is of {chunk.request_id} on {chunk.adapter}',
-            step=_STEP,
-            peer=slot.endpoint.address,
-        )
--- a/src/pimentohoist/_http_client.py
+++ b/src/pimentohoist/_http_client.py
@@ -137,13 +137,20 @@
         connection = self._take(request)
         try:
             return connection, self._exchange(connection, request, timeout_s)
-        except PeerError:
+        except PeerError as error:
             if not connection.is_reused:
                 raise
+            connection = self._open_after(error)
         # The kept connection may have been dead; the peer isn't blamed for that.
-        connection = self._open()
         return connection, self._exchange(connection, request, timeout_s)
 
+    def _open_after(self, error: PeerError) -> _Connection:
+        """Open a connection; if there is none, the request may still have run."""
+        try:
+            return self._open()
+        except PeerConnectError:
+            raise error from None
+
     def _exchange(
         self, connection: _Connection, request: HttpRequest, timeout_s: float
     ) -> http.client.HTTPResponse:
--- a/src/pimentohoist/_openai.py
+++ b/src/pimentohoist/_openai.py
@@ -134,16 +134,20 @@
         return json.dumps({**document, 'usage': self._usage()}).encode()
 
     def events(self, chunks: Iterable[TokenChunk]) -> Iterator[bytes]:
-        """Yield the answer as server-sent events; an error ends it with its event."""
+        """Yield the answer as server-sent events.
+
+        An error ends it with its event and without the end event, which only a whole
+        answer has.
+        """
         try:
             for chunk in chunks:
                 yield _event(self._document(self.shape.part, self._part(chunk)))
         except PimentohoistError as error:
             yield _event({'error': error_document(error)})
-        else:
-            if self._wants_usage():
-                document = self._document(self.shape.part)
-                yield _event({**document, 'usage': self._usage()})
+            return
+        if self._wants_usage():
+            document = self._document(self.shape.part)
+            yield _event({**document, 'usage': self._usage()})
         yield END_EVENT
 
     def _part(self, chunk: TokenChunk) -> dict[str, Any]:
--- a/src/pimentohoist/_platform/engine.py
+++ b/src/pimentohoist/_platform/engine.py
@@ -4,6 +4,7 @@
 
 import json
 from collections.abc import Iterator
+from dataclasses import replace
 from http import HTTPStatus
 from typing import Any
 
@@ -51,7 +52,12 @@
         self, generation: Generation, *, timeout_s: float
     ) -> Iterator[TokenChunk]:
         """Run a request and yield its tokens in order."""
-        request = HttpRequest.of_json('POST', '/v1/completions', _body(generation))
+        # Repeats are counted and limited by the caller of this method, so none is made
+        # on a kept connection that may be dead.
+        request = replace(
+            HttpRequest.of_json('POST', '/v1/completions', _body(generation)),
+            is_repeatable=False,
+        )
         with self.client.stream(request, timeout_s=timeout_s) as response:
             if response.status >= HTTPStatus.BAD_REQUEST:
                 raise self._refusal(response.status, response.read())
--- /dev/null
+++ b/src/pimentohoist/_request_path.py
@@ -0,0 +1,61 @@
+"""What requests go through under failure: its controllers, filters and tools."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Mapping
+
+from pimentohoist._controllers.cancellations import CancellationsController
+from pimentohoist._controllers.instances import InstancesController, StayingSlots
+from pimentohoist._controllers.quarantine import Membership, QuarantineController
+from pimentohoist._filters.quarantine import Quarantine
+from pimentohoist._filters.retry import RetryCounter, RetryTools
+from pimentohoist._platform.instances import HttpInstanceList
+from pimentohoist.protocols import Controller, Peers, Slots
+from pimentohoist.settings import PlatformSettings
+
+
+class RequestPath:
+    """Controllers and tools of the request path of one daemon.
+
+    Attributes
+    ----------
+    slots : Slots
+        Slots on endpoints that are not leaving.
+    """
+
+    def __init__(
+        self,
+        platform: PlatformSettings,
+        membership: Membership,
+        peers: Peers,
+        slots: Slots,
+    ) -> None:
+        instances = HttpInstanceList(
+            platform.instance_list_address, timeout_s=platform.timeout_s
+        )
+        self.instances = InstancesController(instances, slots.engine)
+        self.slots = StayingSlots(slots, self.instances)
+        self.quarantine = QuarantineController(membership, peers)
+        self.cancellations = CancellationsController()
+        self.retries = RetryCounter()
+        self.tools = RetryTools(
+            self.slots,
+            self.cancellations,
+            self.quarantine,
+            time.monotonic,
+            self.retries,
+        )
+
+    def filter(self) -> Quarantine:
+        """Return the filter that stands before the last handler."""
+        return Quarantine(self.quarantine)
+
+    def controllers(self) -> Mapping[str, Controller]:
+        """Return the controllers by name."""
+        return {
+            'instances': self.instances,
+            'quarantine': self.quarantine,
+            'cancellations': self.cancellations,
+            'retries': self.retries,
+        }
--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -4,7 +4,6 @@
 
 import logging
 import sys
-import time
 from collections.abc import Callable
 from contextlib import ExitStack
 from typing import Any, Self
@@ -22,6 +21,7 @@
 from pimentohoist._http_server import HttpServer
 from pimentohoist._logs import configure_logs
 from pimentohoist._operators_app import OperatorsApp
+from pimentohoist._request_path import RequestPath
 from pimentohoist._signals import stop_event
 from pimentohoist._platform.log import HttpLog
 from pimentohoist.exceptions import SettingsError
@@ -45,12 +45,14 @@
         self.configuration = ConfigurationController(self.log)
         self.view = ViewController(self.log, settings.daemon)
         self.endpoints = EndpointsController(self.view)
+        self.requests = RequestPath(platform, self.view, self.peers, self.endpoints)
         self.controllers: dict[str, Controller] = {
             'configuration': self.configuration,
             'view': self.view,
             'endpoints': self.endpoints,
+            **self.requests.controllers(),
         }
-        self.answering: tuple[PeerAnswering, ...] = ()
+        self.answering: tuple[PeerAnswering, ...] = (self.requests.quarantine,)
         self._stack = ExitStack()
 
     def __enter__(self) -> Self:
@@ -74,8 +76,9 @@
         filters = (
             Authenticate(self.configuration),
             Resolve(self.configuration),
+            self.requests.filter(),
         )
-        last = Dispatch(self.configuration, self.endpoints, time.monotonic)
+        last = Dispatch(self.configuration, self.requests.tools)
         return build_handler(filters, last)
 
     def entries(self) -> tuple[str, ...]:
--- a/src/pimentohoist/exceptions.py
+++ b/src/pimentohoist/exceptions.py
@@ -155,6 +155,14 @@
     status = HTTPStatus.UNPROCESSABLE_ENTITY
 
 
+class CallerDisconnectedError(PimentohoistError):
+    """The caller has gone; nobody reads the answer."""
+
+    code = 'caller_disconnected'
+    status = HTTPStatus.REQUEST_TIMEOUT
+    run_state = RunState.RUN
+
+
 class PeerError(PimentohoistError):
     """Another process failed or did not answer."""
 
--- a/src/pimentohoist_standins/engine.py
+++ b/src/pimentohoist_standins/engine.py
@@ -247,14 +247,16 @@
     def _event(self, offset: int, finish_reason: str | None) -> bytes:
         adapter = self.document['model']
         request_id = self.document['request_id']
+        prompt = self.document['prompt']
         if self.engine.wrong_answers > 0:
             self.engine.wrong_answers -= 1
             request_id = 'another-request'
+            prompt = request_id
         event = {
             'id': request_id,
             'model': adapter,
             'offset': offset,
-            'text': token_text(self.document['prompt'], adapter, offset),
+            'text': token_text(prompt, adapter, offset),
             'finish_reason': finish_reason,
         }
         return b'data: ' + json.dumps(event).encode() + b'\n\n'
--- a/src/pimentohoist_standins/faults.py
+++ b/src/pimentohoist_standins/faults.py
@@ -165,6 +165,9 @@
 
 
 def _guarded(parts: Any, faults: Faults, connection: str) -> Iterator[bytes]:
-    for part in parts:
-        faults.wait_while_silent(connection)
-        yield part
+    try:
+        for part in parts:
+            faults.wait_while_silent(connection)
+            yield part
+    finally:
+        getattr(parts, 'close', lambda: None)()
--- a/src/pimentohoist_standins/fleet.py
+++ b/src/pimentohoist_standins/fleet.py
@@ -54,6 +54,10 @@
         if self.popen.poll() is None:
             self.popen.send_signal(number)
 
+    def is_running(self) -> bool:
+        """Return whether the process has not ended."""
+        return self.popen.poll() is None
+
     def kill(self) -> None:
         """End the process at once."""
         self.signal(signal.SIGKILL)
