Quarantine of requests that crash endpoints, fleet-wide

A request is known by a digest of adapter version, parameters and prompt, keyed by its workspace. A daemon that sees an endpoint go down under a request reports it to all members before it tries again or refuses; at the second crash the request is refused with 422 everywhere. A suspect runs alone among suspects; its success clears it everywhere. A daemon that joins asks up to three members for what they know.

--- /dev/null
+++ b/features/quarantine.feature
@@ -0,0 +1,23 @@
+Feature: A request that crashes endpoints is stopped after two
+
+  Scenario: The crash register equals a naive one
+    Then over generated crashes and successes the crash register equals the naive one
+
+  Scenario: Poison sent again through another daemon, innocents beside it
+    Given a quarantining fleet of 2 daemons and 3 engines that crash on "poison"
+    And 4 innocent streams running beside each other
+    When the caller sends "poison" through "entry-1"
+    Then it is refused with 422 "request_quarantined" and two engines have crashed
+    When the caller sends "poison" through "entry-2"
+    Then it is refused with 422 "request_quarantined" and two engines have crashed
+    And the innocent streams end whole and none is kept as suspect
+
+  Scenario: Fingerprints tell workspaces, versions, prompts and parameters apart
+    Then requests that differ in one of these have different fingerprints
+
+  Scenario: A daemon that joins later knows of the quarantine
+    Given a quarantining fleet of 2 daemons and 3 engines that crash on "poison"
+    When the caller sends "poison" through "entry-1"
+    And a third daemon joins and has asked the others
+    And the caller sends "poison" through "entry-3"
+    Then it is refused with 422 "request_quarantined" and two engines have crashed
--- a/features/retry.feature
+++ b/features/retry.feature
@@ -34,3 +34,9 @@
   Scenario: A request lost on a kept connection is not said to be not run
     Given a peer that answers once, then drops a request and stops listening
     Then the client's second request ends with the run state "unknown"
+
+  Scenario: An endpoint whose orders fail is avoided by the next attempts
+    Then a run whose slots fail on one of two endpoints ends on the other
+
+  Scenario: Only a suspect asks to run alone
+    Then a run asks to be alone when it is a suspect and else not
--- /dev/null
+++ b/features/steps/quarantine.py
@@ -0,0 +1,185 @@
+"""Steps of requests that crash endpoints."""
+
+from __future__ import annotations
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+from itertools import product
+
+from behave import given, then, when
+from behave.runner import Context
+from callers import expected_text, runs, start_fleet, streamed_text, wait_for
+from hypothesis import given as over
+from hypothesis import seed, settings
+from hypothesis import strategies as st
+
+from pimentohoist._decisions.quarantine import CrashRegister, Standing
+from pimentohoist._filters.quarantine import request_fingerprint
+from pimentohoist.configuration import Workspace
+from pimentohoist.exchanges import CallerRequest, Exchange, RequestKind
+from pimentohoist.models import AdapterVersion
+from pimentohoist_standins.fleet import Fleet
+
+_MODEL = 'batch-summary@1'
+_TOKENS = 60
+
+Event = tuple[str, str, str, float]
+Crash = tuple[str, float]
+
+
+def naive_standing(events: list[Event], fingerprint: str, now: float) -> Standing:
+    """Return the standing by going through all that has happened.
+
+    Crashes of one endpoint less than a second after the first of them are one crash; all
+    is forgotten ten minutes after the last crash, and one crash by a success.
+    """
+    crashes: list[Crash] = []
+    own = (event for event in events if event[1] == fingerprint)
+    for kind, _, endpoint, at in own:
+        crashes = still_kept(crashes, at)
+        if kind == 'success':
+            crashes = crashes if len(crashes) > 1 else []
+        elif not is_repeat(crashes, endpoint, at):
+            crashes.append((endpoint, at))
+    standings = (Standing.CLEAR, Standing.SUSPECT, Standing.QUARANTINED)
+    return standings[min(2, len(still_kept(crashes, now)))]
+
+
+def still_kept(crashes: list[Crash], now: float) -> list[Crash]:
+    return crashes if crashes and now - crashes[-1][1] < 600 else []
+
+
+def is_repeat(crashes: list[Crash], endpoint: str, at: float) -> bool:
+    if not crashes:
+        return False
+    last_endpoint, last_at = crashes[-1]
+    return last_endpoint == endpoint and at - last_at < 1
+
+
+_STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(('crash', 'crash', 'success')),
+        st.sampled_from(('f1', 'f2')),
+        st.sampled_from(('engine-1', 'engine-2')),
+        st.sampled_from((0, 0.5, 0.75, 1, 30, 300, 599, 600)),
+    ),
+    max_size=25,
+)
+
+
+@seed(503)
+@settings(max_examples=1000, database=None, deadline=None)
+@over(_STEPS)
+def check_register(steps: list[Event]) -> None:
+    register = CrashRegister()
+    events: list[Event] = []
+    now = 1000.0
+    for kind, fingerprint, endpoint, wait_s in steps:
+        now += wait_s
+        events.append((kind, fingerprint, endpoint, now))
+        if kind == 'crash':
+            register.note_crash(fingerprint, endpoint, now)
+        else:
+            register.clear(fingerprint, now)
+        for name in ('f1', 'f2'):
+            wanted = naive_standing(events, name, now)
+            assert register.standing(name, now) is wanted, (events, name)
+
+
+@then('over generated crashes and successes the crash register equals the naive one')
+def compare_registers(context: Context) -> None:
+    check_register()
+
+
+@given(
+    'a quarantining fleet of {daemons:d} daemons and {engines:d} engines '
+    'that crash on "{text}"'
+)
+def start_quarantining_fleet(
+    context: Context, daemons: int, engines: int, text: str
+) -> None:
+    context.fleet = context.stack.enter_context(Fleet())
+    context.caller = start_fleet(context.fleet, daemons, engines)
+    context.engines = [f'engine-{index}' for index in range(1, engines + 1)]
+    for name in context.engines:
+        context.fleet.control(name, crash_on=text)
+
+
+@given('{count:d} innocent streams running beside each other')
+def start_innocents(context: Context, count: int) -> None:
+    pool = context.stack.enter_context(ThreadPoolExecutor(count))
+    context.innocents = {
+        f'innocent {index}': pool.submit(
+            context.caller.complete,
+            'entry-1',
+            model=_MODEL,
+            prompt=f'innocent {index}',
+            max_tokens=_TOKENS,
+            stream=True,
+        )
+        for index in range(count)
+    }
+    wait_for(
+        lambda: (
+            sum(len(runs(context.fleet, name)) for name in context.engines) == count
+        ),
+        'all innocent streams run',
+    )
+    time.sleep(0.2)
+
+
+@when('the caller sends "{prompt}" through "{daemon}"')
+def send_poison(context: Context, prompt: str, daemon: str) -> None:
+    context.reply = context.caller.complete(
+        daemon, model=_MODEL, prompt=prompt, max_tokens=2
+    )
+
+
+@then('it is refused with {status:d} "{code}" and two engines have crashed')
+def check_quarantined(context: Context, status: int, code: str) -> None:
+    assert context.reply.status == status, context.reply
+    assert context.reply.document()['error']['code'] == code, context.reply
+    running = [
+        name for name in context.engines if context.fleet.processes[name].is_running()
+    ]
+    assert len(running) == len(context.engines) - 2, running
+
+
+@then('the innocent streams end whole and none is kept as suspect')
+def check_innocents(context: Context) -> None:
+    for prompt, future in context.innocents.items():
+        text = streamed_text(future.result())
+        assert text == expected_text(prompt, _MODEL, _TOKENS), text
+    for daemon in ('entry-1', 'entry-2'):
+        known = context.fleet.state(daemon)['quarantine']['known']
+        assert known == {'quarantined': 1}, known
+
+
+@when('a third daemon joins and has asked the others')
+def join_third(context: Context) -> None:
+    context.fleet.start_daemon('entry-3')
+    wait_for(
+        lambda: 'quarantined' in context.fleet.state('entry-3')['quarantine']['known'],
+        'the third daemon knows',
+    )
+
+
+def fingerprint(workspace: str, version: int, prompt: str, max_tokens: int) -> str:
+    request = CallerRequest('r', RequestKind.COMPLETION, 'POST', '/', '', b'', '', 1)
+    return request_fingerprint(
+        Exchange(
+            request,
+            workspace=Workspace(workspace, 1, 1),
+            adapter_version=AdapterVersion('batch-summary', version),
+            prompt=prompt,
+            max_tokens=max_tokens,
+        )
+    )
+
+
+@then('requests that differ in one of these have different fingerprints')
+def check_fingerprints(context: Context) -> None:
+    fields = product(('w1', 'w2'), (1, 2), ('p1', 'p2'), (1, 12))
+    fingerprints = [fingerprint(*case) for case in fields]
+    assert len(set(fingerprints)) == len(fingerprints)
+    assert fingerprint('w1', 1, 'p1', 1) == fingerprints[0]
--- a/features/steps/retry.py
+++ b/features/steps/retry.py
@@ -29,7 +29,12 @@
 from pimentohoist._http_client import HttpClient, HttpRequest
 from pimentohoist._filters.retry import GenerationRun, RetryTools
 from pimentohoist.configuration import Endpoint, EndpointGroup, GroupKind
-from pimentohoist.exceptions import PeerError, PimentohoistError, RunState
+from pimentohoist.exceptions import (
+    PeerConnectError,
+    PeerError,
+    PimentohoistError,
+    RunState,
+)
 from pimentohoist.exchanges import CallerRequest, Exchange, RequestKind, SlotRequest
 from pimentohoist.models import AdapterVersion, Generation, TokenChunk
 from pimentohoist_standins.fleet import Fleet
@@ -95,7 +100,10 @@
         self.endpoint = Endpoint('engine-1', '127.0.0.1:1', 'a')
         self.sent = 0
 
+        self.requests: list[SlotRequest] = []
+
     def acquire(self, request: SlotRequest) -> FakeEndpoint:
+        self.requests.append(request)
         return self
 
     def engine(self, endpoint: Endpoint) -> FakeEndpoint:
@@ -133,9 +141,21 @@
             raise script.error
 
 
+class FailingOrders(FakeEndpoint):
+    """Gives no slot as long as the first endpoint isn't excluded."""
+
+    def acquire(self, request: SlotRequest) -> FakeEndpoint:
+        if 'engine-1' in request.excluded:
+            return self
+        raise PeerConnectError('down', step='fake', peer=self.endpoint.address)
+
+
 class NoCrashes:
+    def __init__(self, known: Standing = Standing.CLEAR) -> None:
+        self.known = known
+
     def standing(self, fingerprint: str) -> Standing:
-        return Standing.CLEAR
+        return self.known
 
     def report_crash(self, fingerprint: str, endpoint: str) -> Standing:
         return Standing.CLEAR
@@ -144,18 +164,20 @@
         """Nothing is kept."""
 
 
-def make_run(endpoint: FakeEndpoint, max_tokens: int) -> GenerationRun:
+def make_run(
+    endpoint: FakeEndpoint, max_tokens: int, known: Standing = Standing.CLEAR
+) -> GenerationRun:
     request = CallerRequest('r1', RequestKind.COMPLETION, 'POST', '/', '', b'', '', 60)
     group = EndpointGroup('review', GroupKind.ENGINE, (endpoint.endpoint,))
     tools = RetryTools(
         endpoint,
         SimpleNamespace(cancel=lambda engine, request_id: None),
-        NoCrashes(),
+        NoCrashes(known),
         clock=lambda: 0,
         sleep=lambda delay_s: None,
     )
     return GenerationRun(
-        Exchange(request),
+        Exchange(request, facts={'fingerprint': 'f1'}),
         SlotRequest('r1', group, _ADAPTER, 'w', 1, is_urgent=False, deadline=60),
         Generation('r1', _ADAPTER, _PROMPT, max_tokens, 'salt'),
         tools,
@@ -356,3 +378,18 @@
         assert error.run_state == state, error.run_state
     else:
         raise AssertionError('the request was answered')
+
+
+@then('a run whose slots fail on one of two endpoints ends on the other')
+def check_failing_orders(context: Context) -> None:
+    tokens = list(make_run(FailingOrders([]), 3).chunks())
+    assert [chunk.offset for chunk in tokens] == [0, 1, 2]
+
+
+@then('a run asks to be alone when it is a suspect and else not')
+def check_alone(context: Context) -> None:
+    for known in (Standing.SUSPECT, Standing.CLEAR):
+        endpoint = FakeEndpoint([])
+        list(make_run(endpoint, 3, known).chunks())
+        asked = [request.is_alone for request in endpoint.requests]
+        assert asked == [known is Standing.SUSPECT]
--- a/src/pimentohoist/_controllers/endpoints.py
+++ b/src/pimentohoist/_controllers/endpoints.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from collections.abc import Callable, Mapping
 from typing import Any, Self
 
@@ -10,7 +11,7 @@
 from pimentohoist._platform.service import HttpService
 from pimentohoist._view_fold import rank_names
 from pimentohoist.configuration import Endpoint
-from pimentohoist.exceptions import PeerError, UnavailableError
+from pimentohoist.exceptions import DeadlineError, PeerError, UnavailableError
 from pimentohoist.exchanges import SlotRequest
 from pimentohoist.models import AdapterOrder, AdapterVersion
 from pimentohoist.protocols import Engine, Homes, Service, Slot
@@ -26,6 +27,7 @@
     def __init__(self, endpoint: Endpoint, release: Callable[[HeldSlot], None]) -> None:
         self.endpoint = endpoint
         self.has_failed = False
+        self.is_alone = False
         self._release = release
 
     def __enter__(self) -> Self:
@@ -52,6 +54,7 @@
         self._services: dict[str, Service] = {}
         self._lock = threading.RLock()
         self._loading: dict[tuple[str, AdapterVersion], threading.Lock] = {}
+        self._suspects: dict[str, threading.Semaphore] = {}
 
     def __enter__(self) -> Self:
         """Start."""
@@ -104,7 +107,10 @@
     def _acquire_engine(self, request: SlotRequest, adapter: AdapterVersion) -> Slot:
         by_name = {endpoint.name: endpoint for endpoint in _candidates(request)}
         endpoint = by_name[rank_names(str(adapter), by_name)[0]]
+        if request.is_alone:
+            self._wait_alone(endpoint, request.deadline)
         slot = self._hold(endpoint)
+        slot.is_alone = request.is_alone
         try:
             self._ensure_resident(endpoint, adapter)
         except PeerError:
@@ -112,6 +118,16 @@
             raise
         return slot
 
+    def _wait_alone(self, endpoint: Endpoint, deadline: float) -> None:
+        with self._lock:
+            place = self._suspects.setdefault(endpoint.address, threading.Semaphore())
+        if not place.acquire(timeout=max(0, deadline - time.monotonic())):
+            raise DeadlineError(
+                f'{endpoint.name} runs another suspect',
+                step=_STEP,
+                retry_after_s=_RETRY_AFTER_S,
+            )
+
     def _hold(self, endpoint: Endpoint) -> HeldSlot:
         with self._lock:
             in_flight = self.in_flight.get(endpoint.address, 0)
@@ -122,6 +138,8 @@
         address = slot.endpoint.address
         with self._lock:
             self.in_flight[address] -= 1
+            if slot.is_alone:
+                self._suspects[address].release()
             if slot.has_failed:
                 # It may have restarted cold; each adapter is ordered again.
                 self.resident.pop(address, None)
--- a/src/pimentohoist/_filters/retry.py
+++ b/src/pimentohoist/_filters/retry.py
@@ -38,6 +38,7 @@
 _STEP = 'retry'
 _READ_TIMEOUT_S = 10.0
 _SHORTEST_TIMEOUT_S = 0.001
+_FAILURES_TO_AVOID = 2
 _FINAL_STATUSES = frozenset(
     (
         HTTPStatus.BAD_REQUEST,
@@ -184,7 +185,11 @@
                 raise
 
     def _acquire(self) -> Slot:
-        blamed = {name for name, count in self._failures.items() if count > 1}
+        blamed = {
+            name
+            for name, count in self._failures.items()
+            if count >= _FAILURES_TO_AVOID
+        }
         request = replace(
             self.slot_request,
             request_id=self._attempt_id(),
@@ -196,8 +201,14 @@
         except PeerError as error:
             # A failed order to an endpoint has not run the request.
             error.run_state = RunState.NOT_RUN
+            self._avoid(error.peer)
             raise
 
+    def _avoid(self, address: str) -> None:
+        for endpoint in self.slot_request.group.endpoints:
+            if endpoint.address == address:
+                self._failures[endpoint.name] = _FAILURES_TO_AVOID
+
     def _read(self, slot: Slot) -> Iterator[TokenChunk]:
         engine = self.tools.slots.engine(slot.endpoint)
         request_id = self._attempt_id()
@@ -251,7 +262,7 @@
             # new one.
             self._failures[name] = self._failures.get(name, 0) + 1
         else:
-            self._failures[name] = 2
+            self._failures[name] = _FAILURES_TO_AVOID
             slot.mark_failed()
         if _is_cut(error) and _is_down(self.tools.slots.engine(slot.endpoint)):
             self._note_crash(slot)
