Limits: shares, grants and tenures as pure decisions

Cause: a workspace's limit has to hold over all daemons, under crash, freeze, double homes, lost and late messages, outages of the log and clocks that drift. Ruled out: charging one share after the other.

--- /dev/null
+++ b/features/limit_world.py
@@ -0,0 +1,340 @@
+"""Daemons, clocks and messages around the limit's decisions, for generated histories.
+
+A history is a list of operations. Every message may be lost either way or arrive late;
+daemons crash, freeze, thaw and see the log at different times, each by its own clock.
+"""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from pimentohoist._decisions.grants import GrantPool, ShareHome, split_need
+from pimentohoist._decisions.shares import (
+    DRIFT,
+    SHARES,
+    GrantOrder,
+    ShareLimit,
+)
+from pimentohoist._decisions.tenures import (
+    FRESH_S,
+    PulledState,
+    ShareKeeper,
+    ShareName,
+    Surroundings,
+    TenureBook,
+)
+from pimentohoist._view_fold import View
+from pimentohoist.models import Member
+
+_WORKSPACE = 'house'
+_CLOCKS = ((1 + DRIFT, 1000.0), (1 - DRIFT, 5.0), (1.0, 77.0))
+_OK, _REQUEST_LOST, _REPLY_LOST, _REPLY_LATE, _REQUEST_LATE = range(5)
+_RARE = 30
+_REPAIRING = 50
+
+
+@dataclass
+class Reservation:
+    """An admitted request that hasn't ended."""
+
+    charges: tuple
+    unused: int
+
+
+@dataclass
+class SimulatedDaemon:
+    """One incarnation with the decisions' state and a clock of its own."""
+
+    name: str
+    speed: float
+    offset: float
+    book: TenureBook = field(default_factory=lambda: TenureBook(is_complete=True))
+    keeper: ShareKeeper = field(default_factory=ShareKeeper)
+    pool: GrantPool = field(default_factory=GrantPool)
+    seen: int = 0
+    read_at: float = float('-inf')
+    fresh_since: float = float('inf')
+    fenced_at: dict = field(default_factory=dict)
+    running: list = field(default_factory=list)
+    is_frozen: bool = False
+    is_gone: bool = False
+
+    def now(self, time: float) -> float:
+        return self.offset + time * self.speed
+
+    def is_fresh(self, time: float) -> bool:
+        return self.now(time) - self.read_at < FRESH_S
+
+    def see(self, views: list, asked_at: float, now: float) -> None:
+        """Take in the answer of the log to a question sent at `asked_at`."""
+        if asked_at - self.read_at >= FRESH_S:
+            self.fresh_since = now
+        self.read_at = max(self.read_at, asked_at)
+        for view in views[self.seen :]:
+            self.book.add(view)
+            self.fenced_at[view.epoch] = now
+        self.seen = len(views)
+
+
+class LimitWorld:
+    """All daemons of a history and what they admitted."""
+
+    def __init__(self, rate: float, burst: int, daemons: int = 3) -> None:
+        self.rate = rate
+        self.burst = burst
+        self.time: float = 0
+        self.is_log_up = True
+        self.views: list[View] = []
+        self.daemons: list[SimulatedDaemon] = []
+        self.admitted: list[tuple[float, int]] = []
+        self.late: list[Callable[[], None]] = []
+        self.ids = itertools.count()
+        self.operations = (
+            self.advance,
+            self.see,
+            self.request,
+            self.settle,
+            self.tick,
+            self.crash,
+            self.freeze,
+            self.thaw,
+            self.expire,
+            self.leave,
+            self.toggle_log,
+            self.deliver_late,
+            self.pull,
+            self.drain,
+        )
+        for place in range(daemons):
+            self.start(place)
+        for place in range(daemons * SHARES):
+            self.see(place % daemons, 0)
+            self.pull(place % daemons, place // daemons)
+
+    def run(self, history: Iterable[tuple[int, int, int]]) -> None:
+        for operation, place, size in history:
+            self.operations[operation](place, size)
+
+    def start(self, place: int) -> None:
+        speed, offset = _CLOCKS[place % len(_CLOCKS)]
+        daemon = SimulatedDaemon(f'{place}-{next(self.ids)}', speed, offset)
+        others = self.daemons
+        self.daemons = [*others[:place], daemon, *others[place + 1 :]]
+        self.change_view(lambda names: (*names, daemon.name))
+        daemon.see(self.views, self.now(daemon), self.now(daemon))
+
+    def change_view(self, change: Callable) -> None:
+        names = change(self.views[-1].incarnations if self.views else ())
+        members = tuple(Member(name, '', '', '') for name in names)
+        self.views.append(View(len(self.views) + 1, members))
+
+    def advance(self, place: int, size: int) -> None:
+        """Pass time; mostly everybody reads the log meanwhile."""
+        self.time += size / 40
+        if size > _REPAIRING:
+            self.repair()
+        if size % 4:
+            self.see_all()
+
+    def see_all(self) -> None:
+        for place, _ in enumerate(self.daemons):
+            self.see(place, 0)
+
+    def repair(self) -> None:
+        """Bring the log back, thaw everybody and expire whoever is gone."""
+        self.is_log_up = True
+        present = [daemon.name for daemon in self.daemons]
+        for place, _ in enumerate(present):
+            self.thaw(place, 0)
+        if set(present) != set(self.views[-1].incarnations):
+            members = tuple(sorted(present))
+            self.change_view(lambda _: members)
+
+    def see(self, place: int, size: int) -> None:
+        daemon = self.daemons[place]
+        if self.is_log_up and not daemon.is_frozen:
+            now = self.now(daemon)
+            daemon.see(self.views, now, now)
+
+    def request(self, place: int, size: int) -> None:
+        daemon = self.daemons[place]
+        if daemon.is_frozen:
+            return
+        largest = self.burst // (1 + size % 3)
+        cost = 1 + size % largest
+        fault = max(_OK, size % 13 - 8)
+        self.admit(daemon, cost, cost * (size % 4) // 3, fault)
+
+    def admit(
+        self, daemon: SimulatedDaemon, cost: int, used: int, fault: int = _OK
+    ) -> bool:
+        missing = cost - daemon.pool.available(self.now(daemon))
+        needs = split_need(max(0, missing), next(self.ids))
+        for share, need in enumerate(needs):
+            if need:
+                self.take(daemon, share, GrantOrder(self.grant_id(), need), fault)
+        for share in range(SHARES):
+            missing = cost - daemon.pool.available(self.now(daemon))
+            if missing > 0:
+                self.take(daemon, share, GrantOrder(self.grant_id(), missing), fault)
+        charges = daemon.pool.charge(cost, self.now(daemon))
+        if charges is None:
+            return False
+        self.admitted.append((self.time, used))
+        daemon.running.append(Reservation(charges, cost - used))
+        return True
+
+    def drain(self, place: int, size: int) -> None:
+        """Send requests until one is refused."""
+        daemon = self.daemons[place]
+        cost = 1 + size % self.burst
+        while not daemon.is_frozen and self.admit(daemon, cost, max(1, size % cost)):
+            cost = max(1, cost // 2)
+
+    def grant_id(self) -> str:
+        return f'g{next(self.ids)}'
+
+    def take(
+        self, daemon: SimulatedDaemon, share: int, order: GrantOrder, fault: int
+    ) -> None:
+        """Ask the home that `daemon` believes in for a grant."""
+        tenure = daemon.book.tenure(ShareName(_WORKSPACE, share).thing)
+        home = ShareHome(share, tenure.home)
+        asked_at = self.now(daemon)
+        uses = daemon.pool.take_uses(home)
+        target = self.find(tenure.home)
+        if fault == _REQUEST_LATE:
+            self.late.append(lambda: self.answer(target, share, order, uses))
+        is_sent = fault not in {_REQUEST_LOST, _REQUEST_LATE}
+        grant = self.answer(target, share, order, uses) if is_sent else None
+        if grant is None or fault == _REPLY_LOST:
+            daemon.pool.add_lost(order.grant_id, home, asked_at)
+            return
+        now = self.now(daemon)
+        if fault == _REPLY_LATE:
+            self.late.append(lambda: daemon.pool.add(grant, home, asked_at, now))
+        else:
+            daemon.pool.add(grant, home, asked_at, now)
+            daemon.pool.confirm(uses, now)
+
+    def answer(self, target, share: int, order, uses):
+        """Answer as a home, if it believes that it is; None if not."""
+        if target is None or target.is_frozen or target.is_gone:
+            if target is not None and target.is_frozen:
+                self.late.append(lambda: self.answer(target, share, order, uses))
+            return None
+        bucket = self.bucket(target, share)
+        if bucket is None:
+            return None
+        now = self.now(target)
+        bucket.note_uses(uses, now)
+        return bucket.grant(order, now) if order else None
+
+    def bucket(self, daemon: SimulatedDaemon, share: int):
+        name = ShareName(_WORKSPACE, share)
+        tenure = daemon.book.tenure(name.thing)
+        if tenure.home != daemon.name or not daemon.is_fresh(self.time):
+            return None
+        limit = ShareLimit.of(self.rate, self.burst, share)
+        return daemon.keeper.bucket(name, tenure, limit, self.around(daemon))
+
+    def around(self, daemon: SimulatedDaemon) -> Surroundings:
+        now = self.now(daemon)
+        return Surroundings(now, daemon.fresh_since, daemon.fenced_at, {})
+
+    def now(self, daemon: SimulatedDaemon) -> float:
+        return daemon.now(self.time)
+
+    def find(self, name: str):
+        found = (daemon for daemon in self.daemons if daemon.name == name)
+        return next(found, None)
+
+    def settle(self, place: int, size: int) -> None:
+        daemon = self.daemons[place]
+        if daemon.running and not daemon.is_frozen:
+            ended = daemon.running.pop(0)
+            daemon.pool.settle(ended.charges, ended.unused)
+
+    def tick(self, place: int, size: int) -> None:
+        """Report what was spent, and take tokens in advance."""
+        daemon = self.daemons[place]
+        if daemon.is_frozen:
+            return
+        daemon.pool.close_idle(self.now(daemon))
+        for home in sorted(daemon.pool.homes(), key=str):
+            uses = daemon.pool.take_uses(home)
+            if size % 4:
+                self.answer(self.find(home.incarnation), home.share, None, uses)
+            if size % 4 > 1:
+                daemon.pool.confirm(uses, self.now(daemon))
+        if size % 2:
+            order = GrantOrder(self.grant_id(), 0, size)
+            self.take(daemon, size % SHARES, order, size % 7)
+
+    def crash(self, place: int, size: int) -> None:
+        if self.is_log_up:
+            self.daemons[place].is_gone = True
+            self.start(place)
+
+    def freeze(self, place: int, size: int) -> None:
+        self.daemons[place].is_frozen = size > _RARE
+
+    def thaw(self, place: int, size: int) -> None:
+        self.daemons[place].is_frozen = False
+
+    def expire(self, place: int, size: int) -> None:
+        """Remove a member that is gone, or this place's daemon though it may live."""
+        present = {daemon.name for daemon in self.daemons}
+        gone = [name for name in self.views[-1].incarnations if name not in present]
+        name = gone[0] if gone else self.daemons[place].name
+        if self.is_log_up:
+            self.change_view(lambda names: tuple(one for one in names if one != name))
+
+    def leave(self, place: int, size: int) -> None:
+        """Stop as planned: pass all shares on, then leave, then start anew."""
+        daemon = self.daemons[place]
+        if daemon.is_frozen or not self.is_log_up:
+            return
+        now = self.now(daemon)
+        for share in range(SHARES):
+            name = ShareName(_WORKSPACE, share)
+            self.bucket(daemon, share)
+            epoch = daemon.book.views[-1].epoch + 1
+            state = daemon.keeper.close(name, epoch, now, daemon.fresh_since)
+            others = [other for other in self.daemons if other is not daemon]
+            if state is not None and size % 3:
+                for other in others:
+                    other.keeper.receive(name, daemon.name, state)
+        self.change_view(
+            lambda names: tuple(one for one in names if one != daemon.name)
+        )
+        daemon.is_gone = True
+        self.start(place)
+
+    def toggle_log(self, place: int, size: int) -> None:
+        self.is_log_up = size < _RARE
+
+    def deliver_late(self, place: int, size: int) -> None:
+        if self.late:
+            self.late.pop(size % len(self.late))()
+
+    def pull(self, place: int, size: int) -> None:
+        """Take a share over from the former home, which may still act on it."""
+        daemon = self.daemons[place]
+        name = ShareName(_WORKSPACE, size % SHARES)
+        tenure = daemon.book.tenure(name.thing)
+        former = tenure.former and self.find(tenure.former.home)
+        if daemon.is_frozen or tenure.home != daemon.name or not former:
+            return
+        if former.is_frozen or former.is_gone or not daemon.is_fresh(self.time):
+            return
+        self.bucket(former, name.share)
+        state = former.keeper.close(
+            name, tenure.epoch, self.now(former), former.fresh_since
+        )
+        if state is not None and size % 5 != 4:
+            limit = ShareLimit.of(self.rate, self.burst, name.share)
+            pulled = PulledState(state, self.now(daemon))
+            daemon.keeper.adopt(name, tenure, limit, pulled)
--- /dev/null
+++ b/src/pimentohoist/_decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decision logic without input, output or a clock of its own."""
--- /dev/null
+++ b/src/pimentohoist/_decisions/grants.py
@@ -0,0 +1,172 @@
+"""Entry side of a workspace's limit: grants held, and requests charged to them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from pimentohoist._decisions.shares import (
+    DRIFT,
+    REFUND_S,
+    SHARES,
+    Grant,
+    GrantUse,
+)
+
+_IDLE_S = 1.0
+"""Time without a charge after which a grant goes back to its share."""
+
+
+@dataclass(frozen=True, slots=True)
+class ShareHome:
+    """Where a grant came from: the share's number and its home's incarnation."""
+
+    share: int
+    incarnation: str
+
+
+@dataclass(frozen=True, slots=True)
+class Charge:
+    """Tokens that one request takes from one grant."""
+
+    grant_id: str
+    tokens: int
+
+
+@dataclass(slots=True)
+class HeldGrant:
+    """A grant at its taker; times are of the taker's monotonic clock.
+
+    Attributes
+    ----------
+    reported : int
+        Highest `spent` that the home may know of.
+    """
+
+    home: ShareHome
+    tokens: int
+    expires_at: float
+    touched_at: float
+    spent: int = 0
+    refunded: int = 0
+    unsettled: int = 0
+    reported: int = 0
+    is_closed: bool = False
+
+    def available(self, now: float) -> int:
+        """Return the tokens that may be spent at `now`."""
+        is_usable = not self.is_closed and now < self.expires_at
+        return self.tokens - self.spent if is_usable else 0
+
+
+def split_need(tokens: int, rotation: int) -> tuple[int, ...]:
+    """Return how many tokens to ask of each share, as evenly as can be.
+
+    A share that is drained alone would leave the others full, where nothing accrues.
+    `rotation` says which share gives the first odd token.
+    """
+    whole, rest = divmod(tokens, SHARES)
+    return tuple(
+        whole + ((share - rotation) % SHARES < rest) for share in range(SHARES)
+    )
+
+
+class GrantPool:
+    """Grants of one workspace at one entry daemon."""
+
+    def __init__(self) -> None:
+        self.grants: dict[str, HeldGrant] = {}
+
+    def add(self, grant: Grant, home: ShareHome, asked_at: float, now: float) -> None:
+        """Hold a grant whose request was sent at `asked_at`."""
+        expires_at = asked_at + grant.expires_after_s * (1 - DRIFT)
+        self.grants[grant.grant_id] = HeldGrant(home, grant.tokens, expires_at, now)
+
+    def add_lost(self, grant_id: str, home: ShareHome, now: float) -> None:
+        """Note a grant whose reply was lost, so that its home takes it back."""
+        self.grants[grant_id] = HeldGrant(home, 0, now, now, is_closed=True)
+
+    def available(self, now: float) -> int:
+        """Return the tokens that may be spent at `now`."""
+        return sum(grant.available(now) for grant in self.grants.values())
+
+    def charge(self, tokens: int, now: float) -> tuple[Charge, ...] | None:
+        """Charge a request, oldest grants first; None if they don't cover it."""
+        if self.available(now) < tokens:
+            return None
+        charges: list[Charge] = []
+        for grant_id in sorted(self.grants, key=self._expiry):
+            grant = self.grants[grant_id]
+            taken = min(tokens, grant.available(now))
+            if taken:
+                grant.spent += taken
+                grant.unsettled += taken
+                grant.touched_at = now
+                tokens -= taken
+                charges.append(Charge(grant_id, taken))
+        return tuple(charges)
+
+    def settle(self, charges: tuple[Charge, ...], unused_tokens: int) -> None:
+        """End a request; what it didn't use goes back to its grants.
+
+        Tokens that the home knows as spent go back through the home, which may have
+        accrued in their place.
+        """
+        for charge in reversed(charges):
+            unused = min(unused_tokens, charge.tokens)
+            unused_tokens -= unused
+            grant = self.grants.get(charge.grant_id)
+            if grant is not None:
+                grant.unsettled -= charge.tokens
+                unknown = min(unused, grant.spent - grant.reported)
+                grant.spent -= unknown
+                grant.refunded += unused - unknown
+
+    def close_idle(self, now: float) -> None:
+        """Close grants that no request has used for a while."""
+        for grant in self.grants.values():
+            if now - grant.touched_at > _IDLE_S:
+                grant.is_closed = True
+
+    def close_all(self) -> None:
+        """Close every grant."""
+        for grant in self.grants.values():
+            grant.is_closed = True
+
+    def take_uses(self, home: ShareHome) -> tuple[GrantUse, ...]:
+        """Return the report for a home; what it says may be known there from now on."""
+        return tuple(self._uses(home))
+
+    def confirm(self, uses: tuple[GrantUse, ...], now: float) -> None:
+        """Forget what is over and has arrived at its home."""
+        for use in uses:
+            grant = self.grants.get(use.grant_id)
+            if grant is not None:
+                is_over = use.is_closed or now >= grant.expires_at
+                has_all = (use.spent_tokens, use.refunded_tokens) == (
+                    grant.spent,
+                    grant.refunded,
+                )
+                if is_over and has_all and not grant.unsettled:
+                    self.grants.pop(use.grant_id)
+
+    def forget_old(self, now: float) -> None:
+        """Forget grants whose home no longer credits refunds."""
+        for grant_id, grant in tuple(self.grants.items()):
+            if now > grant.expires_at + REFUND_S:
+                self.grants.pop(grant_id)
+
+    def homes(self) -> set[ShareHome]:
+        """Return the homes of all grants held."""
+        return {grant.home for grant in self.grants.values()}
+
+    def _uses(self, home: ShareHome) -> Iterator[GrantUse]:
+        for grant_id, grant in self.grants.items():
+            if grant.home == home:
+                grant.reported = grant.spent
+                yield GrantUse(
+                    grant_id, grant.spent, grant.refunded, is_closed=grant.is_closed
+                )
+
+    def _expiry(self, grant_id: str) -> float:
+        return self.grants[grant_id].expires_at
--- /dev/null
+++ b/src/pimentohoist/_decisions/tenures.py
@@ -0,0 +1,218 @@
+"""Who is the home of a thing since when, and when a new home may begin."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from itertools import islice
+
+from pimentohoist._decisions.shares import (
+    DRIFT,
+    GRANT_S,
+    ShareBucket,
+    ShareLimit,
+    ShareState,
+)
+from pimentohoist._view_fold import View, rank_names
+
+FRESH_S = 2.0
+"""Time for which a daemon may act on what it has read."""
+TAKEOVER_S = (FRESH_S + GRANT_S) * (1 + 2 * DRIFT)
+"""Time after the fence by which the former home's last grant has expired."""
+_VIEWS = 256
+_NEVER = float('inf')
+
+
+@dataclass(frozen=True, slots=True)
+class Tenure:
+    """A stretch of views in which a thing's home stays the same.
+
+    Attributes
+    ----------
+    home : str
+        Incarnation of the home; empty if the view was empty or is not known.
+    epoch : int
+        First view of the stretch.
+    former : Tenure or None
+        The stretch before; None if there was none.
+    """
+
+    home: str
+    epoch: int
+    former: Tenure | None = None
+
+
+class TenureBook:
+    """Tenures of things, from the views in order.
+
+    Parameters
+    ----------
+    is_complete : bool
+        Whether the first view added is the first that ever was. If not, somebody unknown
+        may have been a home before it.
+    """
+
+    def __init__(self, *, is_complete: bool) -> None:
+        self.is_complete = is_complete
+        self.views: deque[View] = deque(maxlen=_VIEWS)
+        self.tenures: dict[str, Tenure] = {}
+
+    def add(self, view: View) -> None:
+        """Take in the next view."""
+        if len(self.views) == _VIEWS:
+            self.is_complete = False
+        self.views.append(view)
+        for thing, tenure in self.tenures.items():
+            self.tenures[thing] = _extend(thing, tenure, view)
+
+    def tenure(self, thing: str) -> Tenure | None:
+        """Return the tenure of a thing's present home; None without a view."""
+        if thing not in self.tenures and self.views:
+            self.tenures[thing] = self._trace(thing)
+        return self.tenures.get(thing)
+
+    def _trace(self, thing: str) -> Tenure:
+        first = self.views[0]
+        unknown = None if self.is_complete else Tenure('', 0)
+        tenure = Tenure(_home(thing, first), first.epoch, unknown)
+        for view in islice(self.views, 1, None):
+            tenure = _extend(thing, tenure, view)
+        return tenure
+
+
+def _home(thing: str, view: View) -> str:
+    return rank_names(thing, view.incarnations)[0] if view.incarnations else ''
+
+
+def _extend(thing: str, tenure: Tenure, view: View) -> Tenure:
+    home = _home(thing, view)
+    if home == tenure.home:
+        return tenure
+    former = tenure.former
+    if former is not None and former.former is not None:
+        former = replace(former, former=Tenure('', 0))
+    return Tenure(home, view.epoch, replace(tenure, former=former))
+
+
+@dataclass(frozen=True, slots=True)
+class ShareName:
+    """A share of a workspace's limit."""
+
+    workspace: str
+    share: int
+
+    @property
+    def thing(self) -> str:
+        """Name by which the home is found."""
+        return f'limit/{self.workspace}/{self.share}'
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What a home knows of its place and time.
+
+    Attributes
+    ----------
+    fenced_at : mapping of int to float
+        By epoch: time at which it was known that nobody gets fresh in an older view.
+    absent_at : mapping of str to float
+        By workspace: last time at which the configuration didn't name it yet; minus
+        infinity if it was there when this daemon started.
+    """
+
+    now: float
+    fresh_since: float
+    fenced_at: Mapping[int, float]
+    absent_at: Mapping[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class PulledState:
+    """A former home's state and the time at which it arrived."""
+
+    state: ShareState
+    now: float
+
+
+@dataclass(slots=True)
+class _Held:
+    epoch: int
+    bucket: ShareBucket | None
+
+
+class ShareKeeper:
+    """The shares of which one daemon is the home."""
+
+    def __init__(self) -> None:
+        self.held: dict[ShareName, _Held] = {}
+        self.handed: dict[tuple[ShareName, str], ShareState] = {}
+
+    def bucket(
+        self,
+        name: ShareName,
+        tenure: Tenure,
+        limit: ShareLimit,
+        around: Surroundings,
+    ) -> ShareBucket | None:
+        """Return the share in this tenure; None if it may not begin or has ended."""
+        held = self.held.get(name)
+        if held is None or held.epoch < tenure.epoch:
+            state = self._first_state(name, tenure, limit, around)
+            if state is None:
+                return None
+            held = _Held(tenure.epoch, ShareBucket(limit, state, around.now))
+            self.held[name] = held
+        if held.epoch > tenure.epoch or held.bucket is None:
+            return None
+        held.bucket.advance(around.now, around.fresh_since)
+        if held.bucket.limit != limit:
+            held.bucket.resize(limit)
+        return held.bucket
+
+    def receive(self, name: ShareName, former_home: str, state: ShareState) -> None:
+        """Keep the state that a former home passed on before it left for good."""
+        self.handed[name, former_home] = state
+
+    def adopt(
+        self, name: ShareName, tenure: Tenure, limit: ShareLimit, pulled: PulledState
+    ) -> None:
+        """Begin a tenure with the state that its former home gave up for it."""
+        held = self.held.get(name)
+        if held is None or held.epoch < tenure.epoch:
+            bucket = ShareBucket(limit, pulled.state, pulled.now)
+            self.held[name] = _Held(tenure.epoch, bucket)
+
+    def close(
+        self, name: ShareName, before_epoch: int, now: float, fresh_since: float
+    ) -> ShareState | None:
+        """End a tenure older than `before_epoch`; None if there is no state."""
+        held = self.held.get(name)
+        if held is not None and held.epoch >= before_epoch:
+            return None
+        # From here on no older tenure can begin either.
+        self.held[name] = _Held(before_epoch - 1, None)
+        if held is None or held.bucket is None:
+            return None
+        held.bucket.advance(now, fresh_since)
+        return held.bucket.state(now)
+
+    def _first_state(
+        self,
+        name: ShareName,
+        tenure: Tenure,
+        limit: ShareLimit,
+        around: Surroundings,
+    ) -> ShareState | None:
+        former = tenure.former
+        full = ShareState(float(limit.burst_tokens))
+        if former is None:
+            return full
+        handed = self.handed.pop((name, former.home), None)
+        if handed is not None:
+            return handed
+        begins_at = around.fenced_at.get(tenure.epoch, _NEVER) + TAKEOVER_S
+        if around.now < begins_at:
+            return None
+        is_new = around.absent_at.get(name.workspace, -_NEVER) >= begins_at
+        return full if is_new else ShareState(0)
--- a/src/pimentohoist/_view_fold.py
+++ b/src/pimentohoist/_view_fold.py
@@ -4,8 +4,9 @@
 
 import hashlib
 import json
+from collections import deque
 from collections.abc import Iterable
-from dataclasses import asdict, replace
+from dataclasses import asdict, dataclass, replace
 from typing import Annotated, Literal
 
 from pydantic import BaseModel, Field, TypeAdapter, ValidationError
@@ -40,6 +41,21 @@
     reporter: str
 
 
+@dataclass(frozen=True, slots=True)
+class View:
+    """The members as of one epoch."""
+
+    epoch: int
+    members: tuple[Member, ...]
+
+    @property
+    def incarnations(self) -> tuple[str, ...]:
+        """Return the members' incarnations."""
+        return tuple(member.incarnation for member in self.members)
+
+
+_RECENT_VIEWS = 64
+
 _RECORD: TypeAdapter[Join | Leave | Expire] = TypeAdapter(
     Annotated[Join | Leave | Expire, Field(discriminator='kind')]
 )
@@ -49,6 +65,13 @@
     """State of the view stream: the members and the epoch.
 
     An incarnation joins once: after it has left or expired, its later records are void.
+
+    Attributes
+    ----------
+    recent : deque of View
+        The latest views that were folded here, the present one last.
+    is_from_start : bool
+        Whether `recent` begins with the first view that ever was.
     """
 
     def __init__(self) -> None:
@@ -56,6 +79,8 @@
         self.departed: set[str] = set()
         self.epoch = 0
         self.skipped_records = 0
+        self.recent: deque[View] = deque(maxlen=_RECENT_VIEWS)
+        self.is_from_start = True
         self._next_offset = 0
 
     @property
@@ -65,6 +90,8 @@
 
     def apply(self, record: LogRecord) -> None:
         """Apply one record; a broken or foreign one is counted and skipped."""
+        if record.offset != self._next_offset:
+            self.is_from_start = False
         self._next_offset = record.offset + 1
         try:
             event = _RECORD.validate_json(record.body)
@@ -75,7 +102,7 @@
             self._join(event, record.offset + 1)
         elif self.members.pop(event.incarnation, None):
             self.departed.add(event.incarnation)
-            self.epoch = record.offset + 1
+            self._enter(record.offset + 1)
 
     def snapshot(self) -> bytes:
         """Return the whole state."""
@@ -100,13 +127,22 @@
         self.epoch = document['epoch']
         self.skipped_records = document['skipped_records']
         self._next_offset = document['next_offset']
+        self.recent.clear()
+        self.recent.append(View(self.epoch, tuple(self.members.values())))
+        self.is_from_start = False
 
     def _join(self, event: Join, epoch: int) -> None:
         if event.incarnation in self.members or event.incarnation in self.departed:
             return
         member = Member(**event.model_dump(exclude={'kind'}))
         self.members[event.incarnation] = replace(member, epoch=epoch)
+        self._enter(epoch)
+
+    def _enter(self, epoch: int) -> None:
         self.epoch = epoch
+        if len(self.recent) == _RECENT_VIEWS:
+            self.is_from_start = False
+        self.recent.append(View(epoch, tuple(self.members.values())))
 
 
 def rank(thing: str, members: Iterable[Member]) -> list[Member]:
