--- a/src/pimentohoist/_decisions/__init__.py
+++ b/src/pimentohoist/_decisions/__init__.py
@@ -1,1 +1,1 @@
-"""Decision logic without input, output or a clock of its own."""
+"""Decisions without I/O and without a clock of their own: time is passed in."""
