--- /dev/null
+++ b/src/pimentohoist/_controllers/limits.py
@@ -0,0 +1,263 @@
+"""Charges requests to workspaces' limits, with grants taken in advance of need."""
+
+from __future__ import annotations
+
+import logging
+import secrets
+import threading
+import time
+from collections.abc import Callable, Mapping
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from typing import Any, Self
+
+from pimentohoist._controllers.configuration import ConfigurationController
+from pimentohoist._controllers.share_homes import ShareHomes
+from pimentohoist._controllers.share_messages import ShareAnswers
+from pimentohoist._controllers.share_takers import ShareTaker
+from pimentohoist._controllers.view import ViewController
+from pimentohoist._decisions.grants import (
+    Charge,
+    Demand,
+    GrantPool,
+    split_need,
+)
+from pimentohoist._decisions.shares import SHARES, GrantOrder
+from pimentohoist._decisions.tenures import ShareName
+from pimentohoist.configuration import Workspace
+from pimentohoist.exceptions import LimitExceededError
+from pimentohoist.protocols import Clock, Peers
+
+_STEP = 'limits'
+_TICK_S = 0.1
+_REFUSING_S = 0.05
+_SHORTEST_RETRY_S = 0.1
+_THREADS = 16
+_ID_BYTES = 8
+_logger = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class _Account:
+    """What this daemon holds for one workspace.
+
+    Attributes
+    ----------
+    refusing_until : float
+        Time up to which requests of `refused_tokens` or more are refused without asking
+        the homes, which had not enough a moment ago.
+    """
+
+    pool: GrantPool = field(default_factory=GrantPool)
+    demand: Demand = field(default_factory=Demand)
+    refusing_until: float = 0
+    refused_tokens: int = 0
+    rotation: int = 0
+
+
+class LimitsController:
+    """Admits requests within their workspaces' limits.
+
+    Attributes
+    ----------
+    homes : ShareHomes
+        The shares at home here.
+    """
+
+    def __init__(
+        self,
+        view: ViewController,
+        configuration: ConfigurationController,
+        peers: Peers,
+        clock: Clock = time.monotonic,
+    ) -> None:
+        self.clock = clock
+        self.homes = ShareHomes(view, configuration, clock)
+        self.taker = ShareTaker(self.homes, peers)
+        self.accounts: dict[str, _Account] = {}
+        self.refusals = 0
+        self._lock = threading.RLock()
+        self._pool = ThreadPoolExecutor(_THREADS, thread_name_prefix='limits')
+        self._closed = threading.Event()
+        self._thread = threading.Thread(target=self._run, name='limits', daemon=True)
+
+    def __enter__(self) -> Self:
+        """Start reporting and taking in advance."""
+        self._thread.start()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Give everything back, pass the shares on, and stop."""
+        self._closed.set()
+        self._thread.join()
+        with self._lock:
+            for account in self.accounts.values():
+                account.pool.close_all()
+        for workspace in tuple(self.accounts):
+            self._report(workspace)
+        self.taker.hand_over_all()
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def charge(self, workspace: Workspace, tokens: int) -> tuple[Charge, ...]:
+        """Charge a request's tokens; raises LimitExceededError at once."""
+        if tokens > workspace.burst_tokens:
+            self.refusals += 1
+            raise LimitExceededError(
+                f'the request needs {tokens} tokens, which is more than the burst of '
+                f'{workspace.burst_tokens} that workspace {workspace.name} may have',
+                step=_STEP,
+            )
+        account = self._account(workspace.name)
+        with self._lock:
+            account.demand.add(tokens, self.clock())
+            charges = account.pool.charge(tokens, self.clock())
+        if charges is None and not self._is_refusing(account, tokens):
+            charges = self._take_and_charge(workspace.name, account, tokens)
+        if charges is None:
+            self._refuse(workspace, account, tokens)
+        return charges or ()
+
+    def settle(self, workspace: str, charges: tuple[Charge, ...], unused: int) -> None:
+        """Give back what a request didn't use."""
+        with self._lock:
+            self._account(workspace).pool.settle(charges, unused)
+
+    def peer_methods(self) -> Mapping[str, Callable[[Any], Any]]:
+        """Return the functions that answer other daemons."""
+        return ShareAnswers(self.homes).peer_methods()
+
+    def dump(self) -> Mapping[str, Any]:
+        """Return shares at home here, and by workspace the tokens held for it."""
+        now = self.clock()
+        with self._lock:
+            held = {
+                workspace: {
+                    'available_tokens': account.pool.available(now),
+                    'grants': len(account.pool.grants),
+                    'demand_tokens_per_s': round(account.demand.rate(now), 1),
+                }
+                for workspace, account in self.accounts.items()
+            }
+        return {
+            'shares': self.homes.dump(),
+            'held': held,
+            'refusals': self.refusals,
+            'failed_calls': self.taker.failures,
+        }
+
+    def _account(self, workspace: str) -> _Account:
+        with self._lock:
+            return self.accounts.setdefault(workspace, _Account())
+
+    def _is_refusing(self, account: _Account, tokens: int) -> bool:
+        is_large = tokens >= account.refused_tokens
+        return is_large and self.clock() < account.refusing_until
+
+    def _refuse(self, workspace: Workspace, account: _Account, tokens: int) -> None:
+        now = self.clock()
+        with self._lock:
+            self.refusals += 1
+            missing = tokens - account.pool.available(now)
+            if now >= account.refusing_until:
+                account.refusing_until = now + _REFUSING_S
+                account.refused_tokens = tokens
+        raise LimitExceededError(
+            f'workspace {workspace.name} is over its rate and burst',
+            step=_STEP,
+            retry_after_s=_retry_after_s(workspace, missing),
+        )
+
+    def _take_and_charge(
+        self, workspace: str, account: _Account, tokens: int
+    ) -> tuple[Charge, ...] | None:
+        with self._lock:
+            account.rotation += 1
+            missing = tokens - account.pool.available(self.clock())
+            needs = split_need(max(0, missing), account.rotation)
+        self._take(workspace, tuple(GrantOrder(_new_id(), need) for need in needs))
+        for share in range(SHARES):
+            with self._lock:
+                charges = account.pool.charge(tokens, self.clock())
+                missing = tokens - account.pool.available(self.clock())
+            if charges is not None:
+                return charges
+            order = GrantOrder(_new_id(), max(1, missing))
+            self._take_from(ShareName(workspace, share), order)
+        with self._lock:
+            return account.pool.charge(tokens, self.clock())
+
+    def _take(self, workspace: str, orders: tuple[GrantOrder, ...]) -> None:
+        """Ask all shares at the same time."""
+        futures = [
+            self._pool.submit(self._take_from, ShareName(workspace, share), order)
+            for share, order in enumerate(orders)
+            if order.need_tokens or order.extra_tokens
+        ]
+        for future in futures:
+            future.result()
+
+    def _take_from(self, name: ShareName, order: GrantOrder) -> None:
+        pool = self._account(name.workspace).pool
+        home = self.taker.home(name)
+        if home is None:
+            return
+        with self._lock:
+            uses = pool.take_uses(home)
+        asked_at = self.clock()
+        grant = self.taker.take(name, home, order, uses)
+        with self._lock:
+            now = self.clock()
+            if grant is None:
+                pool.add_lost(order.grant_id, home, now)
+                return
+            pool.confirm(uses, now)
+            if grant.tokens:
+                pool.add(grant, home, asked_at, now)
+
+    def _run(self) -> None:
+        while not self._closed.wait(_TICK_S):
+            try:
+                self._tick()
+            except Exception:
+                _logger.exception('limits not kept', extra={'step': _STEP})
+
+    def _tick(self) -> None:
+        self.homes.watch()
+        for name in self.homes.names():
+            self.taker.pull(name)
+        for workspace in tuple(self.accounts):
+            self._report(workspace)
+            self._take_in_advance(workspace)
+
+    def _report(self, workspace: str) -> None:
+        pool = self._account(workspace).pool
+        with self._lock:
+            now = self.clock()
+            pool.close_idle(now)
+            pool.forget_old(now)
+            reports = {home: pool.take_uses(home) for home in pool.homes()}
+        for home, uses in reports.items():
+            if self.taker.report(ShareName(workspace, home.share), home, uses):
+                with self._lock:
+                    pool.confirm(uses, self.clock())
+
+    def _take_in_advance(self, workspace: str) -> None:
+        account = self._account(workspace)
+        with self._lock:
+            now = self.clock()
+            wanted = account.demand.wanted(now, account.pool)
+            account.rotation += 1
+            extras = split_need(wanted, account.rotation)
+        if wanted:
+            orders = (GrantOrder(_new_id(), 0, extra) for extra in extras)
+            self._take(workspace, tuple(orders))
+
+
+def _new_id() -> str:
+    return secrets.token_hex(_ID_BYTES)
+
+
+def _retry_after_s(workspace: Workspace, missing: int) -> float | None:
+    if not workspace.rate_tokens_per_s:
+        return None
+    return max(_SHORTEST_RETRY_S, missing / workspace.rate_tokens_per_s)
--- /dev/null
+++ b/src/pimentohoist/_controllers/share_homes.py
@@ -0,0 +1,194 @@
+"""Shares of workspaces' limits of which this daemon is the home."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from pimentohoist._controllers.configuration import ConfigurationController
+from pimentohoist._controllers.view import ViewController
+from pimentohoist._decisions.shares import (
+    SHARES,
+    Grant,
+    GrantOrder,
+    GrantUse,
+    ShareBucket,
+    ShareLimit,
+    ShareState,
+)
+from pimentohoist._decisions.tenures import (
+    PulledState,
+    ShareKeeper,
+    ShareName,
+    Surroundings,
+    Tenure,
+    TenureBook,
+)
+from pimentohoist.configuration import Workspace
+from pimentohoist.exceptions import UnavailableError
+from pimentohoist.protocols import Clock
+
+_STEP = 'limits'
+_RETRY_AFTER_S = 0.5
+
+
+class ShareHomes:
+    """Answers for the shares at home here; every call reads the present view first."""
+
+    def __init__(
+        self,
+        view: ViewController,
+        configuration: ConfigurationController,
+        clock: Clock,
+    ) -> None:
+        self.view = view
+        self.configuration = configuration
+        self.clock = clock
+        self.keeper = ShareKeeper()
+        self.book = TenureBook(is_complete=False)
+        self.fenced_at: dict[int, float] = {}
+        self.absent_at: dict[str, float] = {}
+        self.lock = threading.RLock()
+        self._absent_until = float('-inf')
+        self._configuration_offset = -1
+
+    def names(self) -> tuple[ShareName, ...]:
+        """Return all shares of all workspaces."""
+        with self.lock:
+            return tuple(
+                ShareName(workspace, share)
+                for workspace in self.absent_at
+                for share in range(SHARES)
+            )
+
+    def tenure(self, name: ShareName) -> Tenure | None:
+        """Return the tenure of a share's present home."""
+        with self.lock:
+            self._read_views()
+            return self.book.tenure(name.thing)
+
+    def order(
+        self, name: ShareName, order: GrantOrder, uses: Iterable[GrantUse]
+    ) -> Grant:
+        """Take in what was spent and grant tokens; raises UnavailableError."""
+        with self.lock:
+            bucket = self._bucket(name)
+            now = self.clock()
+            bucket.note_uses(uses, now)
+            return bucket.grant(order, now)
+
+    def note_uses(self, name: ShareName, uses: Iterable[GrantUse]) -> None:
+        """Take in what was spent; raises UnavailableError."""
+        with self.lock:
+            self._bucket(name).note_uses(uses, self.clock())
+
+    def has_begun(self, name: ShareName) -> bool:
+        """Return whether this daemon can answer for the share now."""
+        with self.lock:
+            try:
+                self._bucket(name)
+            except UnavailableError:
+                return False
+        return True
+
+    def adopt(self, name: ShareName, epoch: int, state: ShareState) -> None:
+        """Begin a tenure with what the former home gave up for it."""
+        with self.lock:
+            tenure = self.tenure(name)
+            limit = self._limit(name)
+            if tenure is not None and tenure.epoch == epoch and limit is not None:
+                pulled = PulledState(state, self.clock())
+                self.keeper.adopt(name, tenure, limit, pulled)
+
+    def receive(self, name: ShareName, former_home: str, state: ShareState) -> None:
+        """Keep what a former home passed on before it left for good."""
+        with self.lock:
+            self.keeper.receive(name, former_home, state)
+
+    def close(self, name: ShareName, before_epoch: int) -> ShareState | None:
+        """End older tenures of a share here and return what they leave."""
+        with self.lock:
+            self._begin_former(name)
+            now = self.clock()
+            since = self.view.fresh_since()
+            return self.keeper.close(name, before_epoch, now, since)
+
+    def watch(self) -> None:
+        """Note which workspaces have appeared in the configuration."""
+        follower = self.configuration.follower
+        with follower.changed:
+            offset = follower.fold.next_offset
+            head_read_at = follower.head_read_at
+        if offset != self._configuration_offset:
+            sections = self.configuration.configuration().sections.values()
+            names = [part.name for part in sections if isinstance(part, Workspace)]
+            with self.lock:
+                self.absent_at = {
+                    name: self.absent_at.get(name, self._absent_until) for name in names
+                }
+        self._configuration_offset = offset
+        self._absent_until = head_read_at
+
+    def dump(self) -> Mapping[str, Any]:
+        """Return the shares at home here by workspace and number."""
+        with self.lock:
+            return {
+                f'{name.workspace}/{name.share}': {
+                    'epoch': held.epoch,
+                    'level_tokens': round(held.bucket.level_tokens, 3),
+                    'open_tokens': held.bucket.open_tokens,
+                }
+                for name, held in self.keeper.held.items()
+                if held.bucket is not None
+            }
+
+    def _bucket(self, name: ShareName) -> ShareBucket:
+        tenure = self.tenure(name)
+        if tenure is None or tenure.home != self.view.incarnation:
+            raise UnavailableError('not the home of this share', step=_STEP)
+        bucket = None
+        if self.view.is_fresh():
+            bucket = self._bucket_of(name, tenure)
+        if bucket is None:
+            raise UnavailableError(
+                'the share has not begun here', step=_STEP, retry_after_s=_RETRY_AFTER_S
+            )
+        return bucket
+
+    def _bucket_of(self, name: ShareName, tenure: Tenure) -> ShareBucket | None:
+        limit = self._limit(name)
+        if limit is None:
+            return None
+        around = Surroundings(
+            self.clock(), self.view.fresh_since(), self.fenced_at, self.absent_at
+        )
+        return self.keeper.bucket(name, tenure, limit, around)
+
+    def _begin_former(self, name: ShareName) -> None:
+        """Begin a tenure that nobody asked for yet, so that its burst passes on."""
+        tenure = self.tenure(name)
+        if tenure is not None and tenure.home != self.view.incarnation:
+            tenure = tenure.former
+        if tenure is not None and tenure.home == self.view.incarnation:
+            self._bucket_of(name, tenure)
+
+    def _limit(self, name: ShareName) -> ShareLimit | None:
+        workspace = self.configuration.workspace(name.workspace)
+        if workspace is None:
+            return None
+        return ShareLimit.of(
+            workspace.rate_tokens_per_s, workspace.burst_tokens, name.share
+        )
+
+    def _read_views(self) -> None:
+        if self.book.views and self.book.views[-1].epoch == self.view.epoch:
+            return
+        views, is_from_start = self.view.recent_views()
+        last = self.book.views[-1].epoch if self.book.views else -1
+        if last not in {view.epoch for view in views}:
+            self.book = TenureBook(is_complete=is_from_start)
+        for view in views:
+            if view.epoch > last:
+                self.book.add(view)
+                self.fenced_at[view.epoch] = self.clock()
--- /dev/null
+++ b/src/pimentohoist/_controllers/share_takers.py
@@ -0,0 +1,167 @@
+"""Calls to the homes of shares, which may be this daemon itself."""
+
+from __future__ import annotations
+
+import threading
+from typing import Any
+
+from pimentohoist._controllers.share_homes import ShareHomes
+from pimentohoist._controllers.share_messages import (
+    read_state,
+    write_state,
+    write_uses,
+)
+from pimentohoist._decisions.grants import ShareHome
+from pimentohoist._decisions.shares import Grant, GrantOrder, GrantUse
+from pimentohoist._decisions.tenures import ShareName, Tenure
+from pimentohoist._generated import peer_pb2
+from pimentohoist._view_fold import rank
+from pimentohoist.exceptions import PeerError, PeerRefusedError, UnavailableError
+from pimentohoist.models import Member
+from pimentohoist.protocols import Peers
+
+_TIMEOUT_S = 0.25
+_PAUSE_S = 1.0
+_MS = 1000
+
+
+class ShareTaker:
+    """Takes grants, reports what was spent, and moves shares between homes.
+
+    Attributes
+    ----------
+    failures : int
+        Calls without a reply.
+    silent_until : dict of str to float
+        By incarnation: time up to which it isn't called, since it didn't answer.
+    """
+
+    def __init__(self, homes: ShareHomes, peers: Peers) -> None:
+        self.homes = homes
+        self.view = homes.view
+        self.peers = peers
+        self.failures = 0
+        self.silent_until: dict[str, float] = {}
+        self._lock = threading.Lock()
+
+    def home(self, name: ShareName) -> ShareHome | None:
+        """Return the home of a share in the present view; None if it is silent."""
+        tenure = self.homes.tenure(name)
+        if tenure is None or self._is_silent(tenure.home):
+            return None
+        return ShareHome(name.share, tenure.home)
+
+    def take(
+        self,
+        name: ShareName,
+        home: ShareHome,
+        order: GrantOrder,
+        uses: tuple[GrantUse, ...],
+    ) -> Grant | None:
+        """Return the grant; None if there was no reply."""
+        if home.incarnation == self.view.incarnation:
+            try:
+                return self.homes.order(name, order, uses)
+            except UnavailableError:
+                return None
+        request = peer_pb2.GrantRequest(
+            sender=self._sender(),
+            workspace=name.workspace,
+            share=name.share,
+            tokens=order.extra_tokens,
+            at_least_tokens=order.need_tokens,
+            grant_id=order.grant_id,
+            uses=write_uses(uses),
+        )
+        reply = self._call(home.incarnation, 'TakeGrant', request)
+        if reply is None:
+            return None
+        return Grant(reply.grant_id, reply.tokens, reply.expires_after_ms / _MS)
+
+    def report(
+        self, name: ShareName, home: ShareHome, uses: tuple[GrantUse, ...]
+    ) -> bool:
+        """Say what was spent; return whether it has arrived."""
+        if home.incarnation == self.view.incarnation:
+            try:
+                self.homes.note_uses(name, uses)
+            except UnavailableError:
+                return False
+            return True
+        if self._is_silent(home.incarnation):
+            return False
+        request = peer_pb2.GrantReturn(
+            sender=self._sender(),
+            workspace=name.workspace,
+            share=name.share,
+            uses=write_uses(uses),
+        )
+        return self._call(home.incarnation, 'ReturnGrant', request) is not None
+
+    def pull(self, name: ShareName) -> None:
+        """Get the state of a share that is now at home here from its former home."""
+        tenure = self.homes.tenure(name)
+        if tenure is None or tenure.home != self.view.incarnation:
+            return
+        if not self.view.is_fresh() or self.homes.has_begun(name):
+            return
+        if tenure.former is not None and not self._is_silent(tenure.former.home):
+            self._pull(name, tenure, tenure.former.home)
+
+    def hand_over_all(self) -> None:
+        """Pass every share at home here on, for good, before leaving the view."""
+        others = [
+            member
+            for member in self.view.members()
+            if member.incarnation != self.view.incarnation
+        ]
+        epoch = self.view.epoch + 1
+        for name in self.homes.names():
+            state = self.homes.close(name, epoch)
+            if state is not None and others:
+                message = write_state(name, state)
+                message.sender.CopyFrom(self._sender())
+                home = rank(name.thing, others)[0]
+                self._call(home.incarnation, 'HandOverShare', message)
+
+    def _pull(self, name: ShareName, tenure: Tenure, former_home: str) -> None:
+        request = peer_pb2.SharePull(
+            sender=peer_pb2.Sender(
+                incarnation=self.view.incarnation, epoch=tenure.epoch
+            ),
+            workspace=name.workspace,
+            share=name.share,
+        )
+        reply = self._call(former_home, 'PullShare', request)
+        if reply is not None and reply.is_held:
+            self.homes.adopt(name, tenure.epoch, read_state(reply))
+
+    def _call(self, incarnation: str, method: str, request: Any) -> Any:
+        member = self._member(incarnation)
+        if member is None:
+            return None
+        try:
+            return self.peers.call(
+                member.peer_address, method, request, timeout_s=_TIMEOUT_S
+            )
+        except PeerRefusedError:
+            return None
+        except PeerError:
+            with self._lock:
+                self.failures += 1
+                self.silent_until[incarnation] = self.homes.clock() + _PAUSE_S
+            return None
+
+    def _is_silent(self, incarnation: str) -> bool:
+        return self.homes.clock() < self.silent_until.get(incarnation, 0)
+
+    def _member(self, incarnation: str) -> Member | None:
+        found = (
+            member
+            for member in self.view.members()
+            if member.incarnation == incarnation
+        )
+        return next(found, None)
+
+    def _sender(self) -> peer_pb2.Sender:
+        return peer_pb2.Sender(incarnation=self.view.incarnation, epoch=self.view.epoch)
--- a/src/pimentohoist/_controllers/view.py
+++ b/src/pimentohoist/_controllers/view.py
@@ -4,23 +4,40 @@
 
 import logging
 import secrets
+import threading
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import asdict
 from typing import Any, Self
 
 from pimentohoist._controllers.follower import StreamFollower
-from pimentohoist._view_fold import VIEW_STREAM, Join, Leave, ViewFold, rank
+from pimentohoist._decisions.freshness import FreshnessTracker
+from pimentohoist._view_fold import VIEW_STREAM, Join, Leave, View, ViewFold, rank
 from pimentohoist.exceptions import LogError
-from pimentohoist.models import Member
+from pimentohoist.models import LogPage, Member
 from pimentohoist.protocols import Log
 from pimentohoist.settings import DaemonSettings
 
-_FRESH_S = 2.0
+_LONG_POLL_S = 0.5
 _INCARNATION_BYTES = 6
 _logger = logging.getLogger(__name__)
 
 
+class _ShortPolls:
+    """Implements `Log`; a poll's answer is at most a quarter of the freshness old."""
+
+    def __init__(self, log: Log) -> None:
+        self.log = log
+
+    def append(self, stream: str, bodies: Sequence[bytes]) -> int:
+        """Append records."""
+        return self.log.append(stream, bodies)
+
+    def read(self, stream: str, offset: int, *, wait_s: float) -> LogPage:
+        """Read records, waiting a short time for the first."""
+        return self.log.read(stream, offset, wait_s=min(wait_s, _LONG_POLL_S))
+
+
 class ViewController:
     """Joins and leaves the view, and implements `Homes`.
 
@@ -36,7 +53,9 @@
         self.log = log
         self.settings = settings
         self.incarnation = f'{settings.name}-{secrets.token_hex(_INCARNATION_BYTES)}'
-        self.follower = StreamFollower(log, VIEW_STREAM, ViewFold())
+        self.follower = StreamFollower(_ShortPolls(log), VIEW_STREAM, ViewFold())
+        self.freshness = FreshnessTracker()
+        self._lock = threading.Lock()
 
     def __enter__(self) -> Self:
         """Start following the stream and join the view."""
@@ -80,7 +99,17 @@
 
     def is_fresh(self) -> bool:
         """Return whether the view was read to its head a short while ago."""
-        return time.monotonic() - self.follower.head_read_at < _FRESH_S
+        return self._freshness().is_fresh(time.monotonic())
+
+    def fresh_since(self) -> float:
+        """Return since when the daemon has been fresh without a break."""
+        return self._freshness().fresh_since
+
+    def recent_views(self) -> tuple[tuple[View, ...], bool]:
+        """Return the latest views, and whether they begin with the very first."""
+        with self.follower.changed:
+            fold = self.follower.fold
+            return tuple(fold.recent), fold.is_from_start
 
     def dump(self) -> Mapping[str, Any]:
         """Return members, epoch and freshness."""
@@ -92,6 +121,11 @@
             'members': [asdict(member) for member in self.members()],
         }
 
+    def _freshness(self) -> FreshnessTracker:
+        with self._lock:
+            self.freshness.confirm(self.follower.head_read_at, time.monotonic())
+            return self.freshness
+
     def _append(self, record: Join | Leave) -> None:
         try:
             self.log.append(VIEW_STREAM, [record.model_dump_json().encode()])
--- a/src/pimentohoist/_decisions/grants.py
+++ b/src/pimentohoist/_decisions/grants.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from math import exp
 
 from pimentohoist._decisions.shares import (
     DRIFT,
@@ -13,6 +14,10 @@
     GrantUse,
 )
 
+_AVERAGE_S = 1.0
+"""Time over which demand is averaged."""
+_AHEAD_S = 0.5
+"""Time for which grants are taken in advance."""
 _IDLE_S = 1.0
 """Time without a charge after which a grant goes back to its share."""
 
@@ -170,3 +175,29 @@
 
     def _expiry(self, grant_id: str) -> float:
         return self.grants[grant_id].expires_at
+
+
+class Demand:
+    """Rate at which a workspace spends tokens here, and what to hold for it."""
+
+    def __init__(self) -> None:
+        self.tokens: float = 0
+        self.noted_at: float = 0
+
+    def add(self, tokens: int, now: float) -> None:
+        """Note a request's tokens."""
+        self.tokens = self._decayed(now) + tokens
+        self.noted_at = now
+
+    def rate(self, now: float) -> float:
+        """Return the tokens a second, averaged over a short time."""
+        return self._decayed(now) / _AVERAGE_S
+
+    def wanted(self, now: float, pool: GrantPool) -> int:
+        """Return the tokens to take in advance; none while the half is there."""
+        target = self.rate(now) * _AHEAD_S
+        held = pool.available(now + _AHEAD_S)
+        return 0 if held * 2 >= target else int(target - held)
+
+    def _decayed(self, now: float) -> float:
+        return self.tokens * exp((self.noted_at - now) / _AVERAGE_S)
--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -14,9 +14,11 @@
 from pimentohoist._chain import build_handler
 from pimentohoist._controllers.configuration import ConfigurationController
 from pimentohoist._controllers.endpoints import EndpointsController
+from pimentohoist._controllers.limits import LimitsController
 from pimentohoist._controllers.view import ViewController
 from pimentohoist._filters.authenticate import Authenticate
 from pimentohoist._filters.dispatch import Dispatch
+from pimentohoist._filters.limit import Limit
 from pimentohoist._filters.resolve import Resolve
 from pimentohoist._http_server import HttpServer
 from pimentohoist._logs import configure_logs
@@ -44,15 +46,20 @@
         self.peers = PeerClients()
         self.configuration = ConfigurationController(self.log)
         self.view = ViewController(self.log, settings.daemon)
+        self.limits = LimitsController(self.view, self.configuration, self.peers)
         self.endpoints = EndpointsController(self.view)
         self.requests = RequestPath(platform, self.view, self.peers, self.endpoints)
         self.controllers: dict[str, Controller] = {
             'configuration': self.configuration,
             'view': self.view,
+            'limits': self.limits,
             'endpoints': self.endpoints,
             **self.requests.controllers(),
         }
-        self.answering: tuple[PeerAnswering, ...] = (self.requests.quarantine,)
+        self.answering: tuple[PeerAnswering, ...] = (
+            self.requests.quarantine,
+            self.limits,
+        )
         self._stack = ExitStack()
 
     def __enter__(self) -> Self:
@@ -76,6 +83,7 @@
         filters = (
             Authenticate(self.configuration),
             Resolve(self.configuration),
+            Limit(self.limits),
             self.requests.filter(),
         )
         last = Dispatch(self.configuration, self.requests.tools)
