--- /dev/null
+++ b/src/pimentohoist/_decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without I/O and without a clock of their own: time is passed in."""
--- /dev/null
+++ b/src/pimentohoist/_decisions/admission.py
@@ -0,0 +1,130 @@
+"""Whether a request may wait at an endpoint, and what it is told if not."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from pimentohoist._decisions.queue import FairQueue, Waiting
+from pimentohoist._decisions.residency import Residency
+from pimentohoist.models import AdapterVersion
+
+_SMOOTHING = 0.1
+_FASTEST_DRIFT = 1.02
+_FIRST_SERVICE_S = 0.25
+_FIRST_LOAD_S = 1.0
+_LEAST_RETRY_S = 0.1
+
+
+class Reason(StrEnum):
+    """Why a home refuses a request."""
+
+    BUSY = 'busy'
+    DEADLINE = 'deadline'
+    DOWN = 'down'
+    LOAD_FAILED = 'load_failed'
+    SETTLING = 'settling'
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A request that does not run here, and when to come back."""
+
+    request_id: str
+    reason: Reason
+    retry_after_s: float
+
+    @classmethod
+    def of(cls, entry: Waiting, reason: Reason, retry_after_s: float) -> Refusal:
+        """Return a refusal with a time to come back that is not too short."""
+        return cls(entry.request_id, reason, max(_LEAST_RETRY_S, retry_after_s))
+
+
+class Estimate:
+    """A smoothed duration, and the shortest of late.
+
+    Only the shortest decides on refusals for good: a mean that has grown too large would
+    refuse every request and so never see the sample that corrects it.
+    """
+
+    def __init__(self, first_s: float) -> None:
+        self.mean_s = first_s
+        self.fastest_s = float(0)
+
+    def note(self, sample_s: float) -> None:
+        """Take one measured duration in."""
+        self.mean_s += _SMOOTHING * (sample_s - self.mean_s)
+        drifted_s = self.fastest_s * _FASTEST_DRIFT or sample_s
+        self.fastest_s = min(sample_s, drifted_s)
+
+
+class Admission:
+    """Durations measured at one endpoint, and what follows from them for a request.
+
+    Attributes
+    ----------
+    service, load : Estimate
+        Of requests and of loads.
+    settled_at : float
+        Before this time nothing is evicted, since pins given by a former home may
+        not be known.
+    """
+
+    def __init__(
+        self, queue: FairQueue, residency: Residency, knee_requests: int
+    ) -> None:
+        self.queue = queue
+        self.residency = residency
+        self.knee_requests = knee_requests
+        self.settled_at = float('-inf')
+        self.service = Estimate(_FIRST_SERVICE_S)
+        self.load = Estimate(_FIRST_LOAD_S)
+
+    def is_settled(self, now: float) -> bool:
+        """Return whether all pins are known."""
+        return now >= self.settled_at
+
+    def objection(
+        self, entry: Waiting, pinned: int, now: float, *, must_queue: bool
+    ) -> Refusal | None:
+        """Return why the request may not wait here; None if it may.
+
+        Parameters
+        ----------
+        pinned : int
+            Requests in flight.
+        must_queue : bool
+            Whether the request has nowhere else to go, busy or not.
+        """
+        wait_s = self.queue_wait_s(entry, pinned)
+        adapter = entry.adapter
+        if adapter is not None and not self.residency.is_held(adapter):
+            refusal = self._load_objection(entry, adapter, now)
+            if refusal is not None:
+                return refusal
+        elif not must_queue and wait_s > self.load.mean_s:
+            return Refusal.of(entry, Reason.BUSY, wait_s)
+        if now + wait_s + self.least_s(entry) > entry.deadline:
+            return Refusal.of(entry, Reason.DEADLINE, wait_s)
+        return None
+
+    def queue_wait_s(self, entry: Waiting, pinned: int) -> float:
+        """Return how long the request would probably wait for its turn."""
+        ahead = self.queue.ahead_of(entry) + pinned + 1 - self.knee_requests
+        return max(0, ahead) * self.service.mean_s / self.knee_requests
+
+    def least_s(self, entry: Waiting) -> float:
+        """Return the time without which the request surely can't end."""
+        is_held = entry.adapter is None or self.residency.is_held(entry.adapter)
+        load_s = 0 if is_held else self.load.fastest_s
+        return load_s + self.service.fastest_s
+
+    def _load_objection(
+        self, entry: Waiting, adapter: AdapterVersion, now: float
+    ) -> Refusal | None:
+        backoff_s = self.residency.backoff_s(adapter, now)
+        if backoff_s > 0:
+            return Refusal.of(entry, Reason.LOAD_FAILED, backoff_s)
+        if self.residency.free_slots() <= 0 and not self.is_settled(now):
+            return Refusal.of(entry, Reason.SETTLING, self.settled_at - now)
+        return None
--- /dev/null
+++ b/src/pimentohoist/_decisions/loads.py
@@ -0,0 +1,176 @@
+"""Loads from the weight store over the whole fleet, shared between workspaces.
+
+The home of the store's budget gives permits. A workspace within its share of the loads
+goes before one beyond it; among equals the load that frees most waiting goes first.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from dataclasses import dataclass
+
+from pimentohoist.models import AdapterVersion
+
+ASK_LIFE_S = 1.5
+"""Time for which an endpoint's wishes count after it last asked."""
+
+GRANT_LIFE_S = 15.0
+"""Time after which a load of an endpoint that no longer reports counts as ended."""
+
+SHARE_BURST_LOADS = 4.0
+"""Loads that a workspace may save up within its share."""
+
+_URGENT_WEIGHT = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class LoadWish:
+    """An adapter that requests at an endpoint wait for.
+
+    Attributes
+    ----------
+    workspace : str
+        The one that has waited longest for it.
+    waiting_requests, urgent_requests : int
+        How many wait, and how many of them are urgent.
+    waited_s : float
+        Sum of the times that they have waited.
+    """
+
+    adapter: AdapterVersion
+    workspace: str
+    waiting_requests: int
+    urgent_requests: int = 0
+    waited_s: float = 0
+
+    @property
+    def freed_work(self) -> float:
+        """Waiting that the load would end; grows with requests and with their age."""
+        weight = self.waiting_requests + (_URGENT_WEIGHT - 1) * self.urgent_requests
+        return weight * (1 + self.waited_s / max(1, self.waiting_requests))
+
+
+@dataclass(frozen=True, slots=True)
+class StoreLimits:
+    """What the weight store allows over the whole fleet."""
+
+    loads_per_s: float
+    loads_at_once: int
+
+
+@dataclass(frozen=True, slots=True)
+class _Asked:
+    wishes: tuple[LoadWish, ...]
+    asked_at: float
+
+
+Place = tuple[str, AdapterVersion]
+
+
+class LoadBudget:
+    """The state of the store's budget at its home.
+
+    Parameters
+    ----------
+    weight_of : callable
+        Returns the weight of a workspace's share, its granted rate.
+    silent_until : float
+        Before this time nothing is granted, since loads that a former home has granted
+        may not have been reported yet.
+    """
+
+    def __init__(
+        self, weight_of: Callable[[str], float], silent_until: float = 0
+    ) -> None:
+        self.weight_of = weight_of
+        self.silent_until = silent_until
+        self.open: dict[Place, float] = {}
+        self.credits: dict[str, float] = {}
+        self._asked: dict[str, _Asked] = {}
+        self._tokens = float(0)
+        self._counted_at = silent_until
+
+    def ask(
+        self,
+        endpoint: str,
+        wishes: Iterable[LoadWish],
+        loading: Iterable[AdapterVersion],
+        now: float,
+    ) -> None:
+        """Replace what an endpoint wishes for and what it is loading."""
+        self._asked[endpoint] = _Asked(tuple(wishes), now)
+        self.open = {
+            place: lapses_at
+            for place, lapses_at in self.open.items()
+            if place[0] != endpoint
+        }
+        for adapter in loading:
+            self.open[(endpoint, adapter)] = now + GRANT_LIFE_S
+
+    def grant(self, limits: StoreLimits, now: float) -> tuple[str, LoadWish] | None:
+        """Return the next load that may start now; it counts as open from then on."""
+        self._accrue(limits, now)
+        self._drop_lapsed(now)
+        is_full = len(self.open) >= limits.loads_at_once
+        if is_full or self._tokens < 1 or now < self.silent_until:
+            return None
+        chosen = max(self.candidates(), key=self._rank, default=None)
+        if chosen is None:
+            return None
+        endpoint, wish = chosen
+        self._tokens -= 1
+        self.open[(endpoint, wish.adapter)] = now + GRANT_LIFE_S
+        self.credits[wish.workspace] = self._credit(wish.workspace) - 1
+        return chosen
+
+    def candidates(self) -> Iterator[tuple[str, LoadWish]]:
+        """Yield all wishes that no open load serves."""
+        for endpoint, asked in self._asked.items():
+            for wish in asked.wishes:
+                if (endpoint, wish.adapter) not in self.open:
+                    yield endpoint, wish
+
+    def retry_after_s(self, limits: StoreLimits) -> float:
+        """Return after how long a grant may be possible again."""
+        return max(0, 1 - self._tokens) / limits.loads_per_s
+
+    def _rank(
+        self, candidate: tuple[str, LoadWish]
+    ) -> tuple[bool, float, AdapterVersion, str]:
+        endpoint, wish = candidate
+        is_in_share = self._credit(wish.workspace) >= 1
+        return (is_in_share, wish.freed_work, wish.adapter, endpoint)
+
+    def _credit(self, workspace: str) -> float:
+        return self.credits.get(workspace, SHARE_BURST_LOADS)
+
+    def _accrue(self, limits: StoreLimits, now: float) -> None:
+        elapsed_s = max(0, now - self._counted_at)
+        self._counted_at = max(now, self._counted_at)
+        loads = elapsed_s * limits.loads_per_s
+        self._tokens = min(limits.loads_at_once, self._tokens + loads)
+        self._accrue_credits(loads)
+
+    def _accrue_credits(self, loads: float) -> None:
+        weights: Mapping[str, float] = {
+            wish.workspace: self.weight_of(wish.workspace)
+            for _, wish in self.candidates()
+        }
+        for workspace in self.credits:
+            weights = {workspace: self.weight_of(workspace), **weights}
+        total = sum(weights.values()) or 1
+        for name, weight in weights.items():
+            credit = self._credit(name) + loads * weight / total
+            self.credits[name] = max(-SHARE_BURST_LOADS, min(SHARE_BURST_LOADS, credit))
+
+    def _drop_lapsed(self, now: float) -> None:
+        self.open = {
+            place: lapses_at
+            for place, lapses_at in self.open.items()
+            if lapses_at > now
+        }
+        self._asked = {
+            endpoint: asked
+            for endpoint, asked in self._asked.items()
+            if asked.asked_at + ASK_LIFE_S > now
+        }
