--- a/features/steps/serving_decisions.py
+++ b/features/steps/serving_decisions.py
@@ -59,7 +59,7 @@
 def queue_histories(draw: Any) -> list[tuple[str, Any]]:
     kinds = st.sampled_from(('add', 'add', 'take', 'take', 'remove'))
     events: list[tuple[str, Any]] = []
-    for number, kind in enumerate(draw(st.lists(kinds, max_size=50))):
+    for number, kind in enumerate(draw(st.lists(kinds, min_size=25, max_size=60))):
         arguments = {
             'add': entries_of(number),
             'take': st.frozensets(st.sampled_from(_ADAPTERS), min_size=1),
--- a/src/pimentohoist/_controllers/endpoints.py
+++ b/src/pimentohoist/_controllers/endpoints.py
@@ -1,40 +1,55 @@
-"""Endpoints of each group: clients, and where an adapter is resident."""
+"""Slots on endpoints for the requests of this daemon, from the endpoints' homes."""
 
 from __future__ import annotations
 
 import threading
+import time
 from collections.abc import Callable, Mapping
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any, Self
 
+from pimentohoist._controllers.configuration import ConfigurationController
+from pimentohoist._controllers.endpoint_homes import EndpointHomes
+from pimentohoist._controllers.engine_orders import Place
+from pimentohoist._controllers.held_pins import HeldPins, MemberHomes
+from pimentohoist._controllers.home_calls import AskedSlot, HomeCalls
+from pimentohoist._decisions.admission import Reason
+from pimentohoist._decisions.placement import CopyTable, order_endpoints
 from pimentohoist._platform.engine import HttpEngine
 from pimentohoist._platform.service import HttpService
 from pimentohoist._view_fold import rank_names
 from pimentohoist.configuration import Endpoint
-from pimentohoist.exceptions import PeerError, UnavailableError
+from pimentohoist.exceptions import DeadlineError, UnavailableError
 from pimentohoist.exchanges import SlotRequest
-from pimentohoist.models import AdapterOrder, AdapterVersion
-from pimentohoist.protocols import Engine, Homes, Service, Slot
+from pimentohoist.models import AdapterVersion
+from pimentohoist.protocols import Engine, Peers, Service, Slot
 
 _STEP = 'endpoints'
 _RETRY_AFTER_S = 1.0
 _READ_TIMEOUT_S = 10.0
+_MOST_ASKED = 4
+_RELEASE_THREADS = 8
+_FAILURE_MEMORY_S = 1.0
 
 
 class HeldSlot:
-    """Implements `Slot`: one request's place on an endpoint of this daemon's count."""
+    """Implements `Slot`: one request's place on an endpoint."""
 
     def __init__(self, endpoint: Endpoint, release: Callable[[HeldSlot], None]) -> None:
         self.endpoint = endpoint
         self.has_failed = False
-        self._release = release
+        self.held_at = time.monotonic()
+        self._release: Callable[[HeldSlot], None] | None = release
 
     def __enter__(self) -> Self:
         """Hold the slot."""
         return self
 
     def __exit__(self, *exc_info: object) -> None:
-        """Give the slot back."""
-        self._release(self)
+        """Give the slot back; once."""
+        release, self._release = self._release, None
+        if release is not None:
+            release(self)
 
     def mark_failed(self) -> None:
         """Say that the endpoint failed the request."""
@@ -42,23 +57,47 @@
 
 
 class EndpointsController:
-    """Gives slots on endpoints to requests and loads adapters there."""
-
-    def __init__(self, homes: Homes) -> None:
-        self.homes = homes
+    """Implements `Slots`, and is the home of a part of the endpoints.
+
+    Parameters
+    ----------
+    longest_s : float
+        Longest time that a request may last.
+    """
+
+    def __init__(
+        self,
+        homes: MemberHomes,
+        configuration: ConfigurationController,
+        peers: Peers,
+        longest_s: float,
+    ) -> None:
+        self.pins = HeldPins(homes, longest_s)
+        self.homes = EndpointHomes(
+            homes,
+            configuration,
+            peers,
+            self.pins,
+            lambda place: self.engine(place.endpoint),
+        )
+        self.calls = HomeCalls(homes, peers, self.pins, self.homes)
+        self.copies = CopyTable()
         self.in_flight: dict[str, int] = {}
-        self.resident: dict[str, set[AdapterVersion]] = {}
+        self._failed_at: dict[str, float] = {}
         self._engines: dict[str, Engine] = {}
         self._services: dict[str, Service] = {}
         self._lock = threading.RLock()
-        self._loading: dict[tuple[str, AdapterVersion], threading.Lock] = {}
+        self._releases = ThreadPoolExecutor(_RELEASE_THREADS, 'releases')
 
     def __enter__(self) -> Self:
-        """Start."""
+        """Start being a home."""
+        self.homes.__enter__()
         return self
 
     def __exit__(self, *exc_info: object) -> None:
-        """Stop."""
+        """Stop, once what was released is told to the homes."""
+        self._releases.shutdown()
+        self.homes.__exit__(*exc_info)
 
     def engine(self, endpoint: Endpoint) -> Engine:
         """Return the client of an engine."""
@@ -77,66 +116,99 @@
             return self._services[endpoint.address]
 
     def acquire(self, request: SlotRequest) -> Slot:
-        """Return a slot on an endpoint that can run the request now."""
+        """Wait for a slot and return it.
+
+        Raises
+        ------
+        UnavailableError, DeadlineError
+            There is none in time; the request was not run.
+        """
         if request.adapter is None:
             return self._acquire_service(request)
         return self._acquire_engine(request, request.adapter)
 
+    def peer_methods(self) -> Mapping[str, Callable[[Any], Any]]:
+        """Return the functions that answer other daemons."""
+        return {
+            'Acquire': self.homes.acquire,
+            'Release': self.homes.release,
+            'ReportPins': self.pins.report,
+            'TakeLoadPermit': self.homes.permits.answer,
+        }
+
     def dump(self) -> Mapping[str, Any]:
-        """Return requests in flight and resident adapters by address."""
+        """Return requests in flight, pins, and the endpoints at home here."""
         with self._lock:
-            return {
-                'in_flight': dict(self.in_flight),
-                'resident': {
-                    address: sorted(str(adapter) for adapter in adapters)
-                    for address, adapters in self.resident.items()
-                },
-            }
+            in_flight = dict(self.in_flight)
+        return {
+            'in_flight': in_flight,
+            'pins': self.pins.dump(),
+            'homes': self.homes.dump(),
+            'load_permits': self.homes.permits.dump(),
+        }
 
     def _acquire_service(self, request: SlotRequest) -> Slot:
+        since = time.monotonic() - _FAILURE_MEMORY_S
         with self._lock:
             endpoint = min(
                 _candidates(request),
-                key=lambda candidate: self.in_flight.get(candidate.address, 0),
+                key=lambda candidate: (
+                    self._failed_at.get(candidate.address, since) > since,
+                    self.in_flight.get(candidate.address, 0),
+                ),
             )
-            return self._hold(endpoint)
+            return self._hold(endpoint, None)
 
     def _acquire_engine(self, request: SlotRequest, adapter: AdapterVersion) -> Slot:
+        refused: list[AskedSlot] = []
+        for number, endpoint in enumerate(self._ordered(request, adapter), start=1):
+            asked = self.calls.ask(Place(request.group, endpoint), request)
+            if asked.is_pinned:
+                return self._hold(endpoint, asked)
+            if asked.reason == Reason.BUSY:
+                with self._lock:
+                    self.copies.note_busy(adapter, number, time.monotonic())
+            refused.append(asked)
+        for earlier in refused:
+            if earlier.reason == Reason.BUSY:
+                again = self.calls.ask(earlier.place, request, must_queue=True)
+                if again.is_pinned:
+                    return self._hold(earlier.place.endpoint, again)
+        raise _refusal(request, refused)
+
+    def _ordered(
+        self, request: SlotRequest, adapter: AdapterVersion
+    ) -> tuple[Endpoint, ...]:
         by_name = {endpoint.name: endpoint for endpoint in _candidates(request)}
-        endpoint = by_name[rank_names(str(adapter), by_name)[0]]
-        slot = self._hold(endpoint)
-        try:
-            self._ensure_resident(endpoint, adapter)
-        except PeerError:
-            slot.__exit__()
-            raise
-        return slot
-
-    def _hold(self, endpoint: Endpoint) -> HeldSlot:
+        by_address = {name: endpoint.address for name, endpoint in by_name.items()}
+        with self._lock:
+            names = order_endpoints(
+                rank_names(str(adapter), by_name),
+                self.copies.copies(adapter, time.monotonic()),
+                {
+                    name: self.in_flight.get(address, 0)
+                    for name, address in by_address.items()
+                },
+            )
+        return tuple(by_name[name] for name in names[:_MOST_ASKED])
+
+    def _hold(self, endpoint: Endpoint, asked: AskedSlot | None) -> HeldSlot:
         with self._lock:
             in_flight = self.in_flight.get(endpoint.address, 0)
             self.in_flight[endpoint.address] = in_flight + 1
-        return HeldSlot(endpoint, self._release)
+        return HeldSlot(endpoint, lambda slot: self._release(slot, asked))
 
-    def _release(self, slot: HeldSlot) -> None:
+    def _release(self, slot: HeldSlot, asked: AskedSlot | None) -> None:
         address = slot.endpoint.address
+        service_s = time.monotonic() - slot.held_at
         with self._lock:
             self.in_flight[address] -= 1
             if slot.has_failed:
-                # It may have restarted cold; each adapter is ordered again.
-                self.resident.pop(address, None)
-
-    def _ensure_resident(self, endpoint: Endpoint, adapter: AdapterVersion) -> None:
-        with self._lock:
-            resident = self.resident.setdefault(endpoint.address, set())
-            place = (endpoint.address, adapter)
-            loading = self._loading.setdefault(place, threading.Lock())
-        with loading:
-            if adapter in resident:
-                return
-            order = AdapterOrder(adapter, self.homes.epoch)
-            self.engine(endpoint).load(order)
-            resident.add(adapter)
+                self._failed_at[address] = time.monotonic()
+        if asked is not None:
+            self._releases.submit(
+                self.calls.release, asked, service_s, has_failed=slot.has_failed
+            )
 
 
 def _candidates(request: SlotRequest) -> tuple[Endpoint, ...]:
@@ -152,3 +224,15 @@
             retry_after_s=_RETRY_AFTER_S,
         )
     return endpoints
+
+
+def _refusal(request: SlotRequest, refused: list[AskedSlot]) -> UnavailableError:
+    reasons = sorted({asked.reason for asked in refused})
+    is_late = Reason.DEADLINE in reasons
+    kind = DeadlineError if is_late else UnavailableError
+    return kind(
+        f'no slot for {request.adapter}: {", ".join(reasons)}',
+        step=_STEP,
+        peer=refused[0].place.endpoint.address,
+        retry_after_s=min(asked.retry_after_s for asked in refused),
+    )
--- /dev/null
+++ b/src/pimentohoist/_controllers/held_pins.py
@@ -0,0 +1,126 @@
+"""Pins that this daemon holds on endpoints, reported to their homes on request."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from pimentohoist._decisions.endpoint import PIN_GRACE_S, Pin
+from pimentohoist._generated import peer_pb2
+from pimentohoist.exceptions import UnavailableError
+from pimentohoist.models import AdapterVersion, Member
+from pimentohoist.protocols import Homes
+
+_STEP = 'pins'
+_RETRY_AFTER_S = 0.1
+MS_PER_S = 1000
+
+
+class MemberHomes(Homes, Protocol):
+    """Homes with the members that they are chosen from."""
+
+    incarnation: str
+
+    def members(self) -> tuple[Member, ...]:
+        """Return the members of the present view."""
+
+
+@dataclass(frozen=True, slots=True)
+class HeldPin:
+    """A pin, given or just asked for."""
+
+    place: str
+    pin: Pin
+
+
+class HeldPins:
+    """All pins of this daemon, and since when other members have been gone.
+
+    Parameters
+    ----------
+    longest_s : float
+        Longest time that a request and thereby a pin can last.
+    """
+
+    def __init__(self, homes: MemberHomes, longest_s: float) -> None:
+        self.homes = homes
+        self.longest_s = longest_s + PIN_GRACE_S
+        self.held: dict[str, HeldPin] = {}
+        self._members: frozenset[str] = frozenset()
+        self._unsettled_until = float('-inf')
+        self._lock = threading.Lock()
+
+    def add(self, place: str, pin: Pin) -> None:
+        """Note a pin before its home is asked for it."""
+        with self._lock:
+            self.held[pin.pin_id] = HeldPin(place, pin)
+
+    def remove(self, pin_id: str) -> None:
+        """Forget a pin that is given back."""
+        with self._lock:
+            self.held.pop(pin_id, None)
+
+    def at(self, place: str) -> tuple[Pin, ...]:
+        """Return the pins held on an endpoint."""
+        with self._lock:
+            return tuple(held.pin for held in self.held.values() if held.place == place)
+
+    def note_members(self) -> None:
+        """Compare the view with the one seen before; to be called often."""
+        present = frozenset(member.incarnation for member in self.homes.members())
+        with self._lock:
+            if self._members - present:
+                self._unsettled_until = time.monotonic() + self.longest_s
+            self._members = present
+
+    def unsettled_s(self) -> float:
+        """Return for how long departed members may still hold pins."""
+        self.note_members()
+        with self._lock:
+            return max(0, self._unsettled_until - time.monotonic())
+
+    def report(self, request: peer_pb2.PinsRequest) -> peer_pb2.PinsReply:
+        """Answer a new home; raises UnavailableError if this view is older than its."""
+        if self.homes.epoch < request.sender.epoch:
+            raise UnavailableError(
+                'the view is not read so far yet',
+                step=_STEP,
+                retry_after_s=_RETRY_AFTER_S,
+            )
+        unsettled_ms = int(self.unsettled_s() * MS_PER_S)
+        pins = (_message(pin) for pin in self.at(request.endpoint))
+        return peer_pb2.PinsReply(pins=pins, unsettled_ms=unsettled_ms)
+
+    def dump(self) -> Mapping[str, Any]:
+        """Return the number of pins by endpoint."""
+        with self._lock:
+            places = [held.place for held in self.held.values()]
+        return {place: places.count(place) for place in sorted(set(places))}
+
+
+def parse_pins(messages: Iterable[peer_pb2.Pin]) -> tuple[Pin, ...]:
+    """Return the pins of a report."""
+    now = time.monotonic()
+    return tuple(
+        Pin(
+            message.pin_id,
+            AdapterVersion(message.adapter, message.version)
+            if message.adapter
+            else None,
+            now + message.deadline_after_ms / MS_PER_S,
+        )
+        for message in messages
+    )
+
+
+def _message(pin: Pin) -> peer_pb2.Pin:
+    left_s = max(0, pin.deadline - time.monotonic())
+    return peer_pb2.Pin(
+        pin_id=pin.pin_id,
+        adapter=pin.adapter.adapter if pin.adapter else '',
+        version=pin.adapter.version if pin.adapter else 0,
+        deadline_after_ms=int(left_s * MS_PER_S),
+    )
--- /dev/null
+++ b/src/pimentohoist/_controllers/home_calls.py
@@ -0,0 +1,200 @@
+"""An entry daemon's calls to the homes of endpoints."""
+
+from __future__ import annotations
+
+import itertools
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from pimentohoist._controllers.endpoint_homes import EndpointHomes
+from pimentohoist._controllers.engine_orders import Place
+from pimentohoist._controllers.held_pins import MS_PER_S, HeldPins, MemberHomes
+from pimentohoist._decisions.admission import Reason
+from pimentohoist._decisions.endpoint import Pin
+from pimentohoist._generated import peer_pb2
+from pimentohoist.exceptions import (
+    NotHomeError,
+    PeerError,
+    PeerRefusedError,
+)
+from pimentohoist.exchanges import SlotRequest
+from pimentohoist.models import Member
+from pimentohoist.protocols import Peers
+
+_CALL_TIMEOUT_S = 2.0
+_RELEASE_TRIES = 5
+_PAUSE_S = 0.05
+_MOVED_PATIENCE_S = 2.0
+_RETRY_AFTER_S = 0.5
+_UNREACHABLE = 'unreachable'
+_Outcome = tuple[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class AskedSlot:
+    """What a home has answered.
+
+    Attributes
+    ----------
+    reason : str
+        Why there is no slot; empty if there is.
+    """
+
+    place: Place
+    pin_id: str
+    reason: str = ''
+    retry_after_s: float = _RETRY_AFTER_S
+
+    @property
+    def is_pinned(self) -> bool:
+        """Return whether the slot is held."""
+        return not self.reason
+
+
+class HomeCalls:
+    """Asks homes for slots and gives these back; this daemon's own without a call."""
+
+    def __init__(
+        self, view: MemberHomes, peers: Peers, pins: HeldPins, own: EndpointHomes
+    ) -> None:
+        self.view = view
+        self.peers = peers
+        self.pins = pins
+        self.own = own
+        self._numbers = itertools.count()
+
+    def ask(
+        self, place: Place, request: SlotRequest, *, must_queue: bool = False
+    ) -> AskedSlot:
+        """Ask for a slot until the home has decided."""
+        pin_id = f'{request.request_id}/{next(self._numbers)}'
+        pin = Pin(pin_id, request.adapter, request.deadline, request.is_alone)
+        self.pins.add(place.name, pin)
+        asked = AskedSlot(place, pin_id)
+        reason, retry_after_s = self._ask_repeatedly(
+            asked, _Wanted(request, must_queue=must_queue)
+        )
+        if not reason:
+            return asked
+        self.pins.remove(pin_id)
+        return AskedSlot(place, pin_id, reason, retry_after_s)
+
+    def release(
+        self, asked: AskedSlot, service_s: float, *, has_failed: bool = False
+    ) -> None:
+        """Give a slot back; if no home can be told, the pin lapses by itself."""
+        message = peer_pb2.ReleaseRequest(
+            sender=self._sender(),
+            endpoint=asked.place.name,
+            pin_id=asked.pin_id,
+            service_time_ms=int(service_s * MS_PER_S),
+            endpoint_failed=has_failed,
+        )
+        for _ in range(_RELEASE_TRIES):
+            try:
+                self._call(asked.place.name, 'Release', message, self.own.release)
+            except (NotHomeError, PeerError):
+                time.sleep(_PAUSE_S)
+                continue
+            break
+        self.pins.remove(asked.pin_id)
+
+    def _ask_repeatedly(self, asked: AskedSlot, wanted: _Wanted) -> _Outcome:
+        patience = _Patience()
+        while time.monotonic() < wanted.request.deadline:
+            try:
+                outcome = self._ask_once(asked, wanted)
+            except (NotHomeError, PeerError) as error:
+                if patience.is_over(error):
+                    self._give_up(asked)
+                    return _UNREACHABLE, _RETRY_AFTER_S
+                outcome = None
+            else:
+                patience.renew()
+            if outcome is not None:
+                return outcome
+            time.sleep(_PAUSE_S)
+        self._give_up(asked)
+        return Reason.DEADLINE, _RETRY_AFTER_S
+
+    def _ask_once(self, asked: AskedSlot, wanted: _Wanted) -> _Outcome | None:
+        """Return the decision; None if there is none yet."""
+        home = self.view.home(asked.place.name)
+        message = wanted.message(asked, self._sender())
+        reply = self._call(asked.place.name, 'Acquire', message, self.own.acquire)
+        if reply.refusal and reply.refusal != Reason.MOVED:
+            return reply.refusal, reply.retry_after_ms / MS_PER_S
+        if reply.pin_id and self._is_still_home(asked.place.name, home):
+            return '', 0
+        return None
+
+    def _call(
+        self, name: str, method: str, message: Any, own: Callable[[Any], Any]
+    ) -> Any:
+        home = self.view.home(name)
+        if home is None:
+            raise NotHomeError('the view is empty', step=method)
+        if home.incarnation == self.view.incarnation:
+            return own(message)
+        return self.peers.call(
+            home.peer_address, method, message, timeout_s=_CALL_TIMEOUT_S
+        )
+
+    def _is_still_home(self, name: str, asked: Member | None) -> bool:
+        """Return whether the answer is not one of a former home."""
+        present = self.view.home(name)
+        if asked is None or present is None:
+            return False
+        return asked.incarnation == present.incarnation
+
+    def _give_up(self, asked: AskedSlot) -> None:
+        """Release what may have been pinned without this daemon's knowledge."""
+        self.release(asked, 0)
+
+    def _sender(self) -> peer_pb2.Sender:
+        return peer_pb2.Sender(incarnation=self.view.incarnation, epoch=self.view.epoch)
+
+
+@dataclass(frozen=True, slots=True)
+class _Wanted:
+    request: SlotRequest
+    must_queue: bool
+
+    def message(
+        self, asked: AskedSlot, sender: peer_pb2.Sender
+    ) -> peer_pb2.AcquireRequest:
+        request = self.request
+        left_s = max(0, request.deadline - time.monotonic())
+        return peer_pb2.AcquireRequest(
+            sender=sender,
+            request_id=asked.pin_id,
+            endpoint=asked.place.name,
+            workspace=request.workspace,
+            adapter=request.adapter.adapter if request.adapter else '',
+            version=request.adapter.version if request.adapter else 0,
+            cost_tokens=request.cost_tokens,
+            is_urgent=request.is_urgent,
+            deadline_after_ms=int(left_s * MS_PER_S),
+            is_alone=request.is_alone,
+            must_queue=self.must_queue,
+        )
+
+
+class _Patience:
+    """Bears refusals while another home may take over shortly."""
+
+    def __init__(self) -> None:
+        self._until: float | None = None
+
+    def renew(self) -> None:
+        """Note an answer."""
+        self._until = None
+
+    def is_over(self, error: Exception) -> bool:
+        """Return whether to give up after an error."""
+        if self._until is None:
+            self._until = time.monotonic() + _MOVED_PATIENCE_S
+        is_refused = isinstance(error, NotHomeError | PeerRefusedError)
+        return not is_refused or time.monotonic() >= self._until
--- /dev/null
+++ b/src/pimentohoist/_controllers/load_permits.py
@@ -0,0 +1,182 @@
+"""Permits for loads from the weight store, given by the home of its budget."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any
+
+from pimentohoist._controllers.configuration import ConfigurationController
+from pimentohoist._controllers.held_pins import MemberHomes
+from pimentohoist._decisions.loads import LoadBudget, LoadWish, StoreLimits
+from pimentohoist._generated import peer_pb2
+from pimentohoist.configuration import StoreBudget
+from pimentohoist.exceptions import UnavailableError
+from pimentohoist.models import AdapterVersion
+from pimentohoist.protocols import Peers
+
+_STEP = 'load_permits'
+_THING = 'store-budget'
+_HOLD_S = 0.25
+_TIMEOUT_S = 2.0
+_SILENCE_S = 2.0
+_RETRY_AFTER_S = 0.2
+_NO_LIMITS = StoreLimits(loads_per_s=1000, loads_at_once=1000)
+"""Without a section on the store the operators have set no limit."""
+
+
+class LoadPermits:
+    """Asks the home of the budget for permits, and gives them while it is the home.
+
+    Attributes
+    ----------
+    granted : int
+        Permits given by this daemon.
+    """
+
+    def __init__(
+        self,
+        homes: MemberHomes,
+        configuration: ConfigurationController,
+        peers: Peers,
+    ) -> None:
+        self.homes = homes
+        self.configuration = configuration
+        self.peers = peers
+        self.granted = 0
+        self._budget: LoadBudget | None = None
+        self._offers: dict[str, LoadWish] = {}
+        self._changed = threading.Condition()
+
+    def take(
+        self,
+        place: str,
+        wishes: Sequence[LoadWish],
+        loading: Iterable[AdapterVersion],
+    ) -> AdapterVersion | None:
+        """Tell the home what an endpoint needs; return what may be loaded now.
+
+        Raises
+        ------
+        PeerError, UnavailableError
+            The home does not answer or gives no permits.
+        """
+        request = peer_pb2.LoadPermitRequest(
+            sender=peer_pb2.Sender(
+                incarnation=self.homes.incarnation, epoch=self.homes.epoch
+            ),
+            endpoint=place,
+            wishes=(_wish_message(wish) for wish in wishes),
+            loading=(
+                peer_pb2.WishedLoad(adapter=adapter.adapter, version=adapter.version)
+                for adapter in loading
+            ),
+        )
+        reply = self._ask(request)
+        if not reply.adapter:
+            return None
+        return AdapterVersion(reply.adapter, reply.version)
+
+    def answer(self, request: peer_pb2.LoadPermitRequest) -> peer_pb2.LoadPermitReply:
+        """Answer an endpoint's home, after a short wait if nothing is granted at once."""
+        wishes = tuple(_parse_wish(message) for message in request.wishes)
+        loading = [
+            AdapterVersion(message.adapter, message.version)
+            for message in request.loading
+        ]
+        hold_s = _HOLD_S if wishes else 0
+        give_up_at = time.monotonic() + hold_s
+        with self._changed:
+            self._require_budget().ask(
+                request.endpoint, wishes, loading, time.monotonic()
+            )
+            self._offers.pop(request.endpoint, None)
+            granted = self._grant(request.endpoint)
+            while granted is None and time.monotonic() < give_up_at:
+                self._changed.wait(_HOLD_S / 4)
+                granted = self._grant(request.endpoint)
+        if granted is None:
+            return peer_pb2.LoadPermitReply()
+        return peer_pb2.LoadPermitReply(
+            adapter=granted.adapter.adapter, version=granted.adapter.version
+        )
+
+    def dump(self) -> Mapping[str, Any]:
+        """Return what is open and what was granted."""
+        with self._changed:
+            budget = self._budget or LoadBudget(self._weight)
+            return {
+                'is_home': self.homes.is_home(_THING),
+                'granted': self.granted,
+                'open': [f'{place} {name}' for place, name in budget.open],
+                'credits': dict(budget.credits),
+            }
+
+    def _ask(self, request: peer_pb2.LoadPermitRequest) -> peer_pb2.LoadPermitReply:
+        home = self.homes.home(_THING)
+        if home is None:
+            raise UnavailableError(
+                'the view is empty', step=_STEP, retry_after_s=_RETRY_AFTER_S
+            )
+        if home.incarnation == self.homes.incarnation:
+            return self.answer(request)
+        reply: peer_pb2.LoadPermitReply = self.peers.call(
+            home.peer_address, 'TakeLoadPermit', request, timeout_s=_TIMEOUT_S
+        )
+        return reply
+
+    def _require_budget(self) -> LoadBudget:
+        if not self.homes.is_home(_THING):
+            self._budget = None
+            raise UnavailableError(
+                'not the home of the budget', step=_STEP, retry_after_s=_RETRY_AFTER_S
+            )
+        if self._budget is None:
+            # A former home's loads are reported within this time, by those who ask.
+            is_first = len(self.homes.members()) == 1
+            pause_s = 0 if is_first else _SILENCE_S
+            self._budget = LoadBudget(self._weight, time.monotonic() + pause_s)
+        return self._budget
+
+    def _grant(self, place: str) -> LoadWish | None:
+        granted = self._require_budget().grant(self._limits(), time.monotonic())
+        while granted is not None:
+            self.granted += 1
+            self._offers[granted[0]] = granted[1]
+            self._changed.notify_all()
+            granted = self._require_budget().grant(self._limits(), time.monotonic())
+        return self._offers.pop(place, None)
+
+    def _limits(self) -> StoreLimits:
+        sections = self.configuration.configuration().sections
+        for identity in sorted(sections):
+            section = sections[identity]
+            if isinstance(section, StoreBudget):
+                return StoreLimits(section.loads_per_s, section.loads_at_once)
+        return _NO_LIMITS
+
+    def _weight(self, workspace: str) -> float:
+        section = self.configuration.workspace(workspace)
+        return max(1, section.rate_tokens_per_s) if section else 1
+
+
+def _wish_message(wish: LoadWish) -> peer_pb2.WishedLoad:
+    return peer_pb2.WishedLoad(
+        workspace=wish.workspace,
+        adapter=wish.adapter.adapter,
+        version=wish.adapter.version,
+        waiting_requests=wish.waiting_requests,
+        urgent_requests=wish.urgent_requests,
+        waited_s=wish.waited_s,
+    )
+
+
+def _parse_wish(message: peer_pb2.WishedLoad) -> LoadWish:
+    return LoadWish(
+        AdapterVersion(message.adapter, message.version),
+        message.workspace,
+        message.waiting_requests,
+        message.urgent_requests,
+        message.waited_s,
+    )
--- a/src/pimentohoist/_decisions/admission.py
+++ b/src/pimentohoist/_decisions/admission.py
@@ -23,6 +23,7 @@
     DEADLINE = 'deadline'
     DOWN = 'down'
     LOAD_FAILED = 'load_failed'
+    MOVED = 'moved'
     SETTLING = 'settling'
 
 
--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -44,7 +44,9 @@
         self.peers = PeerClients()
         self.configuration = ConfigurationController(self.log)
         self.view = ViewController(self.log, settings.daemon)
-        self.endpoints = EndpointsController(self.view)
+        self.endpoints = EndpointsController(
+            self.view, self.configuration, self.peers, settings.callers.timeout_s
+        )
         self.requests = RequestPath(platform, self.view, self.peers, self.endpoints)
         self.controllers: dict[str, Controller] = {
             'configuration': self.configuration,
@@ -52,7 +54,10 @@
             'endpoints': self.endpoints,
             **self.requests.controllers(),
         }
-        self.answering: tuple[PeerAnswering, ...] = (self.requests.quarantine,)
+        self.answering: tuple[PeerAnswering, ...] = (
+            self.requests.quarantine,
+            self.endpoints,
+        )
         self._stack = ExitStack()
 
     def __enter__(self) -> Self:
--- a/src/pimentohoist/exceptions.py
+++ b/src/pimentohoist/exceptions.py
@@ -142,6 +142,12 @@
     status = HTTPStatus.SERVICE_UNAVAILABLE
 
 
+class NotHomeError(UnavailableError):
+    """This daemon is not the home of the endpoint, or not fresh enough to act."""
+
+    code = 'not_home'
+
+
 class DeadlineError(UnavailableError):
     """The request can't be served before its deadline and was not run."""
 
