--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -47,7 +47,9 @@
         self.configuration = ConfigurationController(self.log)
         self.view = ViewController(self.log, settings.daemon)
         self.limits = LimitsController(self.view, self.configuration, self.peers)
-        self.endpoints = EndpointsController(self.view)
+        self.endpoints = EndpointsController(
+            self.view, self.configuration, self.peers, settings.callers.timeout_s
+        )
         self.requests = RequestPath(platform, self.view, self.peers, self.endpoints)
         self.controllers: dict[str, Controller] = {
             'configuration': self.configuration,
@@ -59,6 +61,7 @@
         self.answering: tuple[PeerAnswering, ...] = (
             self.requests.quarantine,
             self.limits,
+            self.endpoints,
         )
         self._stack = ExitStack()
 
