--- a/src/pimentohoist/_filters/dispatch.py
+++ b/src/pimentohoist/_filters/dispatch.py
@@ -10,11 +10,12 @@
 from http import HTTPStatus
 
 from pimentohoist._controllers.configuration import ConfigurationController
+from pimentohoist._filters.dispatch_service import ServiceDispatch
 from pimentohoist._openai import AnswerWriter
 from pimentohoist.configuration import Adapter, EndpointGroup
 from pimentohoist.exceptions import NotFoundError, WrongAnswerError
 from pimentohoist.exchanges import Answer, Exchange, RequestKind, SlotRequest
-from pimentohoist.models import AdapterVersion, Generation, ServiceCall, TokenChunk
+from pimentohoist.models import AdapterVersion, Generation, TokenChunk
 from pimentohoist.protocols import Clock, Slot, Slots
 
 _STEP = 'dispatch'
@@ -35,6 +36,7 @@
         self.configuration = configuration
         self.slots = slots
         self.clock = clock
+        self.call_service = ServiceDispatch(slots, clock)
 
     def __call__(self, exchange: Exchange) -> Answer:
         """Run the request and return its answer."""
@@ -42,7 +44,7 @@
             case RequestKind.MODELS:
                 return self._list_models(exchange)
             case RequestKind.SERVICE:
-                return self._call_service(exchange)
+                return self.call_service(exchange)
             case _:
                 return self._generate(exchange)
 
@@ -65,25 +67,6 @@
         body = json.dumps({'object': 'list', 'data': entries}).encode()
         return Answer(HTTPStatus.OK, _JSON, [body])
 
-    def _call_service(self, exchange: Exchange) -> Answer:
-        request = exchange.request
-        call = ServiceCall(
-            request.request_id,
-            request.method,
-            request.path,
-            request.body,
-            request.content_type,
-            exchange.route is not None and exchange.route.is_idempotent,
-            request.idempotency_key,
-        )
-        slot = self.slots.acquire(_slot_request(exchange, None))
-        exchange.endpoint = slot.endpoint.name
-        with slot:
-            reply = self.slots.service(slot.endpoint).call(
-                call, timeout_s=self._remaining_s(exchange)
-            )
-        return Answer(reply.status, reply.content_type, [reply.body])
-
     def _generate(self, exchange: Exchange) -> Answer:
         slot = self.slots.acquire(_slot_request(exchange, _adapter(exchange)))
         exchange.endpoint = slot.endpoint.name
--- a/src/pimentohoist/exchanges.py
+++ b/src/pimentohoist/exchanges.py
@@ -55,7 +55,13 @@
 
 @dataclass(slots=True)
 class Exchange:
-    """A request with what the filters found out about it so far."""
+    """A request with what the filters found out about it so far.
+
+    Attributes
+    ----------
+    is_sent : bool
+        Whether a byte of the request could have reached a plain service.
+    """
 
     request: CallerRequest
     workspace: Workspace | None = None
@@ -69,6 +75,7 @@
     cost_tokens: int = 0
     used_tokens: int = 0
     endpoint: str = ''
+    is_sent: bool = False
     is_cancelled: Callable[[], bool] = field(default=lambda: False)
     facts: dict[str, Any] = field(default_factory=dict)
 
