Actions run at most once by the order of the claims stream

Cause: a non-idempotent call was sent as often as its caller repeated it. A claim is appended to the claims stream by any daemon and read back; the first in log order runs, once. A home is not needed for that: the log orders all appenders, so a takeover only tells what to expect of a departed daemon (lost, void later claims).

--- /dev/null
+++ b/src/pimentohoist/_claims_fold.py
@@ -0,0 +1,347 @@
+"""Fold of the claims stream: who may run an action, and what came of it.
+
+An action is a call that may not be repeated, named by workspace, route and idempotency
+key. The first claim in log order is the only one that may run it. No clock decides that;
+recorded times decide only when a settled claim is forgotten.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import asdict, dataclass, replace
+from enum import StrEnum
+from types import MappingProxyType
+from typing import Annotated, Any, Literal, TypeAlias
+
+from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
+
+from pimentohoist.models import LogRecord
+
+CLAIMS_STREAM = 'claims'
+CLAIM_WINDOW_S = 86_400.0
+"""How long a settled claim is kept; a constant, since all readers must agree on it."""
+
+_REPORTERS = 7
+_MOST_ID_CHARACTERS = 200
+_Id = Annotated[str, Field(min_length=1, max_length=_MOST_ID_CHARACTERS)]
+
+
+class _Record(BaseModel):
+    """What all records have.
+
+    Attributes
+    ----------
+    incarnation : str
+        Daemon that wrote the record.
+    written_at : float
+        That daemon's wall clock, in seconds since 1970.
+    """
+
+    model_config = ConfigDict(
+        frozen=True, extra='forbid', ser_json_bytes='base64', val_json_bytes='base64'
+    )
+
+    incarnation: _Id
+    written_at: Annotated[float, Field(ge=0, allow_inf_nan=False)]
+
+
+class ClaimRecord(_Record):
+    """A daemon wants to run an action; `digest` is of the whole request."""
+
+    kind: Literal['claim'] = 'claim'
+    action: _Id
+    claim_id: _Id
+    digest: _Id
+
+
+class OutcomeRecord(_Record):
+    """What came of a claim: an answer, or nothing known if `status` is 0.
+
+    Attributes
+    ----------
+    body : bytes or None
+        The answer's body; None if it was too large to be kept.
+    """
+
+    kind: Literal['outcome'] = 'outcome'
+    action: _Id
+    claim_id: _Id
+    status: int = 0
+    content_type: str = ''
+    body: bytes | None = None
+
+
+class ReleaseRecord(_Record):
+    """The claim was not run and never will be."""
+
+    kind: Literal['release'] = 'release'
+    action: _Id
+    claim_id: _Id
+
+
+class TakeoverRecord(_Record):
+    """An incarnation has left the view: nothing more is expected from it.
+
+    Attributes
+    ----------
+    departed : str
+        The incarnation.
+    epoch : int
+        View in which its absence was seen.
+    """
+
+    kind: Literal['takeover'] = 'takeover'
+    departed: _Id
+    epoch: int
+
+
+ClaimsRecord: TypeAlias = ClaimRecord | OutcomeRecord | ReleaseRecord | TakeoverRecord
+_RECORD: TypeAdapter[ClaimsRecord] = TypeAdapter(
+    Annotated[ClaimsRecord, Field(discriminator='kind')]
+)
+
+
+class ClaimState(StrEnum):
+    """How far a claim has come.
+
+    ``LOST``: its daemon has departed without a word; a later word of it still counts.
+    ``UNKNOWN``: its daemon sent the call and got no answer.
+    """
+
+    OPEN = 'open'
+    LOST = 'lost'
+    UNKNOWN = 'unknown'
+    ANSWERED = 'answered'
+
+
+@dataclass(frozen=True, slots=True)
+class StoredAnswer:
+    """A service's answer; `body` is None if it was too large to be kept."""
+
+    status: int
+    content_type: str
+    body: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """The claim that holds an action.
+
+    Attributes
+    ----------
+    settled_at : float
+        Time of the fold when the state was last set; the window starts there.
+    """
+
+    claim_id: str
+    digest: str
+    incarnation: str
+    state: ClaimState = ClaimState.OPEN
+    settled_at: float = 0
+    answer: StoredAnswer | None = None
+
+
+class ClaimsFold:
+    """State of the claims stream.
+
+    Attributes
+    ----------
+    claims : dict of str to Claim
+        By action. An open claim is never forgotten.
+    open_actions : dict of str to set of str
+        Actions with an open claim, by incarnation.
+    released : dict of str to float
+        Claims that were not run, with the fold's time: a late copy of such a claim is void.
+    departed : dict of str to float
+        Incarnations taken over, with the fold's time: their later claims are void.
+    now : float
+        Time of the fold: the lower median of the times last written by the latest few
+        incarnations, and never less than before. One wrong clock among three can't move
+        it beyond the others.
+    """
+
+    def __init__(self, window_s: float = CLAIM_WINDOW_S) -> None:
+        self.window_s = window_s
+        self.claims: dict[str, Claim] = {}
+        self.open_actions: dict[str, set[str]] = {}
+        self.released: dict[str, float] = {}
+        self.departed: dict[str, float] = {}
+        self.now: float = 0
+        self.skipped_records = 0
+        self._reporters: dict[str, float] = {}
+        self._settled: deque[tuple[float, str]] = deque()
+        self._next_offset = 0
+        self._appliers: Mapping[type[ClaimsRecord], Callable[[Any], None]] = (
+            MappingProxyType(
+                {
+                    ClaimRecord: self._claim,
+                    OutcomeRecord: self._settle,
+                    ReleaseRecord: self._release,
+                    TakeoverRecord: self._take_over,
+                }
+            )
+        )
+
+    @property
+    def next_offset(self) -> int:
+        """Offset of the first record not yet applied."""
+        return self._next_offset
+
+    def apply(self, record: LogRecord) -> None:
+        """Apply one record; a broken or foreign one is counted and skipped."""
+        self._next_offset = record.offset + 1
+        try:
+            event = _RECORD.validate_json(record.body)
+        except ValidationError:
+            self.skipped_records += 1
+            return
+        self._advance(event)
+        self._forget()
+        self._appliers[type(event)](event)
+
+    def answer(self, action: str) -> StoredAnswer | None:
+        """Return the answer of an action; None if there is none yet."""
+        claim = self.claims.get(action)
+        return None if claim is None else claim.answer
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return json.dumps(
+            {
+                'next_offset': self._next_offset,
+                'claims': {
+                    action: _claim_document(claim)
+                    for action, claim in self.claims.items()
+                },
+                'released': self.released,
+                'departed': self.departed,
+                'now': self.now,
+                'reporters': self._reporters,
+                'skipped_records': self.skipped_records,
+            }
+        ).encode()
+
+    def restore(self, body: bytes) -> None:
+        """Replace the state by a snapshot's, if that covers more."""
+        document = json.loads(body)
+        if document['next_offset'] <= self._next_offset:
+            return
+        self._next_offset = document['next_offset']
+        self.released = dict(document['released'])
+        self.departed = dict(document['departed'])
+        self.now = document['now']
+        self._reporters = dict(document['reporters'])
+        self.skipped_records = document['skipped_records']
+        self.claims = {
+            action: _parse_claim(fields)
+            for action, fields in document['claims'].items()
+        }
+        self._index()
+
+    def _index(self) -> None:
+        self.open_actions = {}
+        settled = []
+        for action, claim in self.claims.items():
+            if claim.state is ClaimState.OPEN:
+                self.open_actions.setdefault(claim.incarnation, set()).add(action)
+            else:
+                settled.append((claim.settled_at, action))
+        self._settled = deque(sorted(settled))
+
+    def _claim(self, event: ClaimRecord) -> None:
+        is_void = event.claim_id in self.released or event.incarnation in self.departed
+        if is_void or event.action in self.claims:
+            return
+        self.claims[event.action] = Claim(
+            event.claim_id, event.digest, event.incarnation
+        )
+        self.open_actions.setdefault(event.incarnation, set()).add(event.action)
+
+    def _settle(self, event: OutcomeRecord) -> None:
+        claim = self.claims.get(event.action)
+        if claim is None or claim.claim_id != event.claim_id:
+            return
+        if claim.state is ClaimState.ANSWERED:
+            return
+        if event.status:
+            answer = StoredAnswer(event.status, event.content_type, event.body)
+            self._set_state(event.action, ClaimState.ANSWERED, answer)
+        elif claim.state is not ClaimState.UNKNOWN:
+            self._set_state(event.action, ClaimState.UNKNOWN)
+
+    def _release(self, event: ReleaseRecord) -> None:
+        self.released.setdefault(event.claim_id, self.now)
+        claim = self.claims.get(event.action)
+        if claim is None or claim.claim_id != event.claim_id:
+            return
+        if claim.state in {ClaimState.OPEN, ClaimState.LOST}:
+            self._close(event.action, claim)
+            self.claims.pop(event.action)
+
+    def _take_over(self, event: TakeoverRecord) -> None:
+        self.departed.setdefault(event.departed, self.now)
+        for action in sorted(self.open_actions.get(event.departed, ())):
+            self._set_state(action, ClaimState.LOST)
+
+    def _set_state(
+        self, action: str, state: ClaimState, answer: StoredAnswer | None = None
+    ) -> None:
+        claim = self.claims[action]
+        self._close(action, claim)
+        self.claims[action] = replace(
+            claim, state=state, settled_at=self.now, answer=answer
+        )
+        self._settled.append((self.now, action))
+
+    def _close(self, action: str, claim: Claim) -> None:
+        actions = self.open_actions.get(claim.incarnation, set())
+        actions.discard(action)
+        if not actions:
+            self.open_actions.pop(claim.incarnation, None)
+
+    def _advance(self, event: ClaimsRecord) -> None:
+        self._reporters.pop(event.incarnation, None)
+        self._reporters[event.incarnation] = event.written_at
+        if len(self._reporters) > _REPORTERS:
+            self._reporters.pop(next(iter(self._reporters)))
+        times = sorted(self._reporters.values())
+        self.now = max(self.now, times[(len(times) - 1) // 2])
+
+    def _forget(self) -> None:
+        oldest = self.now - self.window_s
+        while self._settled and self._settled[0][0] < oldest:
+            settled_at, action = self._settled.popleft()
+            claim = self.claims.get(action)
+            is_settled = claim is not None and claim.state is not ClaimState.OPEN
+            if claim is not None and is_settled and claim.settled_at == settled_at:
+                self.claims.pop(action)
+        for times in (self.released, self.departed):
+            _drop_before(times, oldest)
+
+
+def _drop_before(times: dict[str, float], oldest: float) -> None:
+    """Drop the entries before `oldest`; they stand in order of time."""
+    while times:
+        name = next(iter(times))
+        if times[name] >= oldest:
+            return
+        times.pop(name)
+
+
+def _claim_document(claim: Claim) -> dict[str, Any]:
+    document = asdict(claim)
+    if claim.answer is not None and claim.answer.body is not None:
+        document['answer']['body'] = base64.b64encode(claim.answer.body).decode()
+    return document
+
+
+def _parse_claim(document: Mapping[str, Any]) -> Claim:
+    answer = document['answer']
+    if answer is not None:
+        body = None if answer['body'] is None else base64.b64decode(answer['body'])
+        answer = StoredAnswer(answer['status'], answer['content_type'], body)
+    state = ClaimState(document['state'])
+    return Claim(**{**document, 'state': state, 'answer': answer})
--- /dev/null
+++ b/src/pimentohoist/_controllers/claims.py
@@ -0,0 +1,269 @@
+"""Claims on actions, in the order of the platform's log."""
+
+from __future__ import annotations
+
+import threading
+import time
+import uuid
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, Self
+
+from pimentohoist._claims_fold import (
+    CLAIMS_STREAM,
+    ClaimRecord,
+    ClaimsFold,
+    OutcomeRecord,
+    ReleaseRecord,
+    StoredAnswer,
+    TakeoverRecord,
+)
+from pimentohoist._controllers.claims_appender import ClaimsAppender
+from pimentohoist._controllers.claims_takeover import Membership, TakeoverWatch
+from pimentohoist._controllers.follower import StreamFollower
+from pimentohoist._decisions.claims import (
+    MOST_BATCH_RECORDS,
+    ClaimVerdict,
+    judge,
+)
+from pimentohoist.exceptions import (
+    ActionConflictError,
+    ActionInProgressError,
+    ActionUnknownError,
+    LogError,
+    PimentohoistError,
+    UnavailableError,
+)
+from pimentohoist.protocols import Clock, Log
+
+_STEP = 'claims'
+_FRESH_S = 3.0
+_CLAIM_TIMEOUT_S = 3.0
+_RETRY_AFTER_S = 1.0
+_RETRY_AFTER_UNKNOWN_S = 5.0
+_TAKEOVER_PERIOD_S = 0.5
+_MOST_ANSWER_BYTES = 16_384
+
+
+@dataclass(frozen=True, slots=True)
+class Action:
+    """A call that may not be repeated, and the digest of the whole request."""
+
+    action_id: str
+    digest: str
+
+
+class ClaimsController:
+    """Claims actions by any daemon directly, and keeps what came of them.
+
+    Parameters
+    ----------
+    most_batch_records : int
+        Most records in one append.
+    """
+
+    def __init__(
+        self,
+        log: Log,
+        membership: Membership,
+        *,
+        clock: Clock = time.monotonic,
+        wall_clock: Clock = time.time,
+        most_batch_records: int = MOST_BATCH_RECORDS,
+    ) -> None:
+        self.log = log
+        self.membership = membership
+        self.clock = clock
+        self.wall_clock = wall_clock
+        self.follower = StreamFollower(log, CLAIMS_STREAM, ClaimsFold(), clock)
+        self.appender = ClaimsAppender(
+            log, clock, self._refuse_claims, most_batch_records
+        )
+        self.takeovers = TakeoverWatch(membership, clock)
+        self._awaited: set[str] = set()
+        self._refused: dict[str, LogError] = {}
+        self._closed = threading.Event()
+        self._watcher = threading.Thread(
+            target=self._watch, name='claims-watch', daemon=True
+        )
+
+    def __enter__(self) -> Self:
+        """Start following the stream, appending and watching for departed daemons."""
+        self.follower.__enter__()
+        self.appender.__enter__()
+        self._watcher.start()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Append what waits, for a short time, and stop."""
+        self._closed.set()
+        self._watcher.join()
+        self.appender.__exit__(*exc_info)
+        self.follower.__exit__(*exc_info)
+
+    def claim(self, action: Action, deadline: float) -> ClaimRecord | StoredAnswer:
+        """Return a claim that may run now, once, or the answer of an earlier one.
+
+        Raises
+        ------
+        UnavailableError
+            The log can't be reached; the action was not run.
+        ActionConflictError, ActionInProgressError, ActionUnknownError
+            An earlier claim holds the action.
+        """
+        record = self._new_claim(action)
+        with self.follower.changed:
+            verdict = judge(self.follower.fold, record)
+            earlier = self.follower.fold.answer(record.action)
+        if verdict is ClaimVerdict.UNDECIDED:
+            self._require_ready()
+            verdict, earlier = self._append_claim(record, deadline)
+        if verdict is ClaimVerdict.RUN:
+            return record
+        if verdict is ClaimVerdict.REPLAY and earlier is not None:
+            return earlier
+        raise _refusal(verdict)
+
+    def answer(self, claim: ClaimRecord, answer: StoredAnswer) -> None:
+        """Keep a claim's answer for repeats, without its body if that is large."""
+        body = answer.body
+        if body is not None and len(body) > _MOST_ANSWER_BYTES:
+            body = None
+        self._put_outcome(claim, StoredAnswer(answer.status, answer.content_type, body))
+
+    def lose(self, claim: ClaimRecord) -> None:
+        """Note that a claim's call was sent and its outcome is unknown."""
+        self._put_outcome(claim, StoredAnswer(0, '', None))
+
+    def release(self, claim: ClaimRecord) -> None:
+        """Give a claim back that was not run and never will be."""
+        self.appender.put(
+            ReleaseRecord(action=claim.action, claim_id=claim.claim_id, **self._stamp())
+        )
+
+    def dump(self) -> Mapping[str, Any]:
+        """Return position, sizes and counts."""
+        with self.follower.changed:
+            fold = self.follower.fold
+            document = {
+                'claims': len(fold.claims),
+                'open_claims': {
+                    name: len(actions) for name, actions in fold.open_actions.items()
+                },
+                'departed': len(fold.departed),
+                'fold_time': fold.now,
+                'skipped_records': fold.skipped_records,
+            }
+        return {**self.follower.dump(), **document, **self.appender.dump()}
+
+    def take_over(self) -> None:
+        """Take over what departed daemons hold, if this daemon is the home of that."""
+        with self.follower.changed:
+            holders = tuple(self.follower.fold.open_actions)
+        for departed in self.takeovers.departed(holders):
+            record = TakeoverRecord(
+                departed=departed, epoch=self.membership.epoch, **self._stamp()
+            )
+            self.appender.put(record)
+
+    def _new_claim(self, action: Action) -> ClaimRecord:
+        return ClaimRecord(
+            action=action.action_id,
+            claim_id=uuid.uuid4().hex,
+            digest=action.digest,
+            **self._stamp(),
+        )
+
+    def _put_outcome(self, claim: ClaimRecord, answer: StoredAnswer) -> None:
+        self.appender.put(
+            OutcomeRecord(
+                action=claim.action,
+                claim_id=claim.claim_id,
+                status=answer.status,
+                content_type=answer.content_type,
+                body=answer.body,
+                **self._stamp(),
+            )
+        )
+
+    def _require_ready(self) -> None:
+        with self.follower.changed:
+            is_fresh = self.clock() - self.follower.head_read_at < _FRESH_S
+        if not is_fresh:
+            raise _not_run('the claims were not read lately')
+        members = self.membership.members()
+        if self.membership.incarnation not in {one.incarnation for one in members}:
+            raise _not_run('this daemon is not in the view')
+
+    def _append_claim(
+        self, record: ClaimRecord, deadline: float
+    ) -> tuple[ClaimVerdict, StoredAnswer | None]:
+        with self.follower.changed:
+            self._awaited.add(record.claim_id)
+            self.appender.put(record)
+            self.follower.changed.wait_for(
+                lambda: self._is_decided(record),
+                min(_CLAIM_TIMEOUT_S, deadline - self.clock()),
+            )
+            verdict = judge(self.follower.fold, record)
+            earlier = self.follower.fold.answer(record.action)
+            self._awaited.discard(record.claim_id)
+            error = self._refused.pop(record.claim_id, None)
+        if verdict is ClaimVerdict.RUN and self.clock() >= deadline:
+            verdict = ClaimVerdict.VOID
+        self._withdraw(record, verdict)
+        if error is not None and verdict is ClaimVerdict.UNDECIDED:
+            raise _not_run(error.message) from error
+        return verdict, earlier
+
+    def _is_decided(self, record: ClaimRecord) -> bool:
+        is_undecided = judge(self.follower.fold, record) is ClaimVerdict.UNDECIDED
+        return not is_undecided or record.claim_id in self._refused
+
+    def _withdraw(self, record: ClaimRecord, verdict: ClaimVerdict) -> None:
+        may_be_there = self.appender.withdraw(record.claim_id)
+        if may_be_there and verdict is not ClaimVerdict.RUN:
+            # A copy may come later: without a release it would hold the action.
+            self.release(record)
+
+    def _refuse_claims(self, claim_ids: frozenset[str], error: LogError) -> None:
+        with self.follower.changed:
+            self._refused.update(
+                (claim_id, error) for claim_id in claim_ids & self._awaited
+            )
+            self.follower.changed.notify_all()
+
+    def _stamp(self) -> dict[str, Any]:
+        return {
+            'incarnation': self.membership.incarnation,
+            'written_at': self.wall_clock(),
+        }
+
+    def _watch(self) -> None:
+        while not self._closed.wait(_TAKEOVER_PERIOD_S):
+            self.take_over()
+
+
+def _not_run(message: str) -> UnavailableError:
+    return UnavailableError(message, step=_STEP, retry_after_s=_RETRY_AFTER_S)
+
+
+def _refusal(verdict: ClaimVerdict) -> PimentohoistError:
+    match verdict:
+        case ClaimVerdict.CONFLICT:
+            return ActionConflictError(
+                'this idempotency key came with another request before', step=_STEP
+            )
+        case ClaimVerdict.IN_PROGRESS:
+            return ActionInProgressError(
+                'an earlier request with this idempotency key is in progress',
+                step=_STEP,
+                retry_after_s=_RETRY_AFTER_S,
+            )
+        case ClaimVerdict.UNKNOWN:
+            return ActionUnknownError(
+                'the action may have run and will not be run again under this key',
+                step=_STEP,
+                retry_after_s=_RETRY_AFTER_UNKNOWN_S,
+            )
+    return _not_run('the claim was not confirmed')
--- a/src/pimentohoist/_controllers/view.py
+++ b/src/pimentohoist/_controllers/view.py
@@ -62,6 +62,12 @@
         with self.follower.changed:
             return self.follower.fold.epoch
 
+    @property
+    def read_at(self) -> float:
+        """Monotonic time before the last question that showed the head of the view."""
+        with self.follower.changed:
+            return self.follower.head_read_at
+
     def members(self) -> tuple[Member, ...]:
         """Return the members of the present view."""
         with self.follower.changed:
--- /dev/null
+++ b/src/pimentohoist/_decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions as pure functions and classes: no I/O, and time is passed in."""
--- /dev/null
+++ b/src/pimentohoist/_filters/claim.py
@@ -0,0 +1,104 @@
+"""Claims an action before it is sent, so that it runs at most once."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import replace
+
+from pimentohoist._claims_fold import ClaimRecord, StoredAnswer
+from pimentohoist._controllers.claims import Action, ClaimsController
+from pimentohoist._decisions.claims import action_id, request_digest
+from pimentohoist.exceptions import (
+    AnswerNotKeptError,
+    InvalidRequestError,
+    PeerError,
+    PimentohoistError,
+    RunState,
+)
+from pimentohoist.exchanges import Answer, Exchange
+from pimentohoist.protocols import Handler
+
+_STEP = 'claim'
+_logger = logging.getLogger(__name__)
+_MOST_KEY_CHARACTERS = 255
+_REPLAYED_HEADER = 'Idempotency-Replayed'
+
+
+class ClaimAction:
+    """Implements `Filter`; passes on what may be repeated."""
+
+    def __init__(self, claims: ClaimsController) -> None:
+        self.claims = claims
+
+    def __call__(self, exchange: Exchange, proceed: Handler) -> Answer:
+        """Run the action if its claim is the first, else give the earlier answer."""
+        if exchange.route is None or exchange.route.is_idempotent:
+            return proceed(exchange)
+        claim = self.claims.claim(_action(exchange), exchange.request.deadline)
+        if isinstance(claim, StoredAnswer):
+            return _replay(claim)
+        return self._run(claim, exchange, proceed)
+
+    def _run(self, claim: ClaimRecord, exchange: Exchange, proceed: Handler) -> Answer:
+        try:
+            answer, body = _read_whole(proceed(exchange))
+        except Exception as error:
+            if not exchange.is_sent:
+                self.claims.release(claim)
+                raise
+            self.claims.lose(claim)
+            raise _unknown(error) from None
+        self.claims.answer(
+            claim, StoredAnswer(answer.status, answer.content_type, body)
+        )
+        return answer
+
+
+def _action(exchange: Exchange) -> Action:
+    request = exchange.request
+    if not 1 <= len(request.idempotency_key) <= _MOST_KEY_CHARACTERS:
+        raise InvalidRequestError(
+            f'Idempotency-Key: 1 to {_MOST_KEY_CHARACTERS} characters are required, '
+            'since this route is not idempotent',
+            step=_STEP,
+        )
+    workspace = exchange.workspace.name if exchange.workspace else ''
+    return Action(
+        action_id(workspace, request.route, request.idempotency_key),
+        request_digest(
+            request.method, request.path, request.content_type, request.body
+        ),
+    )
+
+
+def _read_whole(answer: Answer) -> tuple[Answer, bytes]:
+    try:
+        body = b''.join(answer.body)
+    finally:
+        getattr(answer.body, 'close', _do_nothing)()
+    return replace(answer, body=[body]), body
+
+
+def _do_nothing() -> None:
+    """Stand in for the close method of a body that has none."""
+
+
+def _replay(stored: StoredAnswer) -> Answer:
+    if stored.body is None:
+        raise AnswerNotKeptError(
+            f'the action has run with status {stored.status}, but its answer was too '
+            'large to be kept',
+            step=_STEP,
+        )
+    return Answer(
+        stored.status, stored.content_type, [stored.body], {_REPLAYED_HEADER: 'true'}
+    )
+
+
+def _unknown(error: Exception) -> PimentohoistError:
+    """Return an error that doesn't claim that the action was not run."""
+    if isinstance(error, PimentohoistError) and error.run_state is RunState.UNKNOWN:
+        return error
+    _logger.error('action failed', exc_info=error, extra={'step': _STEP})
+    peer = getattr(error, 'peer', '')
+    return PeerError(f'outcome unknown: {error}', step=_STEP, peer=peer)
--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -13,10 +13,12 @@
 
 from pimentohoist._callers_app import CallersApp
 from pimentohoist._chain import build_handler
+from pimentohoist._controllers.claims import ClaimsController
 from pimentohoist._controllers.configuration import ConfigurationController
 from pimentohoist._controllers.endpoints import EndpointsController
 from pimentohoist._controllers.view import ViewController
 from pimentohoist._filters.authenticate import Authenticate
+from pimentohoist._filters.claim import ClaimAction
 from pimentohoist._filters.dispatch import Dispatch
 from pimentohoist._filters.resolve import Resolve
 from pimentohoist._http_server import HttpServer
@@ -44,10 +46,12 @@
         self.peers = PeerClients()
         self.configuration = ConfigurationController(self.log)
         self.view = ViewController(self.log, settings.daemon)
+        self.claims = ClaimsController(self.log, self.view)
         self.endpoints = EndpointsController(self.view)
         self.controllers: dict[str, Controller] = {
             'configuration': self.configuration,
             'view': self.view,
+            'claims': self.claims,
             'endpoints': self.endpoints,
         }
         self.answering: tuple[PeerAnswering, ...] = ()
@@ -74,6 +78,7 @@
         filters = (
             Authenticate(self.configuration),
             Resolve(self.configuration),
+            ClaimAction(self.claims),
         )
         last = Dispatch(self.configuration, self.endpoints, time.monotonic)
         return build_handler(filters, last)
--- a/src/pimentohoist/exceptions.py
+++ b/src/pimentohoist/exceptions.py
@@ -128,6 +128,30 @@
     status = HTTPStatus.CONFLICT
 
 
+class ActionInProgressError(PimentohoistError):
+    """The action was claimed by an earlier request whose outcome isn't known yet."""
+
+    code = 'action_in_progress'
+    status = HTTPStatus.CONFLICT
+    run_state = RunState.UNKNOWN
+
+
+class ActionUnknownError(PimentohoistError):
+    """The action may have run; it will not be run again under this key."""
+
+    code = 'action_outcome_unknown'
+    status = HTTPStatus.CONFLICT
+    run_state = RunState.UNKNOWN
+
+
+class AnswerNotKeptError(PimentohoistError):
+    """The action has run, but its answer was too large to be kept."""
+
+    code = 'action_answer_not_kept'
+    status = HTTPStatus.CONFLICT
+    run_state = RunState.RUN
+
+
 class LimitExceededError(PimentohoistError):
     """The workspace's rate and burst don't cover the request now."""
 
