--- a/src/pimentohoist/_decisions/__init__.py
+++ b/src/pimentohoist/_decisions/__init__.py
@@ -1,1 +1,1 @@
-"""Decisions as pure functions and classes: no I/O, and time is passed in."""
+"""Decisions without I/O and without a clock of their own: time is passed in."""
--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -4,7 +4,6 @@
 
 import logging
 import sys
-import time
 from collections.abc import Callable
 from contextlib import ExitStack
 from typing import Any, Self
@@ -16,14 +15,17 @@
 from pimentohoist._controllers.claims import ClaimsController
 from pimentohoist._controllers.configuration import ConfigurationController
 from pimentohoist._controllers.endpoints import EndpointsController
+from pimentohoist._controllers.limits import LimitsController
 from pimentohoist._controllers.view import ViewController
 from pimentohoist._filters.authenticate import Authenticate
 from pimentohoist._filters.claim import ClaimAction
 from pimentohoist._filters.dispatch import Dispatch
+from pimentohoist._filters.limit import Limit
 from pimentohoist._filters.resolve import Resolve
 from pimentohoist._http_server import HttpServer
 from pimentohoist._logs import configure_logs
 from pimentohoist._operators_app import OperatorsApp
+from pimentohoist._request_path import RequestPath
 from pimentohoist._signals import stop_event
 from pimentohoist._platform.log import HttpLog
 from pimentohoist.exceptions import SettingsError
@@ -47,14 +49,21 @@
         self.configuration = ConfigurationController(self.log)
         self.view = ViewController(self.log, settings.daemon)
         self.claims = ClaimsController(self.log, self.view)
+        self.limits = LimitsController(self.view, self.configuration, self.peers)
         self.endpoints = EndpointsController(self.view)
+        self.requests = RequestPath(platform, self.view, self.peers, self.endpoints)
         self.controllers: dict[str, Controller] = {
             'configuration': self.configuration,
             'view': self.view,
             'claims': self.claims,
+            'limits': self.limits,
             'endpoints': self.endpoints,
+            **self.requests.controllers(),
         }
-        self.answering: tuple[PeerAnswering, ...] = ()
+        self.answering: tuple[PeerAnswering, ...] = (
+            self.requests.quarantine,
+            self.limits,
+        )
         self._stack = ExitStack()
 
     def __enter__(self) -> Self:
@@ -78,9 +87,11 @@
         filters = (
             Authenticate(self.configuration),
             Resolve(self.configuration),
+            Limit(self.limits),
             ClaimAction(self.claims),
+            self.requests.filter(),
         )
-        last = Dispatch(self.configuration, self.endpoints, time.monotonic)
+        last = Dispatch(self.configuration, self.requests.tools)
         return build_handler(filters, last)
 
     def entries(self) -> tuple[str, ...]:
