--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -12,11 +12,13 @@
 
 from pimentohoist._callers_app import CallersApp
 from pimentohoist._chain import build_handler
+from pimentohoist._controllers.claims import ClaimsController
 from pimentohoist._controllers.configuration import ConfigurationController
 from pimentohoist._controllers.endpoints import EndpointsController
 from pimentohoist._controllers.limits import LimitsController
 from pimentohoist._controllers.view import ViewController
 from pimentohoist._filters.authenticate import Authenticate
+from pimentohoist._filters.claim import ClaimAction
 from pimentohoist._filters.dispatch import Dispatch
 from pimentohoist._filters.limit import Limit
 from pimentohoist._filters.resolve import Resolve
@@ -46,6 +48,7 @@
         self.peers = PeerClients()
         self.configuration = ConfigurationController(self.log)
         self.view = ViewController(self.log, settings.daemon)
+        self.claims = ClaimsController(self.log, self.view)
         self.limits = LimitsController(self.view, self.configuration, self.peers)
         self.endpoints = EndpointsController(
             self.view, self.configuration, self.peers, settings.callers.timeout_s
@@ -54,6 +57,7 @@
         self.controllers: dict[str, Controller] = {
             'configuration': self.configuration,
             'view': self.view,
+            'claims': self.claims,
             'limits': self.limits,
             'endpoints': self.endpoints,
             **self.requests.controllers(),
@@ -87,6 +91,7 @@
             Authenticate(self.configuration),
             Resolve(self.configuration),
             Limit(self.limits),
+            ClaimAction(self.claims),
             self.requests.filter(),
         )
         last = Dispatch(self.configuration, self.requests.tools)
