--- a/src/pimentohoist/_controllers/snapshots.py
+++ b/src/pimentohoist/_controllers/snapshots.py
@@ -27,6 +27,7 @@
 _PEER_CHUNK_BYTES = 1_048_576
 _RECORDS_AN_APPEND = 8
 _RETRY_AFTER_S = 1.0
+_OTHERS_INTERVALS = 8
 _logger = logging.getLogger(__name__)
 
 
@@ -35,7 +36,9 @@
 
     A stream's home is the member chosen for ``snapshots/<stream>`` in the view. Two
     members that both hold themselves to be the home only append a snapshot too many, and
-    one that comes late is merely old, so that no fencing is needed.
+    one that comes late is merely old, so that no fencing is needed. The other members
+    append one too, but seldom: the home may be a newcomer that has no state yet and waits
+    for a snapshot itself.
 
     Parameters
     ----------
@@ -60,6 +63,7 @@
         self.clock = clock
         self.appended: dict[str, tuple[int, float]] = {}
         self.errors = 0
+        self.started_at = clock()
         self._closed = threading.Event()
         self._thread = threading.Thread(target=self._run, name=_STEP, daemon=True)
 
@@ -84,7 +88,7 @@
     def append_due(self) -> None:
         """Append a snapshot of each stream of which one is due here."""
         for stream, follower in self.followers.items():
-            if self._is_due(follower) and self.is_home(f'snapshots/{stream}'):
+            if self._is_due(follower, is_home=self.is_home(f'snapshots/{stream}')):
                 self._append(follower.snapshot(), stream)
 
     def peer_methods(self) -> Mapping[str, Callable[[Any], Any]]:
@@ -114,13 +118,17 @@
                     extra={'step': _STEP, 'peer': error.peer},
                 )
 
-    def _is_due(self, follower: StreamFollower[Any]) -> bool:
+    def _is_due(self, follower: StreamFollower[Any], *, is_home: bool) -> bool:
         if not follower.has_read_head():
             return False
-        offset, at = self.appended.get(follower.stream, (0, float('-inf')))
-        if self.clock() - at >= self.settings.every_s:
-            return True
-        return follower.next_offset - offset >= self.settings.every_records
+        never = (0, float('-inf') if is_home else self.started_at)
+        offset, at = self.appended.get(follower.stream, never)
+        age_s = self.clock() - at
+        if is_home:
+            count = follower.next_offset - offset
+            is_behind = count >= self.settings.every_records
+            return is_behind or age_s >= self.settings.every_s
+        return age_s >= self.settings.every_s * _OTHERS_INTERVALS
 
     def _append(self, snapshot: Snapshot, stream: str) -> None:
         records = chunk_records(snapshot)
--- a/src/pimentohoist/_filters/authenticate.py
+++ b/src/pimentohoist/_filters/authenticate.py
@@ -2,21 +2,33 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from pimentohoist._controllers.configuration import ConfigurationController
 from pimentohoist.configuration import Key
-from pimentohoist.exceptions import AuthenticationError
+from pimentohoist.exceptions import AuthenticationError, UnavailableError
 from pimentohoist.exchanges import Answer, Exchange
-from pimentohoist.keys import is_secret_of, split_authorization
+from pimentohoist.keys import UNKNOWN_KEY, is_secret_of, split_authorization
 from pimentohoist.protocols import Handler
 
 _STEP = 'authenticate'
+_RETRY_AFTER_S = 1.0
 
 
 class Authenticate:
-    """Implements `Filter`."""
+    """Implements `Filter`.
+
+    Parameters
+    ----------
+    is_fresh : callable
+        Whether this daemon would know by now of a key's withdrawal.
+    """
 
-    def __init__(self, configuration: ConfigurationController) -> None:
+    def __init__(
+        self, configuration: ConfigurationController, is_fresh: Callable[[], bool]
+    ) -> None:
         self.configuration = configuration
+        self.is_fresh = is_fresh
 
     def __call__(self, exchange: Exchange, proceed: Handler) -> Answer:
         """Set the workspace, or refuse unless the route is open to all."""
@@ -30,7 +42,12 @@
 
     def _key(self, header: str) -> Key:
         name, secret = split_authorization(header)
-        key = self.configuration.key(name)
-        if key is None or not is_secret_of(key, secret):
+        if not self.is_fresh():
+            raise UnavailableError(
+                'keys cannot be checked now', step=_STEP, retry_after_s=_RETRY_AFTER_S
+            )
+        known = self.configuration.key(name)
+        # An unknown name takes as long as a wrong secret.
+        if not is_secret_of(known or UNKNOWN_KEY, secret) or known is None:
             raise AuthenticationError('the key is not valid', step=_STEP)
-        return key
+        return known
--- a/src/pimentohoist/configuration.py
+++ b/src/pimentohoist/configuration.py
@@ -25,7 +25,12 @@
 from dataclasses import dataclass, field
 from itertools import pairwise
 
-from pimentohoist._configuration_text import join_texts, parse_whole, text_digest
+from pimentohoist._configuration_text import (
+    join_texts,
+    parse_sections,
+    parse_whole,
+    text_digest,
+)
 from pimentohoist._decisions.sections import whole_faults
 from pimentohoist._sections import (
     Adapter,
@@ -57,6 +62,7 @@
     'Section',
     'StoreBudget',
     'Workspace',
+    'parse_sections',
     'section_id',
     'section_text',
 )
--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -18,11 +18,10 @@
 from pimentohoist._controllers.limits import LimitsController
 from pimentohoist._controllers.snapshots import PeerSnapshots, SnapshotsController
 from pimentohoist._controllers.view import ViewController
-from pimentohoist._filters.authenticate import Authenticate
+from pimentohoist._filters.caller import caller_filters
 from pimentohoist._filters.claim import ClaimAction
 from pimentohoist._filters.dispatch import Dispatch
 from pimentohoist._filters.limit import Limit
-from pimentohoist._filters.resolve import Resolve
 from pimentohoist._http_server import HttpServer
 from pimentohoist._logs import configure_logs
 from pimentohoist._operators_app import OperatorsApp
@@ -102,8 +101,7 @@
     def handler(self) -> Handler:
         """Return the filter chain."""
         filters = (
-            Authenticate(self.configuration),
-            Resolve(self.configuration),
+            *caller_filters(self.configuration, self.is_fresh),
             Limit(self.limits),
             ClaimAction(self.claims),
             self.requests.filter(),
@@ -111,6 +109,10 @@
         last = Dispatch(self.configuration, self.requests.tools)
         return build_handler(filters, last)
 
+    def is_fresh(self) -> bool:
+        """Return whether a withdrawal of a key would be known by now."""
+        return self.configuration.is_fresh()
+
     def entries(self) -> tuple[str, ...]:
         """Return the addresses that callers may use."""
         return tuple(sorted(member.callers_address for member in self.view.members()))
--- a/src/pimentohoist/keys.py
+++ b/src/pimentohoist/keys.py
@@ -18,6 +18,10 @@
 _SALT_BYTES = 16
 _STEP = 'authenticate'
 _BEARER = 'bearer'
+_DIGEST_DIGITS = 64
+
+UNKNOWN_KEY = Key('unknown', 'unknown', '0' * (2 * _SALT_BYTES), '0' * _DIGEST_DIGITS)
+"""Compared with where no key has the name that was given."""
 
 
 def create_key(name: str, workspace: str) -> tuple[Key, str]:
