--- a/features/steps/fuzz.py
+++ b/features/steps/fuzz.py
@@ -65,10 +65,9 @@
     workspace = Workspace(f'house-{index}', rate_tokens_per_s=1, burst_tokens=1)
     change = Change(
         section=f'workspaces/house-{index}',
-        base_version=0,
         text=section_text(workspace),
     )
-    publish = Publish(publish_id=f'publish-{index}', changes=(change,))
+    publish = Publish(publish_id=f'publish-{index}', base_offset=0, changes=(change,))
     return publish.model_dump_json().encode()
 
 
