--- /dev/null
+++ b/features/steps/limits.py
@@ -0,0 +1,208 @@
+"""Steps on limits with real daemons."""
+
+from __future__ import annotations
+
+import json
+import signal
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
+from dataclasses import dataclass, replace
+from types import MappingProxyType
+
+from behave import given, then, when
+from behave.runner import Context
+
+from pimentohoist._http_client import HttpReply, HttpRequest
+from pimentohoist._openai import count_tokens
+from pimentohoist.configuration import (
+    Adapter,
+    Configuration,
+    Endpoint,
+    EndpointGroup,
+    GroupKind,
+    Workspace,
+)
+from pimentohoist.exceptions import PimentohoistError
+from pimentohoist.keys import create_key
+from pimentohoist_standins.fleet import Fleet
+
+_DAEMONS = ('entry-1', 'entry-2', 'entry-3')
+_FLOOD = Workspace('flood', rate_tokens_per_s=60, burst_tokens=90)
+_CALM = Workspace('calm', rate_tokens_per_s=60, burst_tokens=90)
+_PROMPT = 'one two'
+_MAX_TOKENS = 4
+_COST = count_tokens(_PROMPT) + _MAX_TOKENS
+_FROZEN_S = 4.0
+
+
+@dataclass(frozen=True)
+class Sent:
+    """A request and its answer."""
+
+    sent_at: float
+    took_s: float
+    reply: HttpReply
+
+
+@given('a limited fleet of 3 daemons and an engine')
+def start_limited_fleet(context: Context) -> None:
+    fleet = context.stack.enter_context(Fleet())
+    context.fleet = fleet
+    address = fleet.start_standin('engine-1', 'engine', token_s=0.001)
+    for daemon in _DAEMONS:
+        fleet.start_daemon(daemon)
+    group = EndpointGroup(
+        'review', GroupKind.ENGINE, (Endpoint('engine-1', address, 'a'),), 'base'
+    )
+    sections = [_FLOOD, _CALM, group]
+    context.limited_keys = {}
+    for workspace in (_FLOOD, _CALM):
+        section, context.limited_keys[workspace.name] = create_key(
+            f'key-{workspace.name}', workspace.name
+        )
+        adapter = Adapter(f'of-{workspace.name}', 'review', (1,), 1, (workspace.name,))
+        sections += [section, adapter]
+    report = fleet.publish(Configuration.of(*sections))
+    assert report.is_in_force, report.text()
+    context.published_at = time.monotonic()
+    context.sent = {_FLOOD.name: [], _CALM.name: []}
+
+
+def ask(
+    context: Context, daemon: str, name: str, max_tokens: int = _MAX_TOKENS
+) -> None:
+    document = {'model': f'of-{name}', 'prompt': _PROMPT, 'max_tokens': max_tokens}
+    request = HttpRequest.of_json('POST', '/v1/completions', document)
+    key = context.limited_keys[name]
+    headers = {**request.headers, 'Authorization': f'Bearer {key}'}
+    sent_at = time.monotonic()
+    with suppress(PimentohoistError):
+        reply = context.fleet.ask(daemon, replace(request, headers=headers), 5)
+        took_s = time.monotonic() - sent_at
+        context.sent[name].append(Sent(sent_at, took_s, reply))
+
+
+def keep_asking(context: Context, name: str, rate: float, until: float) -> None:
+    """Send requests of so many tokens a second in all, round the daemons."""
+    with ThreadPoolExecutor(8) as pool:
+        number = 0
+        while time.monotonic() < until:
+            pool.submit(ask, context, _DAEMONS[number % len(_DAEMONS)], name)
+            number += 1
+            time.sleep(_COST / rate)
+
+
+@when(
+    '"flood" asks on all daemons for 5 times its rate and "calm" for half its rate '
+    'during {time_s:d} s'
+)
+def flood_and_calm(context: Context, time_s: int) -> None:
+    until = time.monotonic() + time_s
+    rates = {'flood': 5 * _FLOOD.rate_tokens_per_s, 'calm': _CALM.rate_tokens_per_s / 2}
+    threads = [
+        threading.Thread(target=keep_asking, args=(context, name, rate, until))
+        for name, rate in rates.items()
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def kill(context: Context) -> None:
+    context.fleet.processes['entry-1'].kill()
+
+
+def freeze(context: Context) -> None:
+    process = context.fleet.processes['entry-1']
+    process.signal(signal.SIGSTOP)
+    time.sleep(_FROZEN_S)
+    process.signal(signal.SIGCONT)
+
+
+def stop_log(context: Context) -> None:
+    context.fleet.control('log', is_down=True)
+    time.sleep(_FROZEN_S)
+    context.fleet.control('log', is_down=False)
+
+
+def stop_daemon(context: Context) -> None:
+    context.fleet.processes['entry-1'].stop()
+
+
+_FAULTS = MappingProxyType(
+    {
+        'a daemon is killed': kill,
+        'a daemon is frozen past its lease and thawed': freeze,
+        'the log is down': stop_log,
+        'a daemon stops as planned': stop_daemon,
+    }
+)
+
+
+@when('"flood" asks on all daemons during {time_s:d} s while {fault}')
+def flood_with_fault(context: Context, time_s: int, fault: str) -> None:
+    until = time.monotonic() + time_s
+    rate = 3 * _FLOOD.rate_tokens_per_s
+    flood = threading.Thread(target=keep_asking, args=(context, 'flood', rate, until))
+    flood.start()
+    time.sleep(1)
+    _FAULTS[fault](context)
+    context.fault_ended_at = time.monotonic()
+    flood.join()
+
+
+def tokens_run(context: Context, name: str) -> int:
+    runs = [run for run in context.fleet.seen('engine-1') if 'request_id' in run]
+    own = [run for run in runs if run['adapter'] == f'of-{name}']
+    return _COST * len(own)
+
+
+@then('the engine ran no more for "{name}" than its rate and burst allow')
+def check_received(context: Context, name: str) -> None:
+    elapsed_s = time.monotonic() - context.published_at
+    received = tokens_run(context, name)
+    most = _FLOOD.burst_tokens + _FLOOD.rate_tokens_per_s * elapsed_s
+    assert 0 < received <= most, (received, most)
+
+
+@then('the engine ran more for "{name}" after the fault')
+def check_going_on(context: Context, name: str) -> None:
+    later = [
+        sent.reply.status
+        for sent in context.sent[name]
+        if sent.sent_at > context.fault_ended_at
+    ]
+    assert 200 in later, later
+
+
+@then('no request of "{name}" was refused')
+def check_not_refused(context: Context, name: str) -> None:
+    statuses = [sent.reply.status for sent in context.sent[name]]
+    assert statuses and set(statuses) == {200}, statuses
+
+
+@then('each refusal came within {limit_s:d} s, as not run, with a time to come back')
+def check_refusals(context: Context, limit_s: int) -> None:
+    refused = [sent for sent in context.sent['flood'] if sent.reply.status == 429]
+    assert refused
+    for sent in refused:
+        error = sent.reply.document()['error']
+        assert error['run'] == 'not_run' and error['retry_after_s'] > 0, error
+        assert sent.took_s < limit_s, sent
+
+
+@when('"{name}" asks for more tokens than its burst')
+def ask_too_much(context: Context, name: str) -> None:
+    ask(context, _DAEMONS[0], name, _CALM.burst_tokens)
+
+
+@then('that request is refused with 429 as not run, naming the burst, without a time')
+def check_too_much(context: Context) -> None:
+    reply = context.sent['calm'][-1].reply
+    error = reply.document()['error']
+    assert reply.status == 429 and error['run'] == 'not_run', error
+    assert str(_CALM.burst_tokens) in error['message'], json.dumps(error)
+    assert error['retry_after_s'] is None, error
