View: heartbeats, expiry, rejoin; freshness by witnesses; fences; pulls of shares

Cause: a dead member kept its homes for good, and an outage of the log made every daemon not fresh, so that limits refused all (seen: limits.feature 'the log is down', only 429 after the outage). Members beat to 3 neighbours and expire one that missed 4; a member that finds itself expired joins with a new incarnation. A new home waits until its predecessors' views are fenced: a majority of their witnesses hold the next. A share's new home pulls its state from the former one, along tenures that never began. Fault found by reading: close() gave the state of an older tenure; test 'a tenure that never began does not pass on the state of one before'.

--- /dev/null
+++ b/features/limit_guards.feature
@@ -0,0 +1,39 @@
+Feature: Each guard of the limit's decisions holds by itself
+
+  Scenario: A home cut off from the log and its successor
+    Given a limit of 1 token/s and a burst of 30 with one home that has read the log
+    When another daemon joins and the first home is cut off from the log
+    And at 0.1 s daemon 1 sends what it can
+    And at 1.9 s daemon 0 sends what it can
+    And at 2.5 s daemon 1 sends what it can
+    And at 5.5 s daemon 1 sends what it can
+    And at 40.0 s daemon 0 sends what it can
+    And at 40.1 s daemon 1 sends what it can
+    Then no window is over the limit, and the second daemon was admitted something
+
+  Scenario: Grants of a home cut off from the log and its successor
+    Given a limit of 20 token/s and a burst of 30 with one home that has read the log
+    When another daemon joins and the first home is cut off from the log
+    And at 0.1 s daemon 1 sends what it can
+    And at 1.9 s daemon 0 sends what it can
+    And at 2.0 s daemon 1 sends what it can
+    And at 8.0 s daemon 1 sends what it can
+    Then no window is over the limit, and the second daemon was admitted something
+
+  Scenario: A home that lost its shares and got them back without noticing
+    Given a limit of 1 token/s and a burst of 30 with one home that has read the log
+    When another daemon joins and the first home is cut off from the log
+    And at 5.5 s daemon 1 sends what it can
+    And at 40.0 s daemon 1 sends what it can
+    And at 40.5 s the second daemon has expired and the first reads the log
+    And at 41.0 s daemon 0 sends what it can
+    Then no window is over the limit, and the second daemon was admitted something
+
+  Scenario: Times and clocks
+    Then a grant spent just before its end leaves nothing accrued up to that time
+    And a home whose clock runs fast accrues no more than the rate in true time
+    And a grant's time runs from before its request was sent
+
+  Scenario: Ends of tenures
+    Then a tenure that was closed does not begin again, nor give its state twice
+    And a tenure that never began does not pass on the state of one before
--- a/features/limit_world.py
+++ b/features/limit_world.py
@@ -19,6 +19,7 @@
 )
 from pimentohoist._decisions.tenures import (
     FRESH_S,
+    LastState,
     PulledState,
     ShareKeeper,
     ShareName,
@@ -32,6 +33,7 @@
 _CLOCKS = ((1 + DRIFT, 1000.0), (1 - DRIFT, 5.0), (1.0, 77.0))
 _OK, _REQUEST_LOST, _REPLY_LOST, _REPLY_LATE, _REQUEST_LATE = range(5)
 _RARE = 30
+_LOST_REPLIES = 10
 _REPAIRING = 50
 
 
@@ -297,12 +299,9 @@
         daemon = self.daemons[place]
         if daemon.is_frozen or not self.is_log_up:
             return
-        now = self.now(daemon)
         for share in range(SHARES):
             name = ShareName(_WORKSPACE, share)
-            self.bucket(daemon, share)
-            epoch = daemon.book.views[-1].epoch + 1
-            state = daemon.keeper.close(name, epoch, now, daemon.fresh_since)
+            state = self.close(daemon, name, daemon.book.views[-1].epoch + 1).state
             others = [other for other in self.daemons if other is not daemon]
             if state is not None and size % 3:
                 for other in others:
@@ -320,21 +319,34 @@
         if self.late:
             self.late.pop(size % len(self.late))()
 
+    def close(self, daemon: SimulatedDaemon, name: ShareName, epoch: int) -> LastState:
+        own = daemon.book.tenure(name.thing).of(daemon.name)
+        if own is None:
+            return LastState(None)
+        limit = ShareLimit.of(self.rate, self.burst, name.share)
+        daemon.keeper.bucket(name, own, limit, self.around(daemon))
+        return daemon.keeper.close(name, own.epoch, epoch, self.around(daemon))
+
     def pull(self, place: int, size: int) -> None:
-        """Take a share over from the former home, which may still act on it."""
+        """Take a share over from former homes, which may still act on it."""
         daemon = self.daemons[place]
         name = ShareName(_WORKSPACE, size % SHARES)
         tenure = daemon.book.tenure(name.thing)
-        former = tenure.former and self.find(tenure.former.home)
-        if daemon.is_frozen or tenure.home != daemon.name or not former:
+        is_home = tenure.home == daemon.name and daemon.is_fresh(self.time)
+        if daemon.is_frozen or not is_home:
             return
-        if former.is_frozen or former.is_gone or not daemon.is_fresh(self.time):
-            return
-        self.bucket(former, name.share)
-        state = former.keeper.close(
-            name, tenure.epoch, self.now(former), former.fresh_since
-        )
-        if state is not None and size % 5 != 4:
+        for former in [part.home for part in tenure.chain()][1:]:
+            holder = self.find(former)
+            if holder is None or holder.is_frozen or size % 5 == 4:
+                return
+            last = self.close(holder, name, tenure.epoch)
+            if not last.has_never_begun:
+                self.adopt(daemon, name, tenure, last)
+                return
+
+    def adopt(self, daemon, name: ShareName, tenure, last: LastState) -> None:
+        is_lost = next(self.ids) % _LOST_REPLIES == 0
+        if last.state is not None and not is_lost:
             limit = ShareLimit.of(self.rate, self.burst, name.share)
-            pulled = PulledState(state, self.now(daemon))
+            pulled = PulledState(last.state, self.now(daemon))
             daemon.keeper.adopt(name, tenure, limit, pulled)
--- /dev/null
+++ b/features/steps/limit_guards.py
@@ -0,0 +1,129 @@
+"""Steps on single guards of the limit's decisions, each a history found to matter."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+from behave import given, then, when
+from behave.runner import Context
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from limit_shares import find_overshoot  # noqa: E402
+from limit_world import LimitWorld  # noqa: E402
+
+from pimentohoist._decisions.grants import GrantPool, ShareHome  # noqa: E402
+from pimentohoist._decisions.shares import (  # noqa: E402
+    DRIFT,
+    GRANT_S,
+    Grant,
+    GrantOrder,
+    ShareBucket,
+    ShareLimit,
+    ShareState,
+)
+from pimentohoist._decisions.tenures import (  # noqa: E402
+    ShareKeeper,
+    ShareName,
+    Surroundings,
+    Tenure,
+)
+
+_NAME = ShareName('house', 0)
+_LIMIT = ShareLimit(1, 30)
+_AROUND = Surroundings(0, 0, {}, {})
+_EARLY = float('-inf')
+
+
+@given(
+    'a limit of {rate:d} token/s and a burst of 30 with one home that has read the log'
+)
+def start_home(context: Context, rate: int) -> None:
+    context.world = LimitWorld(rate, 30, 1)
+    for _ in range(3):
+        assert context.world.admit(context.world.daemons[0], 1, 1)
+
+
+@when('another daemon joins and the first home is cut off from the log')
+def join_unseen(context: Context) -> None:
+    context.world.start(1)
+
+
+@when('at {time:f} s daemon {place:d} sends what it can')
+def drain_at(context: Context, time: float, place: int) -> None:
+    world = context.world
+    while world.time < time:
+        world.time = min(time, world.time + 1)
+        world.see(1, 0)
+    for _ in range(3):
+        world.drain(place, 0)
+
+
+@when('at {time:f} s the second daemon has expired and the first reads the log')
+def expire_second(context: Context, time: float) -> None:
+    world = context.world
+    world.time = time
+    name = world.daemons[0].name
+    world.change_view(lambda _: (name,))
+    world.see(0, 0)
+
+
+@then('no window is over the limit, and the second daemon was admitted something')
+def check_world(context: Context) -> None:
+    world = context.world
+    assert find_overshoot(world.admitted, world.rate, world.burst) <= 0
+    assert world.daemons[1].running
+
+
+@then('a grant spent just before its end leaves nothing accrued up to that time')
+def check_late_end(context: Context) -> None:
+    bucket = ShareBucket(_LIMIT, ShareState(30), 0)
+    bucket.advance(0, _EARLY)
+    assert bucket.grant(GrantOrder('g', 30), 0).tokens == 30
+    bucket.advance(5, _EARLY)
+    assert bucket.level_tokens == 0
+    bucket.advance(6, _EARLY)
+    assert 0 < bucket.level_tokens <= 1
+
+
+@then('a home whose clock runs fast accrues no more than the rate in true time')
+def check_drift(context: Context) -> None:
+    limit = ShareLimit(1000, 100)
+    bucket = ShareBucket(limit, ShareState(100), 0)
+    granted = 0
+    for tick in range(1, 2001):
+        now = tick / 20 * (1 + DRIFT)
+        bucket.advance(now, _EARLY)
+        granted += bucket.grant(GrantOrder(str(tick), 100), now).tokens
+        bucket.note_uses((), now)
+        bucket.open_tokens = 0
+    assert 0 < granted <= 1000 * 100 + 100, granted
+
+
+@then("a grant's time runs from before its request was sent")
+def check_asked_at(context: Context) -> None:
+    pool = GrantPool()
+    pool.add(Grant('g', 5, GRANT_S), ShareHome(0, 'home'), asked_at=0, now=GRANT_S)
+    assert pool.charge(1, GRANT_S) is None
+    assert pool.available(GRANT_S / 2) == 5
+
+
+@then('a tenure that was closed does not begin again, nor give its state twice')
+def check_closed(context: Context) -> None:
+    keeper = ShareKeeper()
+    own = Tenure('me', 1)
+    assert keeper.bucket(_NAME, own, _LIMIT, _AROUND) is not None
+    first = keeper.close(_NAME, 1, 2, _AROUND)
+    again = keeper.close(_NAME, 1, 2, _AROUND)
+    assert first.state == ShareState(30)
+    assert (again.state, again.has_never_begun) == (None, False)
+    assert keeper.bucket(_NAME, own, _LIMIT, _AROUND) is None
+
+
+@then('a tenure that never began does not pass on the state of one before')
+def check_older(context: Context) -> None:
+    keeper = ShareKeeper()
+    keeper.bucket(_NAME, Tenure('me', 1), _LIMIT, _AROUND)
+    last = keeper.close(_NAME, 3, 4, _AROUND)
+    assert (last.state, last.has_never_begun) == (None, True)
--- a/src/pimentohoist/_controllers/limits.py
+++ b/src/pimentohoist/_controllers/limits.py
@@ -25,7 +25,11 @@
 from pimentohoist._decisions.shares import SHARES, GrantOrder
 from pimentohoist._decisions.tenures import ShareName
 from pimentohoist.configuration import Workspace
-from pimentohoist.exceptions import LimitExceededError
+from pimentohoist.exceptions import (
+    LimitExceededError,
+    PeerRefusedError,
+    UnavailableError,
+)
 from pimentohoist.protocols import Clock, Peers
 
 _STEP = 'limits'
@@ -69,10 +73,11 @@
         view: ViewController,
         configuration: ConfigurationController,
         peers: Peers,
+        fenced_at: Mapping[int, float],
         clock: Clock = time.monotonic,
     ) -> None:
         self.clock = clock
-        self.homes = ShareHomes(view, configuration, clock)
+        self.homes = ShareHomes(view, configuration, fenced_at, clock)
         self.taker = ShareTaker(self.homes, peers)
         self.accounts: dict[str, _Account] = {}
         self.refusals = 0
@@ -204,7 +209,10 @@
         with self._lock:
             uses = pool.take_uses(home)
         asked_at = self.clock()
-        grant = self.taker.take(name, home, order, uses)
+        try:
+            grant = self.taker.take(name, home, order, uses)
+        except (UnavailableError, PeerRefusedError):
+            return
         with self._lock:
             now = self.clock()
             if grant is None:
--- /dev/null
+++ b/src/pimentohoist/_controllers/neighbours.py
@@ -0,0 +1,119 @@
+"""Heartbeats to a few members of the view; those that stay silent expire."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import Any
+
+from pimentohoist._controllers.view import ViewController
+from pimentohoist._generated import peer_pb2
+from pimentohoist._view_fold import View, rank
+from pimentohoist.exceptions import PeerConnectError, PeerError
+from pimentohoist.models import Member
+from pimentohoist.protocols import Peers
+
+_TIMEOUT_S = 0.4
+_NEIGHBOURS = 3
+_MISSES = 4
+_MISSES_OF_ALL = 12
+"""Misses after which a member expires although no other neighbour answers either."""
+_logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Beat:
+    """A heartbeat under way."""
+
+    member: Member
+    reply: Future[Any]
+
+
+class MemberAsker:
+    """Asks members and tells which of them have certainly ended.
+
+    Parameters
+    ----------
+    note_dead : callable
+        Called with a member whose address another process, or none, has now.
+    """
+
+    def __init__(self, peers: Peers, note_dead: Callable[[Member], None]) -> None:
+        self.peers = peers
+        self.note_dead = note_dead
+
+    def ask(self, member: Member, method: str, request: Any) -> Any:
+        """Return the reply of this very incarnation; None if there is none."""
+        try:
+            reply = self.peers.call(
+                member.peer_address, method, request, timeout_s=_TIMEOUT_S
+            )
+        except PeerError as error:
+            if _is_refused(error):
+                self.note_dead(member)
+            return None
+        if reply.sender.incarnation != member.incarnation:
+            self.note_dead(member)
+            return None
+        return reply
+
+
+class Neighbours:
+    """Beats to the members that rank highest for this one.
+
+    Attributes
+    ----------
+    misses : Counter of str
+        By incarnation: heartbeats in a row without an answer.
+    """
+
+    def __init__(
+        self, view: ViewController, asker: MemberAsker, pool: ThreadPoolExecutor
+    ) -> None:
+        self.view = view
+        self.asker = asker
+        self.misses: Counter[str] = Counter()
+        self._pool = pool
+
+    def beat(self, view: View) -> list[Beat]:
+        """Send a heartbeat to each neighbour."""
+        own = self.view.incarnation
+        others = [member for member in view.members if member.incarnation != own]
+        request = peer_pb2.HeartbeatRequest(sender=self._sender())
+        return [
+            Beat(
+                member, self._pool.submit(self.asker.ask, member, 'Heartbeat', request)
+            )
+            for member in rank(f'neighbours/{own}', others)[:_NEIGHBOURS]
+        ]
+
+    def note(self, beats: list[Beat]) -> None:
+        """Count who hasn't answered, and expire whoever hasn't several times."""
+        silent = [beat.member for beat in beats if beat.reply.result() is None]
+        for beat in beats:
+            if beat.member not in silent:
+                self.misses.pop(beat.member.incarnation, None)
+        most = _MISSES if len(silent) < len(beats) else _MISSES_OF_ALL
+        for member in silent:
+            self.misses[member.incarnation] += 1
+            if self.misses[member.incarnation] >= most:
+                _logger.warning(
+                    'member is gone',
+                    extra={'step': 'heartbeat', 'peer': member.peer_address},
+                )
+                self.view.expire(member)
+
+    def answer(self, request: peer_pb2.HeartbeatRequest) -> peer_pb2.HeartbeatReply:
+        """Answer another member's heartbeat."""
+        return peer_pb2.HeartbeatReply(sender=self._sender())
+
+    def _sender(self) -> peer_pb2.Sender:
+        return peer_pb2.Sender(incarnation=self.view.incarnation, epoch=self.view.epoch)
+
+
+def _is_refused(error: PeerError) -> bool:
+    is_connecting = isinstance(error, PeerConnectError)
+    return is_connecting and 'connection refused' in error.message.lower()
--- a/src/pimentohoist/_controllers/share_homes.py
+++ b/src/pimentohoist/_controllers/share_homes.py
@@ -18,6 +18,7 @@
     ShareState,
 )
 from pimentohoist._decisions.tenures import (
+    LastState,
     PulledState,
     ShareKeeper,
     ShareName,
@@ -40,6 +41,7 @@
         self,
         view: ViewController,
         configuration: ConfigurationController,
+        fenced_at: Mapping[int, float],
         clock: Clock,
     ) -> None:
         self.view = view
@@ -47,7 +49,7 @@
         self.clock = clock
         self.keeper = ShareKeeper()
         self.book = TenureBook(is_complete=False)
-        self.fenced_at: dict[int, float] = {}
+        self.fenced_at = fenced_at
         self.absent_at: dict[str, float] = {}
         self.lock = threading.RLock()
         self._absent_until = float('-inf')
@@ -106,13 +108,16 @@
         with self.lock:
             self.keeper.receive(name, former_home, state)
 
-    def close(self, name: ShareName, before_epoch: int) -> ShareState | None:
-        """End older tenures of a share here and return what they leave."""
+    def close(self, name: ShareName, before_epoch: int) -> LastState:
+        """End older tenures of a share here and return what the last one leaves."""
         with self.lock:
-            self._begin_former(name)
-            now = self.clock()
-            since = self.view.fresh_since()
-            return self.keeper.close(name, before_epoch, now, since)
+            tenure = self.tenure(name)
+            own = tenure and tenure.of(self.view.incarnation)
+            if own is None:
+                return LastState(None)
+            # A tenure that nobody asked for yet may have a burst to pass on.
+            self._bucket_of(name, own)
+            return self.keeper.close(name, own.epoch, before_epoch, self._around())
 
     def watch(self) -> None:
         """Note which workspaces have appeared in the configuration."""
@@ -160,18 +165,12 @@
         limit = self._limit(name)
         if limit is None:
             return None
-        around = Surroundings(
+        return self.keeper.bucket(name, tenure, limit, self._around())
+
+    def _around(self) -> Surroundings:
+        return Surroundings(
             self.clock(), self.view.fresh_since(), self.fenced_at, self.absent_at
         )
-        return self.keeper.bucket(name, tenure, limit, around)
-
-    def _begin_former(self, name: ShareName) -> None:
-        """Begin a tenure that nobody asked for yet, so that its burst passes on."""
-        tenure = self.tenure(name)
-        if tenure is not None and tenure.home != self.view.incarnation:
-            tenure = tenure.former
-        if tenure is not None and tenure.home == self.view.incarnation:
-            self._bucket_of(name, tenure)
 
     def _limit(self, name: ShareName) -> ShareLimit | None:
         workspace = self.configuration.workspace(name.workspace)
@@ -191,4 +190,3 @@
         for view in views:
             if view.epoch > last:
                 self.book.add(view)
-                self.fenced_at[view.epoch] = self.clock()
--- a/src/pimentohoist/_controllers/share_messages.py
+++ b/src/pimentohoist/_controllers/share_messages.py
@@ -7,7 +7,7 @@
 
 from pimentohoist._controllers.share_homes import ShareHomes
 from pimentohoist._decisions.shares import Grant, GrantOrder, GrantUse, ShareState
-from pimentohoist._decisions.tenures import ShareName
+from pimentohoist._decisions.tenures import LastState, ShareName
 from pimentohoist._generated import peer_pb2
 
 _MS = 1000
@@ -90,10 +90,15 @@
     return ShareState(message.level_tokens, tuple(grants))
 
 
-def write_state(name: ShareName, state: ShareState | None) -> peer_pb2.ShareHandover:
-    """Return the message of a share's state."""
+def write_state(name: ShareName, last: LastState) -> peer_pb2.ShareHandover:
+    """Return the message of what a share's tenure leaves behind."""
+    state = last.state
     if state is None:
-        return peer_pb2.ShareHandover(workspace=name.workspace, share=name.share)
+        return peer_pb2.ShareHandover(
+            workspace=name.workspace,
+            share=name.share,
+            has_never_begun=last.has_never_begun,
+        )
     return peer_pb2.ShareHandover(
         workspace=name.workspace,
         share=name.share,
--- a/src/pimentohoist/_controllers/share_takers.py
+++ b/src/pimentohoist/_controllers/share_takers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from itertools import islice
 from typing import Any
 
 from pimentohoist._controllers.share_homes import ShareHomes
@@ -13,13 +14,14 @@
 )
 from pimentohoist._decisions.grants import ShareHome
 from pimentohoist._decisions.shares import Grant, GrantOrder, GrantUse
-from pimentohoist._decisions.tenures import ShareName, Tenure
+from pimentohoist._decisions.tenures import ShareName
 from pimentohoist._generated import peer_pb2
 from pimentohoist._view_fold import rank
 from pimentohoist.exceptions import PeerError, PeerRefusedError, UnavailableError
 from pimentohoist.models import Member
 from pimentohoist.protocols import Peers
 
+_STEP = 'limits'
 _TIMEOUT_S = 0.25
 _PAUSE_S = 1.0
 _MS = 1000
@@ -58,12 +60,15 @@
         order: GrantOrder,
         uses: tuple[GrantUse, ...],
     ) -> Grant | None:
-        """Return the grant; None if there was no reply."""
+        """Return the grant; None if it isn't known whether there is one.
+
+        Raises
+        ------
+        UnavailableError, PeerRefusedError
+            The home refused and took nothing in.
+        """
         if home.incarnation == self.view.incarnation:
-            try:
-                return self.homes.order(name, order, uses)
-            except UnavailableError:
-                return None
+            return self.homes.order(name, order, uses)
         request = peer_pb2.GrantRequest(
             sender=self._sender(),
             workspace=name.workspace,
@@ -73,7 +78,7 @@
             grant_id=order.grant_id,
             uses=write_uses(uses),
         )
-        reply = self._call(home.incarnation, 'TakeGrant', request)
+        reply = self._try(home.incarnation, 'TakeGrant', request)
         if reply is None:
             return None
         return Grant(reply.grant_id, reply.tokens, reply.expires_after_ms / _MS)
@@ -105,8 +110,11 @@
             return
         if not self.view.is_fresh() or self.homes.has_begun(name):
             return
-        if tenure.former is not None and not self._is_silent(tenure.former.home):
-            self._pull(name, tenure, tenure.former.home)
+        for former in islice(tenure.chain(), 1, None):
+            if self._is_silent(former.home) or not self._pull(
+                name, tenure.epoch, former.home
+            ):
+                return
 
     def hand_over_all(self) -> None:
         """Pass every share at home here on, for good, before leaving the view."""
@@ -117,35 +125,43 @@
         ]
         epoch = self.view.epoch + 1
         for name in self.homes.names():
-            state = self.homes.close(name, epoch)
-            if state is not None and others:
-                message = write_state(name, state)
+            last = self.homes.close(name, epoch)
+            if last.state is not None and others:
+                message = write_state(name, last)
                 message.sender.CopyFrom(self._sender())
                 home = rank(name.thing, others)[0]
                 self._call(home.incarnation, 'HandOverShare', message)
 
-    def _pull(self, name: ShareName, tenure: Tenure, former_home: str) -> None:
+    def _pull(self, name: ShareName, epoch: int, former_home: str) -> bool:
+        """Return whether the tenure before that one has to be asked."""
         request = peer_pb2.SharePull(
-            sender=peer_pb2.Sender(
-                incarnation=self.view.incarnation, epoch=tenure.epoch
-            ),
+            sender=peer_pb2.Sender(incarnation=self.view.incarnation, epoch=epoch),
             workspace=name.workspace,
             share=name.share,
         )
         reply = self._call(former_home, 'PullShare', request)
-        if reply is not None and reply.is_held:
-            self.homes.adopt(name, tenure.epoch, read_state(reply))
+        if reply is None:
+            return False
+        if reply.is_held:
+            self.homes.adopt(name, epoch, read_state(reply))
+        return bool(reply.has_never_begun)
 
     def _call(self, incarnation: str, method: str, request: Any) -> Any:
+        try:
+            return self._try(incarnation, method, request)
+        except (PeerRefusedError, UnavailableError):
+            return None
+
+    def _try(self, incarnation: str, method: str, request: Any) -> Any:
         member = self._member(incarnation)
         if member is None:
-            return None
+            raise UnavailableError('the home has left', step=_STEP, peer=incarnation)
         try:
             return self.peers.call(
                 member.peer_address, method, request, timeout_s=_TIMEOUT_S
             )
         except PeerRefusedError:
-            return None
+            raise
         except PeerError:
             with self._lock:
                 self.failures += 1
--- a/src/pimentohoist/_controllers/view.py
+++ b/src/pimentohoist/_controllers/view.py
@@ -12,18 +12,27 @@
 
 from pimentohoist._controllers.follower import StreamFollower
 from pimentohoist._decisions.freshness import FreshnessTracker
-from pimentohoist._view_fold import VIEW_STREAM, Join, Leave, View, ViewFold, rank
+from pimentohoist._view_fold import (
+    VIEW_STREAM,
+    Expire,
+    Join,
+    Leave,
+    View,
+    ViewFold,
+    rank,
+)
 from pimentohoist.exceptions import LogError
 from pimentohoist.models import LogPage, Member
 from pimentohoist.protocols import Log
 from pimentohoist.settings import DaemonSettings
 
 _LONG_POLL_S = 0.5
+_JOIN_PAUSE_S = 0.5
 _INCARNATION_BYTES = 6
 _logger = logging.getLogger(__name__)
 
 
-class _ShortPolls:
+class ShortPolls:
     """Implements `Log`; a poll's answer is at most a quarter of the freshness old."""
 
     def __init__(self, log: Log) -> None:
@@ -44,34 +53,37 @@
     Attributes
     ----------
     incarnation : str
-        Unique id of this run of the daemon.
+        Unique id of this membership; a new one once it has expired.
     follower : StreamFollower of ViewFold
         Position, freshness and state.
+    followers : list of StreamFollower
+        Streams that have to be read to their heads for this daemon to be fresh.
     """
 
     def __init__(self, log: Log, settings: DaemonSettings) -> None:
         self.log = log
         self.settings = settings
-        self.incarnation = f'{settings.name}-{secrets.token_hex(_INCARNATION_BYTES)}'
-        self.follower = StreamFollower(_ShortPolls(log), VIEW_STREAM, ViewFold())
+        self.incarnation = _new_incarnation(self.settings)
+        self.follower = StreamFollower(ShortPolls(log), VIEW_STREAM, ViewFold())
+        self.followers: list[StreamFollower[Any]] = [self.follower]
         self.freshness = FreshnessTracker()
         self._lock = threading.Lock()
+        self._closed = threading.Event()
+        self._thread = threading.Thread(
+            target=self._keep_joined, name='join', daemon=True
+        )
 
     def __enter__(self) -> Self:
-        """Start following the stream and join the view."""
+        """Start following the stream, join the view and stay in it."""
         self.follower.__enter__()
-        self._append(
-            Join(
-                incarnation=self.incarnation,
-                peer_address=self.settings.peer_address,
-                callers_address=self.settings.callers_address,
-                failure_domain=self.settings.failure_domain,
-            )
-        )
+        self._join()
+        self._thread.start()
         return self
 
     def __exit__(self, *exc_info: object) -> None:
         """Leave the view and stop following."""
+        self._closed.set()
+        self._thread.join()
         self._append(Leave(incarnation=self.incarnation))
         self.follower.__exit__(*exc_info)
 
@@ -98,19 +110,35 @@
         return is_mine and self.is_fresh()
 
     def is_fresh(self) -> bool:
-        """Return whether the view was read to its head a short while ago."""
+        """Return whether this daemon was shown to be up to date a short while ago."""
         return self._freshness().is_fresh(time.monotonic())
 
     def fresh_since(self) -> float:
         """Return since when the daemon has been fresh without a break."""
         return self._freshness().fresh_since
 
+    def heads_read_at(self) -> float:
+        """Return the time before the question that showed the last stream's head."""
+        return min(follower.head_read_at for follower in self.followers)
+
+    def confirm_fresh(self, asked_at: float) -> None:
+        """Take in that the witnesses held no more at `asked_at` than this daemon."""
+        with self._lock:
+            self.freshness.confirm(asked_at, time.monotonic())
+
     def recent_views(self) -> tuple[tuple[View, ...], bool]:
         """Return the latest views, and whether they begin with the very first."""
         with self.follower.changed:
             fold = self.follower.fold
             return tuple(fold.recent), fold.is_from_start
 
+    def expire(self, member: Member) -> None:
+        """Remove a member that lost sight of the others; only while fresh."""
+        if self.is_fresh():
+            self._append(
+                Expire(incarnation=member.incarnation, reporter=self.incarnation)
+            )
+
     def dump(self) -> Mapping[str, Any]:
         """Return members, epoch and freshness."""
         return {
@@ -123,10 +151,34 @@
 
     def _freshness(self) -> FreshnessTracker:
         with self._lock:
-            self.freshness.confirm(self.follower.head_read_at, time.monotonic())
+            self.freshness.confirm(self.heads_read_at(), time.monotonic())
             return self.freshness
 
-    def _append(self, record: Join | Leave) -> None:
+    def _keep_joined(self) -> None:
+        while not self._closed.wait(_JOIN_PAUSE_S):
+            with self.follower.changed:
+                fold = self.follower.fold
+                is_member = self.incarnation in fold.members
+                has_departed = self.incarnation in fold.departed
+            if has_departed:
+                self.incarnation = _new_incarnation(self.settings)
+                _logger.warning(
+                    'expired from the view; joining again', extra={'step': 'join'}
+                )
+            if not is_member and self.is_fresh():
+                self._join()
+
+    def _join(self) -> None:
+        self._append(
+            Join(
+                incarnation=self.incarnation,
+                peer_address=self.settings.peer_address,
+                callers_address=self.settings.callers_address,
+                failure_domain=self.settings.failure_domain,
+            )
+        )
+
+    def _append(self, record: Join | Leave | Expire) -> None:
         try:
             self.log.append(VIEW_STREAM, [record.model_dump_json().encode()])
         except LogError as error:
@@ -135,3 +187,7 @@
                 error.message,
                 extra={'step': error.step, 'peer': error.peer},
             )
+
+
+def _new_incarnation(settings: DaemonSettings) -> str:
+    return f'{settings.name}-{secrets.token_hex(_INCARNATION_BYTES)}'
--- a/src/pimentohoist/_decisions/tenures.py
+++ b/src/pimentohoist/_decisions/tenures.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, replace
 from itertools import islice
 
@@ -21,6 +21,8 @@
 TAKEOVER_S = (FRESH_S + GRANT_S) * (1 + 2 * DRIFT)
 """Time after the fence by which the former home's last grant has expired."""
 _VIEWS = 256
+_CHAIN = 8
+"""Former tenures that are remembered."""
 _NEVER = float('inf')
 
 
@@ -42,6 +44,17 @@
     epoch: int
     former: Tenure | None = None
 
+    def chain(self) -> Iterator[Tenure]:
+        """Yield this and the former tenures, as far as they are known."""
+        tenure: Tenure | None = self
+        while tenure is not None:
+            yield tenure
+            tenure = tenure.former
+
+    def of(self, home: str) -> Tenure | None:
+        """Return the last tenure of a home in the chain."""
+        return next((part for part in self.chain() if part.home == home), None)
+
 
 class TenureBook:
     """Tenures of things, from the views in order.
@@ -89,10 +102,13 @@
     home = _home(thing, view)
     if home == tenure.home:
         return tenure
-    former = tenure.former
-    if former is not None and former.former is not None:
-        former = replace(former, former=Tenure('', 0))
-    return Tenure(home, view.epoch, replace(tenure, former=former))
+    chain = list(tenure.chain())
+    if len(chain) < _CHAIN:
+        return Tenure(home, view.epoch, tenure)
+    former: Tenure | None = Tenure('', 0)
+    for part in reversed(chain[:_CHAIN]):
+        former = replace(part, former=former)
+    return Tenure(home, view.epoch, former)
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,6 +151,22 @@
     now: float
 
 
+@dataclass(frozen=True, slots=True)
+class LastState:
+    """What a tenure leaves behind when it is closed.
+
+    Attributes
+    ----------
+    state : ShareState or None
+        None if the tenure had no state, or has given it away before.
+    has_never_begun : bool
+        Whether it never began, so that the state of the tenure before still counts.
+    """
+
+    state: ShareState | None
+    has_never_begun: bool = False
+
+
 @dataclass(slots=True)
 class _Held:
     epoch: int
@@ -184,18 +216,20 @@
             self.held[name] = _Held(tenure.epoch, bucket)
 
     def close(
-        self, name: ShareName, before_epoch: int, now: float, fresh_since: float
-    ) -> ShareState | None:
-        """End a tenure older than `before_epoch`; None if there is no state."""
+        self, name: ShareName, own_epoch: int, before_epoch: int, around: Surroundings
+    ) -> LastState:
+        """End this daemon's tenure of `own_epoch`, and all others before an epoch."""
         held = self.held.get(name)
         if held is not None and held.epoch >= before_epoch:
-            return None
+            return LastState(None)
         # From here on no older tenure can begin either.
         self.held[name] = _Held(before_epoch - 1, None)
-        if held is None or held.bucket is None:
-            return None
-        held.bucket.advance(now, fresh_since)
-        return held.bucket.state(now)
+        if held is None or held.epoch < own_epoch:
+            return LastState(None, has_never_begun=True)
+        if held.bucket is None or held.epoch > own_epoch:
+            return LastState(None)
+        held.bucket.advance(around.now, around.fresh_since)
+        return LastState(held.bucket.state(around.now))
 
     def _first_state(
         self,
--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -14,8 +14,9 @@
 from pimentohoist._chain import build_handler
 from pimentohoist._controllers.configuration import ConfigurationController
 from pimentohoist._controllers.endpoints import EndpointsController
+from pimentohoist._controllers.freshness import FreshnessController
 from pimentohoist._controllers.limits import LimitsController
-from pimentohoist._controllers.view import ViewController
+from pimentohoist._controllers.view import ShortPolls, ViewController
 from pimentohoist._filters.authenticate import Authenticate
 from pimentohoist._filters.dispatch import Dispatch
 from pimentohoist._filters.limit import Limit
@@ -44,20 +45,26 @@
         platform = settings.platform
         self.log = HttpLog(platform.log_address, timeout_s=platform.timeout_s)
         self.peers = PeerClients()
-        self.configuration = ConfigurationController(self.log)
+        self.configuration = ConfigurationController(ShortPolls(self.log))
         self.view = ViewController(self.log, settings.daemon)
-        self.limits = LimitsController(self.view, self.configuration, self.peers)
+        self.view.followers.append(self.configuration.follower)
+        self.freshness = FreshnessController(self.view, self.peers)
+        self.limits = LimitsController(
+            self.view, self.configuration, self.peers, self.freshness.fenced_at
+        )
         self.endpoints = EndpointsController(self.view)
         self.requests = RequestPath(platform, self.view, self.peers, self.endpoints)
         self.controllers: dict[str, Controller] = {
             'configuration': self.configuration,
             'view': self.view,
+            'freshness': self.freshness,
             'limits': self.limits,
             'endpoints': self.endpoints,
             **self.requests.controllers(),
         }
         self.answering: tuple[PeerAnswering, ...] = (
             self.requests.quarantine,
+            self.freshness,
             self.limits,
         )
         self._stack = ExitStack()
