--- a/features/retry.feature
+++ b/features/retry.feature
@@ -29,8 +29,14 @@
   Scenario: A failure before the first token is a JSON error with the true run state
     Given a retrying fleet of 1 daemon and 1 engine
     When the only engine is killed
-    Then a streamed completion gets a JSON error as not run with status 502
+    Then a streamed completion gets a JSON error as not run with status 503
 
   Scenario: A request lost on a kept connection is not said to be not run
     Given a peer that answers once, then drops a request and stops listening
     Then the client's second request ends with the run state "unknown"
+
+  Scenario: An endpoint whose orders fail is avoided by the next attempts
+    Then a run whose slots fail on one of two endpoints ends on the other
+
+  Scenario: Only a suspect asks to run alone
+    Then a run asks to be alone when it is a suspect and else not
--- a/src/pimentohoist/_controllers/view.py
+++ b/src/pimentohoist/_controllers/view.py
@@ -76,7 +76,7 @@
     def __enter__(self) -> Self:
         """Start following the stream, join the view and stay in it."""
         self.follower.__enter__()
-        self._join()
+        self._append(_join_record(self.settings, self.incarnation))
         self._thread.start()
         return self
 
@@ -93,6 +93,12 @@
         with self.follower.changed:
             return self.follower.fold.epoch
 
+    @property
+    def read_at(self) -> float:
+        """Monotonic time before the last question that showed the head of the view."""
+        with self.follower.changed:
+            return self.follower.head_read_at
+
     def members(self) -> tuple[Member, ...]:
         """Return the members of the present view."""
         with self.follower.changed:
@@ -166,17 +172,7 @@
                     'expired from the view; joining again', extra={'step': 'join'}
                 )
             if not is_member and self.is_fresh():
-                self._join()
-
-    def _join(self) -> None:
-        self._append(
-            Join(
-                incarnation=self.incarnation,
-                peer_address=self.settings.peer_address,
-                callers_address=self.settings.callers_address,
-                failure_domain=self.settings.failure_domain,
-            )
-        )
+                self._append(_join_record(self.settings, self.incarnation))
 
     def _append(self, record: Join | Leave | Expire) -> None:
         try:
@@ -191,3 +187,12 @@
 
 def _new_incarnation(settings: DaemonSettings) -> str:
     return f'{settings.name}-{secrets.token_hex(_INCARNATION_BYTES)}'
+
+
+def _join_record(settings: DaemonSettings, incarnation: str) -> Join:
+    return Join(
+        incarnation=incarnation,
+        peer_address=settings.peer_address,
+        callers_address=settings.callers_address,
+        failure_domain=settings.failure_domain,
+    )
