--- a/features/steps/fuzz.py
+++ b/features/steps/fuzz.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from operator import attrgetter
 from collections.abc import Callable
 from decimal import Decimal
 from typing import Any
@@ -161,10 +162,14 @@
         price_per_million_tokens=prices,
         is_urgent=st.booleans(),
     )
-    versions = st.lists(st.integers(min_value=1, max_value=99), min_size=1, max_size=4)
+    versions = st.lists(
+        st.integers(min_value=1, max_value=99), min_size=1, max_size=4, unique=True
+    )
 
     @fuzz(
-        houses=st.lists(workspaces, min_size=1, max_size=4),
+        houses=st.lists(
+            workspaces, min_size=1, max_size=4, unique_by=attrgetter('name')
+        ),
         name=_NAMES,
         versions=versions,
     )
--- a/src/pimentohoist/_controllers/configuration.py
+++ b/src/pimentohoist/_controllers/configuration.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any, Self
@@ -28,7 +27,6 @@
 
 _STEP = 'configuration'
 _RETRY_AFTER_S = 1.0
-_FRESH_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,10 +79,6 @@
                 'no configuration yet', step=_STEP, retry_after_s=_RETRY_AFTER_S
             )
 
-    def is_fresh(self) -> bool:
-        """Return whether the log was read to its head a short while ago."""
-        return time.monotonic() - self.follower.head_read_at < _FRESH_S
-
     def configuration(self) -> Configuration:
         """Return a copy of the configuration in force."""
         with self.follower.changed:
--- a/src/pimentohoist/_controllers/follower.py
+++ b/src/pimentohoist/_controllers/follower.py
@@ -14,8 +14,7 @@
 
 FoldT = TypeVar('FoldT', bound=Fold)
 
-# Half of a poll and its answer must stay below the time for which a read counts as fresh.
-_LONG_POLL_S = 0.5
+_LONG_POLL_S = 1.0
 _PAUSE_AFTER_ERROR_S = 0.2
 _BAD_SNAPSHOT = (ValueError, LookupError, TypeError, PimentohoistError)
 _logger = logging.getLogger(__name__)
--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -15,9 +15,10 @@
 from pimentohoist._controllers.claims import ClaimsController
 from pimentohoist._controllers.configuration import ConfigurationController
 from pimentohoist._controllers.endpoints import EndpointsController
+from pimentohoist._controllers.freshness import FreshnessController
 from pimentohoist._controllers.limits import LimitsController
 from pimentohoist._controllers.snapshots import PeerSnapshots, SnapshotsController
-from pimentohoist._controllers.view import ViewController
+from pimentohoist._controllers.view import ShortPolls, ViewController
 from pimentohoist._filters.caller import caller_filters
 from pimentohoist._filters.claim import ClaimAction
 from pimentohoist._filters.dispatch import Dispatch
@@ -47,10 +48,16 @@
         self.log = HttpLog(platform.log_address, timeout_s=platform.timeout_s)
         self.peers = PeerClients()
         peer_snapshots = PeerSnapshots(self.peers, settings.daemon.seed_peers)
-        self.configuration = ConfigurationController(self.log, peer_snapshots.fetch)
+        self.configuration = ConfigurationController(
+            ShortPolls(self.log), peer_snapshots.fetch
+        )
         self.view = ViewController(self.log, settings.daemon)
+        self.view.followers.append(self.configuration.follower)
+        self.freshness = FreshnessController(self.view, self.peers)
         self.claims = ClaimsController(self.log, self.view)
-        self.limits = LimitsController(self.view, self.configuration, self.peers)
+        self.limits = LimitsController(
+            self.view, self.configuration, self.peers, self.freshness.fenced_at
+        )
         self.endpoints = EndpointsController(
             self.view, self.configuration, self.peers, settings.callers.timeout_s
         )
@@ -68,6 +75,7 @@
         self.controllers: dict[str, Controller] = {
             'configuration': self.configuration,
             'view': self.view,
+            'freshness': self.freshness,
             'claims': self.claims,
             'limits': self.limits,
             'endpoints': self.endpoints,
@@ -76,6 +84,7 @@
         }
         self.answering: tuple[PeerAnswering, ...] = (
             self.requests.quarantine,
+            self.freshness,
             self.limits,
             self.endpoints,
             self.snapshots,
@@ -101,7 +110,7 @@
     def handler(self) -> Handler:
         """Return the filter chain."""
         filters = (
-            *caller_filters(self.configuration, self.is_fresh),
+            *caller_filters(self.configuration, self.view.is_fresh),
             Limit(self.limits),
             ClaimAction(self.claims),
             self.requests.filter(),
@@ -109,10 +118,6 @@
         last = Dispatch(self.configuration, self.requests.tools)
         return build_handler(filters, last)
 
-    def is_fresh(self) -> bool:
-        """Return whether a withdrawal of a key would be known by now."""
-        return self.configuration.is_fresh()
-
     def entries(self) -> tuple[str, ...]:
         """Return the addresses that callers may use."""
         return tuple(sorted(member.callers_address for member in self.view.members()))
