--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -62,7 +62,7 @@
             self.view, self.configuration, self.peers, settings.callers.timeout_s
         )
         self.requests = RequestPath(platform, self.view, self.peers, self.endpoints)
-        self.snapshots = SnapshotsController(
+        snapshots = SnapshotsController(
             self.log,
             (
                 self.configuration.follower,
@@ -79,7 +79,7 @@
             'claims': self.claims,
             'limits': self.limits,
             'endpoints': self.endpoints,
-            'snapshots': self.snapshots,
+            'snapshots': snapshots,
             **self.requests.controllers(),
         }
         self.answering: tuple[PeerAnswering, ...] = (
@@ -87,7 +87,7 @@
             self.freshness,
             self.limits,
             self.endpoints,
-            self.snapshots,
+            snapshots,
         )
         self._stack = ExitStack()
 
