One error event ends a stream that is not whole, everywhere

Cause: a withdrawn key's error event was followed by the end event, other errors' were not; a caller that looks only for the end event would have taken the answer for whole.

--- a/features/steps/configuration_processes.py
+++ b/features/steps/configuration_processes.py
@@ -190,6 +190,5 @@
     context.reader.join(limit_s - (time.monotonic() - context.withdrawn_at))
     assert not context.reader.is_alive(), context.lines[-3:]
     events = [line for line in context.lines if line.strip()]
-    assert events[-1] == b'data: [DONE]\n', events[-3:]
-    error = json.loads(events[-2].removeprefix(b'data: '))['error']
+    error = json.loads(events[-1].removeprefix(b'data: '))['error']
     assert (error['code'], error['run']) == (code, 'run'), error
--- a/src/pimentohoist/_filters/watch_key.py
+++ b/src/pimentohoist/_filters/watch_key.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import json
 import queue
 import threading
 import time
@@ -11,7 +10,7 @@
 from typing import Any
 
 from pimentohoist._controllers.configuration import ConfigurationController
-from pimentohoist._openai import END_EVENT, error_document
+from pimentohoist._openai import error_event
 from pimentohoist.configuration import Key
 from pimentohoist.exceptions import (
     AuthenticationError,
@@ -114,7 +113,7 @@
             error = None if part is _END else self._find_error()
             if error is not None:
                 self.close()
-                yield _error_event(error) + END_EVENT
+                yield error_event(error)
             if part is _END or error is not None:
                 return
             if part:
@@ -154,9 +153,5 @@
                 return self._read.put(part, timeout=_CHECK_S)
 
 
-def _error_event(error: PimentohoistError) -> bytes:
-    return b'data: ' + json.dumps({'error': error_document(error)}).encode() + b'\n\n'
-
-
 def _nothing() -> None:
     """Close a body that needs no closing."""
--- a/src/pimentohoist/_openai.py
+++ b/src/pimentohoist/_openai.py
@@ -143,7 +143,7 @@
             for chunk in chunks:
                 yield _event(self._document(self.shape.part, self._part(chunk)))
         except PimentohoistError as error:
-            yield _event({'error': error_document(error)})
+            yield error_event(error)
             return
         if self._wants_usage():
             document = self._document(self.shape.part)
@@ -191,5 +191,10 @@
     }
 
 
+def error_event(error: PimentohoistError) -> bytes:
+    """Return the event that ends a stream which is not whole."""
+    return _event({'error': error_document(error)})
+
+
 def _event(document: Mapping[str, Any]) -> bytes:
     return b'data: ' + json.dumps(document).encode() + b'\n\n'
--- a/src/pimentohoist_standins/experiment.py
+++ b/src/pimentohoist_standins/experiment.py
@@ -50,6 +50,7 @@
 _THREADS = 96
 _TIMEOUT_S = 15.0
 _MARGIN_S = 1.0
+_LAST_LINE = END_EVENT.strip()
 _TRIES = 3
 _MEDIAN = 50
 _TAIL = 99
@@ -339,16 +340,16 @@
     if arrival.is_action:
         return reply.body, ''
     lines = reply.body.split(b'\n\n')
-    if not reply.body.endswith(END_EVENT):
-        return b'', 'cut_stream/unknown'
-    texts = []
-    for line in lines[:-2]:
+    texts: list[str] = []
+    for line in lines[:-1]:
+        if line == _LAST_LINE:
+            return ''.join(texts).encode(), ''
         event = json.loads(line.removeprefix(b'data: '))
         error = event.get('error')
         if error is not None:
             return b'', _state(error)
         texts.append(event['choices'][0]['text'])
-    return ''.join(texts).encode(), ''
+    return b'', 'cut_stream/unknown'
 
 
 def _state(error: Mapping[str, Any]) -> str:
