Membership: tests of view, freshness and fences; measurement of limits

Confirmed without a majority passed; the histories now cut two daemons off together. Reports go only to homes that have something to be told: calls for grants carry them.

--- a/features/limit_world.py
+++ b/features/limit_world.py
@@ -265,7 +265,7 @@
         if daemon.is_frozen:
             return
         daemon.pool.close_idle(self.now(daemon))
-        for home in sorted(daemon.pool.homes(), key=str):
+        for home in sorted(daemon.pool.homes(self.now(daemon)), key=str):
             uses = daemon.pool.take_uses(home)
             if size % 4:
                 self.answer(self.find(home.incarnation), home.share, None, uses)
--- /dev/null
+++ b/features/membership.feature
@@ -0,0 +1,27 @@
+Feature: The view and freshness with real daemons
+
+  Scenario: A killed member expires, a thawed one joins again
+    Given 3 daemons in one view
+    When daemon "entry-1" is killed
+    Then within 15 s the view of "entry-2" has 2 members, without "entry-1"
+    When daemon "entry-3" is frozen until it has expired and then thawed
+    Then within 15 s the view of "entry-2" has 2 members, with a new "entry-3"
+
+  Scenario: Without the log the daemons keep each other fresh
+    Given 3 daemons in one view
+    When the log goes down for 6 s
+    Then all daemons stayed fresh
+
+  Scenario: Cut off from log and peers a daemon stops being fresh
+    Given 3 daemons in one view
+    When the log is down and the daemons "entry-2" and "entry-3" are killed
+    Then "entry-1" is not fresh within 5 s
+
+  Scenario: A daemon joins although the log lost its answer or was down
+    Given 3 daemons in one view
+    When the log drops the next record and daemon "entry-4" starts
+    Then within 15 s the view of "entry-1" has 4 members, with one "entry-4"
+
+  Scenario: Nobody is the home of a thing while another may act as its home
+    Then in 300 generated histories of outages, freezes and cuts no thing has two homes
+    And each view's witnesses are at most 7, spread over the failure domains
--- /dev/null
+++ b/features/steps/membership.py
@@ -0,0 +1,118 @@
+"""Steps on the view and freshness with real daemons."""
+
+from __future__ import annotations
+
+import signal
+import time
+from collections.abc import Callable
+
+from behave import given, then, when
+from behave.runner import Context
+
+from pimentohoist_standins.fleet import Fleet
+
+_POLL_S = 0.1
+_WAIT_S = 15
+
+
+def wait_for(condition: Callable[[], bool], limit_s: float) -> None:
+    give_up_at = time.monotonic() + limit_s
+    while not condition():
+        assert time.monotonic() < give_up_at, 'not in time'
+        time.sleep(_POLL_S)
+
+
+def member_names(context: Context, daemon: str) -> list[str]:
+    members = context.fleet.state(daemon)['view']['members']
+    return sorted(member['incarnation'].rpartition('-')[0] for member in members)
+
+
+def check_members(
+    context: Context, daemon: str, names: list[str], limit_s: float
+) -> None:
+    wait_for(lambda: member_names(context, daemon) == names, limit_s)
+
+
+def incarnations(context: Context, daemon: str) -> set[str]:
+    members = context.fleet.state(daemon)['view']['members']
+    return {member['incarnation'] for member in members}
+
+
+@given('3 daemons in one view')
+def start_view(context: Context) -> None:
+    context.fleet = context.stack.enter_context(Fleet())
+    names = ['entry-1', 'entry-2', 'entry-3']
+    for name in names:
+        context.fleet.start_daemon(name)
+    for name in names:
+        check_members(context, name, names, _WAIT_S)
+
+
+@when('daemon "{name}" is killed')
+def kill_member(context: Context, name: str) -> None:
+    context.fleet.processes[name].kill()
+
+
+@then('within {limit_s:d} s the view of "{daemon}" has 2 members, without "{name}"')
+def check_expired(context: Context, limit_s: int, daemon: str, name: str) -> None:
+    others = sorted({'entry-1', 'entry-2', 'entry-3'} - {name})
+    wait_for(lambda: member_names(context, daemon) == others, limit_s)
+
+
+@when('daemon "{name}" is frozen until it has expired and then thawed')
+def freeze_member(context: Context, name: str) -> None:
+    context.before = incarnations(context, 'entry-2')
+    context.fleet.processes[name].signal(signal.SIGSTOP)
+    wait_for(lambda: member_names(context, 'entry-2') == ['entry-2'], _WAIT_S)
+    context.fleet.processes[name].signal(signal.SIGCONT)
+
+
+@then('within {limit_s:d} s the view of "{daemon}" has 2 members, with a new "{name}"')
+def check_rejoined(context: Context, limit_s: int, daemon: str, name: str) -> None:
+    names = sorted((daemon, name))
+    wait_for(lambda: member_names(context, daemon) == names, limit_s)
+    assert len(incarnations(context, daemon) - context.before) == 1
+
+
+@when('the log goes down for {time_s:d} s')
+def stop_log_for(context: Context, time_s: int) -> None:
+    context.fleet.control('log', is_down=True)
+    give_up_at = time.monotonic() + time_s
+    context.freshness = []
+    while time.monotonic() < give_up_at:
+        for daemon in context.fleet.daemons:
+            view = context.fleet.state(daemon)['view']
+            context.freshness.append((view['is_fresh'], view['head_read_s_ago']))
+        time.sleep(_POLL_S)
+
+
+@then('all daemons stayed fresh')
+def check_fresh(context: Context) -> None:
+    assert all(is_fresh for is_fresh, _ in context.freshness), context.freshness
+    assert max(age_s for _, age_s in context.freshness) > 4
+
+
+@when('the log is down and the daemons "{first}" and "{second}" are killed')
+def cut_off(context: Context, first: str, second: str) -> None:
+    context.fleet.control('log', is_down=True)
+    context.fleet.processes[first].kill()
+    context.fleet.processes[second].kill()
+
+
+@then('"{daemon}" is not fresh within {limit_s:d} s')
+def check_not_fresh(context: Context, daemon: str, limit_s: int) -> None:
+    wait_for(lambda: not context.fleet.state(daemon)['view']['is_fresh'], limit_s)
+    time.sleep(1)
+    assert not context.fleet.state(daemon)['view']['is_fresh']
+
+
+@when('the log drops the next record and daemon "{name}" starts')
+def start_without_answer(context: Context, name: str) -> None:
+    context.fleet.control('log', drop_requests=1)
+    context.fleet.start_daemon(name)
+
+
+@then('within {limit_s:d} s the view of "{daemon}" has 4 members, with one "{name}"')
+def check_joined(context: Context, limit_s: int, daemon: str, name: str) -> None:
+    names = ['entry-1', 'entry-2', 'entry-3', name]
+    wait_for(lambda: member_names(context, daemon) == names, limit_s)
--- /dev/null
+++ b/features/steps/witnesses.py
@@ -0,0 +1,182 @@
+"""Steps on witnesses and fences: generated histories against a plain invariant."""
+
+from __future__ import annotations
+
+import random
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from behave import then
+from behave.runner import Context
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from limit_shares import for_all  # noqa: E402
+from hypothesis import strategies as st  # noqa: E402
+
+from pimentohoist._decisions.freshness import FreshnessTracker  # noqa: E402
+from pimentohoist._decisions.tenures import FRESH_S, TenureBook  # noqa: E402
+from pimentohoist._decisions.witnesses import (  # noqa: E402
+    WITNESSES,
+    Fences,
+    choose_witnesses,
+    is_confirmed,
+)
+from pimentohoist._view_fold import View  # noqa: E402
+from pimentohoist.models import Member  # noqa: E402
+
+_THINGS = ('a', 'b', 'c', 'd')
+_DAEMONS = 5
+_STEP_S = 0.3
+_STREAM = 'view'
+
+
+@dataclass
+class Seer:
+    """A daemon that reads the log or asks witnesses."""
+
+    name: str
+    book: TenureBook = field(default_factory=lambda: TenureBook(is_complete=True))
+    fences: Fences = field(default_factory=Fences)
+    tracker: FreshnessTracker = field(default_factory=FreshnessTracker)
+    fenced_at: dict = field(default_factory=dict)
+    seen: int = 0
+    has_log: bool = True
+    side: int = 0
+    is_frozen: bool = False
+
+    @property
+    def offset(self) -> int:
+        return self.book.views[-1].epoch if self.book.views else 0
+
+
+class ViewWorld:
+    """Daemons, each connected to the log or not, on one of two sides of the network."""
+
+    def __init__(self) -> None:
+        self.time: float = 0
+        self.views = [View(1, ())]
+        self.seers = [Seer(f's{number}') for number in range(_DAEMONS)]
+        self.actions = 0
+        for seer in self.seers[:3]:
+            self.change({*self.present(), seer.name})
+
+    def present(self) -> set[str]:
+        return set(self.views[-1].incarnations)
+
+    def change(self, names: set[str]) -> None:
+        members = tuple(
+            Member(name, '', '', f'domain-{name[-1]}') for name in sorted(names)
+        )
+        self.views.append(View(len(self.views) + 1, members))
+
+    def step(self, rng: random.Random) -> None:
+        self.time += rng.choice((0.05, _STEP_S, _STEP_S, 1))
+        seer = rng.choice(self.seers)
+        match rng.randrange(12):
+            case 0:
+                seer.has_log = not seer.has_log
+            case 1:
+                seer.side = 1 - seer.side
+            case 2:
+                seer.is_frozen = not seer.is_frozen
+            case 3:
+                self.change(self.present() ^ {seer.name})
+            case 4:
+                self.heal()
+            case 5:
+                self.cut_off(rng.sample(self.seers, 2))
+        for one in self.seers:
+            if not one.is_frozen and rng.randrange(4):
+                self.tick(one)
+
+    def heal(self) -> None:
+        for seer in self.seers:
+            seer.side = 0
+            seer.has_log = True
+            seer.is_frozen = False
+
+    def cut_off(self, pair: list[Seer]) -> None:
+        """Leave two daemons with each other alone; the others expire them."""
+        for lonely in pair:
+            lonely.side = 1
+            lonely.has_log = False
+        self.change(self.present() - {other.name for other in pair})
+
+    def tick(self, seer: Seer) -> None:
+        if seer.has_log:
+            for view in self.views[seer.seen :]:
+                seer.book.add(view)
+                seer.fences.add(view, self.time)
+            seer.seen = len(self.views)
+            seer.tracker.confirm(self.time, self.time)
+        seer.fences.note_offset(seer.name, seer.offset)
+        reached = [other for other in self.seers if self.can_ask(seer, other)]
+        for witness in reached:
+            seer.fences.note_offset(witness.name, witness.offset)
+            seer.fences.learn(witness.fences.epoch)
+        replies = {other.name: {_STREAM: other.offset} for other in reached}
+        held = {_STREAM: seer.offset}
+        if seer.book.views and is_confirmed(
+            seer.book.views[-1], seer.name, held, replies
+        ):
+            seer.tracker.confirm(self.time, self.time)
+        for view in seer.book.views:
+            if view.epoch <= seer.fences.epoch:
+                seer.fenced_at.setdefault(view.epoch, self.time)
+
+    def can_ask(self, seer: Seer, other: Seer) -> bool:
+        is_reached = other.side == seer.side and not other.is_frozen
+        return is_reached and other is not seer
+
+    def actors(self, thing: str) -> list[str]:
+        """Return who would act as home of a thing now."""
+        return [seer.name for seer in self.seers if self.acts(seer, thing)]
+
+    def acts(self, seer: Seer, thing: str) -> bool:
+        tenure = seer.book.tenure(thing)
+        if tenure is None or tenure.home != seer.name:
+            return False
+        begins_at = seer.fenced_at.get(tenure.epoch, float('inf')) + FRESH_S
+        has_begun = tenure.former is None or self.time >= begins_at
+        return has_begun and seer.tracker.is_fresh(self.time)
+
+
+def check_one_home(context: Context, number: int) -> None:
+    rng = random.Random(number)
+    world = ViewWorld()
+    for _ in range(rng.randint(40, 120)):
+        world.step(rng)
+        for thing in _THINGS:
+            actors = world.actors(thing)
+            context.actions += len(actors)
+            assert len(actors) <= 1, (world.time, thing, actors)
+
+
+@then(
+    'in {count:d} generated histories of outages, freezes and cuts no thing has '
+    'two homes'
+)
+def run_one_home(context: Context, count: int) -> None:
+    context.actions = 0
+    for_all(
+        count, lambda number: check_one_home(context, number), st.integers(0, 2**32)
+    )
+    assert context.actions > 1000, context.actions
+
+
+@then("each view's witnesses are at most 7, spread over the failure domains")
+def run_spread(context: Context) -> None:
+    for size in range(1, 40):
+        members = tuple(
+            Member(f'm{number}', '', '', f'domain-{number % 3 if number < 30 else 0}')
+            for number in range(size)
+        )
+        chosen = choose_witnesses(View(1, members))
+        assert len(set(chosen)) == min(size, WITNESSES)
+        counts = [
+            len([one for one in chosen if one.failure_domain == f'domain-{domain}'])
+            for domain in range(min(3, size))
+        ]
+        assert max(counts) - min(counts) <= 1, counts
--- a/src/pimentohoist/_controllers/limits.py
+++ b/src/pimentohoist/_controllers/limits.py
@@ -234,8 +234,9 @@
         for name in self.homes.names():
             self.taker.pull(name)
         for workspace in tuple(self.accounts):
-            self._report(workspace)
+            # Calls for grants carry reports along: what is left is reported after them.
             self._take_in_advance(workspace)
+            self._report(workspace)
 
     def _report(self, workspace: str) -> None:
         pool = self._account(workspace).pool
@@ -243,7 +244,7 @@
             now = self.clock()
             pool.close_idle(now)
             pool.forget_old(now)
-            reports = {home: pool.take_uses(home) for home in pool.homes()}
+            reports = {home: pool.take_uses(home) for home in pool.homes(now)}
         for home, uses in reports.items():
             if self.taker.report(ShareName(workspace, home.share), home, uses):
                 with self._lock:
--- a/src/pimentohoist/_decisions/grants.py
+++ b/src/pimentohoist/_decisions/grants.py
@@ -44,8 +44,8 @@
 
     Attributes
     ----------
-    reported : int
-        Highest `spent` that the home may know of.
+    reported, reported_refunds : int
+        Highest `spent` and `refunded` that the home may know of.
     """
 
     home: ShareHome
@@ -56,6 +56,7 @@
     refunded: int = 0
     unsettled: int = 0
     reported: int = 0
+    reported_refunds: int = 0
     is_closed: bool = False
 
     def available(self, now: float) -> int:
@@ -63,6 +64,15 @@
         is_usable = not self.is_closed and now < self.expires_at
         return self.tokens - self.spent if is_usable else 0
 
+    def has_news(self, now: float) -> bool:
+        """Return whether the home has to be told of this grant."""
+        is_ended = self.is_closed or now >= self.expires_at
+        return (
+            self.spent > self.reported
+            or self.refunded > self.reported_refunds
+            or (is_ended and not self.unsettled)
+        )
+
 
 def split_need(tokens: int, rotation: int) -> tuple[int, ...]:
     """Return how many tokens to ask of each share, as evenly as can be.
@@ -161,14 +171,15 @@
             if now > grant.expires_at + REFUND_S:
                 self.grants.pop(grant_id)
 
-    def homes(self) -> set[ShareHome]:
-        """Return the homes of all grants held."""
-        return {grant.home for grant in self.grants.values()}
+    def homes(self, now: float) -> set[ShareHome]:
+        """Return the homes that have something to be told."""
+        return {grant.home for grant in self.grants.values() if grant.has_news(now)}
 
     def _uses(self, home: ShareHome) -> Iterator[GrantUse]:
         for grant_id, grant in self.grants.items():
             if grant.home == home:
                 grant.reported = grant.spent
+                grant.reported_refunds = grant.refunded
                 yield GrantUse(
                     grant_id, grant.spent, grant.refunded, is_closed=grant.is_closed
                 )
