--- a/features/steps/witnesses.py
+++ b/features/steps/witnesses.py
@@ -59,7 +59,7 @@
         self.views = [View(1, ())]
         self.seers = [Seer(f's{number}') for number in range(_DAEMONS)]
         self.actions = 0
-        for seer in self.seers[:3]:
+        for seer in self.seers:
             self.change({*self.present(), seer.name})
 
     def present(self) -> set[str]:
@@ -96,6 +96,7 @@
             seer.side = 0
             seer.has_log = True
             seer.is_frozen = False
+        self.change({other.name for other in self.seers})
 
     def cut_off(self, pair: list[Seer]) -> None:
         """Leave two daemons with each other alone; the others expire them."""
