Leaving endpoints get no new work; a stopped daemon cuts off no request

Daemons: SIGTERM takes the daemon off its own list at once and appends a drain record that takes it off the others'; it serves until callers' kept lists have lapsed and waitress has nothing to receive, run or send, then leaves the view. Peers are answered until the controllers have stopped. A second signal or drain_limit_s ends the wait.

Ruled out: leaving the view at the signal (its pins would no longer count with homes of endpoints) and the platform's list alone (it lags by more than a kept answer).

--- /dev/null
+++ b/features/steps/leaving.py
@@ -0,0 +1,216 @@
+"""Steps of endpoints and daemons that leave."""
+
+from __future__ import annotations
+
+import signal
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import given, then, when
+from behave.runner import Context
+from callers import WAIT_S, expected_text, runs, start_fleet, streamed_text, wait_for
+from hypothesis import given as over
+from hypothesis import seed, settings
+from hypothesis import strategies as st
+
+from pimentohoist._decisions.draining import DrainProgress, is_drained
+from pimentohoist._http_client import HttpReply, HttpRequest
+from pimentohoist_standins.fleet import Fleet
+
+_MODEL = 'batch-summary@1'
+_ENTRIES_MAX_AGE_S = 1
+_ENTRIES = HttpRequest.of_json('GET', '/v1/entries')
+_LAG_OF_LIST_S = 1
+_PROMISE_S = 3
+_PAUSE_S = 0.1
+
+
+@seed(504)
+@settings(max_examples=500, database=None, deadline=None)
+@over(
+    st.integers(0, 20),
+    st.integers(1, 10),
+    st.sampled_from((30, 3600)),
+    st.integers(0, 40),
+)
+def check_lists(announced_at: int, kept_s: int, limit_s: int, busy_until: int) -> None:
+    """Go through a stop second by second.
+
+    Any daemon may give out a list with the address until 2 s after the announcement,
+    and a caller holds it for `kept_s`; a request runs until `busy_until`.
+    """
+    for now in range(60):
+        known_at = announced_at if now >= announced_at else None
+        progress = DrainProgress(0, known_at, kept_s, limit_s)
+        is_held = now < announced_at + 2 + kept_s
+        wanted = now >= limit_s or not (is_held or now < busy_until)
+        assert is_drained(progress, now, is_idle=now >= busy_until) is wanted
+
+
+@then("over generated stops no list with the daemon's address outlives it")
+def compare_stops(context: Context) -> None:
+    check_lists()
+
+
+@given(
+    'a leaving fleet of {daemons:d} daemon and {engines:d} engines '
+    'with a stream of {tokens:d} tokens running'
+)
+@given(
+    'a leaving fleet of {daemons:d} daemons and {engines:d} engines '
+    'with a stream of {tokens:d} tokens running'
+)
+def start_leaving_fleet(
+    context: Context, daemons: int, engines: int, tokens: int
+) -> None:
+    context.fleet = context.stack.enter_context(Fleet())
+    callers = {'entries_max_age_s': _ENTRIES_MAX_AGE_S}
+    context.caller = start_fleet(context.fleet, daemons, engines, callers=callers)
+    context.engines = [f'engine-{index}' for index in range(1, engines + 1)]
+    context.pool = context.stack.enter_context(ThreadPoolExecutor(8))
+    context.tokens = tokens
+    context.stream = context.pool.submit(stream, context, 'entry-1', tokens)
+    wait_for(lambda: busy_engine(context) != '', 'the stream runs')
+
+
+def stream(context: Context, daemon: str, tokens: int) -> HttpReply:
+    return context.caller.complete(
+        daemon, model=_MODEL, prompt='long', max_tokens=tokens, stream=True
+    )
+
+
+def busy_engine(context: Context) -> str:
+    busy = [name for name in context.engines if runs(context.fleet, name)]
+    return busy[0] if busy else ''
+
+
+@when('the engine of the stream leaves {how}')
+def leave(context: Context, how: str) -> None:
+    context.leaving = busy_engine(context)
+    if how == 'by its own word':
+        context.fleet.control(context.leaving, is_leaving=True)
+        return
+    entry = {'address': context.fleet.addresses[context.leaving], 'is_leaving': True}
+    context.fleet.ask('instances', HttpRequest.of_json('PUT', '/instances', [entry]))
+    time.sleep(_LAG_OF_LIST_S)
+
+
+@then('after {wait_s:d} s only the other engine gets new work')
+def check_no_new_work(context: Context, wait_s: int) -> None:
+    time.sleep(wait_s)
+    for _ in range(5):
+        reply = context.caller.complete(
+            'entry-1', model=_MODEL, prompt='new', max_tokens=2
+        )
+        assert reply.status == 200, reply
+    work = {name: len(runs(context.fleet, name)) for name in context.engines}
+    other = next(name for name in context.engines if name != context.leaving)
+    assert work == {context.leaving: 1, other: 5}, work
+
+
+@then('the running stream ends whole')
+def check_stream(context: Context) -> None:
+    assert not context.stream.done()
+    text = streamed_text(context.stream.result())
+    assert text == expected_text('long', _MODEL, context.tokens)
+
+
+@given('callers that follow the address list')
+def start_callers(context: Context) -> None:
+    context.stopped = threading.Event()
+    context.stack.callback(context.stopped.set)
+    context.callers = [
+        context.pool.submit(follow_list, context, name)
+        for name in context.fleet.daemons
+    ]
+
+
+def follow_list(context: Context, asked: str) -> list[int]:
+    """Send requests to the first address of a list that is kept as long as allowed."""
+    names = {context.fleet.addresses[name]: name for name in context.fleet.daemons}
+    statuses = []
+    while not context.stopped.is_set():
+        document = context.fleet.ask(asked, _ENTRIES).document()
+        asked = names[document['entries'][0]]
+        kept_until = time.monotonic() + document['max_age_s']
+        while time.monotonic() < kept_until and not context.stopped.is_set():
+            reply = context.caller.complete(
+                asked, model=_MODEL, prompt='short', max_tokens=2
+            )
+            statuses.append(reply.status)
+            time.sleep(_PAUSE_S)
+    return statuses
+
+
+@when('"{daemon}" gets SIGTERM while callers follow its list')
+def stop_daemon(context: Context, daemon: str) -> None:
+    time.sleep(0.5)
+    context.fleet.processes[daemon].signal(signal.SIGTERM)
+    context.signalled_at = time.monotonic()
+
+
+@then("it is off its own list at once and off the other's within {limit_s:d} s")
+def check_lists_of_daemons(context: Context, limit_s: int) -> None:
+    time.sleep(0.2)
+    other = [context.fleet.addresses['entry-2']]
+    own_list = context.fleet.ask('entry-1', _ENTRIES).document()['entries']
+    assert own_list == other, own_list
+    while context.fleet.ask('entry-2', _ENTRIES).document()['entries'] != other:
+        assert time.monotonic() - context.signalled_at < limit_s
+        time.sleep(0.05)
+
+
+@then('a stream of {tokens:d} tokens begun on a kept answer ends whole')
+def check_late_stream(context: Context, tokens: int) -> None:
+    text = streamed_text(stream(context, 'entry-1', tokens))
+    assert text == expected_text('long', _MODEL, tokens)
+
+
+@then('"{daemon}" exits with code {code:d} and every request was answered whole')
+def check_drained(context: Context, daemon: str, code: int) -> None:
+    process = context.fleet.processes[daemon].popen
+    assert process.wait(WAIT_S) == code
+    context.stopped.set()
+    for caller in context.callers:
+        statuses = caller.result()
+        assert len(statuses) >= 5, statuses
+        assert set(statuses) == {200}, statuses
+    text = streamed_text(context.stream.result())
+    assert text == expected_text('long', _MODEL, context.tokens)
+
+
+@when('"{daemon}" gets SIGTERM twice')
+def signal_twice(context: Context, daemon: str) -> None:
+    process = context.fleet.processes[daemon]
+    process.signal(signal.SIGTERM)
+    wait_for(
+        lambda: context.fleet.state(daemon)['drain']['is_announced'], 'announcement'
+    )
+    time.sleep(_PROMISE_S + _ENTRIES_MAX_AGE_S)
+    assert process.is_running()
+    process.signal(signal.SIGTERM)
+
+
+@then('"{daemon}" soon exits with code {code:d}')
+def check_exit(context: Context, daemon: str, code: int) -> None:
+    assert context.fleet.processes[daemon].popen.wait(WAIT_S) == code
+
+
+@when('the log is down and "{daemon}" gets SIGTERM')
+def stop_without_log(context: Context, daemon: str) -> None:
+    context.fleet.control('log', is_down=True)
+    context.fleet.processes[daemon].signal(signal.SIGTERM)
+
+
+@then('"{daemon}" is off its own list and goes on serving')
+def check_serving(context: Context, daemon: str) -> None:
+    time.sleep(_PROMISE_S + 2 * _ENTRIES_MAX_AGE_S)
+    entries = context.fleet.ask(daemon, _ENTRIES).document()['entries']
+    assert entries == [context.fleet.addresses['entry-2']], entries
+    assert not context.fleet.state(daemon)['drain']['is_announced']
+
+
+@when('the log is back')
+def restore_log(context: Context) -> None:
+    context.fleet.control('log', is_down=False)
--- a/src/pimentohoist/_controllers/view.py
+++ b/src/pimentohoist/_controllers/view.py
@@ -10,7 +10,7 @@
 from typing import Any, Self
 
 from pimentohoist._controllers.follower import StreamFollower
-from pimentohoist._view_fold import VIEW_STREAM, Join, Leave, ViewFold, rank
+from pimentohoist._view_fold import VIEW_STREAM, Drain, Join, Leave, ViewFold, rank
 from pimentohoist.exceptions import LogError
 from pimentohoist.models import Member
 from pimentohoist.protocols import Log
@@ -56,6 +56,11 @@
         self._append(Leave(incarnation=self.incarnation))
         self.follower.__exit__(*exc_info)
 
+    def announce_leaving(self) -> None:
+        """Take this daemon off the address list; raises LogError."""
+        record = Drain(incarnation=self.incarnation)
+        self.log.append(VIEW_STREAM, [record.model_dump_json().encode()])
+
     @property
     def epoch(self) -> int:
         """Number of the present view."""
--- a/src/pimentohoist/_http_server.py
+++ b/src/pimentohoist/_http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from collections.abc import Callable, Iterable
 from typing import Any, Self
 
@@ -12,9 +13,10 @@
 
 WsgiApp = Callable[..., Iterable[bytes]]
 
-_SHUTDOWN_TIMEOUT_S = 5.0
+_SHUTDOWN_TIMEOUT_S = 1.0
 _LOOKAHEAD_BYTES = 1
 _IDLE_TIMEOUT_S = 60
+_IDLE_POLL_S = 0.01
 
 
 class HttpServer:
@@ -54,13 +56,25 @@
         return self
 
     def __exit__(self, *exc_info: object) -> None:
-        """Finish the requests under way and close the socket."""
+        """Accept no more, finish the requests under way and close the sockets."""
         self._is_closing = True
+        self._server.accepting = False
+        give_up_at = time.monotonic() + _SHUTDOWN_TIMEOUT_S
+        while not self.is_idle() and time.monotonic() < give_up_at:
+            time.sleep(_IDLE_POLL_S)
         self._server.task_dispatcher.shutdown(
             cancel_pending=True, timeout=_SHUTDOWN_TIMEOUT_S
         )
         self._server.close()
 
+    def is_idle(self) -> bool:
+        """Return whether no request is being received, waits, runs or is answered."""
+        channels = tuple(self._server.active_channels.values())
+        return not any(
+            channel.requests or channel.request or channel.total_outbufs_len
+            for channel in channels
+        )
+
     def _run(self) -> None:
         try:
             self._server.run()
--- a/src/pimentohoist/_view_fold.py
+++ b/src/pimentohoist/_view_fold.py
@@ -32,6 +32,13 @@
     incarnation: str
 
 
+class Drain(BaseModel, frozen=True, extra='forbid'):
+    """An incarnation is about to leave: no address for callers, still a member."""
+
+    kind: Literal['drain'] = 'drain'
+    incarnation: str
+
+
 class Expire(BaseModel, frozen=True, extra='forbid'):
     """An incarnation is removed by another that lost sight of it."""
 
@@ -40,8 +47,8 @@
     reporter: str
 
 
-_RECORD: TypeAdapter[Join | Leave | Expire] = TypeAdapter(
-    Annotated[Join | Leave | Expire, Field(discriminator='kind')]
+_RECORD: TypeAdapter[Join | Leave | Drain | Expire] = TypeAdapter(
+    Annotated[Join | Leave | Drain | Expire, Field(discriminator='kind')]
 )
 
 
@@ -73,6 +80,8 @@
             return
         if isinstance(event, Join):
             self._join(event, record.offset + 1)
+        elif isinstance(event, Drain):
+            self._drain(event)
         elif self.members.pop(event.incarnation, None):
             self.departed.add(event.incarnation)
             self.epoch = record.offset + 1
@@ -108,6 +117,11 @@
         self.members[event.incarnation] = replace(member, epoch=epoch)
         self.epoch = epoch
 
+    def _drain(self, event: Drain) -> None:
+        member = self.members.get(event.incarnation)
+        if member is not None:
+            self.members[event.incarnation] = replace(member, is_leaving=True)
+
 
 def rank(thing: str, members: Iterable[Member]) -> list[Member]:
     """Return the members by rendezvous weight for `thing`, the home first."""
--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -13,6 +13,7 @@
 from pimentohoist._callers_app import CallersApp
 from pimentohoist._chain import build_handler
 from pimentohoist._controllers.configuration import ConfigurationController
+from pimentohoist._controllers.drain import DrainController
 from pimentohoist._controllers.endpoints import EndpointsController
 from pimentohoist._controllers.view import ViewController
 from pimentohoist._filters.authenticate import Authenticate
@@ -22,7 +23,7 @@
 from pimentohoist._logs import configure_logs
 from pimentohoist._operators_app import OperatorsApp
 from pimentohoist._request_path import RequestPath
-from pimentohoist._signals import stop_event
+from pimentohoist._signals import call_on_stop
 from pimentohoist._platform.log import HttpLog
 from pimentohoist.exceptions import SettingsError
 from pimentohoist._peers import PeerClients, PeerServer
@@ -46,24 +47,34 @@
         self.view = ViewController(self.log, settings.daemon)
         self.endpoints = EndpointsController(self.view)
         self.requests = RequestPath(platform, self.view, self.peers, self.endpoints)
+        self.drain = DrainController(
+            self.view,
+            entries_max_age_s=settings.callers.entries_max_age_s,
+            limit_s=settings.callers.drain_limit_s,
+        )
         self.controllers: dict[str, Controller] = {
             'configuration': self.configuration,
             'view': self.view,
             'endpoints': self.endpoints,
+            'drain': self.drain,
             **self.requests.controllers(),
         }
         self.answering: tuple[PeerAnswering, ...] = (self.requests.quarantine,)
+        self._is_idle: Callable[[], bool] = _always_idle
         self._stack = ExitStack()
 
     def __enter__(self) -> Self:
         """Start the controllers, then serve operators and callers."""
         with ExitStack() as stack:
             stack.enter_context(self.peers)
+            # Peers are answered until the controllers have stopped.
+            peer_stack = stack.enter_context(ExitStack())
             for controller in self.controllers.values():
                 stack.enter_context(controller)
-            stack.enter_context(self._peer_server())
+            peer_stack.enter_context(self._peer_server())
             stack.enter_context(self._operators_server())
-            stack.enter_context(self._callers_server())
+            callers_server = stack.enter_context(self._callers_server())
+            self._is_idle = callers_server.is_idle
             self._stack = stack.pop_all()
         return self
 
@@ -71,6 +82,10 @@
         """Stop serving, then stop the controllers."""
         self._stack.close()
 
+    def wait_until_drained(self) -> None:
+        """Return when a stop was asked for and no request would be cut off."""
+        self.drain.wait(self._is_idle)
+
     def handler(self) -> Handler:
         """Return the filter chain."""
         filters = (
@@ -83,7 +98,14 @@
 
     def entries(self) -> tuple[str, ...]:
         """Return the addresses that callers may use."""
-        return tuple(sorted(member.callers_address for member in self.view.members()))
+        is_draining = self.drain.asked.is_set()
+        addresses = (
+            member.callers_address
+            for member in self.view.members()
+            if not member.is_leaving
+            and not (is_draining and member.incarnation == self.view.incarnation)
+        )
+        return tuple(sorted(addresses))
 
     def _callers_server(self) -> HttpServer:
         callers = self.settings.callers
@@ -108,6 +130,10 @@
         )
 
 
+def _always_idle() -> bool:
+    return True
+
+
 def serve(settings: str) -> None:
     """Run a daemon until SIGTERM or SIGINT.
 
@@ -122,10 +148,11 @@
         sys.stderr.write(f'pimentohoistd: {error}\n')
         sys.exit(_EXIT_SETTINGS)
     configure_logs(checked.logging.level, instance=checked.daemon.name)
-    stopped = stop_event()
-    with Daemon(checked):
+    daemon = Daemon(checked)
+    call_on_stop(daemon.drain.signal)
+    with daemon:
         _logger.info('started', extra={'step': 'start'})
-        stopped.wait()
+        daemon.wait_until_drained()
         _logger.info('stopping', extra={'step': 'stop'})
 
 
--- a/src/pimentohoist/models.py
+++ b/src/pimentohoist/models.py
@@ -67,6 +67,8 @@
         From the daemon's settings.
     epoch : int
         Offset of the join record.
+    is_leaving : bool
+        Whether callers are no longer sent to it.
     """
 
     incarnation: str
@@ -74,6 +76,7 @@
     callers_address: str
     failure_domain: str
     epoch: int = 0
+    is_leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pimentohoist/settings.py
+++ b/src/pimentohoist/settings.py
@@ -55,12 +55,15 @@
         Deadline of a request that names none.
     entries_max_age_s : float
         How long callers may keep the list of entry addresses.
+    drain_limit_s : float
+        Longest time that a planned stop waits for requests to end.
     """
 
     threads: Annotated[int, Field(ge=1, le=_MOST_THREADS)] = 64
     max_body_bytes: Annotated[int, Field(ge=1)] = 1_048_576
     timeout_s: _Seconds = 60
     entries_max_age_s: _Seconds = 5
+    drain_limit_s: _Seconds = 600
 
 
 @checked.dataclass(frozen=True, config=_CONFIG)
