--- a/src/pimentohoist/_filters/dispatch.py
+++ b/src/pimentohoist/_filters/dispatch.py
@@ -9,15 +9,15 @@
 from http import HTTPStatus
 
 from pimentohoist._controllers.configuration import ConfigurationController
+from pimentohoist._filters.dispatch_service import ServiceDispatch
 from pimentohoist._filters.retry import GenerationRun, RetryTools
 from pimentohoist._openai import AnswerWriter
 from pimentohoist.configuration import Adapter, EndpointGroup
 from pimentohoist.exceptions import NotFoundError
 from pimentohoist.exchanges import Answer, Exchange, RequestKind, SlotRequest
-from pimentohoist.models import AdapterVersion, Generation, ServiceCall
+from pimentohoist.models import AdapterVersion, Generation
 
 _STEP = 'dispatch'
-_SHORTEST_TIMEOUT_S = 0.001
 _JSON = 'application/json'
 _EVENTS = 'text/event-stream'
 
@@ -32,8 +32,7 @@
     ) -> None:
         self.configuration = configuration
         self.tools = tools
-        self.slots = tools.slots
-        self.clock = tools.clock
+        self.call_service = ServiceDispatch(tools.slots, tools.clock)
 
     def __call__(self, exchange: Exchange) -> Answer:
         """Run the request and return its answer."""
@@ -41,7 +40,7 @@
             case RequestKind.MODELS:
                 return self._list_models(exchange)
             case RequestKind.SERVICE:
-                return self._call_service(exchange)
+                return self.call_service(exchange)
             case _:
                 return self._generate(exchange)
 
@@ -64,25 +63,6 @@
         body = json.dumps({'object': 'list', 'data': entries}).encode()
         return Answer(HTTPStatus.OK, _JSON, [body])
 
-    def _call_service(self, exchange: Exchange) -> Answer:
-        request = exchange.request
-        call = ServiceCall(
-            request.request_id,
-            request.method,
-            request.path,
-            request.body,
-            request.content_type,
-            exchange.route is not None and exchange.route.is_idempotent,
-            request.idempotency_key,
-        )
-        slot = self.slots.acquire(_slot_request(exchange, None))
-        exchange.endpoint = slot.endpoint.name
-        with slot:
-            reply = self.slots.service(slot.endpoint).call(
-                call, timeout_s=self._remaining_s(exchange)
-            )
-        return Answer(reply.status, reply.content_type, [reply.body])
-
     def _generate(self, exchange: Exchange) -> Answer:
         run = GenerationRun(
             exchange,
@@ -102,9 +82,6 @@
         answer = Answer(HTTPStatus.OK, _EVENTS, events, {'Cache-Control': 'no-cache'})
         return answer.on_close(chunks.close)
 
-    def _remaining_s(self, exchange: Exchange) -> float:
-        return max(_SHORTEST_TIMEOUT_S, exchange.request.deadline - self.clock())
-
 
 def _group(exchange: Exchange) -> EndpointGroup:
     if exchange.group is None:
--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -12,12 +12,16 @@
 
 from pimentohoist._callers_app import CallersApp
 from pimentohoist._chain import build_handler
+from pimentohoist._controllers.claims import ClaimsController
 from pimentohoist._controllers.configuration import ConfigurationController
 from pimentohoist._controllers.drain import DrainController
 from pimentohoist._controllers.endpoints import EndpointsController
+from pimentohoist._controllers.limits import LimitsController
 from pimentohoist._controllers.view import ViewController
 from pimentohoist._filters.authenticate import Authenticate
+from pimentohoist._filters.claim import ClaimAction
 from pimentohoist._filters.dispatch import Dispatch
+from pimentohoist._filters.limit import Limit
 from pimentohoist._filters.resolve import Resolve
 from pimentohoist._http_server import HttpServer
 from pimentohoist._logs import configure_logs
@@ -45,7 +49,11 @@
         self.peers = PeerClients()
         self.configuration = ConfigurationController(self.log)
         self.view = ViewController(self.log, settings.daemon)
-        self.endpoints = EndpointsController(self.view)
+        self.claims = ClaimsController(self.log, self.view)
+        self.limits = LimitsController(self.view, self.configuration, self.peers)
+        self.endpoints = EndpointsController(
+            self.view, self.configuration, self.peers, settings.callers.timeout_s
+        )
         self.requests = RequestPath(platform, self.view, self.peers, self.endpoints)
         self.drain = DrainController(
             self.view,
@@ -55,11 +63,17 @@
         self.controllers: dict[str, Controller] = {
             'configuration': self.configuration,
             'view': self.view,
+            'claims': self.claims,
+            'limits': self.limits,
             'endpoints': self.endpoints,
             'drain': self.drain,
             **self.requests.controllers(),
         }
-        self.answering: tuple[PeerAnswering, ...] = (self.requests.quarantine,)
+        self.answering: tuple[PeerAnswering, ...] = (
+            self.requests.quarantine,
+            self.limits,
+            self.endpoints,
+        )
         self._is_idle: Callable[[], bool] = _always_idle
         self._stack = ExitStack()
 
@@ -91,6 +105,8 @@
         filters = (
             Authenticate(self.configuration),
             Resolve(self.configuration),
+            Limit(self.limits),
+            ClaimAction(self.claims),
             self.requests.filter(),
         )
         last = Dispatch(self.configuration, self.requests.tools)
