Metrics by workspace, and a measurement of the request path

Outcomes, served share, load stalls, tokens by slot second, and histograms of slot wait, first token, between tokens and total, for 32 workspaces and one entry for the rest. First seen failing: no measuring filter and no token times ('Answers and refusals'), no bound ('bounded memory').

Before that change, on the busy machine: 4.09 ms processor a request of 1 token and 36.29 ms a stream of 200 tokens; at p50 3.5 ms added to a request.

--- /dev/null
+++ b/features/steps/metrics.py
@@ -0,0 +1,89 @@
+"""Steps of the daemon's measurements."""
+
+from __future__ import annotations
+
+import json
+
+from behave import given, then, when
+from behave.runner import Context
+from callers import start_fleet, streamed_text, wait_for
+
+from pimentohoist._controllers.metrics import ANSWERED, OTHERS, MetricsController
+from pimentohoist.exchanges import RequestTiming
+from pimentohoist_standins.fleet import Fleet
+
+_TOKEN_MS = 20
+
+
+@given('a measured fleet of 1 daemon and 1 engine')
+def start_measured_fleet(context: Context) -> None:
+    context.fleet = context.stack.enter_context(Fleet())
+    context.caller = start_fleet(context.fleet, 1, 1)
+
+
+@when(
+    'a workspace has {streams:d} streams of {tokens:d} tokens answered '
+    'and {refused:d} requests refused'
+)
+def send_measured(context: Context, streams: int, tokens: int, refused: int) -> None:
+    for _ in range(streams):
+        reply = context.caller.complete(
+            'entry-1',
+            model='batch-summary@1',
+            prompt='p',
+            max_tokens=tokens,
+            stream=True,
+        )
+        assert streamed_text(reply)
+    for _ in range(refused):
+        assert context.caller.complete('entry-1', model='no', prompt='p').status == 404
+
+
+@then(
+    'the dump shows {answered:d} of {requests:d} answered, {tokens:d} tokens '
+    'and the times that the engine takes'
+)
+def check_dump(context: Context, answered: int, requests: int, tokens: int) -> None:
+    def measured() -> dict:
+        return context.fleet.state('entry-1')['metrics'].get('lipstick-house', {})
+
+    wait_for(
+        lambda: sum(measured().get('outcomes', {}).values()) == requests, 'all counted'
+    )
+    found = measured()
+    assert found['outcomes'] == {
+        'answered': answered,
+        'not_found': requests - answered,
+    }, found
+    assert found['served_share'] == round(answered / requests, 4), found
+    assert found['tokens'] == tokens, found
+    assert 0 < found['tokens_per_slot_s'] <= 1000 / _TOKEN_MS, found
+    check_times(found, tokens // answered)
+
+
+def check_times(found: dict, tokens: int) -> None:
+    first, total = found['first_token_ms']['p50'], found['total_ms']['p50']
+    assert _TOKEN_MS <= first < total, found
+    assert total >= tokens * _TOKEN_MS, found
+
+
+@then("the daemon's log lines of the requests carry request id, step and peer")
+def check_logs(context: Context) -> None:
+    lines = [json.loads(line) for line in context.fleet.logs('entry-1').splitlines()]
+    answered = [line for line in lines if line['message'] == 'request answered']
+    refused = [line for line in lines if line['message'].startswith('request refused')]
+    assert (len(answered), len(refused)) == (5, 2), lines
+    assert all(line['request_id'] and line['step'] for line in answered + refused)
+    assert {line['peer'] for line in answered} == {'engine-1'}
+
+
+@then('{count:d} workspaces are measured in no more than {entries:d} entries')
+def check_bound(context: Context, count: int, entries: int) -> None:
+    metrics = MetricsController()
+    for index in range(count):
+        metrics.note(f'w{index}', ANSWERED, RequestTiming(), 1)
+    dump = metrics.dump()
+    assert len(dump) <= entries, len(dump)
+    counted = sum(entry['outcomes'][ANSWERED] for entry in dump.values())
+    assert counted == count
+    assert dump[OTHERS]['outcomes'][ANSWERED] == count - entries + 1
--- /dev/null
+++ b/src/pimentohoist/_filters/measure.py
@@ -0,0 +1,35 @@
+"""Measures each request of a workspace, answered or refused."""
+
+from __future__ import annotations
+
+import time
+
+from pimentohoist._controllers.metrics import ANSWERED, MetricsController
+from pimentohoist.exceptions import PimentohoistError
+from pimentohoist.exchanges import Answer, Exchange, RequestTiming
+from pimentohoist.protocols import Clock, Handler
+
+
+class Measure:
+    """Implements `Filter`."""
+
+    def __init__(
+        self, metrics: MetricsController, clock: Clock = time.monotonic
+    ) -> None:
+        self.metrics = metrics
+        self.clock = clock
+
+    def __call__(self, exchange: Exchange, proceed: Handler) -> Answer:
+        """Pass the request on and note how it ended."""
+        exchange.timing = RequestTiming(self.clock())
+        try:
+            answer = proceed(exchange)
+        except PimentohoistError as error:
+            self._note(exchange, error.code)
+            raise
+        return answer.on_close(lambda: self._note(exchange, ''))
+
+    def _note(self, exchange: Exchange, refusal: str) -> None:
+        outcome = refusal or exchange.timing.failure or ANSWERED
+        workspace = exchange.workspace.name if exchange.workspace else ''
+        self.metrics.note(workspace, outcome, exchange.timing, self.clock())
--- a/src/pimentohoist/_filters/retry.py
+++ b/src/pimentohoist/_filters/retry.py
@@ -175,7 +175,11 @@
 
     def _attempt(self) -> Iterator[TokenChunk]:
         self.attempts += 1
+        timing = self.exchange.timing
+        asked_at = self.tools.clock()
         slot = self._acquire()
+        held_at = self.tools.clock()
+        timing.slot_wait_s += held_at - asked_at
         self.exchange.endpoint = slot.endpoint.name
         with slot:
             try:
@@ -183,6 +187,8 @@
             except PeerError as error:
                 self._blame(error, slot)
                 raise
+            finally:
+                timing.slot_s += self.tools.clock() - held_at
 
     def _acquire(self) -> Slot:
         blamed = {
@@ -232,6 +238,7 @@
             if self._is_next(chunk, slot):
                 self.order = self.order.after(chunk)
                 self.exchange.used_tokens = self.order.next_offset
+                self.exchange.timing.note_token(self.tools.clock())
                 yield chunk
         if not self.order.is_finished:
             raise PeerError(
@@ -287,6 +294,7 @@
             return
         delay_s = self._delay_s(error)
         if delay_s is None:
+            self.exchange.timing.failure = error.code
             raise error
         _logger.info(
             'generation retried: %s',
--- a/src/pimentohoist/_openai.py
+++ b/src/pimentohoist/_openai.py
@@ -92,13 +92,21 @@
     prefix: str
     whole: str
     part: str
+    text_key: str
+    part_tail: str
 
 
 _SHAPES: Mapping[RequestKind, _Shape] = MappingProxyType(
     {
-        RequestKind.COMPLETION: _Shape('cmpl', 'text_completion', 'text_completion'),
+        RequestKind.COMPLETION: _Shape(
+            'cmpl', 'text_completion', 'text_completion', ', "text": ', '}]}\n\n'
+        ),
         RequestKind.CHAT: _Shape(
-            'chatcmpl', 'chat.completion', 'chat.completion.chunk'
+            'chatcmpl',
+            'chat.completion',
+            'chat.completion.chunk',
+            ', "delta": {"role": "assistant", "content": ',
+            '}}]}\n\n',
         ),
     }
 )
@@ -139,9 +147,13 @@
         An error ends it with its event and without the end event, which only a whole
         answer has.
         """
+        head = self._part_head()
+        tail = self.shape.part_tail
         try:
             for chunk in chunks:
-                yield _event(self._document(self.shape.part, self._part(chunk)))
+                reason = json.dumps(chunk.finish_reason)
+                text = json.dumps(chunk.text)
+                yield f'{head}{reason}{self.shape.text_key}{text}{tail}'.encode()
         except PimentohoistError as error:
             yield _event({'error': error_document(error)})
             return
@@ -150,11 +162,19 @@
             yield _event({**document, 'usage': self._usage()})
         yield END_EVENT
 
-    def _part(self, chunk: TokenChunk) -> dict[str, Any]:
-        choice = {'index': 0, 'finish_reason': chunk.finish_reason, 'logprobs': None}
-        if self.kind is RequestKind.CHAT:
-            return {**choice, 'delta': {'role': 'assistant', 'content': chunk.text}}
-        return {**choice, 'text': chunk.text}
+    def _part_head(self) -> str:
+        """Return what all events of an answer begin with.
+
+        Only reason and text differ from token to token; encoding the rest once takes a
+        third of the time that whole documents take.
+        """
+        document = self._document(self.shape.part)
+        document.pop('choices')
+        start = json.dumps(document).removesuffix('}')
+        return (
+            f'data: {start}, "choices": [{{"index": 0, "logprobs": null, '
+            '"finish_reason": '
+        )
 
     def _document(self, shape: str, *choices: dict[str, Any]) -> dict[str, Any]:
         return {
--- a/src/pimentohoist/_platform/engine.py
+++ b/src/pimentohoist/_platform/engine.py
@@ -5,6 +5,7 @@
 import json
 from collections.abc import Iterator
 from dataclasses import replace
+from functools import lru_cache
 from http import HTTPStatus
 from typing import Any
 
@@ -19,6 +20,7 @@
 )
 
 _STEP = 'engine'
+_MOST_NAMES = 4096
 _LOAD_TIMEOUT_S = 30.0
 _EVENT_PREFIX = b'data: '
 _END_OF_STREAM = b'[DONE]'
@@ -103,6 +105,7 @@
             ) from error
 
 
+@lru_cache(maxsize=_MOST_NAMES)
 def parse_adapter(name: str) -> AdapterVersion:
     """Return the adapter version that an engine names; raises ValueError."""
     adapter, _, version = name.rpartition('@')
--- a/src/pimentohoist/_request_path.py
+++ b/src/pimentohoist/_request_path.py
@@ -7,7 +7,9 @@
 
 from pimentohoist._controllers.cancellations import CancellationsController
 from pimentohoist._controllers.instances import InstancesController, StayingSlots
+from pimentohoist._controllers.metrics import MetricsController
 from pimentohoist._controllers.quarantine import Membership, QuarantineController
+from pimentohoist._filters.measure import Measure
 from pimentohoist._filters.quarantine import Quarantine
 from pimentohoist._filters.retry import RetryCounter, RetryTools
 from pimentohoist._platform.instances import HttpInstanceList
@@ -39,6 +41,7 @@
         self.quarantine = QuarantineController(membership, peers)
         self.cancellations = CancellationsController()
         self.retries = RetryCounter()
+        self.metrics = MetricsController()
         self.tools = RetryTools(
             self.slots,
             self.cancellations,
@@ -47,6 +50,10 @@
             self.retries,
         )
 
+    def measure(self) -> Measure:
+        """Return the filter that measures all that a workspace asks."""
+        return Measure(self.metrics)
+
     def filter(self) -> Quarantine:
         """Return the filter that stands before the last handler."""
         return Quarantine(self.quarantine)
@@ -58,4 +65,5 @@
             'quarantine': self.quarantine,
             'cancellations': self.cancellations,
             'retries': self.retries,
+            'metrics': self.metrics,
         }
--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -104,6 +104,7 @@
         """Return the filter chain."""
         filters = (
             Authenticate(self.configuration),
+            self.requests.measure(),
             Resolve(self.configuration),
             Limit(self.limits),
             ClaimAction(self.claims),
--- a/src/pimentohoist/exchanges.py
+++ b/src/pimentohoist/exchanges.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -10,6 +11,8 @@
 from pimentohoist.configuration import Adapter, EndpointGroup, Route, Workspace
 from pimentohoist.models import AdapterVersion
 
+_MS_PER_S = 1000
+
 
 class RequestKind(StrEnum):
     """What a caller asks for."""
@@ -53,6 +56,39 @@
     document: Mapping[str, Any] = field(default_factory=dict, repr=False)
 
 
+@dataclass(slots=True)
+class RequestTiming:
+    """When what happened to a request, in monotonic seconds.
+
+    Attributes
+    ----------
+    slot_wait_s, slot_s : float
+        Time spent waiting for slots and holding them, over all attempts.
+    gaps_ms : Counter of int
+        How many tokens followed the one before after so many milliseconds.
+    failure : str
+        Code of the error that ended an answer already begun; empty if none did.
+    """
+
+    started_at: float = 0
+    slot_wait_s: float = 0
+    slot_s: float = 0
+    tokens: int = 0
+    first_token_at: float | None = None
+    last_token_at: float = 0
+    gaps_ms: Counter[int] = field(default_factory=Counter)
+    failure: str = ''
+
+    def note_token(self, now: float) -> None:
+        """Count a token that is passed on at `now`."""
+        self.tokens += 1
+        if self.first_token_at is None:
+            self.first_token_at = now
+        else:
+            self.gaps_ms[round((now - self.last_token_at) * _MS_PER_S)] += 1
+        self.last_token_at = now
+
+
 @dataclass(slots=True)
 class Exchange:
     """A request with what the filters found out about it so far.
@@ -77,6 +113,7 @@
     endpoint: str = ''
     is_sent: bool = False
     is_cancelled: Callable[[], bool] = field(default=lambda: False)
+    timing: RequestTiming = field(default_factory=RequestTiming)
     facts: dict[str, Any] = field(default_factory=dict)
 
 
