--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -16,8 +16,9 @@
 from pimentohoist._controllers.configuration import ConfigurationController
 from pimentohoist._controllers.drain import DrainController
 from pimentohoist._controllers.endpoints import EndpointsController
+from pimentohoist._controllers.freshness import FreshnessController
 from pimentohoist._controllers.limits import LimitsController
-from pimentohoist._controllers.view import ViewController
+from pimentohoist._controllers.view import ShortPolls, ViewController
 from pimentohoist._filters.authenticate import Authenticate
 from pimentohoist._filters.claim import ClaimAction
 from pimentohoist._filters.dispatch import Dispatch
@@ -47,10 +48,14 @@
         platform = settings.platform
         self.log = HttpLog(platform.log_address, timeout_s=platform.timeout_s)
         self.peers = PeerClients()
-        self.configuration = ConfigurationController(self.log)
+        self.configuration = ConfigurationController(ShortPolls(self.log))
         self.view = ViewController(self.log, settings.daemon)
+        self.view.followers.append(self.configuration.follower)
+        self.freshness = FreshnessController(self.view, self.peers)
         self.claims = ClaimsController(self.log, self.view)
-        self.limits = LimitsController(self.view, self.configuration, self.peers)
+        self.limits = LimitsController(
+            self.view, self.configuration, self.peers, self.freshness.fenced_at
+        )
         self.endpoints = EndpointsController(
             self.view, self.configuration, self.peers, settings.callers.timeout_s
         )
@@ -63,6 +68,7 @@
         self.controllers: dict[str, Controller] = {
             'configuration': self.configuration,
             'view': self.view,
+            'freshness': self.freshness,
             'claims': self.claims,
             'limits': self.limits,
             'endpoints': self.endpoints,
@@ -71,6 +77,7 @@
         }
         self.answering: tuple[PeerAnswering, ...] = (
             self.requests.quarantine,
+            self.freshness,
             self.limits,
             self.endpoints,
         )
