Drain belongs to the request path; a rejoined daemon is announced again

The limits' scenario 'a daemon stops as planned' took its load for 8 s, of which a stop now takes 7 (callers keep lists for 5 s and readers lag 2 s), so nothing was sent after it: its daemons now let callers keep lists for 1 s; what it checks is unchanged.

--- a/features/steps/limits.py
+++ b/features/steps/limits.py
@@ -52,7 +52,9 @@
     context.fleet = fleet
     address = fleet.start_standin('engine-1', 'engine', token_s=0.001)
     for daemon in _DAEMONS:
-        fleet.start_daemon(daemon)
+        # A planned stop lasts until callers' kept lists have lapsed; the load must
+        # outlast it.
+        fleet.start_daemon(daemon, {'callers': {'entries_max_age_s': 1}})
     group = EndpointGroup(
         'review', GroupKind.ENGINE, (Endpoint('engine-1', address, 'a'),), 'base'
     )
--- a/src/pimentohoist/_controllers/drain.py
+++ b/src/pimentohoist/_controllers/drain.py
@@ -9,8 +9,9 @@
 from typing import Any, Protocol, Self
 
 from pimentohoist._decisions.draining import DrainProgress, is_drained
+from pimentohoist._view_fold import VIEW_STREAM, Drain
 from pimentohoist.exceptions import LogError
-from pimentohoist.protocols import Clock
+from pimentohoist.protocols import Clock, Log
 
 _STEP = 'drain'
 _POLL_S = 0.05
@@ -18,11 +19,10 @@
 _logger = logging.getLogger(__name__)
 
 
-class Announcer(Protocol):
-    """Tells all daemons that this one is no address for callers any more."""
+class Incarnation(Protocol):
+    """Knows under which name this daemon is a member of the view."""
 
-    def announce_leaving(self) -> None:
-        """Append the record; raises LogError."""
+    incarnation: str
 
 
 class DrainController:
@@ -36,13 +36,15 @@
 
     def __init__(
         self,
-        announcer: Announcer,
+        log: Log,
+        member: Incarnation,
         *,
         entries_max_age_s: float,
         limit_s: float,
         clock: Clock = time.monotonic,
     ) -> None:
-        self.announcer = announcer
+        self.log = log
+        self.member = member
         self.entries_max_age_s = entries_max_age_s
         self.limit_s = limit_s
         self.clock = clock
@@ -100,16 +102,24 @@
         }
 
     def _announce(self) -> None:
+        """Announce the leave, and again should the daemon have rejoined by then."""
+        announced = ''
         while not self.insisted.is_set():
-            try:
-                self.announcer.announce_leaving()
-            except LogError as error:
-                _logger.warning(
-                    'leaving not announced: %s',
-                    error.message,
-                    extra={'step': _STEP, 'peer': error.peer},
-                )
-                self.insisted.wait(_ANNOUNCE_PERIOD_S)
-            else:
+            incarnation = self.member.incarnation
+            if incarnation != announced and self._is_announced(incarnation):
+                announced = incarnation
                 self.announced_at = self.clock()
-                return
+            self.insisted.wait(_ANNOUNCE_PERIOD_S)
+
+    def _is_announced(self, incarnation: str) -> bool:
+        record = Drain(incarnation=incarnation)
+        try:
+            self.log.append(VIEW_STREAM, [record.model_dump_json().encode()])
+        except LogError as error:
+            _logger.warning(
+                'leaving not announced: %s',
+                error.message,
+                extra={'step': _STEP, 'peer': error.peer},
+            )
+            return False
+        return True
--- a/src/pimentohoist/_controllers/view.py
+++ b/src/pimentohoist/_controllers/view.py
@@ -14,7 +14,6 @@
 from pimentohoist._decisions.freshness import FreshnessTracker
 from pimentohoist._view_fold import (
     VIEW_STREAM,
-    Drain,
     Expire,
     Join,
     Leave,
@@ -88,11 +87,6 @@
         self._append(Leave(incarnation=self.incarnation))
         self.follower.__exit__(*exc_info)
 
-    def announce_leaving(self) -> None:
-        """Take this daemon off the address list; raises LogError."""
-        record = Drain(incarnation=self.incarnation)
-        self.log.append(VIEW_STREAM, [record.model_dump_json().encode()])
-
     @property
     def epoch(self) -> int:
         """Number of the present view."""
--- a/src/pimentohoist/_request_path.py
+++ b/src/pimentohoist/_request_path.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 
 from pimentohoist._controllers.cancellations import CancellationsController
+from pimentohoist._controllers.drain import DrainController
 from pimentohoist._controllers.instances import InstancesController, StayingSlots
 from pimentohoist._controllers.metrics import MetricsController
 from pimentohoist._controllers.quarantine import Membership, QuarantineController
@@ -13,8 +14,8 @@
 from pimentohoist._filters.quarantine import Quarantine
 from pimentohoist._filters.retry import RetryCounter, RetryTools
 from pimentohoist._platform.instances import HttpInstanceList
-from pimentohoist.protocols import Controller, Peers, Slots
-from pimentohoist.settings import PlatformSettings
+from pimentohoist.protocols import Controller, Log, Peers, Slots
+from pimentohoist.settings import Settings
 
 
 class RequestPath:
@@ -28,17 +29,25 @@
 
     def __init__(
         self,
-        platform: PlatformSettings,
+        settings: Settings,
+        log: Log,
         membership: Membership,
         peers: Peers,
         slots: Slots,
     ) -> None:
+        platform = settings.platform
         instances = HttpInstanceList(
             platform.instance_list_address, timeout_s=platform.timeout_s
         )
         self.instances = InstancesController(instances, slots.engine)
         self.slots = StayingSlots(slots, self.instances)
         self.quarantine = QuarantineController(membership, peers)
+        self.drain = DrainController(
+            log,
+            membership,
+            entries_max_age_s=settings.callers.entries_max_age_s,
+            limit_s=settings.callers.drain_limit_s,
+        )
         self.cancellations = CancellationsController()
         self.retries = RetryCounter()
         self.metrics = MetricsController()
@@ -64,6 +73,7 @@
             'instances': self.instances,
             'quarantine': self.quarantine,
             'cancellations': self.cancellations,
+            'drain': self.drain,
             'retries': self.retries,
             'metrics': self.metrics,
         }
--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -14,7 +14,6 @@
 from pimentohoist._chain import build_handler
 from pimentohoist._controllers.claims import ClaimsController
 from pimentohoist._controllers.configuration import ConfigurationController
-from pimentohoist._controllers.drain import DrainController
 from pimentohoist._controllers.endpoints import EndpointsController
 from pimentohoist._controllers.freshness import FreshnessController
 from pimentohoist._controllers.limits import LimitsController
@@ -59,11 +58,8 @@
         self.endpoints = EndpointsController(
             self.view, self.configuration, self.peers, settings.callers.timeout_s
         )
-        self.requests = RequestPath(platform, self.view, self.peers, self.endpoints)
-        self.drain = DrainController(
-            self.view,
-            entries_max_age_s=settings.callers.entries_max_age_s,
-            limit_s=settings.callers.drain_limit_s,
+        self.requests = RequestPath(
+            settings, self.log, self.view, self.peers, self.endpoints
         )
         self.controllers: dict[str, Controller] = {
             'configuration': self.configuration,
@@ -72,7 +68,6 @@
             'claims': self.claims,
             'limits': self.limits,
             'endpoints': self.endpoints,
-            'drain': self.drain,
             **self.requests.controllers(),
         }
         self.answering: tuple[PeerAnswering, ...] = (
@@ -105,7 +100,7 @@
 
     def wait_until_drained(self) -> None:
         """Return when a stop was asked for and no request would be cut off."""
-        self.drain.wait(self._is_idle)
+        self.requests.drain.wait(self._is_idle)
 
     def handler(self) -> Handler:
         """Return the filter chain."""
@@ -122,7 +117,7 @@
 
     def entries(self) -> tuple[str, ...]:
         """Return the addresses that callers may use."""
-        is_draining = self.drain.asked.is_set()
+        is_draining = self.requests.drain.asked.is_set()
         addresses = (
             member.callers_address
             for member in self.view.members()
@@ -173,7 +168,7 @@
         sys.exit(_EXIT_SETTINGS)
     configure_logs(checked.logging.level, instance=checked.daemon.name)
     daemon = Daemon(checked)
-    call_on_stop(daemon.drain.signal)
+    call_on_stop(daemon.requests.drain.signal)
     with daemon:
         _logger.info('started', extra={'step': 'start'})
         daemon.wait_until_drained()
