--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -27,7 +27,7 @@
 from pimentohoist._logs import configure_logs
 from pimentohoist._operators_app import OperatorsApp
 from pimentohoist._request_path import RequestPath
-from pimentohoist._signals import stop_event
+from pimentohoist._signals import call_on_stop
 from pimentohoist._platform.log import HttpLog
 from pimentohoist.exceptions import SettingsError
 from pimentohoist._peers import PeerClients, PeerServer
@@ -61,7 +61,9 @@
         self.endpoints = EndpointsController(
             self.view, self.configuration, self.peers, settings.callers.timeout_s
         )
-        self.requests = RequestPath(platform, self.view, self.peers, self.endpoints)
+        self.requests = RequestPath(
+            settings, self.log, self.view, self.peers, self.endpoints
+        )
         snapshots = SnapshotsController(
             self.log,
             (
@@ -89,17 +91,21 @@
             self.endpoints,
             snapshots,
         )
+        self._is_idle: Callable[[], bool] = _always_idle
         self._stack = ExitStack()
 
     def __enter__(self) -> Self:
         """Start the controllers, then serve operators and callers."""
         with ExitStack() as stack:
             stack.enter_context(self.peers)
+            # Peers are answered until the controllers have stopped.
+            peer_stack = stack.enter_context(ExitStack())
             for controller in self.controllers.values():
                 stack.enter_context(controller)
-            stack.enter_context(self._peer_server())
+            peer_stack.enter_context(self._peer_server())
             stack.enter_context(self._operators_server())
-            stack.enter_context(self._callers_server())
+            callers_server = stack.enter_context(self._callers_server())
+            self._is_idle = callers_server.is_idle
             self._stack = stack.pop_all()
         return self
 
@@ -107,9 +113,14 @@
         """Stop serving, then stop the controllers."""
         self._stack.close()
 
+    def wait_until_drained(self) -> None:
+        """Return when a stop was asked for and no request would be cut off."""
+        self.requests.drain.wait(self._is_idle)
+
     def handler(self) -> Handler:
         """Return the filter chain."""
         filters = (
+            self.requests.measure(),
             *caller_filters(self.configuration, self.view.is_fresh),
             Limit(self.limits),
             ClaimAction(self.claims),
@@ -120,7 +131,14 @@
 
     def entries(self) -> tuple[str, ...]:
         """Return the addresses that callers may use."""
-        return tuple(sorted(member.callers_address for member in self.view.members()))
+        is_draining = self.requests.drain.asked.is_set()
+        addresses = (
+            member.callers_address
+            for member in self.view.members()
+            if not member.is_leaving
+            and not (is_draining and member.incarnation == self.view.incarnation)
+        )
+        return tuple(sorted(addresses))
 
     def _callers_server(self) -> HttpServer:
         callers = self.settings.callers
@@ -145,6 +163,10 @@
         )
 
 
+def _always_idle() -> bool:
+    return True
+
+
 def serve(settings: str) -> None:
     """Run a daemon until SIGTERM or SIGINT.
 
@@ -159,10 +181,11 @@
         sys.stderr.write(f'pimentohoistd: {error}\n')
         sys.exit(_EXIT_SETTINGS)
     configure_logs(checked.logging.level, instance=checked.daemon.name)
-    stopped = stop_event()
-    with Daemon(checked):
+    daemon = Daemon(checked)
+    call_on_stop(daemon.requests.drain.signal)
+    with daemon:
         _logger.info('started', extra={'step': 'start'})
-        stopped.wait()
+        daemon.wait_until_drained()
         _logger.info('stopping', extra={'step': 'stop'})
 
 
