--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -17,12 +17,12 @@
 from pimentohoist._controllers.endpoints import EndpointsController
 from pimentohoist._controllers.freshness import FreshnessController
 from pimentohoist._controllers.limits import LimitsController
+from pimentohoist._controllers.snapshots import PeerSnapshots, SnapshotsController
 from pimentohoist._controllers.view import ShortPolls, ViewController
-from pimentohoist._filters.authenticate import Authenticate
+from pimentohoist._filters.caller import caller_filters
 from pimentohoist._filters.claim import ClaimAction
 from pimentohoist._filters.dispatch import Dispatch
 from pimentohoist._filters.limit import Limit
-from pimentohoist._filters.resolve import Resolve
 from pimentohoist._http_server import HttpServer
 from pimentohoist._logs import configure_logs
 from pimentohoist._operators_app import OperatorsApp
@@ -47,7 +47,10 @@
         platform = settings.platform
         self.log = HttpLog(platform.log_address, timeout_s=platform.timeout_s)
         self.peers = PeerClients()
-        self.configuration = ConfigurationController(ShortPolls(self.log))
+        peer_snapshots = PeerSnapshots(self.peers, settings.daemon.seed_peers)
+        self.configuration = ConfigurationController(
+            ShortPolls(self.log), peer_snapshots.fetch
+        )
         self.view = ViewController(self.log, settings.daemon)
         self.view.followers.append(self.configuration.follower)
         self.freshness = FreshnessController(self.view, self.peers)
@@ -59,6 +62,16 @@
             self.view, self.configuration, self.peers, settings.callers.timeout_s
         )
         self.requests = RequestPath(platform, self.view, self.peers, self.endpoints)
+        snapshots = SnapshotsController(
+            self.log,
+            (
+                self.configuration.follower,
+                self.view.follower,
+                self.claims.follower,
+            ),
+            self.view.is_home,
+            settings.snapshots,
+        )
         self.controllers: dict[str, Controller] = {
             'configuration': self.configuration,
             'view': self.view,
@@ -66,6 +79,7 @@
             'claims': self.claims,
             'limits': self.limits,
             'endpoints': self.endpoints,
+            'snapshots': snapshots,
             **self.requests.controllers(),
         }
         self.answering: tuple[PeerAnswering, ...] = (
@@ -73,6 +87,7 @@
             self.freshness,
             self.limits,
             self.endpoints,
+            snapshots,
         )
         self._stack = ExitStack()
 
@@ -95,8 +110,7 @@
     def handler(self) -> Handler:
         """Return the filter chain."""
         filters = (
-            Authenticate(self.configuration),
-            Resolve(self.configuration),
+            *caller_filters(self.configuration, self.view.is_fresh),
             Limit(self.limits),
             ClaimAction(self.claims),
             self.requests.filter(),
