--- a/features/serving_homes.feature
+++ b/features/serving_homes.feature
@@ -11,7 +11,7 @@
     Given a serving fleet of 3 daemons with 2 engines of 3 slots and 12 adapters
     And 3 streams of 250 tokens run on each engine through daemons that are not its home
     When the home of "engine-1" is killed and its membership expires
-    And 8 callers send 60 completions of 10 tokens on all adapters through the other daemons
+    And 8 callers send 80 completions of 20 tokens on all adapters through the other daemons
     Then the running streams end whole
     And every answer is whole or said to be not run
     And no engine has evicted an adapter in use
@@ -21,7 +21,7 @@
     And 3 streams of 250 tokens run on each engine through daemons that are not its home
     When the home of "engine-1" freezes, its membership expires and it thaws
     And old orders to evict each idle adapter arrive late at both engines
-    And 8 callers send 60 completions of 10 tokens on all adapters through the other daemons
+    And 8 callers send 80 completions of 20 tokens on all adapters through the other daemons
     Then the running streams end whole
     And every answer is whole or said to be not run
     And the engine that checks fencing has refused the old orders, the other carried them out
@@ -38,9 +38,9 @@
 
   Scenario: All engines restart cold under load
     Given a serving fleet of 2 daemons with 2 engines of 3 slots and 12 adapters
-    When 8 callers send 60 completions of 4 tokens on 4 adapters through all daemons
+    When 8 callers send 60 completions of 4 tokens on 6 adapters through all daemons
     And every serving engine restarts cold
-    And 8 callers send 60 completions of 4 tokens on 4 adapters through all daemons
+    And 8 callers send 60 completions of 4 tokens on 6 adapters through all daemons
     Then every answer is whole or said to be not run
     And the weight store had at most 2 loads at once
 
--- a/features/steps/serving_homes.py
+++ b/features/steps/serving_homes.py
@@ -125,12 +125,18 @@
     return context.pool.submit(complete, context, daemon, model, tokens)
 
 
+def pick(models: list[str], index: int) -> str:
+    """Every third request is on one of two adapters, the others go through all."""
+    if index % 3 == 0:
+        return models[index // 3 % 2]
+    return models[7 * index % len(models)]
+
+
 def send_many(
     context: Context, count: int, tokens: int, models: list[str], through: Any
 ) -> None:
     daemons = itertools.cycle(through)
-    # A cheap skew: the first adapters are asked for most often.
-    order = [models[(index * index) % len(models)] for index in range(count)]
+    order = [pick(models, index) for index in range(count)]
     with ThreadPoolExecutor(_CALLERS) as pool:
         calls = [
             pool.submit(complete, context, next(daemons), model, tokens)
--- a/src/pimentohoist/_decisions/loads.py
+++ b/src/pimentohoist/_decisions/loads.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Iterator, Mapping
+import math
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
 from pimentohoist.models import AdapterVersion
@@ -17,9 +19,12 @@
 GRANT_LIFE_S = 15.0
 """Time after which a load of an endpoint that no longer reports counts as ended."""
 
-SHARE_BURST_LOADS = 4.0
+SHARE_BURST_LOADS = 8.0
 """Loads that a workspace may save up within its share."""
 
+FLOOD_S = 10.0
+"""A workspace that waits for more loads than the whole store carries in this time floods it."""
+
 _URGENT_WEIGHT = 4.0
 
 
@@ -45,9 +50,14 @@
 
     @property
     def freed_work(self) -> float:
-        """Waiting that the load would end; grows with requests and with their age."""
+        """Waiting that the load would end; grows with requests and with their age.
+
+        The root keeps adapters with one request from waiting until their deadline behind
+        popular ones.
+        """
         weight = self.waiting_requests + (_URGENT_WEIGHT - 1) * self.urgent_requests
-        return weight * (1 + self.waited_s / max(1, self.waiting_requests))
+        mean_age_s = self.waited_s / max(1, self.waiting_requests)
+        return math.sqrt(weight) * (1 + mean_age_s)
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,7 +108,10 @@
         now: float,
     ) -> None:
         """Replace what an endpoint wishes for and what it is loading."""
-        self._asked[endpoint] = _Asked(tuple(wishes), now)
+        asked = _Asked(tuple(wishes), now)
+        self._asked[endpoint] = asked
+        for wish in asked.wishes:
+            self.credits.setdefault(wish.workspace, SHARE_BURST_LOADS)
         self.open = {
             place: lapses_at
             for place, lapses_at in self.open.items()
@@ -120,7 +133,8 @@
         endpoint, wish = chosen
         self._tokens -= 1
         self.open[(endpoint, wish.adapter)] = now + GRANT_LIFE_S
-        self.credits[wish.workspace] = self._credit(wish.workspace) - 1
+        credit = self._credit(wish.workspace) - 1
+        self.credits[wish.workspace] = max(-SHARE_BURST_LOADS, credit)
         return chosen
 
     def candidates(self) -> Iterator[tuple[str, LoadWish]]:
@@ -149,19 +163,37 @@
         self._counted_at = max(now, self._counted_at)
         loads = elapsed_s * limits.loads_per_s
         self._tokens = min(limits.loads_at_once, self._tokens + loads)
-        self._accrue_credits(loads)
-
-    def _accrue_credits(self, loads: float) -> None:
-        weights: Mapping[str, float] = {
-            wish.workspace: self.weight_of(wish.workspace)
-            for _, wish in self.candidates()
-        }
-        for workspace in self.credits:
-            weights = {workspace: self.weight_of(workspace), **weights}
-        total = sum(weights.values()) or 1
-        for name, weight in weights.items():
-            credit = self._credit(name) + loads * weight / total
-            self.credits[name] = max(-SHARE_BURST_LOADS, min(SHARE_BURST_LOADS, credit))
+        self._accrue_credits(loads, limits)
+
+    def _accrue_credits(self, loads: float, limits: StoreLimits) -> None:
+        """Share loads by weight; what full credits leave over goes to the needy.
+
+        So a workspace isn't kept back while the store carries what all need. One that
+        floods the store gets no more than its share: it would take all that is left over
+        and so never count as beyond its share.
+        """
+        shares = self._shares(loads)
+        fitting = [self._add_credit(name, share) for name, share in shares.items()]
+        left = 1 - sum(fitting) / loads if loads else 0
+        for needy in shares.keys() - self._flooding(limits):
+            self._add_credit(needy, left * shares[needy])
+
+    def _shares(self, loads: float) -> dict[str, float]:
+        weights = {name: self.weight_of(name) for name in self.credits}
+        total = sum(weights.values())
+        return {name: loads * weight / total for name, weight in weights.items()}
+
+    def _add_credit(self, workspace: str, loads: float) -> float:
+        """Add to a credit and return how much of it fitted in."""
+        credit = self._credit(workspace)
+        self.credits[workspace] = min(SHARE_BURST_LOADS, credit + loads)
+        return self.credits[workspace] - credit
+
+    def _flooding(self, limits: StoreLimits) -> frozenset[str]:
+        """Return the workspaces that wait for more than the store carries in `FLOOD_S`."""
+        backlog = Counter(wish.workspace for _, wish in self.candidates())
+        most = FLOOD_S * limits.loads_per_s
+        return frozenset(name for name, count in backlog.items() if count > most)
 
     def _drop_lapsed(self, now: float) -> None:
         self.open = {
