--- a/src/pimentohoist/_controllers/view.py
+++ b/src/pimentohoist/_controllers/view.py
@@ -4,55 +4,86 @@
 
 import logging
 import secrets
+import threading
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import asdict
 from typing import Any, Self
 
 from pimentohoist._controllers.follower import StreamFollower
-from pimentohoist._view_fold import VIEW_STREAM, Join, Leave, ViewFold, rank
+from pimentohoist._decisions.freshness import FreshnessTracker
+from pimentohoist._view_fold import (
+    VIEW_STREAM,
+    Expire,
+    Join,
+    Leave,
+    View,
+    ViewFold,
+    rank,
+)
 from pimentohoist.exceptions import LogError
-from pimentohoist.models import Member
+from pimentohoist.models import LogPage, Member
 from pimentohoist.protocols import Log
 from pimentohoist.settings import DaemonSettings
 
-_FRESH_S = 2.0
+_LONG_POLL_S = 0.5
+_JOIN_PAUSE_S = 0.5
 _INCARNATION_BYTES = 6
 _logger = logging.getLogger(__name__)
 
 
+class ShortPolls:
+    """Implements `Log`; a poll's answer is at most a quarter of the freshness old."""
+
+    def __init__(self, log: Log) -> None:
+        self.log = log
+
+    def append(self, stream: str, bodies: Sequence[bytes]) -> int:
+        """Append records."""
+        return self.log.append(stream, bodies)
+
+    def read(self, stream: str, offset: int, *, wait_s: float) -> LogPage:
+        """Read records, waiting a short time for the first."""
+        return self.log.read(stream, offset, wait_s=min(wait_s, _LONG_POLL_S))
+
+
 class ViewController:
     """Joins and leaves the view, and implements `Homes`.
 
     Attributes
     ----------
     incarnation : str
-        Unique id of this run of the daemon.
+        Unique id of this membership; a new one once it has expired.
     follower : StreamFollower of ViewFold
         Position, freshness and state.
+    followers : list of StreamFollower
+        Streams that have to be read to their heads for this daemon to be fresh.
     """
 
     def __init__(self, log: Log, settings: DaemonSettings) -> None:
         self.log = log
         self.settings = settings
-        self.incarnation = f'{settings.name}-{secrets.token_hex(_INCARNATION_BYTES)}'
-        self.follower = StreamFollower(log, VIEW_STREAM, ViewFold())
+        self.incarnation = _new_incarnation(self.settings)
+        self.follower = StreamFollower(ShortPolls(log), VIEW_STREAM, ViewFold())
+        self.followers: list[StreamFollower[Any]] = [self.follower]
+        self.freshness = FreshnessTracker()
+        self._lock = threading.Lock()
+        self._closed = threading.Event()
+        self._thread = threading.Thread(
+            target=self._keep_joined, name='join', daemon=True
+        )
 
     def __enter__(self) -> Self:
-        """Start following the stream and join the view."""
+        """Start following the stream, join the view and stay in it."""
         self.follower.__enter__()
-        self._append(
-            Join(
-                incarnation=self.incarnation,
-                peer_address=self.settings.peer_address,
-                callers_address=self.settings.callers_address,
-                failure_domain=self.settings.failure_domain,
-            )
-        )
+        self._append(_join_record(self.settings, self.incarnation))
+        self._thread.start()
         return self
 
     def __exit__(self, *exc_info: object) -> None:
         """Leave the view and stop following."""
+        self._closed.set()
+        self._thread.join()
         self._append(Leave(incarnation=self.incarnation))
         self.follower.__exit__(*exc_info)
 
@@ -62,6 +93,12 @@
         with self.follower.changed:
             return self.follower.fold.epoch
 
+    @property
+    def read_at(self) -> float:
+        """Monotonic time before the last question that showed the head of the view."""
+        with self.follower.changed:
+            return self.follower.head_read_at
+
     def members(self) -> tuple[Member, ...]:
         """Return the members of the present view."""
         with self.follower.changed:
@@ -79,8 +116,34 @@
         return is_mine and self.is_fresh()
 
     def is_fresh(self) -> bool:
-        """Return whether the view was read to its head a short while ago."""
-        return time.monotonic() - self.follower.head_read_at < _FRESH_S
+        """Return whether this daemon was shown to be up to date a short while ago."""
+        return self._freshness().is_fresh(time.monotonic())
+
+    def fresh_since(self) -> float:
+        """Return since when the daemon has been fresh without a break."""
+        return self._freshness().fresh_since
+
+    def heads_read_at(self) -> float:
+        """Return the time before the question that showed the last stream's head."""
+        return min(follower.head_read_at for follower in self.followers)
+
+    def confirm_fresh(self, asked_at: float) -> None:
+        """Take in that the witnesses held no more at `asked_at` than this daemon."""
+        with self._lock:
+            self.freshness.confirm(asked_at, time.monotonic())
+
+    def recent_views(self) -> tuple[tuple[View, ...], bool]:
+        """Return the latest views, and whether they begin with the very first."""
+        with self.follower.changed:
+            fold = self.follower.fold
+            return tuple(fold.recent), fold.is_from_start
+
+    def expire(self, member: Member) -> None:
+        """Remove a member that lost sight of the others; only while fresh."""
+        if self.is_fresh():
+            self._append(
+                Expire(incarnation=member.incarnation, reporter=self.incarnation)
+            )
 
     def dump(self) -> Mapping[str, Any]:
         """Return members, epoch and freshness."""
@@ -92,7 +155,26 @@
             'members': [asdict(member) for member in self.members()],
         }
 
-    def _append(self, record: Join | Leave) -> None:
+    def _freshness(self) -> FreshnessTracker:
+        with self._lock:
+            self.freshness.confirm(self.heads_read_at(), time.monotonic())
+            return self.freshness
+
+    def _keep_joined(self) -> None:
+        while not self._closed.wait(_JOIN_PAUSE_S):
+            with self.follower.changed:
+                fold = self.follower.fold
+                is_member = self.incarnation in fold.members
+                has_departed = self.incarnation in fold.departed
+            if has_departed:
+                self.incarnation = _new_incarnation(self.settings)
+                _logger.warning(
+                    'expired from the view; joining again', extra={'step': 'join'}
+                )
+            if not is_member and self.is_fresh():
+                self._append(_join_record(self.settings, self.incarnation))
+
+    def _append(self, record: Join | Leave | Expire) -> None:
         try:
             self.log.append(VIEW_STREAM, [record.model_dump_json().encode()])
         except LogError as error:
@@ -101,3 +183,16 @@
                 error.message,
                 extra={'step': error.step, 'peer': error.peer},
             )
+
+
+def _new_incarnation(settings: DaemonSettings) -> str:
+    return f'{settings.name}-{secrets.token_hex(_INCARNATION_BYTES)}'
+
+
+def _join_record(settings: DaemonSettings, incarnation: str) -> Join:
+    return Join(
+        incarnation=incarnation,
+        peer_address=settings.peer_address,
+        callers_address=settings.callers_address,
+        failure_domain=settings.failure_domain,
+    )
--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -12,11 +12,16 @@
 
 from pimentohoist._callers_app import CallersApp
 from pimentohoist._chain import build_handler
+from pimentohoist._controllers.claims import ClaimsController
 from pimentohoist._controllers.configuration import ConfigurationController
 from pimentohoist._controllers.endpoints import EndpointsController
-from pimentohoist._controllers.view import ViewController
+from pimentohoist._controllers.freshness import FreshnessController
+from pimentohoist._controllers.limits import LimitsController
+from pimentohoist._controllers.view import ShortPolls, ViewController
 from pimentohoist._filters.authenticate import Authenticate
+from pimentohoist._filters.claim import ClaimAction
 from pimentohoist._filters.dispatch import Dispatch
+from pimentohoist._filters.limit import Limit
 from pimentohoist._filters.resolve import Resolve
 from pimentohoist._http_server import HttpServer
 from pimentohoist._logs import configure_logs
@@ -42,8 +47,14 @@
         platform = settings.platform
         self.log = HttpLog(platform.log_address, timeout_s=platform.timeout_s)
         self.peers = PeerClients()
-        self.configuration = ConfigurationController(self.log)
+        self.configuration = ConfigurationController(ShortPolls(self.log))
         self.view = ViewController(self.log, settings.daemon)
+        self.view.followers.append(self.configuration.follower)
+        self.freshness = FreshnessController(self.view, self.peers)
+        self.claims = ClaimsController(self.log, self.view)
+        self.limits = LimitsController(
+            self.view, self.configuration, self.peers, self.freshness.fenced_at
+        )
         self.endpoints = EndpointsController(
             self.view, self.configuration, self.peers, settings.callers.timeout_s
         )
@@ -51,11 +62,16 @@
         self.controllers: dict[str, Controller] = {
             'configuration': self.configuration,
             'view': self.view,
+            'freshness': self.freshness,
+            'claims': self.claims,
+            'limits': self.limits,
             'endpoints': self.endpoints,
             **self.requests.controllers(),
         }
         self.answering: tuple[PeerAnswering, ...] = (
             self.requests.quarantine,
+            self.freshness,
+            self.limits,
             self.endpoints,
         )
         self._stack = ExitStack()
@@ -81,6 +97,8 @@
         filters = (
             Authenticate(self.configuration),
             Resolve(self.configuration),
+            Limit(self.limits),
+            ClaimAction(self.claims),
             self.requests.filter(),
         )
         last = Dispatch(self.configuration, self.requests.tools)
