--- a/features/steps/serving_decisions.py
+++ b/features/steps/serving_decisions.py
@@ -23,7 +23,12 @@
     LoadWish,
     StoreLimits,
 )
-from pimentohoist._decisions.placement import HALF_LIFE_S, CopyTable
+from pimentohoist._decisions.placement import (
+    HALF_LIFE_S,
+    CopyTable,
+    DecayedFrequency,
+    choose_victim,
+)
 from pimentohoist._decisions.queue import URGENT_TURNS, FairQueue, Lane, Waiting
 from pimentohoist.models import AdapterVersion
 
@@ -359,8 +364,30 @@
     seen_events['victims'] += run_home(history, slots)
 
 
+@fixed(504, 200)
+@generated(
+    history=st.lists(
+        st.tuples(st.sampled_from(_ADAPTERS), st.integers(0, 4)), min_size=1
+    )
+)
+def frequencies_agree(history: list[tuple[AdapterVersion, int]]) -> None:
+    """Compare over many half-lives, each request's time being a sum of quarters."""
+    frequency, now, asked = DecayedFrequency(), float(0), []
+    for adapter, quarters in history:
+        now += quarters * HALF_LIFE_S / 4
+        frequency.note(adapter, now)
+        asked.append((adapter, now))
+    sums = dict.fromkeys(_ADAPTERS, float(0))
+    for name, asked_at in asked:
+        sums[name] += 0.5 ** ((now - asked_at) / HALF_LIFE_S)
+    victim = choose_victim(_ADAPTERS, frequency, now)
+    assert victim is not None
+    assert math.isclose(sums[victim], min(sums.values()), abs_tol=1e-9), sums
+
+
 @then('the evicted adapter is the one that a sum over all requests finds')
 def check_victims(context: Context) -> None:
+    frequencies_agree()
     victims_agree()
     assert seen_events['victims'] > 10, seen_events
 
