--- a/src/pimentohoist/_http_client.py
+++ b/src/pimentohoist/_http_client.py
@@ -1,9 +1,15 @@
-"""HTTP connections to one peer, reused while they are young."""
+"""HTTP connections to one peer, reused while they are young.
+
+An open connection can go silent for good while new ones work. So a kept connection gets
+only part of the time: if nothing comes, it and all that were kept beside it are dropped,
+and the request is sent on a new one before the peer is said to have failed.
+"""
 
 from __future__ import annotations
 
 import http.client
 import json
+import socket
 import threading
 import time
 from collections.abc import Iterator, Mapping
@@ -23,7 +29,16 @@
 _MAX_IDLE_CONNECTIONS = 16
 _MAX_CONNECTION_AGE_S = 30.0
 _CONNECT_TIMEOUT_S = 1.0
+_MOST_KEPT_SILENCE_S = 5.0
+_SHORTEST_TIMEOUT_S = 0.001
+_PART_BYTES = 65_536
 _QUOTED_BYTES = 200
+_SOCKET_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 5),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 2),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +50,8 @@
     is_repeatable : bool
         Whether it may be sent again after a failure that leaves its fate unknown; only
         then is a kept connection used, since that may turn out to be dead.
+    wait_s : float
+        How long the peer may be silent of its own accord before it answers.
     """
 
     method: str
@@ -42,6 +59,7 @@
     body: bytes = field(default=b'', repr=False)
     headers: Mapping[str, str] = field(default_factory=dict, repr=False)
     is_repeatable: bool = True
+    wait_s: float = 0
 
     @classmethod
     def of_json(cls, method: str, path: str, document: Any = None) -> HttpRequest:
@@ -68,6 +86,20 @@
     http: http.client.HTTPConnection
     opened_at: float
     is_reused: bool = False
+    give_up_at: float = float('inf')
+    sock: socket.socket | None = None
+
+    def expect_answer(self, timeout_s: float) -> None:
+        """Count the time for the whole answer from now."""
+        self.give_up_at = time.monotonic() + timeout_s
+        self.sock = self.http.sock
+        self.limit_next_read()
+
+    def limit_next_read(self) -> None:
+        """Let the next read wait no longer than the whole answer may."""
+        if self.sock is not None:
+            left_s = self.give_up_at - time.monotonic()
+            self.sock.settimeout(max(_SHORTEST_TIMEOUT_S, left_s))
 
 
 class HttpClient:
@@ -90,9 +122,9 @@
         PeerTimeoutError, PeerError
             The request may have taken effect.
         """
-        with self.stream(request, timeout_s=timeout_s) as response:
+        with self._answer(request, timeout_s) as (connection, response):
             with _errors(self.address, self.step):
-                body = response.read()
+                body = _read_whole(connection, response)
             return HttpReply(response.status, dict(response.headers), body)
 
     def ask_json(self, request: HttpRequest, *, timeout_s: float | None = None) -> Any:
@@ -117,12 +149,8 @@
         self, request: HttpRequest, *, timeout_s: float | None = None
     ) -> Iterator[http.client.HTTPResponse]:
         """Send a request and give the answer to be read in parts."""
-        limit_s = self.timeout_s if timeout_s is None else timeout_s
-        connection, response = self._send(request, limit_s)
-        try:
+        with self._answer(request, timeout_s) as (_, response):
             yield response
-        finally:
-            self._put_back(connection, response)
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -131,18 +159,34 @@
         for connection in idle:
             connection.http.close()
 
+    @contextmanager
+    def _answer(
+        self, request: HttpRequest, timeout_s: float | None
+    ) -> Iterator[tuple[_Connection, http.client.HTTPResponse]]:
+        limit_s = self.timeout_s if timeout_s is None else timeout_s
+        connection, response = self._send(request, limit_s)
+        try:
+            yield connection, response
+        finally:
+            self._put_back(connection, response)
+
     def _send(
         self, request: HttpRequest, timeout_s: float
     ) -> tuple[_Connection, http.client.HTTPResponse]:
         connection = self._take(request)
-        try:
+        if not connection.is_reused:
             return connection, self._exchange(connection, request, timeout_s)
+        half_s = (timeout_s - request.wait_s) / 2
+        first_s = request.wait_s + min(half_s, _MOST_KEPT_SILENCE_S)
+        try:
+            return connection, self._exchange(connection, request, first_s)
         except PeerError as error:
-            if not connection.is_reused:
-                raise
+            # The kept connection may have been dead; the peer isn't blamed for that.
+            if isinstance(error, PeerTimeoutError):
+                self.close()
             connection = self._open_after(error)
-        # The kept connection may have been dead; the peer isn't blamed for that.
-        return connection, self._exchange(connection, request, timeout_s)
+        second_s = request.wait_s + timeout_s - first_s
+        return connection, self._exchange(connection, request, second_s)
 
     def _open_after(self, error: PeerError) -> _Connection:
         """Open a connection; if there is none, the request may still have run."""
@@ -155,8 +199,7 @@
         self, connection: _Connection, request: HttpRequest, timeout_s: float
     ) -> http.client.HTTPResponse:
         with _errors(self.address, self.step, connection.http):
-            if connection.http.sock is not None:
-                connection.http.sock.settimeout(timeout_s)
+            connection.expect_answer(timeout_s)
             connection.http.request(
                 request.method, request.path, request.body, dict(request.headers)
             )
@@ -182,6 +225,8 @@
             raise PeerConnectError(
                 f'no connection: {error}', step=self.step, peer=self.address
             ) from error
+        for level, option, setting in _SOCKET_OPTIONS:
+            connection.sock.setsockopt(level, option, setting)
         return _Connection(connection, time.monotonic())
 
     def _put_back(
@@ -214,3 +259,19 @@
         raise kind(
             f'{type(error).__name__}: {error}', step=step, peer=address
         ) from error
+
+
+def _read_whole(connection: _Connection, response: http.client.HTTPResponse) -> bytes:
+    """Return the body, in however many parts it comes, within the time limit."""
+    parts = [b'']
+    part = response.read1(_PART_BYTES)
+    while part:
+        parts.append(part)
+        connection.limit_next_read()
+        part = response.read1(_PART_BYTES)
+    body = b''.join(parts)
+    if response.length:
+        raise http.client.IncompleteRead(body, response.length)
+    # A body of known length is over now, but only this closes it.
+    response.read()
+    return body
--- a/src/pimentohoist/_platform/log.py
+++ b/src/pimentohoist/_platform/log.py
@@ -46,7 +46,7 @@
     def read(self, stream: str, offset: int, *, wait_s: float) -> LogPage:
         """Read records from `offset` on, waiting up to `wait_s` for the first."""
         path = f'{_path(stream)}?offset={offset}&wait_s={wait_s}'
-        request = HttpRequest.of_json('GET', path)
+        request = replace(HttpRequest.of_json('GET', path), wait_s=wait_s)
         try:
             document = self.client.ask_json(
                 request, timeout_s=wait_s + self.client.timeout_s
