Tests of plain services; a thawed daemon may run its own claim

The scenario of a daemon frozen between claim and call asked for 'not run' and failed once in make test (82 passed, 1 failed): the thawed daemon read its claim before the takeover and ran it, once, which log order allows; the others say unknown until its outcome comes. The step now asks for either the one answer, or 'not run' with no entry written, and for the same single entry elsewhere; the count of entries stays 1. Seen failing on a scratch copy: no retry of 503, an action sent again, query dropped. Not failing: no second endpoint after a failed connection, since the endpoint was marked failed by the call before.

--- a/features/actions.feature
+++ b/features/actions.feature
@@ -18,8 +18,8 @@
 
   Scenario: A daemon frozen before it sends its action thaws after it was taken over
     When a daemon is frozen while it claims an action, is expired, taken over and thaws
-    Then its own caller is told that the action was not run
-    And the action repeated elsewhere runs
+    Then its own caller is told the answer, or truly that the action was not run
+    And the action repeated elsewhere has the one entry as its answer
     And the ledger has 1 action entries
 
   Scenario: Without the log an action is refused at once and its repeat is answered
--- a/features/steps/actions.py
+++ b/features/steps/actions.py
@@ -212,7 +212,17 @@
     assert int(context.reply.headers['Retry-After']) >= 1, context.reply
 
 
-@then('the action repeated elsewhere runs')
+@then('its own caller is told the answer, or truly that the action was not run')
+def check_told_after_thaw(context: Context) -> None:
+    """Check what a thawed daemon says; which one depends on what it reads first."""
+    if context.reply.status == 201:
+        assert context.reply.body == b'{"entry": 1}', context.reply
+    else:
+        check_not_run(context)
+        assert entries(context) == 0, 'it was told that nothing ran'
+
+
+@then('the action repeated elsewhere has the one entry as its answer')
 def check_runs_elsewhere(context: Context) -> None:
     assert answered(context, 'entry-2', 'lot').body == b'{"entry": 1}'
 
--- /dev/null
+++ b/features/steps/plain_services.py
@@ -0,0 +1,118 @@
+"""Steps on calls to plain services."""
+
+from __future__ import annotations
+
+import json
+
+from behave import given, then, when
+from behave.runner import Context
+
+from pimentohoist._http_client import HttpReply, HttpRequest
+from pimentohoist.configuration import (
+    Configuration,
+    Endpoint,
+    EndpointGroup,
+    GroupKind,
+)
+from pimentohoist.keys import create_key
+from pimentohoist_standins.demo import demo_sections
+from pimentohoist_standins.fleet import Fleet
+
+_LEDGERS = ('ledger', 'ledger-2')
+_BODY = 'lot=7;note=é'.encode()
+_TYPE = 'text/x-lot; charset=utf-8'
+
+
+@given('a daemon with 2 ledgers as plain services')
+def start_services_fleet(context: Context) -> None:
+    fleet = context.stack.enter_context(Fleet())
+    context.fleet = fleet
+    for name in _LEDGERS:
+        fleet.start_standin(name, 'service')
+    fleet.start_daemon('entry-1')
+    section, context.key = create_key('line-1', 'lipstick-house')
+    addresses = map(fleet.addresses.__getitem__, _LEDGERS)
+    endpoints = tuple(map(Endpoint, _LEDGERS, addresses, 'ab'))
+    group = EndpointGroup('ledger', GroupKind.SERVICE, endpoints)
+    sections = (*demo_sections(fleet), section)
+    others = [one for one in sections if one.name != 'ledger']
+    report = fleet.publish(Configuration.of(*others, group))
+    assert report.is_in_force, report.text()
+
+
+def call(context: Context, method: str, path: str, body: bytes = b'') -> HttpReply:
+    headers = {
+        'Authorization': f'Bearer {context.key}',
+        'Content-Type': _TYPE,
+        'Idempotency-Key': 'lot-7',
+    }
+    return context.fleet.ask('entry-1', HttpRequest(method, path, body, headers, False))
+
+
+def seen(context: Context) -> list[dict]:
+    return [one for name in _LEDGERS for one in context.fleet.seen(name)]
+
+
+@when('the caller sends {method} "{path}" with a body of its own type')
+def send_call(context: Context, method: str, path: str) -> None:
+    context.reply = call(context, method, path, _BODY)
+
+
+@then("a ledger saw exactly that call without the caller's key")
+def check_seen(context: Context) -> None:
+    calls = seen(context)
+    assert len(calls) == 1, calls
+    received = calls[0]
+    fields = (received['method'], received['path'], received['body'].encode())
+    assert fields == ('PUT', '/lots/7?page=2&x=%20y', _BODY), received
+    assert received['headers']['Content-Type'] == _TYPE, received
+    secret = context.key.rpartition('_')[-1]
+    assert secret not in json.dumps(received)
+    assert 'Authorization' not in received['headers']
+
+
+@then("the service's status, body and type came back")
+def check_came_back(context: Context) -> None:
+    assert (context.reply.status, context.reply.body) == (201, b'{"entry": 1}')
+    assert context.reply.headers['Content-Type'] == 'application/json'
+
+
+@when('one ledger answers 503 and {count:d} idempotent calls are sent')
+def send_with_failure(context: Context, count: int) -> None:
+    context.fleet.control('ledger', is_down=True)
+    context.replies = [
+        call(context, 'GET', '/services/records/lots') for _ in range(count)
+    ]
+
+
+@then('all {count:d} service calls are answered with {status:d} by the other ledger')
+def check_answered_by_other(context: Context, count: int, status: int) -> None:
+    assert len(context.replies) == count
+    assert {reply.status for reply in context.replies} == {status}
+    assert len(context.fleet.seen('ledger-2')) == count
+    assert not context.fleet.seen('ledger')
+
+
+@then(
+    '{count:d} further ones are answered with {status:d} when the first ledger is killed'
+)
+def check_answered_after_kill(context: Context, count: int, status: int) -> None:
+    context.fleet.processes['ledger'].kill()
+    replies = [call(context, 'GET', '/services/records/lots') for _ in range(count)]
+    assert {reply.status for reply in replies} == {status}, replies
+
+
+@when('both ledgers cut off their next answer and an action is sent')
+def send_cut_action(context: Context) -> None:
+    for name in _LEDGERS:
+        context.fleet.control(name, lose_answers=1)
+    context.reply = call(context, 'POST', '/services/release/lots', _BODY)
+
+
+@then(
+    'the action\'s caller gets {status:d} with "{run}" and one ledger was called once'
+)
+def check_cut_action(context: Context, status: int, run: str) -> None:
+    error = context.reply.document()['error']
+    assert (context.reply.status, error['run']) == (status, run), context.reply
+    assert len(seen(context)) == 1
