--- a/src/pimentohoist_standins/capacity.py
+++ b/src/pimentohoist_standins/capacity.py
@@ -125,16 +125,14 @@
     return lambda size: slope * size + intercept
 
 
-def _publish(offset: int, *sections: Section, base_version: int = 0) -> LogRecord:
+def _publish(offset: int, *sections: Section) -> LogRecord:
     changes = tuple(
-        Change(
-            section=section_id(section),
-            base_version=base_version,
-            text=section_text(section),
-        )
+        Change(section=section_id(section), text=section_text(section))
         for section in sections
     )
-    publish = Publish(publish_id=f'publish-{offset}', changes=changes)
+    publish = Publish(
+        publish_id=f'publish-{offset}', base_offset=offset, changes=changes
+    )
     return LogRecord(offset, publish.model_dump_json().encode())
 
 
@@ -166,11 +164,7 @@
 
 def change_adapter(fold: ConfigurationFold, number: int) -> None:
     """Publish a new version of one adapter, as an operator would."""
-    identity = section_id(_adapter(number))
-    base_version = fold.versions[identity]
-    fold.apply(
-        _publish(fold.next_offset, _adapter(number, 1, 2), base_version=base_version)
-    )
+    fold.apply(_publish(fold.next_offset, _adapter(number, 1, 2)))
 
 
 def build_view(size: int) -> ViewFold:
