--- /dev/null
+++ b/features/steps/ctl.py
@@ -0,0 +1,115 @@
+"""Steps on the operators' command."""
+
+from __future__ import annotations
+
+import hashlib
+import shlex
+import signal
+import subprocess
+import sys
+import tempfile
+from dataclasses import replace
+from pathlib import Path
+
+from behave import given, then, when
+from behave.runner import Context
+
+from pimentohoist._http_client import HttpClient, HttpRequest
+from pimentohoist.configuration import Configuration, Workspace
+from pimentohoist.keys import create_key
+from pimentohoist_standins.fleet import Fleet
+
+_HOUSE = Workspace('house', 1, 5, price_per_million_tokens='2')
+_OTHER = Workspace('other', 1, 5)
+
+
+@given("an operator's folder")
+def make_folder(context: Context) -> None:
+    folder = Path(context.stack.enter_context(tempfile.TemporaryDirectory()))
+    context.folder = folder
+    key, _ = create_key('line-1', 'house')
+    faster = replace(_HOUSE, rate_tokens_per_s=2)
+    slower = replace(_HOUSE, burst_tokens=1)
+    other = replace(_OTHER, burst_tokens=9)
+    texts = {
+        'fleet': Configuration.of(_HOUSE, _OTHER, key).text(),
+        'faster': Configuration.of(faster, _OTHER, key).text(),
+        'slower': Configuration.of(slower, _OTHER, key).text(),
+        'other': Configuration.of(_HOUSE, other, key).text(),
+        'broken': '[workspaces',
+        'negative': '[workspaces.house]\nrate_tokens_per_s = -1.0\nburst_tokens = 1\n',
+    }
+    for name, text in texts.items():
+        (folder / f'{name}.toml').write_text(text)
+
+
+@given("a fleet of 2 daemons and an operator's folder")
+def start_fleet(context: Context) -> None:
+    make_folder(context)
+    context.fleet = context.stack.enter_context(Fleet())
+    context.fleet.start_daemon('entry-1')
+    context.fleet.start_daemon('entry-2')
+
+
+@when("daemon 2 of the operator's fleet is stopped by SIGSTOP")
+def stop_daemon(context: Context) -> None:
+    context.fleet.processes['entry-2'].signal(signal.SIGSTOP)
+
+
+def run(context: Context, command: str) -> subprocess.CompletedProcess:
+    if hasattr(context, 'fleet'):
+        fleet = context.fleet
+        command = command.replace('LOG', fleet.addresses['log'])
+        for name in fleet.daemons:
+            command = command.replace(name.upper(), fleet.operators_address(name))
+    code = 'from pimentohoist.ctl import main; main()'
+    return subprocess.run(
+        [sys.executable, '-c', code, *shlex.split(command)],
+        cwd=context.folder,
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+
+
+@when('the operator runs "{command}"')
+def run_command(context: Context, command: str) -> None:
+    context.run = run(context, command)
+
+
+@then('the command ends with code {code:d} and says "{text}"')
+def check_output(context: Context, code: int, text: str) -> None:
+    assert context.run.returncode == code, context.run
+    assert text in context.run.stdout, context.run
+
+
+@then('the command ends with code {code:d} and one line that says "{text}"')
+def check_error(context: Context, code: int, text: str) -> None:
+    assert context.run.returncode == code, context.run
+    lines = context.run.stderr.splitlines()
+    assert len(lines) == 1, lines
+    assert text in lines[0], lines
+    assert not context.run.stdout, context.run
+
+
+@then('"{check}" prints the digest of what every daemon holds and "{show}" prints')
+def check_digest(context: Context, check: str, show: str) -> None:
+    digest = run(context, check).stdout.strip()
+    shown = run(context, f'{show} ENTRY-2').stdout.encode()
+    assert hashlib.sha256(shown).hexdigest() == digest
+    assert shown == (context.folder / 'fleet.toml').read_bytes()
+    for name in context.fleet.daemons:
+        assert held(context, name)['digest'] == digest
+
+
+def held(context: Context, name: str) -> dict:
+    client = HttpClient(context.fleet.operators_address(name), timeout_s=5, step='test')
+    return client.ask_json(HttpRequest.of_json('GET', '/configuration'))
+
+
+@then("what is in force has both operators' changes")
+def check_both(context: Context) -> None:
+    sections = Configuration.parse(held(context, 'entry-1')['text']).sections
+    assert sections['workspaces/house'].rate_tokens_per_s == 2
+    assert sections['workspaces/other'].burst_tokens == 9
--- a/src/pimentohoist/_controllers/configuration.py
+++ b/src/pimentohoist/_controllers/configuration.py
@@ -96,6 +96,11 @@
         with self.follower.changed:
             return self.follower.fold.verdicts.get(publish_id)
 
+    def verdicts(self) -> tuple[Verdict, ...]:
+        """Return what was decided on the latest publishes, in log order."""
+        with self.follower.changed:
+            return tuple(self.follower.fold.verdicts.values())
+
     def workspace(self, name: str) -> Workspace | None:
         """Return a workspace by name."""
         section = self._section(f'workspaces/{name}')
--- a/src/pimentohoist/_controllers/view.py
+++ b/src/pimentohoist/_controllers/view.py
@@ -195,4 +195,5 @@
         peer_address=settings.peer_address,
         callers_address=settings.callers_address,
         failure_domain=settings.failure_domain,
+        operators_address=settings.operators_address,
     )
--- a/src/pimentohoist/_operators_app.py
+++ b/src/pimentohoist/_operators_app.py
@@ -4,12 +4,14 @@
 
 import json
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import asdict
 from typing import Any
 
 from werkzeug.exceptions import HTTPException
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
+from pimentohoist._configuration_fold import Verdict
 from pimentohoist._controllers.configuration import ConfigurationController
 from pimentohoist.protocols import Controller
 
@@ -32,6 +34,7 @@
             '/state': self._state,
             '/configuration': self._configuration,
             '/publishes': self._publish,
+            '/history': self._history,
         }
         self._routes = Map([Rule(path, endpoint=path) for path in self.paths])
 
@@ -61,12 +64,13 @@
 
     def _publish(self, request: Request) -> Response:
         verdict = self.configuration.verdict(request.args.get('id', ''))
-        document = None
-        if verdict is not None:
-            document = {
-                'offset': verdict.offset,
-                'is_accepted': verdict.is_accepted,
-                'conflicts': verdict.conflicts,
-                'faults': verdict.faults,
-            }
+        document = None if verdict is None else _verdict_document(verdict)
         return Response(json.dumps(document), content_type=_JSON)
+
+    def _history(self, request: Request) -> Response:
+        document = [_verdict_document(each) for each in self.configuration.verdicts()]
+        return Response(json.dumps(document), content_type=_JSON)
+
+
+def _verdict_document(verdict: Verdict) -> dict[str, Any]:
+    return {**asdict(verdict), 'is_accepted': verdict.is_accepted}
--- a/src/pimentohoist/_publisher.py
+++ b/src/pimentohoist/_publisher.py
@@ -7,17 +7,27 @@
 from collections.abc import Iterator, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
+from datetime import UTC, datetime
+from functools import partial
 from typing import Any
 
 from pimentohoist._configuration_fold import CONFIGURATION_STREAM, Change, Publish
 from pimentohoist._http_client import HttpClient, HttpRequest
 from pimentohoist.configuration import Configuration, section_text
-from pimentohoist.exceptions import AppendUnknownError, PeerError
+from pimentohoist.exceptions import (
+    AppendUnknownError,
+    PeerError,
+    PublishConflictError,
+)
 from pimentohoist.protocols import Log
 
 _STEP = 'publish'
 _TIMEOUT_S = 10.0
 _POLL_S = 0.05
+_VERDICT_TIMEOUT_S = 1.0
+_THREADS = 16
+
+Verdicts = Mapping[str, Mapping[str, Any] | None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,77 +43,110 @@
     publish_id: str
     digest: str
     changes: int
-    verdicts: Mapping[str, Mapping[str, Any] | None]
+    verdicts: Verdicts
 
     @property
     def is_in_force(self) -> bool:
-        """Whether every daemon has accepted it."""
+        """Whether every live member has accepted it."""
         return all(
             verdict is not None and verdict['is_accepted']
             for verdict in self.verdicts.values()
         )
 
+    @property
+    def verdict(self) -> Mapping[str, Any] | None:
+        """What was decided, the same at every daemon; None if none tells."""
+        return next(filter(None, self.verdicts.values()), None)
+
     def text(self) -> str:
         """Return the report for a person."""
+        if not self.changes:
+            return f'nothing to change, digest {self.digest}'
         if self.is_in_force:
-            return f'in force: {self.changes} sections changed, digest {self.digest}'
-        lines = (_line(daemon, verdict) for daemon, verdict in self.verdicts.items())
-        return '; '.join(lines)
+            return (
+                f'in force on {len(self.verdicts)} daemons: '
+                f'{self.changes} sections changed, digest {self.digest}'
+            )
+        known = 'not known whether it was accepted'
+        if self.verdict is not None:
+            known = _decision(self.verdict)
+        missing = [name for name, verdict in self.verdicts.items() if verdict is None]
+        where = f'; not known of {", ".join(missing)}' if missing else ''
+        return f'publish {self.publish_id}: {known}{where}'
 
 
-def _line(daemon: str, verdict: Mapping[str, Any] | None) -> str:
-    if verdict is None:
-        return f'{daemon}: not known'
+def _decision(verdict: Mapping[str, Any]) -> str:
     if verdict['is_accepted']:
-        return f'{daemon}: in force'
-    reasons = [f'changed meanwhile: {name}' for name in verdict['conflicts']]
-    return f'{daemon}: rejected: {", ".join(reasons + list(verdict["faults"]))}'
+        return f'accepted at offset {verdict["offset"]}'
+    moved = [f'{name} changed meanwhile' for name in verdict['conflicts']]
+    return f'rejected: {"; ".join(moved + list(verdict["faults"]))}'
 
 
 class Publisher:
-    """Publishes to the log and asks the daemons what came of it."""
+    """Publishes to the log and asks the live members what came of it.
+
+    Parameters
+    ----------
+    daemons : sequence of str
+        Operators' addresses of some daemons; they name the other live members.
+    """
 
     def __init__(self, log: Log, daemons: Sequence[str], operator: str) -> None:
         self.log = log
         self.operator = operator
-        self.clients = {
-            address: HttpClient(address, timeout_s=_TIMEOUT_S, step=_STEP)
-            for address in daemons
-        }
+        self.daemons = tuple(daemons)
 
-    def publish(self, configuration: Configuration) -> Report:
+    def publish(
+        self, configuration: Configuration, base: Configuration | None = None
+    ) -> Report:
         """Replace what is in force by `configuration`, section by section.
 
+        Parameters
+        ----------
+        base : Configuration or None
+            What the operator started from: only the sections that differ from it are
+            changed. If None, what is in force now.
+
         Raises
         ------
+        PublishConflictError
+            A section is neither as in `base` nor as in `configuration`.
         PeerError
             No daemon tells what is in force.
         LogError
             Nothing was published.
         """
-        base = self._base()
-        changes = tuple(find_changes(base, configuration))
+        in_force = self._in_force()
+        changes = tuple(_find_changes(in_force, configuration, base))
         if not changes:
             return Report('', configuration.digest(), 0, {})
         publish = Publish(
             publish_id=uuid.uuid4().hex,
             operator=self.operator,
-            base_offset=base['next_offset'],
+            base_offset=in_force['next_offset'],
+            published_at=datetime.now(UTC).isoformat(timespec='seconds'),
             changes=changes,
         )
         self._append(publish)
-        verdicts = self._verdicts(publish.publish_id)
+        verdicts = self._await_all(publish.publish_id)
         return Report(
             publish.publish_id, configuration.digest(), len(changes), verdicts
         )
 
-    def _base(self) -> Mapping[str, Any]:
-        client = next(iter(self.clients.values()))
-        document: Mapping[str, Any] = client.ask_json(
-            HttpRequest.of_json('GET', '/configuration')
-        )
+    def _in_force(self) -> Mapping[str, Any]:
+        document: Mapping[str, Any] = self._ask_any('/configuration')
         return document
 
+    def _ask_any(self, path: str) -> Any:
+        """Return the answer of the first daemon that answers."""
+        errors: list[PeerError] = []
+        for address in self.daemons:
+            try:
+                return _ask(address, path)
+            except PeerError as error:
+                errors.append(error)
+        raise errors[0]
+
     def _append(self, publish: Publish) -> None:
         body = publish.model_dump_json().encode()
         try:
@@ -112,38 +155,84 @@
             # The daemons' verdicts tell whether it took effect.
             return
 
-    def _verdicts(self, publish_id: str) -> dict[str, Mapping[str, Any] | None]:
-        with ThreadPoolExecutor(len(self.clients)) as pool:
-            found = pool.map(
-                lambda client: self._await(client, publish_id), self.clients.values()
-            )
-            return dict(zip(self.clients, found, strict=True))
-
-    def _await(self, client: HttpClient, publish_id: str) -> Mapping[str, Any] | None:
+    def _await_all(self, publish_id: str) -> Verdicts:
+        """Ask every daemon that is a live member until each has a verdict."""
         give_up_at = time.monotonic() + _TIMEOUT_S
-        request = HttpRequest.of_json('GET', f'/publishes?id={publish_id}')
-        while time.monotonic() < give_up_at:
-            try:
-                verdict: Mapping[str, Any] | None = client.ask_json(request)
-            except PeerError:
-                verdict = None
-            if verdict is not None:
-                return verdict
-            time.sleep(_POLL_S)
+        found: dict[str, Mapping[str, Any] | None] = {}
+        ask = partial(_ask_verdict, publish_id)
+        with ThreadPoolExecutor(_THREADS) as pool:
+            while time.monotonic() < give_up_at:
+                waiting = [name for name in self._live() if found.get(name) is None]
+                found.update(zip(waiting, pool.map(ask, waiting), strict=True))
+                live = self._live()
+                found = {name: found.get(name) for name in live}
+                if all(found.values()):
+                    break
+                time.sleep(_POLL_S)
+        return found
+
+    def _live(self) -> tuple[str, ...]:
+        """Return the daemons that were given and the members that they know."""
+        members: tuple[str, ...] = ()
+        try:
+            members = _members(self._ask_any('/state'))
+        except PeerError:
+            return self.daemons
+        return tuple(dict.fromkeys(self.daemons + members))
+
+
+def _members(state: Mapping[str, Any]) -> tuple[str, ...]:
+    addresses = (member['operators_address'] for member in state['view']['members'])
+    return tuple(sorted(filter(None, addresses)))
+
+
+def _ask_verdict(publish_id: str, address: str) -> Mapping[str, Any] | None:
+    try:
+        verdict: Mapping[str, Any] | None = _ask(
+            address, f'/publishes?id={publish_id}', _VERDICT_TIMEOUT_S
+        )
+    except PeerError:
         return None
+    return verdict
+
 
+def _ask(address: str, path: str, timeout_s: float = _TIMEOUT_S) -> Any:
+    client = HttpClient(address, timeout_s=timeout_s, step=_STEP)
+    return client.ask_json(HttpRequest.of_json('GET', path))
 
-def find_changes(
-    base: Mapping[str, Any], configuration: Configuration
+
+def _find_changes(
+    in_force: Mapping[str, Any],
+    configuration: Configuration,
+    base: Configuration | None,
 ) -> Iterator[Change]:
-    """Yield the changes from what is in force to `configuration`."""
-    before = Configuration.parse(base['text']).sections
+    now = Configuration.parse(in_force['text'])
+    wanted = list(find_changes(base or now, configuration))
+    if base is not None:
+        wanted = [change for change in wanted if not _is_as(now, change)]
+        moved = tuple(
+            change.section
+            for change in wanted
+            if now.sections.get(change.section) != base.sections.get(change.section)
+        )
+        if moved:
+            raise PublishConflictError(moved, step=_STEP)
+    yield from wanted
+
+
+def _is_as(configuration: Configuration, change: Change) -> bool:
+    section = configuration.sections.get(change.section)
+    if section is None:
+        return change.text is None
+    return change.text == section_text(section)
+
+
+def find_changes(base: Configuration, configuration: Configuration) -> Iterator[Change]:
+    """Yield the changes that lead from `base` to `configuration`."""
+    before = base.sections
     after = configuration.sections
     for identity in sorted(before.keys() | after.keys()):
-        if before.get(identity) == after.get(identity):
-            continue
-        section = after.get(identity)
-        yield Change(
-            section=identity,
-            text=None if section is None else section_text(section),
-        )
+        if before.get(identity) != after.get(identity):
+            section = after.get(identity)
+            text = None if section is None else section_text(section)
+            yield Change(section=identity, text=text)
--- a/src/pimentohoist/_view_fold.py
+++ b/src/pimentohoist/_view_fold.py
@@ -24,6 +24,7 @@
     peer_address: str
     callers_address: str
     failure_domain: str
+    operators_address: str = ''
 
 
 class Leave(BaseModel, frozen=True, extra='forbid'):
--- a/src/pimentohoist/models.py
+++ b/src/pimentohoist/models.py
@@ -67,6 +67,8 @@
         From the daemon's settings.
     epoch : int
         Offset of the join record.
+    operators_address : str
+        ``ip:port`` of the dump and of what is in force; empty if not told.
     """
 
     incarnation: str
@@ -74,6 +76,7 @@
     callers_address: str
     failure_domain: str
     epoch: int = 0
+    operators_address: str = ''
 
 
 @dataclass(frozen=True, slots=True)
