--- a/features/ctl.feature
+++ b/features/ctl.feature
@@ -46,3 +46,14 @@
     Given an operator's folder
     When the operator runs "forecast fleet.toml --month=2027-02 --output=csv"
     Then the command ends with code 0 and says "house,2419205,4.84,EUR"
+
+  Scenario Outline: The example of each deployment is sound and at its true size
+    Given an operator's folder
+    When the example "<name>" is printed into the folder
+    And the operator runs "check <name>.toml"
+    Then the command prints the digest of the file with 3000 adapters
+
+    Examples:
+      | name      |
+      | kavkasia  |
+      | trentside |
--- a/features/steps/ctl.py
+++ b/features/steps/ctl.py
@@ -20,6 +20,7 @@
 from pimentohoist_standins.fleet import Fleet
 
 _HOUSE = Workspace('house', 1, 5, price_per_million_tokens='2')
+_EXAMPLES = Path(__file__).parents[2] / 'examples'
 _OTHER = Workspace('other', 1, 5)
 
 
@@ -113,3 +114,19 @@
     sections = Configuration.parse(held(context, 'entry-1')['text']).sections
     assert sections['workspaces/house'].rate_tokens_per_s == 2
     assert sections['workspaces/other'].burst_tokens == 9
+
+
+@when('the example "{name}" is printed into the folder')
+def print_example(context: Context, name: str) -> None:
+    context.example = context.folder / f'{name}.toml'
+    command = [sys.executable, str(_EXAMPLES / f'{name}.py')]
+    with context.example.open('wb') as output:
+        subprocess.run(command, stdout=output, timeout=60, check=True)
+
+
+@then('the command prints the digest of the file with {count:d} adapters')
+def check_example(context: Context, count: int) -> None:
+    printed = context.example.read_bytes()
+    digest = hashlib.sha256(printed).hexdigest()
+    assert context.run.stdout.strip() == digest, context.run
+    assert printed.count(b'[adapters.') == count
