--- a/features/ctl.feature
+++ b/features/ctl.feature
@@ -16,9 +16,9 @@
     Then the command ends with code 0 and says "~ workspaces/house"
     When the operator runs "history ENTRY-1"
     Then the command ends with code 0 and says "accepted 1 sections"
-    When the operator runs "key_withdraw line-1 LOG ENTRY-1"
+    When the operator runs "key withdraw line-1 LOG ENTRY-1"
     Then the command ends with code 0 and says "in force on 2 daemons: 1 sections changed"
-    When the operator runs "key_withdraw line-1 LOG ENTRY-1"
+    When the operator runs "key withdraw line-1 LOG ENTRY-1"
     Then the command ends with code 2 and one line that says "there is no key"
 
   Scenario: A publish of which a live member does not tell is reported so
--- a/src/pimentohoist/_snapshots.py
+++ b/src/pimentohoist/_snapshots.py
@@ -115,7 +115,7 @@
 
 def _join(parts: _Parts) -> Snapshot | None:
     count = parts.header.chunks
-    if set(parts.bodies) < set(range(count)):
+    if not parts.bodies.keys() >= set(range(count)):
         return None
     packed = b''.join(parts.bodies[chunk] for chunk in range(count))
     if hashlib.sha256(packed).hexdigest() != parts.header.digest:
--- a/src/pimentohoist/ctl.py
+++ b/src/pimentohoist/ctl.py
@@ -45,9 +45,42 @@
 )
 
 
+class KeyCommands:
+    """Commands on callers' keys."""
+
+    def new(self, name: str, workspace: str) -> str:
+        """Print a new key's section, and the key itself on standard error.
+
+        Example: pimentohoistctl key new line-1 lipstick-house >> fleet.toml
+        """
+        section, key = create_key(name, workspace)
+        sys.stderr.write(f'{key}\n')
+        return section_text(section).rstrip('\n')
+
+    def withdraw(self, name: str, log: str, daemons: str, operator: str = '') -> str:
+        """Withdraw a key and wait until no live member takes it.
+
+        Example: pimentohoistctl key withdraw line-1 10.0.0.9:9000 10.0.0.4:8001
+        """
+        addresses = _addresses(daemons)
+        text = str(_ask(addresses[0], '/configuration')['text'])
+        base = Configuration.parse(text)
+        sections = dict(base.sections)
+        if sections.pop(f'keys/{name}', None) is None:
+            raise SettingsError(f'there is no key {name!r}', step=_STEP)
+        publisher = Publisher(HttpLog(log, timeout_s=_TIMEOUT_S), addresses, operator)
+        report = publisher.publish(Configuration(sections), base)
+        if not report.is_in_force:
+            _fail(report.text(), _exit_code(report))
+        return report.text()
+
+
 class Commands:
     """Commands of pimentohoistctl; ``pimentohoistctl COMMAND --help`` explains each."""
 
+    def __init__(self) -> None:
+        self.key = KeyCommands()
+
     def check(self, path: str) -> str:
         """Check a configuration text; print its digest if it is sound.
 
@@ -154,34 +187,6 @@
             _fail(report.text(), _exit_code(report))
         return report.text()
 
-    def key_new(self, name: str, workspace: str) -> str:
-        """Print a new key's section, and the key itself on standard error.
-
-        Example: pimentohoistctl key_new line-1 lipstick-house >> fleet.toml
-        """
-        section, key = create_key(name, workspace)
-        sys.stderr.write(f'{key}\n')
-        return section_text(section).rstrip('\n')
-
-    def key_withdraw(
-        self, name: str, log: str, daemons: str, operator: str = ''
-    ) -> str:
-        """Withdraw a key and wait until no live member takes it.
-
-        Example: pimentohoistctl key_withdraw line-1 10.0.0.9:9000 10.0.0.4:8001
-        """
-        addresses = _addresses(daemons)
-        text = str(_ask(addresses[0], '/configuration')['text'])
-        base = Configuration.parse(text)
-        sections = dict(base.sections)
-        if sections.pop(f'keys/{name}', None) is None:
-            raise SettingsError(f'there is no key {name!r}', step=_STEP)
-        publisher = Publisher(HttpLog(log, timeout_s=_TIMEOUT_S), addresses, operator)
-        report = publisher.publish(Configuration(sections), base)
-        if not report.is_in_force:
-            _fail(report.text(), _exit_code(report))
-        return report.text()
-
 
 def _exit_code(report: Report) -> int:
     is_rejected = report.verdict is not None and not report.verdict['is_accepted']
