--- a/src/pimentohoist/models.py
+++ b/src/pimentohoist/models.py
@@ -69,6 +69,8 @@
         Offset of the join record.
     is_leaving : bool
         Whether callers are no longer sent to it.
+    operators_address : str
+        ``ip:port`` of the dump and of what is in force; empty if not told.
     """
 
     incarnation: str
@@ -77,6 +79,7 @@
     failure_domain: str
     epoch: int = 0
     is_leaving: bool = False
+    operators_address: str = ''
 
 
 @dataclass(frozen=True, slots=True)
