--- a/src/pimentohoist/_openai.py
+++ b/src/pimentohoist/_openai.py
@@ -155,7 +155,7 @@
                 text = json.dumps(chunk.text)
                 yield f'{head}{reason}{self.shape.text_key}{text}{tail}'.encode()
         except PimentohoistError as error:
-            yield _event({'error': error_document(error)})
+            yield error_event(error)
             return
         if self._wants_usage():
             document = self._document(self.shape.part)
@@ -211,5 +211,10 @@
     }
 
 
+def error_event(error: PimentohoistError) -> bytes:
+    """Return the event that ends a stream which is not whole."""
+    return _event({'error': error_document(error)})
+
+
 def _event(document: Mapping[str, Any]) -> bytes:
     return b'data: ' + json.dumps(document).encode() + b'\n\n'
