--- a/src/pimentohoist_standins/bench_requests.py
+++ b/src/pimentohoist_standins/bench_requests.py
@@ -220,8 +220,9 @@
 
 
 def _direct(fleet: Fleet) -> Target:
-    """Return an engine with the adapter loaded, to be asked without a daemon."""
-    target = _target(fleet, 'engine-0', _JSON)
+    """Return an engine of no group with the adapter loaded, asked without a daemon."""
+    fleet.start_standin('direct', 'engine', token_s=_FAST_TOKEN_S)
+    target = _target(fleet, 'direct', _JSON)
     order = {'lora_name': _MODEL, 'fencing_number': _UNLIMITED_TOKENS}
     target.client.ask_json(HttpRequest.of_json('POST', '/v1/load_lora_adapter', order))
     return target
