Less memory for sections, homes kept by epoch

Cause: 50,000 adapters held 40.7 MB in the configuration's fold, of which each adapter's dict, its own copies of the names of group and workspace and its own equal tuples were a large part; a home was ranked anew for each question (611 us at 370 members). Sections have slots, equal names and tuples are shared; a home is kept until the epoch changes.

--- a/src/pimentohoist/_controllers/view.py
+++ b/src/pimentohoist/_controllers/view.py
@@ -29,6 +29,7 @@
 _LONG_POLL_S = 0.5
 _JOIN_PAUSE_S = 0.5
 _INCARNATION_BYTES = 6
+_MOST_HOMES = 10_000
 _logger = logging.getLogger(__name__)
 
 
@@ -67,6 +68,8 @@
         self.follower = StreamFollower(ShortPolls(log), VIEW_STREAM, ViewFold())
         self.followers: list[StreamFollower[Any]] = [self.follower]
         self.freshness = FreshnessTracker()
+        self._homes: dict[str, Member] = {}
+        self._homes_epoch = 0
         self._lock = threading.Lock()
         self._closed = threading.Event()
         self._thread = threading.Thread(
@@ -106,8 +109,16 @@
 
     def home(self, thing: str) -> Member | None:
         """Return the home of `thing`; None if the view is empty."""
-        ranked = rank(thing, self.members())
-        return ranked[0] if ranked else None
+        with self.follower.changed:
+            fold = self.follower.fold
+            if self._homes_epoch != fold.epoch:
+                self._homes.clear()
+                self._homes_epoch = fold.epoch
+            if thing not in self._homes and fold.members:
+                if len(self._homes) >= _MOST_HOMES:
+                    self._homes.clear()
+                self._homes[thing] = rank(thing, fold.members.values())[0]
+            return self._homes.get(thing)
 
     def is_home(self, thing: str) -> bool:
         """Return whether this daemon is the home and fresh enough to act on it."""
--- a/src/pimentohoist/_sections.py
+++ b/src/pimentohoist/_sections.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Mapping
 from decimal import Decimal
 from enum import StrEnum
+from functools import lru_cache
 from types import MappingProxyType
 from typing import Annotated, Any, TypeAlias
 
@@ -23,12 +25,22 @@
 _LEAST_SALT_DIGITS = 16
 _DIGEST_DIGITS = 64
 
-Name = Annotated[str, Field(pattern=_NAME_PATTERN)]
+_SHARED_TUPLES = 4096
+
+Name = Annotated[str, Field(pattern=_NAME_PATTERN), AfterValidator(sys.intern)]
+"""A name; equal ones share their memory, as most adapters name the same few things."""
+
 Address = Annotated[str, Field(pattern=_ADDRESS_PATTERN)]
 _Version = Annotated[int, Field(ge=1, le=_HIGHEST_COUNT)]
 _Count = Annotated[int, Field(ge=0, le=_HIGHEST_COUNT)]
 
 
+@lru_cache(_SHARED_TUPLES)
+def _shared(names: tuple[Any, ...]) -> tuple[Any, ...]:
+    """Return one tuple for all equal ones."""
+    return names
+
+
 def _plain_decimal(number: Decimal) -> Decimal:
     """Return the number in the one way in which it is printed."""
     return Decimal(format(number.normalize(), 'f'))
@@ -64,7 +76,7 @@
     SERVICE = 'service'
 
 
-@checked.dataclass(frozen=True, config=_CONFIG)
+@checked.dataclass(frozen=True, slots=True, config=_CONFIG)
 class Workspace:
     """A tenant with its limit and price.
 
@@ -88,7 +100,7 @@
     is_urgent: bool = False
 
 
-@checked.dataclass(frozen=True, config=_CONFIG)
+@checked.dataclass(frozen=True, slots=True, config=_CONFIG)
 class Key:
     """A caller's key, as a salted digest of its secret."""
 
@@ -103,7 +115,7 @@
     ]
 
 
-@checked.dataclass(frozen=True, config=_CONFIG)
+@checked.dataclass(frozen=True, slots=True, config=_CONFIG)
 class Adapter:
     """A LoRA adapter with the versions and workspaces that may be called.
 
@@ -121,12 +133,14 @@
 
     name: Name
     group: Name
-    versions: Annotated[tuple[_Version, ...], Field(min_length=1)]
+    versions: Annotated[
+        tuple[_Version, ...], Field(min_length=1), AfterValidator(_shared)
+    ]
     default_version: int
-    workspaces: tuple[Name, ...] = ()
+    workspaces: Annotated[tuple[Name, ...], AfterValidator(_shared)] = ()
 
 
-@checked.dataclass(frozen=True, config=_CONFIG)
+@checked.dataclass(frozen=True, slots=True, config=_CONFIG)
 class Endpoint:
     """A member of an endpoint group."""
 
@@ -136,7 +150,7 @@
     checks_fencing: bool = False
 
 
-@checked.dataclass(frozen=True, config=_CONFIG)
+@checked.dataclass(frozen=True, slots=True, config=_CONFIG)
 class EndpointGroup:
     """Endpoints that serve the same purpose.
 
@@ -158,7 +172,7 @@
     knee_requests: Annotated[int, Field(ge=1)] = 16
 
 
-@checked.dataclass(frozen=True, config=_CONFIG)
+@checked.dataclass(frozen=True, slots=True, config=_CONFIG)
 class Route:
     """A path of a plain service, ``/services/<name>/...``.
 
@@ -178,11 +192,11 @@
     group: Name
     is_idempotent: bool
     is_open: bool = False
-    workspaces: tuple[Name, ...] = ()
+    workspaces: Annotated[tuple[Name, ...], AfterValidator(_shared)] = ()
     cost_tokens: _Count = 0
 
 
-@checked.dataclass(frozen=True, config=_CONFIG)
+@checked.dataclass(frozen=True, slots=True, config=_CONFIG)
 class StoreBudget:
     """What the weight store allows over the whole fleet."""
 
