--- a/features/steps/thin_path.py
+++ b/features/steps/thin_path.py
@@ -9,13 +9,13 @@
 import openai
 from behave import given, then, when
 from behave.runner import Context
+from callers import expected_text
 
 from pimentohoist._http_client import HttpReply, HttpRequest
 from pimentohoist._platform.log import HttpLog
 from pimentohoist.configuration import Adapter, Configuration, Workspace
 from pimentohoist.keys import create_key
 from pimentohoist_standins.demo import demo_sections
-from pimentohoist_standins.engine import token_text
 from pimentohoist_standins.fleet import Fleet
 
 _PROMPT = 'Check the ingredient declaration.'
@@ -53,10 +53,6 @@
     return json.dumps(document).encode()
 
 
-def expected_text(prompt: str, adapter: str, tokens: int) -> str:
-    return ''.join(token_text(prompt, adapter, offset) for offset in range(tokens))
-
-
 @when('the caller streams a completion of {tokens:d} tokens on "{model}"')
 def stream_completion(context: Context, tokens: int, model: str) -> None:
     body = completion(model, tokens, stream=True)
