Requests look for a new home; a dead daemon's pins end with its process

Cause of the refusals with a daemon killed, by a trace of each try: (a) an entry daemon gave a request up at the first connection refused by a home ("no slot: unreachable"); (b) a new home evicted nothing for 60 s, the longest time for which a departed daemon may hold pins ("settling", time to come back 59 s).

Now a search (pure, HomeSearch) asks every home once, waits in line where a home is busy or settling, and asks homes that can't be reached for 12 s, the time of an expiry and a takeover. A departed daemon's pins count until 2.5 s after its process was proved to have ended: two refused connections 0.3 s apart, each by a connection of its own (a channel in its backoff told of an earlier attempt), or a successor at its address that reports its pins. For that a daemon answers peers before it joins. A proved end expires a member at once instead of after 4 misses. A request given up on is released in the background.

--- a/src/pimentohoist/_controllers/endpoint_home.py
+++ b/src/pimentohoist/_controllers/endpoint_home.py
@@ -6,6 +6,7 @@
 import threading
 import time
 from collections.abc import Iterable, Mapping
+from math import isinf
 from typing import Any
 
 from pimentohoist._controllers.engine_orders import EngineOrders
@@ -19,6 +20,7 @@
 _VERIFY_PERIOD_S = 3.0
 _VERIFY_SOON_S = 0.3
 _ABANDONED_S = 3.0
+_SETTLE_POLL_S = 0.1
 _logger = logging.getLogger(__name__)
 
 
@@ -61,8 +63,15 @@
             if entry.request_id in self._refusals:
                 return self._take_refusal(entry.request_id)
             refusal = self.state.offer(entry, time.monotonic(), must_queue=must_queue)
+            while _may_settle(refusal, entry, must_queue=must_queue):
+                if time.monotonic() >= give_up_at:
+                    return None
+                self.changed.wait(_SETTLE_POLL_S)
+                refusal = self.state.offer(
+                    entry, time.monotonic(), must_queue=must_queue
+                )
             if refusal is not None:
-                self._asked_at.pop(entry.request_id)
+                self._asked_at.pop(entry.request_id, None)
                 return refusal
             self._decide()
             while entry.request_id in self.state.queue.entries:
@@ -215,3 +224,13 @@
             'step': error.step,
             'peer': error.peer or self.place.endpoint.address,
         }
+
+
+def _may_settle(refusal: Refusal | None, entry: Waiting, *, must_queue: bool) -> bool:
+    """Return whether a request with nowhere else to go can wait until pins are known."""
+    if refusal is None or refusal.reason != Reason.SETTLING or not must_queue:
+        return False
+    # Members report within a short time, but nobody can say when.
+    is_reporting = isinf(refusal.retry_after_s)
+    wait_s = 0 if is_reporting else refusal.retry_after_s
+    return time.monotonic() + wait_s < entry.deadline
--- a/src/pimentohoist/_controllers/endpoint_homes.py
+++ b/src/pimentohoist/_controllers/endpoint_homes.py
@@ -192,14 +192,10 @@
         while not home.is_verified and self._is_kept(home):
             self._closed.wait(_PAUSE_S)
             home.verify()
-        wait_s = self.collection.collect(
+        self.collection.collect(
             home.place.name, home.settle, lambda: self._is_kept(home)
         )
-        home.settle((), time.monotonic() + wait_s)
-        _logger.info(
-            'home settled',
-            extra={'endpoint': home.place.name, 'evicts_after_s': round(wait_s, 3)},
-        )
+        _logger.info('home settled', extra={'endpoint': home.place.name})
 
     def _load(self, home: EndpointHome) -> None:
         """Get permits for what the endpoint needs, as long as it is kept."""
--- a/src/pimentohoist/_controllers/endpoints.py
+++ b/src/pimentohoist/_controllers/endpoints.py
@@ -9,11 +9,13 @@
 from typing import Any, Self
 
 from pimentohoist._controllers.configuration import ConfigurationController
+from pimentohoist._controllers.end_proofs import EndProofs
 from pimentohoist._controllers.endpoint_homes import EndpointHomes
 from pimentohoist._controllers.engine_orders import Place
 from pimentohoist._controllers.held_pins import HeldPins, MemberHomes
 from pimentohoist._controllers.home_calls import AskedSlot, HomeCalls
 from pimentohoist._decisions.admission import Reason
+from pimentohoist._decisions.home_search import HomeSearch
 from pimentohoist._decisions.placement import CopyTable, order_endpoints
 from pimentohoist._platform.engine import HttpEngine
 from pimentohoist._platform.service import HttpService
@@ -30,6 +32,7 @@
 _MOST_ASKED = 4
 _RELEASE_THREADS = 8
 _FAILURE_MEMORY_S = 1.0
+_REPEAT_S = 0.1
 
 
 class HeldSlot:
@@ -61,6 +64,8 @@
 
     Parameters
     ----------
+    proofs : EndProofs
+        Which daemons are known to have ended.
     longest_s : float
         Longest time that a request may last.
     """
@@ -70,9 +75,10 @@
         homes: MemberHomes,
         configuration: ConfigurationController,
         peers: Peers,
+        proofs: EndProofs,
         longest_s: float,
     ) -> None:
-        self.pins = HeldPins(homes, longest_s)
+        self.pins = HeldPins(homes, proofs, longest_s)
         self.homes = EndpointHomes(
             homes,
             configuration,
@@ -80,14 +86,16 @@
             self.pins,
             lambda place: self.engine(place.endpoint),
         )
-        self.calls = HomeCalls(homes, peers, self.pins, self.homes)
+        self._releases = ThreadPoolExecutor(_RELEASE_THREADS, 'releases')
+        self.calls = HomeCalls(
+            homes, peers, self.pins, self.homes, self._releases.submit
+        )
         self.copies = CopyTable()
         self.in_flight: dict[str, int] = {}
         self._failed_at: dict[str, float] = {}
         self._engines: dict[str, Engine] = {}
         self._services: dict[str, Service] = {}
         self._lock = threading.RLock()
-        self._releases = ThreadPoolExecutor(_RELEASE_THREADS, 'releases')
 
     def __enter__(self) -> Self:
         """Start being a home."""
@@ -160,22 +168,29 @@
             return self._hold(endpoint, None)
 
     def _acquire_engine(self, request: SlotRequest, adapter: AdapterVersion) -> Slot:
-        refused: list[AskedSlot] = []
-        for number, endpoint in enumerate(self._ordered(request, adapter), start=1):
-            asked = self.calls.ask(Place(request.group, endpoint), request)
+        endpoints = self._ordered(request, adapter)
+        search = HomeSearch(len(endpoints), time.monotonic(), request.deadline)
+        answers: dict[int, AskedSlot] = {}
+        question = search.next(time.monotonic())
+        while question is not None:
+            if question.is_repeated:
+                time.sleep(_REPEAT_S)
+            place = Place(request.group, endpoints[question.number])
+            asked = self.calls.ask(place, request, must_queue=question.must_queue)
             if asked.is_pinned:
-                return self._hold(endpoint, asked)
-            if asked.reason == Reason.BUSY:
-                with self._lock:
-                    self.copies.note_busy(adapter, number, time.monotonic())
-            refused.append(asked)
-        busy = [asked for asked in refused if asked.reason == Reason.BUSY]
-        for earlier in busy:
-            again = self.calls.ask(earlier.place, request, must_queue=True)
-            if again.is_pinned:
-                return self._hold(earlier.place.endpoint, again)
-            refused.append(again)
-        raise _refusal(request, refused)
+                return self._hold(place.endpoint, asked)
+            self._note_busy(adapter, asked, question.number)
+            answers[question.number] = asked
+            search.note(question, asked.reason)
+            question = search.next(time.monotonic())
+        raise _refusal(request, tuple(answers.values()))
+
+    def _note_busy(
+        self, adapter: AdapterVersion, asked: AskedSlot, number: int
+    ) -> None:
+        if asked.reason == Reason.BUSY:
+            with self._lock:
+                self.copies.note_busy(adapter, number + 1, time.monotonic())
 
     def _ordered(
         self, request: SlotRequest, adapter: AdapterVersion
@@ -227,7 +242,7 @@
     return endpoints
 
 
-def _refusal(request: SlotRequest, refused: list[AskedSlot]) -> UnavailableError:
+def _refusal(request: SlotRequest, refused: tuple[AskedSlot, ...]) -> UnavailableError:
     reasons = sorted({asked.reason for asked in refused})
     is_late = Reason.DEADLINE in reasons
     kind = DeadlineError if is_late else UnavailableError
--- a/src/pimentohoist/_controllers/freshness.py
+++ b/src/pimentohoist/_controllers/freshness.py
@@ -9,6 +9,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any, Self
 
+from pimentohoist._controllers.end_proofs import EndProofs
 from pimentohoist._controllers.neighbours import MemberAsker, Neighbours
 from pimentohoist._controllers.view import ViewController
 from pimentohoist._decisions.tenures import FRESH_S
@@ -38,6 +39,8 @@
         Which views can no longer be acted upon.
     fenced_at : dict of int to float
         By epoch: monotonic time at which all older views were known to be fenced.
+    proofs : EndProofs
+        Which members' processes have ended.
     witnessed : int
         Times at which the witnesses confirmed that this daemon is up to date.
     """
@@ -50,9 +53,10 @@
         self.fences = Fences()
         self.fenced_at: dict[int, float] = {}
         self.witnessed = 0
-        self.asker = MemberAsker(peers, self._note_dead)
+        self.asker = MemberAsker(peers, clock, self._note_gone)
         self._lock = threading.RLock()
         self._pool = ThreadPoolExecutor(_THREADS, thread_name_prefix=_STEP)
+        self.proofs = EndProofs(self.asker, self._pool, clock)
         self.neighbours = Neighbours(view, self.asker, self._pool)
         self._closed = threading.Event()
         self._thread = threading.Thread(target=self._run, name=_STEP, daemon=True)
@@ -97,6 +101,7 @@
                 (member.incarnation, member) for member in choose_witnesses(view)
             )
         beats = self.neighbours.beat(view)
+        self.proofs.tick(peer_pb2.HeartbeatRequest(sender=self._sender()))
         self._ask_witnesses(view, asked.values())
         self.neighbours.note(beats)
         with self._lock:
@@ -166,8 +171,8 @@
             self.fences.learn(reply.fenced_epoch)
         return positions
 
-    def _note_dead(self, member: Member) -> None:
-        """Note that another process, or none, has the member's address now."""
+    def _note_gone(self, member: Member) -> None:
+        """Note that another incarnation, or none, has the member's address now."""
         with self._lock:
             self.fences.note_dead(member.incarnation)
 
--- a/src/pimentohoist/_controllers/held_pins.py
+++ b/src/pimentohoist/_controllers/held_pins.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
+from pimentohoist._controllers.end_proofs import EndProofs
+from pimentohoist._decisions.departures import DepartedMembers
 from pimentohoist._decisions.endpoint import PIN_GRACE_S, Pin
 from pimentohoist._generated import peer_pb2
 from pimentohoist.exceptions import UnavailableError
@@ -37,7 +39,7 @@
 
 
 class HeldPins:
-    """All pins of this daemon, and since when other members have been gone.
+    """All pins of this daemon, and which departed members may still hold some.
 
     Parameters
     ----------
@@ -45,12 +47,11 @@
         Longest time that a request and thereby a pin can last.
     """
 
-    def __init__(self, homes: MemberHomes, longest_s: float) -> None:
+    def __init__(self, homes: MemberHomes, proofs: EndProofs, longest_s: float) -> None:
         self.homes = homes
-        self.longest_s = longest_s + PIN_GRACE_S
+        self.proofs = proofs
         self.held: dict[str, HeldPin] = {}
-        self._members: frozenset[str] = frozenset()
-        self._unsettled_until = float('-inf')
+        self.departed = DepartedMembers(longest_s + PIN_GRACE_S)
         self._lock = threading.Lock()
 
     def add(self, place: str, pin: Pin) -> None:
@@ -70,17 +71,19 @@
 
     def note_members(self) -> None:
         """Compare the view with the one seen before; to be called often."""
-        present = frozenset(member.incarnation for member in self.homes.members())
+        members = self.homes.members()
         with self._lock:
-            if self._members - present:
-                self._unsettled_until = time.monotonic() + self.longest_s
-            self._members = present
+            self.departed.note_members(members, time.monotonic())
 
     def unsettled_s(self) -> float:
         """Return for how long departed members may still hold pins."""
         self.note_members()
+        ended_at = self.proofs.ended_at
         with self._lock:
-            return max(0, self._unsettled_until - time.monotonic())
+            unproved = self.departed.unproved(ended_at)
+            unsettled_s = self.departed.unsettled_s(ended_at, time.monotonic())
+        self.proofs.ask_for(unproved)
+        return unsettled_s
 
     def report(self, request: peer_pb2.PinsRequest) -> peer_pb2.PinsReply:
         """Answer a new home; raises UnavailableError if this view is older than its."""
--- a/src/pimentohoist/_controllers/home_calls.py
+++ b/src/pimentohoist/_controllers/home_calls.py
@@ -13,9 +13,11 @@
 from pimentohoist._controllers.held_pins import MS_PER_S, HeldPins, MemberHomes
 from pimentohoist._decisions.admission import Reason
 from pimentohoist._decisions.endpoint import Pin
+from pimentohoist._decisions.home_search import UNREACHABLE
 from pimentohoist._generated import peer_pb2
 from pimentohoist.exceptions import (
     NotHomeError,
+    PeerConnectError,
     PeerError,
     PeerRefusedError,
 )
@@ -25,10 +27,10 @@
 
 _CALL_TIMEOUT_S = 2.0
 _RELEASE_TRIES = 5
+_RELEASE_TIMEOUT_S = 0.5
 _PAUSE_S = 0.05
-_MOVED_PATIENCE_S = 2.0
+_MOVED_PATIENCE_S = 0.5
 _RETRY_AFTER_S = 0.5
-_UNREACHABLE = 'unreachable'
 _Outcome = tuple[str, float]
 
 
@@ -54,15 +56,27 @@
 
 
 class HomeCalls:
-    """Asks homes for slots and gives these back; this daemon's own without a call."""
+    """Asks homes for slots and gives these back; this daemon's own without a call.
+
+    Parameters
+    ----------
+    submit : callable
+        Runs a function with its arguments in another thread.
+    """
 
     def __init__(
-        self, view: MemberHomes, peers: Peers, pins: HeldPins, own: EndpointHomes
+        self,
+        view: MemberHomes,
+        peers: Peers,
+        pins: HeldPins,
+        own: EndpointHomes,
+        submit: Callable[..., object],
     ) -> None:
         self.view = view
         self.peers = peers
         self.pins = pins
         self.own = own
+        self.submit = submit
         self._numbers = itertools.count()
 
     def ask(
@@ -78,7 +92,6 @@
         )
         if not reason:
             return asked
-        self.pins.remove(pin_id)
         return AskedSlot(place, pin_id, reason, retry_after_s)
 
     def release(
@@ -94,7 +107,13 @@
         )
         for _ in range(_RELEASE_TRIES):
             try:
-                self._call(asked.place.name, 'Release', message, self.own.release)
+                self._call(
+                    asked.place.name,
+                    'Release',
+                    message,
+                    self.own.release,
+                    timeout_s=_RELEASE_TIMEOUT_S,
+                )
             except (NotHomeError, PeerError):
                 time.sleep(_PAUSE_S)
                 continue
@@ -104,43 +123,54 @@
     def _ask_repeatedly(self, asked: AskedSlot, wanted: _Wanted) -> _Outcome:
         patience = _Patience()
         while time.monotonic() < wanted.request.deadline:
+            outcome = None
             try:
                 outcome = self._ask_once(asked, wanted)
             except (NotHomeError, PeerError) as error:
                 if patience.is_over(error):
-                    self._give_up(asked)
-                    return _UNREACHABLE, _RETRY_AFTER_S
-                outcome = None
+                    self._give_up(asked, may_be_known=patience.may_be_known)
+                    return UNREACHABLE, _RETRY_AFTER_S
             else:
                 patience.renew()
             if outcome is not None:
                 return outcome
             time.sleep(_PAUSE_S)
-        self._give_up(asked)
+        self._give_up(asked, may_be_known=True)
         return Reason.DEADLINE, _RETRY_AFTER_S
 
     def _ask_once(self, asked: AskedSlot, wanted: _Wanted) -> _Outcome | None:
         """Return the decision; None if there is none yet."""
         home = self.view.home(asked.place.name)
         message = wanted.message(asked, self._sender())
-        reply = self._call(asked.place.name, 'Acquire', message, self.own.acquire)
+        reply = self._call(
+            asked.place.name,
+            'Acquire',
+            message,
+            self.own.acquire,
+            timeout_s=_CALL_TIMEOUT_S,
+        )
         if reply.refusal and reply.refusal != Reason.MOVED:
+            self.pins.remove(asked.pin_id)
             return reply.refusal, reply.retry_after_ms / MS_PER_S
         if reply.pin_id and self._is_still_home(asked.place.name, home):
             return '', 0
         return None
 
     def _call(
-        self, name: str, method: str, message: Any, own: Callable[[Any], Any]
+        self,
+        name: str,
+        method: str,
+        message: Any,
+        own: Callable[[Any], Any],
+        *,
+        timeout_s: float,
     ) -> Any:
         home = self.view.home(name)
         if home is None:
             raise NotHomeError('the view is empty', step=method)
         if home.incarnation == self.view.incarnation:
             return own(message)
-        return self.peers.call(
-            home.peer_address, method, message, timeout_s=_CALL_TIMEOUT_S
-        )
+        return self.peers.call(home.peer_address, method, message, timeout_s=timeout_s)
 
     def _is_still_home(self, name: str, asked: Member | None) -> bool:
         """Return whether the answer is not one of a former home."""
@@ -149,9 +179,12 @@
             return False
         return asked.incarnation == present.incarnation
 
-    def _give_up(self, asked: AskedSlot) -> None:
+    def _give_up(self, asked: AskedSlot, *, may_be_known: bool) -> None:
         """Release what may have been pinned without this daemon's knowledge."""
-        self.release(asked, 0)
+        if may_be_known:
+            self.submit(self.release, asked, 0)
+        else:
+            self.pins.remove(asked.pin_id)
 
     def _sender(self) -> peer_pb2.Sender:
         return peer_pb2.Sender(incarnation=self.view.incarnation, epoch=self.view.epoch)
@@ -183,13 +216,21 @@
 
 
 class _Patience:
-    """Bears refusals while another home may take over shortly."""
+    """Bears refusals while another home may take over shortly.
+
+    Attributes
+    ----------
+    may_be_known : bool
+        Whether a home may hold the request.
+    """
 
     def __init__(self) -> None:
+        self.may_be_known = False
         self._until: float | None = None
 
     def renew(self) -> None:
         """Note an answer."""
+        self.may_be_known = True
         self._until = None
 
     def is_over(self, error: Exception) -> bool:
@@ -197,4 +238,6 @@
         if self._until is None:
             self._until = time.monotonic() + _MOVED_PATIENCE_S
         is_refused = isinstance(error, NotHomeError | PeerRefusedError)
+        if not is_refused and not isinstance(error, PeerConnectError):
+            self.may_be_known = True
         return not is_refused or time.monotonic() >= self._until
--- a/src/pimentohoist/_controllers/neighbours.py
+++ b/src/pimentohoist/_controllers/neighbours.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import threading
 from collections import Counter
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
@@ -10,11 +11,12 @@
 from typing import Any
 
 from pimentohoist._controllers.view import ViewController
+from pimentohoist._decisions.departures import EndedProcesses
 from pimentohoist._generated import peer_pb2
 from pimentohoist._view_fold import View, rank
 from pimentohoist.exceptions import PeerConnectError, PeerError
 from pimentohoist.models import Member
-from pimentohoist.protocols import Peers
+from pimentohoist.protocols import Clock, Peers
 
 _TIMEOUT_S = 0.4
 _NEIGHBOURS = 3
@@ -37,13 +39,23 @@
 
     Parameters
     ----------
-    note_dead : callable
-        Called with a member whose address another process, or none, has now.
+    note_gone : callable
+        Called with a member whose incarnation no longer acts.
+
+    Attributes
+    ----------
+    ended : EndedProcesses
+        What the answers prove.
     """
 
-    def __init__(self, peers: Peers, note_dead: Callable[[Member], None]) -> None:
+    def __init__(
+        self, peers: Peers, clock: Clock, note_gone: Callable[[Member], None]
+    ) -> None:
         self.peers = peers
-        self.note_dead = note_dead
+        self.clock = clock
+        self.note_gone = note_gone
+        self.ended = EndedProcesses()
+        self._lock = threading.Lock()
 
     def ask(self, member: Member, method: str, request: Any) -> Any:
         """Return the reply of this very incarnation; None if there is none."""
@@ -52,13 +64,24 @@
                 member.peer_address, method, request, timeout_s=_TIMEOUT_S
             )
         except PeerError as error:
-            if _is_refused(error):
-                self.note_dead(member)
-            return None
-        if reply.sender.incarnation != member.incarnation:
-            self.note_dead(member)
+            self._note_failure(member, error)
             return None
-        return reply
+        with self._lock:
+            if reply.sender.incarnation == member.incarnation:
+                self.ended.note_answer(member.incarnation)
+                return reply
+            self.ended.note_replaced(member.incarnation, self.clock())
+        self.note_gone(member)
+        return None
+
+    def _note_failure(self, member: Member, error: PeerError) -> None:
+        with self._lock:
+            if not _is_refused(error):
+                self.ended.note_silence(member.incarnation)
+                return
+            has_ended = self.ended.note_refused(member.incarnation, self.clock())
+        if has_ended:
+            self.note_gone(member)
 
 
 class Neighbours:
@@ -99,7 +122,8 @@
         most = _MISSES if len(silent) < len(beats) else _MISSES_OF_ALL
         for member in silent:
             self.misses[member.incarnation] += 1
-            if self.misses[member.incarnation] >= most:
+            has_ended = member.incarnation in self.asker.ended.gone_at
+            if has_ended or self.misses[member.incarnation] >= most:
                 _logger.warning(
                     'member is gone',
                     extra={'step': 'heartbeat', 'peer': member.peer_address},
--- a/src/pimentohoist/_controllers/pin_collection.py
+++ b/src/pimentohoist/_controllers/pin_collection.py
@@ -19,6 +19,8 @@
 
 _PAUSE_S = 0.1
 _REPORT_TIMEOUT_S = 1.0
+_AGAIN_S = 0.2
+Settle = Callable[[Iterable[Pin], float | None], None]
 
 
 class PinCollection:
@@ -30,46 +32,52 @@
         self.pins = pins
 
     def collect(
-        self,
-        place: str,
-        adopt: Callable[[Iterable[Pin]], None],
-        is_wanted: Callable[[], bool],
-    ) -> float:
-        """Ask until all members of the view have answered.
+        self, place: str, settle: Settle, is_wanted: Callable[[], bool]
+    ) -> None:
+        """Ask until all members have answered and no departed one can hold a pin.
 
         Parameters
         ----------
-        adopt : callable
-            Takes each member's pins over.
+        settle : callable
+            Takes a member's pins over and, once all members have reported, the time from
+            which on every pin is known.
         is_wanted : callable
             Whether to go on.
-
-        Returns
-        -------
-        float
-            Seconds for which members that have departed may still hold pins.
         """
-        reported = {self.view.incarnation: float(0)}
-        adopt(self.pins.at(place))
-        missing = self._missing(reported)
-        while missing and is_wanted():
-            for member in missing:
-                unsettled_s = self._ask(place, member, adopt)
-                if unsettled_s is not None:
-                    reported[member.incarnation] = unsettled_s
-            missing = self._missing(reported)
-        return max(self.pins.unsettled_s(), *reported.values())
+        settle(self.pins.at(place), None)
+        unsettled_until = {self.view.incarnation: float('-inf')}
+        while is_wanted():
+            for member in self._to_ask(unsettled_until):
+                self._ask(place, member, unsettled_until, settle)
+            if self._missing(unsettled_until):
+                continue
+            now = time.monotonic()
+            until = max(now + self.pins.unsettled_s(), *unsettled_until.values())
+            settle((), until)
+            if until <= now:
+                return
+            # What members know of departed ones may soon be better.
+            time.sleep(_AGAIN_S)
 
-    def _missing(self, reported: Mapping[str, float]) -> list[Member]:
+    def _missing(self, unsettled_until: Mapping[str, float]) -> bool:
+        names = {member.incarnation for member in self.view.members()}
+        return not names <= set(unsettled_until)
+
+    def _to_ask(self, unsettled_until: Mapping[str, float]) -> list[Member]:
+        now = time.monotonic()
         return [
             member
             for member in self.view.members()
-            if member.incarnation not in reported
+            if unsettled_until.get(member.incarnation, now + 1) > now
         ]
 
     def _ask(
-        self, place: str, member: Member, adopt: Callable[[Iterable[Pin]], None]
-    ) -> float | None:
+        self,
+        place: str,
+        member: Member,
+        unsettled_until: dict[str, float],
+        settle: Settle,
+    ) -> None:
         sender = peer_pb2.Sender(
             incarnation=self.view.incarnation, epoch=self.view.epoch
         )
@@ -80,6 +88,8 @@
             )
         except PeerError:
             time.sleep(_PAUSE_S)
-            return None
-        adopt(parse_pins(reply.pins))
-        return float(reply.unsettled_ms) / MS_PER_S
+            return
+        if member.incarnation not in unsettled_until:
+            settle(parse_pins(reply.pins), None)
+        left_s = float(reply.unsettled_ms) / MS_PER_S
+        unsettled_until[member.incarnation] = time.monotonic() + left_s
--- a/src/pimentohoist/_peers.py
+++ b/src/pimentohoist/_peers.py
@@ -36,6 +36,7 @@
     ('grpc.max_reconnect_backoff_ms', 1000),
     ('grpc.enable_http_proxy', 0),
     ('grpc.so_reuseport', 0),
+    ('grpc.use_local_subchannel_pool', 1),
 )
 
 
@@ -128,6 +129,8 @@
             case grpc.StatusCode.FAILED_PRECONDITION:
                 return PeerRefusedError(text, step=_STEP, peer=address, peer_status=0)
             case grpc.StatusCode.UNAVAILABLE if 'connect' in text.lower():
+                # A connection in its backoff would tell of an earlier attempt.
+                self.forget(address)
                 return PeerConnectError(text, step=_STEP, peer=address)
         return PeerError(text, step=_STEP, peer=address)
 
--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -59,7 +59,11 @@
             self.view, self.configuration, self.peers, self.freshness.fenced_at
         )
         self.endpoints = EndpointsController(
-            self.view, self.configuration, self.peers, settings.callers.timeout_s
+            self.view,
+            self.configuration,
+            self.peers,
+            self.freshness.proofs,
+            settings.callers.timeout_s,
         )
         self.requests = RequestPath(
             settings, self.log, self.view, self.peers, self.endpoints
@@ -98,11 +102,11 @@
         """Start the controllers, then serve operators and callers."""
         with ExitStack() as stack:
             stack.enter_context(self.peers)
-            # Peers are answered until the controllers have stopped.
-            peer_stack = stack.enter_context(ExitStack())
+            # Peers are answered from before the join, as a refused connection proves the
+            # end of a member, until the controllers have stopped.
+            stack.enter_context(self._peer_server())
             for controller in self.controllers.values():
                 stack.enter_context(controller)
-            peer_stack.enter_context(self._peer_server())
             stack.enter_context(self._operators_server())
             callers_server = stack.enter_context(self._callers_server())
             self._is_idle = callers_server.is_idle
