Homes of engines begin at the change of view, fenced before they order

Cause: a home of an engine, and of the store's budget, began at the first request, so that each change of view cost the first requests its fence, its reports and the budget's pause of 2 s. And its fence did not hold: a former home is fresh for up to 2 s in an older view, an engine that ignores fencing was left alone for 1 s, one that held nothing was not fenced at all, a failed fence was passed over, and an order took its number after the check of the home, so that a view read between lent its number to the former home's order.

Now every tick begins what is at home here (PlaceWatch, by tenures, so that a home lost and got back between two reads begins anew too). Nothing is sent to an engine before it was fenced: by its own fencing number, by the first load where it holds nothing, or once every former home has read the new view (its report of pins shows that), has ended, or can't be fresh any more (free_at over the whole chain of tenures).

Ruled out: a fence by time alone, as it costs 3 s at every join.

membership: 300 more histories for engines that ignore fencing; seen failing without the fence, with the last former home only, and with the fence but without the time of freshness. serving_homes passes.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -24,4 +24,5 @@
 
   Scenario: Nobody is the home of a thing while another may act as its home
     Then in 300 generated histories of outages, freezes and cuts no thing has two homes
+    And in 300 more no engine that ignores fencing gets orders from two homes
     And each view's witnesses are at most 7, spread over the failure domains
--- a/features/steps/witnesses.py
+++ b/features/steps/witnesses.py
@@ -4,6 +4,7 @@
 
 import random
 import sys
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -16,7 +17,12 @@
 from hypothesis import strategies as st  # noqa: E402
 
 from pimentohoist._decisions.freshness import FreshnessTracker  # noqa: E402
-from pimentohoist._decisions.tenures import FRESH_S, TenureBook  # noqa: E402
+from pimentohoist._decisions.tenures import (  # noqa: E402
+    FRESH_S,
+    FormerWait,
+    TenureBook,
+    free_at,
+)
 from pimentohoist._decisions.witnesses import (  # noqa: E402
     WITNESSES,
     Fences,
@@ -45,6 +51,19 @@
     has_log: bool = True
     side: int = 0
     is_frozen: bool = False
+    heard: dict = field(default_factory=dict)
+
+    def note_heard(self, other: Seer, time: float) -> None:
+        """Note what another daemon has read; a member reports its pins with that."""
+        self.heard.setdefault(other.name, {}).setdefault(other.offset, time)
+
+    def moved_at(self, epoch: int) -> dict:
+        """Return since when other daemons were known to have read a view."""
+        times = {
+            name: [time for offset, time in offsets.items() if offset >= epoch]
+            for name, offsets in self.heard.items()
+        }
+        return {name: min(found) for name, found in times.items() if found}
 
     @property
     def offset(self) -> int:
@@ -115,6 +134,7 @@
         seer.fences.note_offset(seer.name, seer.offset)
         reached = [other for other in self.seers if self.can_ask(seer, other)]
         for witness in reached:
+            seer.note_heard(witness, self.time)
             seer.fences.note_offset(witness.name, witness.offset)
             seer.fences.learn(witness.fences.epoch)
         replies = {other.name: {_STREAM: other.offset} for other in reached}
@@ -131,42 +151,77 @@
         is_reached = other.side == seer.side and not other.is_frozen
         return is_reached and other is not seer
 
-    def actors(self, thing: str) -> list[str]:
+    def actors(self, acts: Acts, thing: str) -> list[str]:
         """Return who would act as home of a thing now."""
-        return [seer.name for seer in self.seers if self.acts(seer, thing)]
+        return [seer.name for seer in self.seers if acts(self, seer, thing)]
+
+
+Acts = Callable[[ViewWorld, Seer, str], bool]
+
 
-    def acts(self, seer: Seer, thing: str) -> bool:
-        tenure = seer.book.tenure(thing)
-        if tenure is None or tenure.home != seer.name:
-            return False
-        begins_at = seer.fenced_at.get(tenure.epoch, float('inf')) + FRESH_S
-        has_begun = tenure.former is None or self.time >= begins_at
-        return has_begun and seer.tracker.is_fresh(self.time)
+def grants(world: ViewWorld, seer: Seer, thing: str) -> bool:
+    """Return whether a daemon grants tokens as the home of a share, pulls aside."""
+    tenure = seer.book.tenure(thing)
+    if tenure is None or tenure.home != seer.name:
+        return False
+    begins_at = seer.fenced_at.get(tenure.epoch, float('inf')) + FRESH_S
+    has_begun = tenure.former is None or world.time >= begins_at
+    return has_begun and seer.tracker.is_fresh(world.time)
 
 
-def check_one_home(context: Context, number: int) -> None:
+def orders(world: ViewWorld, seer: Seer, thing: str) -> bool:
+    """Return whether a daemon orders something at an engine that ignores fencing."""
+    tenure = seer.book.tenure(thing)
+    if tenure is None or tenure.home != seer.name:
+        return False
+    proofs = Proofs(seer.fenced_at, seer.moved_at(tenure.epoch))
+    wait = FormerWait(after_fence_s=FRESH_S, after_end_s=0)
+    has_begun = free_at(tenure, proofs, wait) <= world.time
+    return has_begun and seer.tracker.is_fresh(world.time)
+
+
+@dataclass(frozen=True)
+class Proofs:
+    """What a daemon knows of the ends of former homes."""
+
+    fenced_at: dict
+    gone_at: dict
+
+
+def check_one_home(context: Context, acts: Acts, number: int) -> None:
     rng = random.Random(number)
     world = ViewWorld()
     for _ in range(rng.randint(40, 120)):
         world.step(rng)
         for thing in _THINGS:
-            actors = world.actors(thing)
+            actors = world.actors(acts, thing)
             context.actions += len(actors)
             assert len(actors) <= 1, (world.time, thing, actors)
 
 
-@then(
-    'in {count:d} generated histories of outages, freezes and cuts no thing has '
-    'two homes'
-)
-def run_one_home(context: Context, count: int) -> None:
+def run_one_home(context: Context, acts: Acts, count: int) -> None:
     context.actions = 0
     for_all(
-        count, lambda number: check_one_home(context, number), st.integers(0, 2**32)
+        count,
+        lambda number: check_one_home(context, acts, number),
+        st.integers(0, 2**32),
     )
     assert context.actions > 1000, context.actions
 
 
+@then(
+    'in {count:d} generated histories of outages, freezes and cuts no thing has '
+    'two homes'
+)
+def run_grants(context: Context, count: int) -> None:
+    run_one_home(context, grants, count)
+
+
+@then('in {count:d} more no engine that ignores fencing gets orders from two homes')
+def run_orders(context: Context, count: int) -> None:
+    run_one_home(context, orders, count)
+
+
 @then("each view's witnesses are at most 7, spread over the failure domains")
 def run_spread(context: Context) -> None:
     for size in range(1, 40):
--- a/src/pimentohoist/_controllers/end_proofs.py
+++ b/src/pimentohoist/_controllers/end_proofs.py
@@ -20,15 +20,22 @@
 
     Attributes
     ----------
+    fenced_at : mapping of int to float
+        By epoch: when all older views were known to be fenced.
     ended_at, gone_at : mapping of str to float
         By incarnation: when its process was known to have ended; when it was known that
         it no longer acts under this name.
     """
 
     def __init__(
-        self, asker: MemberAsker, pool: ThreadPoolExecutor, clock: Clock
+        self,
+        asker: MemberAsker,
+        fenced_at: Mapping[int, float],
+        pool: ThreadPoolExecutor,
+        clock: Clock,
     ) -> None:
         self.asker = asker
+        self.fenced_at = fenced_at
         self.ended_at: Mapping[str, float] = asker.ended.ended_at
         self.gone_at: Mapping[str, float] = asker.ended.gone_at
         self._pool = pool
--- a/src/pimentohoist/_controllers/endpoint_home.py
+++ b/src/pimentohoist/_controllers/endpoint_home.py
@@ -14,6 +14,7 @@
 from pimentohoist._decisions.endpoint import EndpointState, LoadPlan, Pin
 from pimentohoist._decisions.loads import LoadWish
 from pimentohoist._decisions.queue import Waiting
+from pimentohoist._decisions.tenures import Tenure
 from pimentohoist.exceptions import PeerError, PeerRefusedError, PimentohoistError
 from pimentohoist.models import AdapterVersion
 
@@ -31,12 +32,19 @@
     ----------
     changed : threading.Condition
         Guards the state; notified after each decision.
+    tenure : Tenure
+        Views in which this daemon is the home.
+    moved_at : dict of str to float
+        By incarnation: when a member was known to have read of this home.
+    is_fenced : bool
+        Whether no former home can order anything; nothing is sent to the engine before.
     is_verified : bool
         Whether the engine has reported what it holds; nothing is sent to it before.
     """
 
-    def __init__(self, orders: EngineOrders) -> None:
+    def __init__(self, orders: EngineOrders, tenure: Tenure) -> None:
         self.orders = orders
+        self.tenure = tenure
         self.place = orders.place
         self.state = EndpointState(
             self.place.group.slots, self.place.group.knee_requests
@@ -44,6 +52,8 @@
         self.state.admission.settled_at = float('inf')
         self.changed = threading.Condition()
         self.is_verified = False
+        self.is_fenced = False
+        self.moved_at: dict[str, float] = {}
         self.counts = {'loads': 0, 'failed_loads': 0}
         self.verify_at = float('-inf')
         self._refusals: dict[str, Refusal] = {}
@@ -157,6 +167,7 @@
             self.verify_at = time.monotonic() + _VERIFY_SOON_S
         else:
             is_loaded = True
+            self.is_fenced |= self.place.endpoint.checks_fencing
         with self.changed:
             self.counts['loads' if is_loaded else 'failed_loads'] += 1
             refusals = self.state.end_load(
@@ -173,6 +184,7 @@
             return {
                 'is_down': state.is_down,
                 'is_verified': self.is_verified,
+                'is_fenced': self.is_fenced,
                 'is_settled': state.admission.is_settled(time.monotonic()),
                 'waiting': len(state.queue),
                 'pins': len(state.pins),
@@ -186,7 +198,7 @@
     def _decide(self) -> None:
         now = time.monotonic()
         self._note_refusals(self.state.refuse_hopeless(now))
-        if self.is_verified and self.orders.is_home():
+        if self.is_verified and self.is_fenced and self.orders.is_home():
             for entry in self.state.dispatch(now):
                 self._asked_at.pop(entry.request_id, None)
         self.changed.notify_all()
--- a/src/pimentohoist/_controllers/endpoint_homes.py
+++ b/src/pimentohoist/_controllers/endpoint_homes.py
@@ -7,16 +7,21 @@
 import time
 from collections.abc import Callable, Mapping
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
 from typing import Any, Self
 
 from pimentohoist._controllers.configuration import ConfigurationController
 from pimentohoist._controllers.endpoint_home import EndpointHome
+from pimentohoist._controllers.end_proofs import EndProofs
 from pimentohoist._controllers.engine_orders import EngineOrders, Place
+from pimentohoist._controllers.home_takeover import HomeTakeover
 from pimentohoist._controllers.held_pins import MS_PER_S, HeldPins, MemberHomes
 from pimentohoist._controllers.load_permits import LoadPermits
 from pimentohoist._controllers.pin_collection import PinCollection
+from pimentohoist._controllers.place_watch import PlaceWatch
 from pimentohoist._decisions.loads import LoadWish
 from pimentohoist._decisions.queue import Waiting
+from pimentohoist._decisions.tenures import Tenure
 from pimentohoist._generated import peer_pb2
 from pimentohoist.exceptions import NotHomeError, PimentohoistError
 from pimentohoist.models import AdapterVersion
@@ -48,14 +53,18 @@
         configuration: ConfigurationController,
         peers: Peers,
         pins: HeldPins,
+        proofs: EndProofs,
         engine_at: Callable[[Place], Engine],
     ) -> None:
         self.view = view
         self.configuration = configuration
         self.peers = peers
         self.pins = pins
+        self.watch = PlaceWatch(view, configuration)
         self.engine_at = engine_at
-        self.collection = PinCollection(view, peers, pins)
+        self.takeover = HomeTakeover(
+            PinCollection(view, peers, pins), proofs, self._is_kept
+        )
         self.permits = LoadPermits(view, configuration, peers)
         self.homes: dict[str, EndpointHome] = {}
         self._lock = threading.RLock()
@@ -117,36 +126,34 @@
 
     def _require(self, name: str) -> EndpointHome:
         with self._lock:
-            if not self.view.is_home(name):
+            tenure = self.watch.tenure(name)
+            if tenure is None or not self.view.is_home(name):
                 raise NotHomeError(
                     f'not the home of {name}', step=_STEP, retry_after_s=_RETRY_AFTER_S
                 )
             home = self.homes.get(name)
-            if home is None:
-                home = self._start_home(self._place(name))
-                self.homes[name] = home
+            if home is None or home.tenure != tenure:
+                place = self.watch.place(name)
+                if place is None:
+                    raise NotHomeError(
+                        f'no endpoint {name} yet',
+                        step=_STEP,
+                        retry_after_s=_RETRY_AFTER_S,
+                    )
+                home = self._start_home(place, tenure)
             return home
 
-    def _place(self, name: str) -> Place:
-        group_name, _, endpoint_name = name.partition('/')
-        group = self.configuration.group(group_name)
-        endpoints = group.endpoints if group else ()
-        for endpoint in endpoints:
-            if group is not None and endpoint.name == endpoint_name:
-                return Place(group, endpoint)
-        raise NotHomeError(
-            f'no endpoint {name} yet', step=_STEP, retry_after_s=_RETRY_AFTER_S
-        )
-
-    def _start_home(self, place: Place) -> EndpointHome:
+    def _start_home(self, place: Place, tenure: Tenure) -> EndpointHome:
         orders = EngineOrders(
             place,
             self.engine_at(place),
             lambda: self.view.is_home(place.name),
             lambda: self.view.epoch,
         )
-        home = EndpointHome(orders)
-        for work in (self._take_over, self._load):
+        self._end_home(place.name)
+        home = EndpointHome(orders, tenure)
+        self.homes[place.name] = home
+        for work in (self.takeover.collect, self.takeover.fence, self._load):
             threading.Thread(
                 target=work, args=(home,), name=place.name, daemon=True
             ).start()
@@ -160,43 +167,40 @@
     def _tick(self) -> None:
         while not self._closed.wait(_TICK_S):
             self.pins.note_members()
+            self.permits.watch()
+            try:
+                self._begin_homes()
+            except Exception:
+                _logger.exception('homes not begun', extra={'step': _STEP})
             with self._lock:
                 homes = tuple(self.homes.values())
             for home in homes:
                 self._tick_home(home)
 
-    def _tick_home(self, home: EndpointHome) -> None:
-        member = self.view.home(home.place.name)
-        if member is None or member.incarnation != self.view.incarnation:
-            with self._lock:
-                self.homes.pop(home.place.name, None)
+    def _begin_homes(self) -> None:
+        """Take over what is at home here now, before anybody asks for it."""
+        with self._lock:
+            names = {place.name for place in self.watch.own_places()}
+        for name in names - self.homes.keys():
+            with suppress(NotHomeError):
+                self._require(name)
+
+    def _end_home(self, name: str) -> None:
+        home = self.homes.pop(name, None)
+        if home is not None:
             home.close()
-            _logger.info('no longer the home', extra={'endpoint': home.place.name})
-            return
+            _logger.info('no longer the home', extra={'endpoint': name})
+
+    def _tick_home(self, home: EndpointHome) -> None:
+        with self._lock:
+            if self.watch.tenure(home.place.name) != home.tenure:
+                self._end_home(home.place.name)
+                return
         home.tick()
         if home.is_verified and home.verify_at <= time.monotonic():
             home.verify_at = float('inf')
             self._loads.submit(home.verify)
 
-    def _take_over(self, home: EndpointHome) -> None:
-        _logger.info('home taken over', extra={'endpoint': home.place.name})
-        try:
-            home.orders.fence()
-        except PimentohoistError as error:
-            _logger.info(
-                'not fenced: %s',
-                error.message,
-                extra={'step': error.step, 'endpoint': home.place.name},
-            )
-        home.verify()
-        while not home.is_verified and self._is_kept(home):
-            self._closed.wait(_PAUSE_S)
-            home.verify()
-        self.collection.collect(
-            home.place.name, home.settle, lambda: self._is_kept(home)
-        )
-        _logger.info('home settled', extra={'endpoint': home.place.name})
-
     def _load(self, home: EndpointHome) -> None:
         """Get permits for what the endpoint needs, as long as it is kept."""
         while self._is_kept(home):
--- a/src/pimentohoist/_controllers/endpoints.py
+++ b/src/pimentohoist/_controllers/endpoints.py
@@ -84,6 +84,7 @@
             configuration,
             peers,
             self.pins,
+            proofs,
             lambda place: self.engine(place.endpoint),
         )
         self._releases = ThreadPoolExecutor(_RELEASE_THREADS, 'releases')
--- a/src/pimentohoist/_controllers/engine_orders.py
+++ b/src/pimentohoist/_controllers/engine_orders.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from pimentohoist._decisions.endpoint import LoadPlan
 from pimentohoist.configuration import Endpoint, EndpointGroup
 from pimentohoist.exceptions import NotHomeError
-from pimentohoist.models import AdapterOrder, EngineStatus
+from pimentohoist.models import AdapterOrder, AdapterVersion, EngineStatus
 from pimentohoist.protocols import Engine
 
 _STEP = 'engine_orders'
@@ -53,17 +52,22 @@
         """Return the engine's report; raises PeerError."""
         return self.engine.status()
 
-    def fence(self) -> None:
-        """Make orders of a former home harmless; raises PeerError, NotHomeError."""
+    def fence(self) -> bool:
+        """Make the engine refuse orders of former homes; return whether it does so now.
+
+        Raises
+        ------
+        PeerError, NotHomeError
+            It is not known whether it does.
+        """
         if not self.place.endpoint.checks_fencing:
-            time.sleep(LATE_ORDER_S)
-            return
+            return False
         resident = self.engine.status().resident
         if resident:
             # An adapter that is resident is ordered once more: that changes nothing but
             # the fencing number, so that orders of a former home are refused from now on.
-            self._require_home()
-            self.engine.load(AdapterOrder(min(resident), self.epoch()))
+            self.engine.load(self._order(min(resident)))
+        return bool(resident)
 
     def carry_out(self, plan: LoadPlan) -> None:
         """Order an eviction, if there is one, and a load.
@@ -74,12 +78,13 @@
             The adapter is perhaps not resident.
         """
         if plan.victim is not None:
-            self._require_home()
-            self.engine.evict(AdapterOrder(plan.victim, self.epoch()))
-        self._require_home()
-        self.engine.load(AdapterOrder(plan.adapter, self.epoch()))
+            self.engine.evict(self._order(plan.victim))
+        self.engine.load(self._order(plan.adapter))
 
-    def _require_home(self) -> None:
+    def _order(self, adapter: AdapterVersion) -> AdapterOrder:
+        # The number comes first: a view that is read meanwhile must not lend its number
+        # to an order of the home before it.
+        order = AdapterOrder(adapter, self.epoch())
         if not self.is_home():
             raise NotHomeError(
                 f'not the home of {self.place.name}',
@@ -87,3 +92,4 @@
                 peer=self.place.endpoint.address,
                 retry_after_s=_RETRY_AFTER_S,
             )
+        return order
--- a/src/pimentohoist/_controllers/freshness.py
+++ b/src/pimentohoist/_controllers/freshness.py
@@ -56,7 +56,7 @@
         self.asker = MemberAsker(peers, clock, self._note_gone)
         self._lock = threading.RLock()
         self._pool = ThreadPoolExecutor(_THREADS, thread_name_prefix=_STEP)
-        self.proofs = EndProofs(self.asker, self._pool, clock)
+        self.proofs = EndProofs(self.asker, self.fenced_at, self._pool, clock)
         self.neighbours = Neighbours(view, self.asker, self._pool)
         self._closed = threading.Event()
         self._thread = threading.Thread(target=self._run, name=_STEP, daemon=True)
--- a/src/pimentohoist/_controllers/held_pins.py
+++ b/src/pimentohoist/_controllers/held_pins.py
@@ -4,7 +4,7 @@
 
 import threading
 import time
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -12,6 +12,7 @@
 from pimentohoist._decisions.departures import DepartedMembers
 from pimentohoist._decisions.endpoint import PIN_GRACE_S, Pin
 from pimentohoist._generated import peer_pb2
+from pimentohoist._view_fold import View
 from pimentohoist.exceptions import UnavailableError
 from pimentohoist.models import AdapterVersion, Member
 from pimentohoist.protocols import Homes
@@ -29,6 +30,9 @@
     def members(self) -> tuple[Member, ...]:
         """Return the members of the present view."""
 
+    def recent_views(self) -> tuple[Sequence[View], bool]:
+        """Return the latest views, and whether they begin with the very first."""
+
 
 @dataclass(frozen=True, slots=True)
 class HeldPin:
--- a/src/pimentohoist/_controllers/load_permits.py
+++ b/src/pimentohoist/_controllers/load_permits.py
@@ -5,6 +5,7 @@
 import threading
 import time
 from collections.abc import Iterable, Mapping, Sequence
+from contextlib import suppress
 from typing import Any
 
 from pimentohoist._controllers.configuration import ConfigurationController
@@ -102,6 +103,11 @@
             adapter=granted.adapter.adapter, version=granted.adapter.version
         )
 
+    def watch(self) -> None:
+        """Begin as the home of the budget, or end; to be called often."""
+        with self._changed, suppress(UnavailableError):
+            self._require_budget()
+
     def dump(self) -> Mapping[str, Any]:
         """Return what is open and what was granted."""
         with self._changed:
--- a/src/pimentohoist/_controllers/pin_collection.py
+++ b/src/pimentohoist/_controllers/pin_collection.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 
+from pimentohoist._controllers.endpoint_home import EndpointHome
 from pimentohoist._controllers.held_pins import (
     MS_PER_S,
     HeldPins,
     MemberHomes,
     parse_pins,
 )
-from pimentohoist._decisions.endpoint import Pin
 from pimentohoist._generated import peer_pb2
 from pimentohoist.exceptions import PeerError
 from pimentohoist.models import Member
@@ -20,7 +20,6 @@
 _PAUSE_S = 0.1
 _REPORT_TIMEOUT_S = 1.0
 _AGAIN_S = 0.2
-Settle = Callable[[Iterable[Pin], float | None], None]
 
 
 class PinCollection:
@@ -31,29 +30,28 @@
         self.peers = peers
         self.pins = pins
 
-    def collect(
-        self, place: str, settle: Settle, is_wanted: Callable[[], bool]
-    ) -> None:
+    def collect(self, home: EndpointHome, is_wanted: Callable[[], bool]) -> None:
         """Ask until all members have answered and no departed one can hold a pin.
 
         Parameters
         ----------
-        settle : callable
-            Takes a member's pins over and, once all members have reported, the time from
-            which on every pin is known.
+        home : EndpointHome
+            Takes each member's pins over and, once all members have reported, the time
+            from which on every pin is known.
         is_wanted : callable
             Whether to go on.
         """
-        settle(self.pins.at(place), None)
+        home.settle(self.pins.at(home.place.name))
+        home.moved_at[self.view.incarnation] = time.monotonic()
         unsettled_until = {self.view.incarnation: float('-inf')}
         while is_wanted():
             for member in self._to_ask(unsettled_until):
-                self._ask(place, member, unsettled_until, settle)
+                self._ask(home, member, unsettled_until)
             if self._missing(unsettled_until):
                 continue
             now = time.monotonic()
             until = max(now + self.pins.unsettled_s(), *unsettled_until.values())
-            settle((), until)
+            home.settle((), until)
             if until <= now:
                 return
             # What members know of departed ones may soon be better.
@@ -72,16 +70,12 @@
         ]
 
     def _ask(
-        self,
-        place: str,
-        member: Member,
-        unsettled_until: dict[str, float],
-        settle: Settle,
+        self, home: EndpointHome, member: Member, unsettled_until: dict[str, float]
     ) -> None:
         sender = peer_pb2.Sender(
             incarnation=self.view.incarnation, epoch=self.view.epoch
         )
-        request = peer_pb2.PinsRequest(sender=sender, endpoint=place)
+        request = peer_pb2.PinsRequest(sender=sender, endpoint=home.place.name)
         try:
             reply = self.peers.call(
                 member.peer_address, 'ReportPins', request, timeout_s=_REPORT_TIMEOUT_S
@@ -90,6 +84,8 @@
             time.sleep(_PAUSE_S)
             return
         if member.incarnation not in unsettled_until:
-            settle(parse_pins(reply.pins), None)
+            home.settle(parse_pins(reply.pins))
+            # It has read a view in which it is not the home.
+            home.moved_at[member.incarnation] = time.monotonic()
         left_s = float(reply.unsettled_ms) / MS_PER_S
         unsettled_until[member.incarnation] = time.monotonic() + left_s
--- a/src/pimentohoist/_controllers/share_homes.py
+++ b/src/pimentohoist/_controllers/share_homes.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from pimentohoist._controllers.configuration import ConfigurationController
+from pimentohoist._controllers.tenure_reader import TenureReader
 from pimentohoist._controllers.view import ViewController
 from pimentohoist._decisions.shares import (
     SHARES,
@@ -24,7 +25,6 @@
     ShareName,
     Surroundings,
     Tenure,
-    TenureBook,
 )
 from pimentohoist.configuration import Workspace
 from pimentohoist.exceptions import UnavailableError
@@ -48,7 +48,7 @@
         self.configuration = configuration
         self.clock = clock
         self.keeper = ShareKeeper()
-        self.book = TenureBook(is_complete=False)
+        self.tenures = TenureReader(view)
         self.fenced_at = fenced_at
         self.absent_at: dict[str, float] = {}
         self.lock = threading.RLock()
@@ -67,8 +67,7 @@
     def tenure(self, name: ShareName) -> Tenure | None:
         """Return the tenure of a share's present home."""
         with self.lock:
-            self._read_views()
-            return self.book.tenure(name.thing)
+            return self.tenures.tenure(name.thing)
 
     def order(
         self, name: ShareName, order: GrantOrder, uses: Iterable[GrantUse]
@@ -179,14 +178,3 @@
         return ShareLimit.of(
             workspace.rate_tokens_per_s, workspace.burst_tokens, name.share
         )
-
-    def _read_views(self) -> None:
-        if self.book.views and self.book.views[-1].epoch == self.view.epoch:
-            return
-        views, is_from_start = self.view.recent_views()
-        last = self.book.views[-1].epoch if self.book.views else -1
-        if last not in {view.epoch for view in views}:
-            self.book = TenureBook(is_complete=is_from_start)
-        for view in views:
-            if view.epoch > last:
-                self.book.add(view)
--- a/src/pimentohoist/_decisions/tenures.py
+++ b/src/pimentohoist/_decisions/tenures.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, replace
-from itertools import islice
+from itertools import islice, pairwise
+from typing import Protocol
 
 from pimentohoist._decisions.shares import (
     DRIFT,
@@ -26,6 +27,34 @@
 _NEVER = float('inf')
 
 
+class FormerHomes(Protocol):
+    """What is known of the ends of former homes.
+
+    Attributes
+    ----------
+    fenced_at : mapping of int to float
+        By epoch: time at which it was known that nobody gets fresh in an older view.
+    gone_at : mapping of str to float
+        By incarnation: time at which it was known that it no longer acts.
+    """
+
+    @property
+    def fenced_at(self) -> Mapping[int, float]:
+        """Return the times of fences."""
+
+    @property
+    def gone_at(self) -> Mapping[str, float]:
+        """Return the times of proved ends."""
+
+
+@dataclass(frozen=True, slots=True)
+class FormerWait:
+    """For how long a new home waits after either proof of a former home's end."""
+
+    after_fence_s: float
+    after_end_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Tenure:
     """A stretch of views in which a thing's home stays the same.
@@ -56,6 +85,15 @@
         return next((part for part in self.chain() if part.home == home), None)
 
 
+HomeRule = Callable[[str, View], str]
+"""Returns the home of a thing in a view; empty if the view is empty."""
+
+
+def first_home(thing: str, view: View) -> str:
+    """Return the member with the highest rendezvous weight."""
+    return rank_names(thing, view.incarnations)[0] if view.incarnations else ''
+
+
 class TenureBook:
     """Tenures of things, from the views in order.
 
@@ -64,10 +102,13 @@
     is_complete : bool
         Whether the first view added is the first that ever was. If not, somebody unknown
         may have been a home before it.
+    home_of : callable
+        Who is the home of a thing in a view.
     """
 
-    def __init__(self, *, is_complete: bool) -> None:
+    def __init__(self, *, is_complete: bool, home_of: HomeRule = first_home) -> None:
         self.is_complete = is_complete
+        self.home_of = home_of
         self.views: deque[View] = deque(maxlen=_VIEWS)
         self.tenures: dict[str, Tenure] = {}
 
@@ -77,7 +118,7 @@
             self.is_complete = False
         self.views.append(view)
         for thing, tenure in self.tenures.items():
-            self.tenures[thing] = _extend(thing, tenure, view)
+            self.tenures[thing] = self._extended(thing, tenure, view)
 
     def tenure(self, thing: str) -> Tenure | None:
         """Return the tenure of a thing's present home; None without a view."""
@@ -88,27 +129,38 @@
     def _trace(self, thing: str) -> Tenure:
         first = self.views[0]
         unknown = None if self.is_complete else Tenure('', 0)
-        tenure = Tenure(_home(thing, first), first.epoch, unknown)
+        tenure = Tenure(self.home_of(thing, first), first.epoch, unknown)
         for view in islice(self.views, 1, None):
-            tenure = _extend(thing, tenure, view)
+            tenure = self._extended(thing, tenure, view)
         return tenure
 
+    def _extended(self, thing: str, tenure: Tenure, view: View) -> Tenure:
+        home = self.home_of(thing, view)
+        if home == tenure.home:
+            return tenure
+        chain = list(tenure.chain())
+        if len(chain) < _CHAIN:
+            return Tenure(home, view.epoch, tenure)
+        former: Tenure | None = Tenure('', 0)
+        for part in reversed(chain[:_CHAIN]):
+            former = replace(part, former=former)
+        return Tenure(home, view.epoch, former)
 
-def _home(thing: str, view: View) -> str:
-    return rank_names(thing, view.incarnations)[0] if view.incarnations else ''
 
+def free_at(tenure: Tenure, proofs: FormerHomes, wait: FormerWait) -> float:
+    """Return from when no former home acts or has left anything behind.
 
-def _extend(thing: str, tenure: Tenure, view: View) -> Tenure:
-    home = _home(thing, view)
-    if home == tenure.home:
-        return tenure
-    chain = list(tenure.chain())
-    if len(chain) < _CHAIN:
-        return Tenure(home, view.epoch, tenure)
-    former: Tenure | None = Tenure('', 0)
-    for part in reversed(chain[:_CHAIN]):
-        former = replace(part, former=former)
-    return Tenure(home, view.epoch, former)
+    Each former tenure is over once the view after it is fenced, or once its home is known
+    to act no longer.
+    """
+    ends = [
+        min(
+            proofs.fenced_at.get(successor.epoch, _NEVER) + wait.after_fence_s,
+            proofs.gone_at.get(former.home, _NEVER) + wait.after_end_s,
+        )
+        for successor, former in pairwise(tenure.chain())
+    ]
+    return max(ends, default=-_NEVER)
 
 
 @dataclass(frozen=True, slots=True)
