--- a/features/serving_decisions.feature
+++ b/features/serving_decisions.feature
@@ -15,6 +15,9 @@
   Scenario: The store's budget holds and orders as a naive version, seed 505
     Then the load budget and a naive version agree over generated histories
 
+  Scenario: Nobody gets too far ahead of its share of the loads, seed 506
+    Then the shares of the loads and a naive version agree over generated histories
+
   Scenario: A workspace of cold adapters does not eat the loads of the others
     Given a workspace that wants 200 cold adapters and one that wants 1 every 4 s
     Then each load of the small workspace is granted within 4 s and the store is busy
@@ -23,6 +26,10 @@
     Given a workspace that wants 200 cold adapters and one that wants 1 every 4 s
     Then each later load of the small workspace is granted within 2 s
 
+  Scenario: Two workspaces of cold adapters do not eat the loads of a third
+    Given 2 workspaces that want 200 cold adapters and one that wants 1 every 4 s
+    Then each load of the small workspace is granted within 4 s and the store is busy
+
   Scenario: A lost report does not leak a load for ever
     Given a granted load whose endpoint never reports again
     Then the load counts until its life has ended and then no longer
--- /dev/null
+++ b/features/steps/serving_shares.py
@@ -0,0 +1,111 @@
+"""Steps that compare the workspaces' shares of the loads with a naive version."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from typing import Any
+
+from behave import then
+from behave.runner import Context
+from hypothesis import given as generated
+from hypothesis import strategies as st
+from serving_generated import WORKSPACES, fixed, seen_events
+
+from pimentohoist._decisions.load_shares import (
+    FLOOD_S,
+    MOST_FLOOD_LEAD_LOADS,
+    MOST_LEAD_LOADS,
+    LoadShares,
+)
+
+WEIGHTS = dict(zip(WORKSPACES, (1.0, 4.0, 0.5), strict=True))
+_LOADS_PER_S = 0.3
+_LEAST_HELD_BACK = 500
+
+
+class NaiveShares:
+    """Keeps every event and works the shares out from the first one each time."""
+
+    def __init__(self) -> None:
+        self.events: list[Mapping[str, int] | str] = [{}]
+
+    def note_backlogs(self, backlogs: Mapping[str, int]) -> None:
+        self.events.append(dict(backlogs))
+
+    def note_load(self, workspace: str) -> None:
+        self.events.append(workspace)
+
+    def leads(self) -> dict[str, float]:
+        reached = dict.fromkeys(WORKSPACES, float(0))
+        latest = float(0)
+        waiting: Mapping[str, int] = {}
+        for event in self.events:
+            if isinstance(event, str):
+                reached[event] += 1 / WEIGHTS[event]
+                continue
+            for newcomer in event.keys() - waiting.keys():
+                reached[newcomer] = max(reached[newcomer], latest)
+            waiting = event
+            latest = max(latest, min((reached[name] for name in waiting), default=0))
+        least = min(reached[other] for other in waiting)
+        return {other: WEIGHTS[other] * (reached[other] - least) for other in waiting}
+
+    def within_bounds(self, loads_per_s: float) -> frozenset[str]:
+        moments = [event for event in self.events if not isinstance(event, str)]
+        waiting = moments[-1]
+        bounds = (MOST_LEAD_LOADS, MOST_FLOOD_LEAD_LOADS)
+        return frozenset(
+            workspace
+            for workspace, lead in self.leads().items()
+            if lead < bounds[waiting[workspace] > FLOOD_S * loads_per_s]
+        )
+
+
+_backlogs = st.dictionaries(st.sampled_from(WORKSPACES), st.integers(1, 5), min_size=1)
+_events = st.lists(st.tuples(_backlogs, st.integers(0, 12)), max_size=25)
+
+
+class SharesPair:
+    """The shares and their naive version, told the same."""
+
+    def __init__(self) -> None:
+        self.shares = LoadShares(WEIGHTS.__getitem__)
+        self.naive = NaiveShares()
+
+    def load(self, backlogs: Mapping[str, int], favourite: str) -> None:
+        """Give a load to the favourite if it may have one, else to another one."""
+        sides = (self.shares, self.naive)
+        for side in sides:
+            side.note_backlogs(backlogs)
+        within = self.shares.within_bounds(_LOADS_PER_S)
+        assert within == self.naive.within_bounds(_LOADS_PER_S)
+        seen_events['held back'] += len(backlogs) - len(within)
+        chosen = favourite if favourite in within else min(within)
+        for side in sides:
+            side.note_load(chosen)
+        check_leads(self.shares.leads(), self.naive.leads())
+
+
+@fixed(506, 200)
+@generated(events=_events, favourite=st.sampled_from(WORKSPACES))
+def shares_agree(events: list[Any], favourite: str) -> None:
+    """One workspace takes all that it may; nobody gets further ahead than the bound."""
+    pair = SharesPair()
+    for backlogs, loads in events:
+        for _ in range(loads):
+            pair.load(backlogs, favourite)
+
+
+def check_leads(leads: dict[str, float], expected: dict[str, float]) -> None:
+    assert leads.keys() == expected.keys()
+    for name, lead in leads.items():
+        assert math.isclose(lead, expected[name], abs_tol=1e-9)
+        # The last load may go beyond the bound by less than one.
+        assert lead < MOST_LEAD_LOADS + 1, leads
+
+
+@then('the shares of the loads and a naive version agree over generated histories')
+def compare_shares(context: Context) -> None:
+    shares_agree()
+    assert seen_events['held back'] > _LEAST_HELD_BACK, seen_events
--- a/src/pimentohoist/_controllers/load_permits.py
+++ b/src/pimentohoist/_controllers/load_permits.py
@@ -110,7 +110,7 @@
                 'is_home': self.homes.is_home(_THING),
                 'granted': self.granted,
                 'open': [f'{place} {name}' for place, name in budget.open],
-                'credits': dict(budget.credits),
+                'leads': budget.shares.leads(),
             }
 
     def _ask(self, request: peer_pb2.LoadPermitRequest) -> peer_pb2.LoadPermitReply:
--- /dev/null
+++ b/src/pimentohoist/_decisions/load_shares.py
@@ -0,0 +1,76 @@
+"""Workspaces' shares of the loads: start-time fair queueing with a bounded lead.
+
+Each workspace's virtual time grows by one load over its weight. Which load goes first is
+free as long as nobody is too far ahead of a workspace that waits as well.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+MOST_LEAD_LOADS = 8.0
+"""Loads by which a workspace may be ahead of its share while another one waits."""
+
+MOST_FLOOD_LEAD_LOADS = 2.0
+"""The same for a workspace that floods the store."""
+
+FLOOD_S = 10.0
+"""A workspace that waits for more loads than the whole store carries in this time floods it."""
+
+
+class LoadShares:
+    """Who is how far ahead of its share.
+
+    Parameters
+    ----------
+    weight_of : callable
+        Returns the weight of a workspace's share, its granted rate.
+    """
+
+    def __init__(self, weight_of: Callable[[str], float]) -> None:
+        self.weight_of = weight_of
+        self._virtual_times: dict[str, float] = {}
+        self._now = float(0)
+        self._backlogs: dict[str, int] = {}
+
+    def note_backlogs(self, backlogs: Mapping[str, int]) -> None:
+        """Note for how many loads each workspace waits now."""
+        for newcomer in backlogs.keys() - self._backlogs.keys():
+            # Time without demand earns no credit.
+            self._virtual_times.setdefault(newcomer, self._now)
+        self._backlogs = dict(backlogs)
+        if backlogs:
+            self._now = max(self._now, self._least())
+        self._virtual_times = {
+            workspace: virtual_time
+            for workspace, virtual_time in self._virtual_times.items()
+            if virtual_time > self._now or workspace in backlogs
+        }
+
+    def note_load(self, workspace: str) -> None:
+        """Count one load of a workspace that waits."""
+        self._virtual_times[workspace] += 1 / self.weight_of(workspace)
+
+    def leads(self) -> dict[str, float]:
+        """Return by how many loads each waiting one is ahead of the furthest back."""
+        least = self._least() if self._backlogs else 0
+        return {
+            workspace: self.weight_of(workspace) * (virtual_time - least)
+            for workspace, virtual_time in self._virtual_times.items()
+            if workspace in self._backlogs
+        }
+
+    def within_bounds(self, loads_per_s: float) -> frozenset[str]:
+        """Return the waiting workspaces that are not too far ahead."""
+        return frozenset(
+            workspace
+            for workspace, lead in self.leads().items()
+            if lead < self._most_lead(workspace, loads_per_s)
+        )
+
+    def _most_lead(self, workspace: str, loads_per_s: float) -> float:
+        is_flood = self._backlogs[workspace] > FLOOD_S * loads_per_s
+        return MOST_FLOOD_LEAD_LOADS if is_flood else MOST_LEAD_LOADS
+
+    def _least(self) -> float:
+        return min(self._virtual_times[workspace] for workspace in self._backlogs)
--- a/src/pimentohoist/_decisions/loads.py
+++ b/src/pimentohoist/_decisions/loads.py
@@ -1,7 +1,7 @@
 """Loads from the weight store over the whole fleet, shared between workspaces.
 
-The home of the store's budget gives permits. A workspace within its share of the loads
-goes before one beyond it; among equals the load that frees most waiting goes first.
+The home of the store's budget gives permits. The load that frees most waiting goes first,
+but not for a workspace that is too far ahead of its share while others wait.
 """
 
 from __future__ import annotations
@@ -10,7 +10,9 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
+from functools import partial
 
+from pimentohoist._decisions.load_shares import LoadShares
 from pimentohoist.models import AdapterVersion
 
 ASK_LIFE_S = 1.5
@@ -19,12 +21,6 @@
 GRANT_LIFE_S = 15.0
 """Time after which a load of an endpoint that no longer reports counts as ended."""
 
-SHARE_BURST_LOADS = 8.0
-"""Loads that a workspace may save up within its share."""
-
-FLOOD_S = 10.0
-"""A workspace that waits for more loads than the whole store carries in this time floods it."""
-
 _URGENT_WEIGHT = 4.0
 
 
@@ -92,10 +88,9 @@
     def __init__(
         self, weight_of: Callable[[str], float], silent_until: float = 0
     ) -> None:
-        self.weight_of = weight_of
+        self.shares = LoadShares(weight_of)
         self.silent_until = silent_until
         self.open: dict[Place, float] = {}
-        self.credits: dict[str, float] = {}
         self._asked: dict[str, _Asked] = {}
         self._tokens = float(0)
         self._counted_at = silent_until
@@ -108,10 +103,7 @@
         now: float,
     ) -> None:
         """Replace what an endpoint wishes for and what it is loading."""
-        asked = _Asked(tuple(wishes), now)
-        self._asked[endpoint] = asked
-        for wish in asked.wishes:
-            self.credits.setdefault(wish.workspace, SHARE_BURST_LOADS)
+        self._asked[endpoint] = _Asked(tuple(wishes), now)
         self.open = {
             place: lapses_at
             for place, lapses_at in self.open.items()
@@ -124,18 +116,17 @@
         """Return the next load that may start now; it counts as open from then on."""
         self._accrue(limits, now)
         self._drop_lapsed(now)
+        candidates = tuple(self.candidates())
+        self.shares.note_backlogs(Counter(wish.workspace for _, wish in candidates))
         is_full = len(self.open) >= limits.loads_at_once
-        if is_full or self._tokens < 1 or now < self.silent_until:
-            return None
-        chosen = max(self.candidates(), key=self._rank, default=None)
-        if chosen is None:
+        if is_full or self._tokens < 1 or now < self.silent_until or not candidates:
             return None
-        endpoint, wish = chosen
+        within_bounds = self.shares.within_bounds(limits.loads_per_s)
+        endpoint, wish = max(candidates, key=partial(_rank, within_bounds))
         self._tokens -= 1
         self.open[(endpoint, wish.adapter)] = now + GRANT_LIFE_S
-        credit = self._credit(wish.workspace) - 1
-        self.credits[wish.workspace] = max(-SHARE_BURST_LOADS, credit)
-        return chosen
+        self.shares.note_load(wish.workspace)
+        return endpoint, wish
 
     def candidates(self) -> Iterator[tuple[str, LoadWish]]:
         """Yield all wishes that no open load serves."""
@@ -148,52 +139,11 @@
         """Return after how long a grant may be possible again."""
         return max(0, 1 - self._tokens) / limits.loads_per_s
 
-    def _rank(
-        self, candidate: tuple[str, LoadWish]
-    ) -> tuple[bool, float, AdapterVersion, str]:
-        endpoint, wish = candidate
-        is_in_share = self._credit(wish.workspace) >= 1
-        return (is_in_share, wish.freed_work, wish.adapter, endpoint)
-
-    def _credit(self, workspace: str) -> float:
-        return self.credits.get(workspace, SHARE_BURST_LOADS)
-
     def _accrue(self, limits: StoreLimits, now: float) -> None:
         elapsed_s = max(0, now - self._counted_at)
         self._counted_at = max(now, self._counted_at)
         loads = elapsed_s * limits.loads_per_s
         self._tokens = min(limits.loads_at_once, self._tokens + loads)
-        self._accrue_credits(loads, limits)
-
-    def _accrue_credits(self, loads: float, limits: StoreLimits) -> None:
-        """Share loads by weight; what full credits leave over goes to the needy.
-
-        So a workspace isn't kept back while the store carries what all need. One that
-        floods the store gets no more than its share: it would take all that is left over
-        and so never count as beyond its share.
-        """
-        shares = self._shares(loads)
-        fitting = [self._add_credit(name, share) for name, share in shares.items()]
-        left = 1 - sum(fitting) / loads if loads else 0
-        for needy in shares.keys() - self._flooding(limits):
-            self._add_credit(needy, left * shares[needy])
-
-    def _shares(self, loads: float) -> dict[str, float]:
-        weights = {name: self.weight_of(name) for name in self.credits}
-        total = sum(weights.values())
-        return {name: loads * weight / total for name, weight in weights.items()}
-
-    def _add_credit(self, workspace: str, loads: float) -> float:
-        """Add to a credit and return how much of it fitted in."""
-        credit = self._credit(workspace)
-        self.credits[workspace] = min(SHARE_BURST_LOADS, credit + loads)
-        return self.credits[workspace] - credit
-
-    def _flooding(self, limits: StoreLimits) -> frozenset[str]:
-        """Return the workspaces that wait for more than the store carries in `FLOOD_S`."""
-        backlog = Counter(wish.workspace for _, wish in self.candidates())
-        most = FLOOD_S * limits.loads_per_s
-        return frozenset(name for name, count in backlog.items() if count > most)
 
     def _drop_lapsed(self, now: float) -> None:
         self.open = {
@@ -206,3 +156,11 @@
             for endpoint, asked in self._asked.items()
             if asked.asked_at + ASK_LIFE_S > now
         }
+
+
+def _rank(
+    within_bounds: frozenset[str], candidate: tuple[str, LoadWish]
+) -> tuple[bool, float, AdapterVersion, str]:
+    endpoint, wish = candidate
+    is_within = wish.workspace in within_bounds
+    return (is_within, wish.freed_work, wish.adapter, endpoint)
