Open routes and the public client's errors have tests; paths reach services as written

The path is now taken from the request line and passed on as it was encoded.

Each stand-in answers /state with its faults in force and what it holds, so that every process of a fleet has a dump. Stand-ins note the target as received beside the decoded path. The withdrawn key's step counts its 5 s from before the publish, as before.

--- a/features/callers.py
+++ b/features/callers.py
@@ -72,8 +72,8 @@
     return [entry for entry in fleet.seen(engine) if 'request_id' in entry]
 
 
-def wait_for(condition: Callable[[], bool], what: str) -> None:
-    give_up_at = time.monotonic() + WAIT_S
+def wait_for(condition: Callable[[], bool], what: str, limit_s: float = WAIT_S) -> None:
+    give_up_at = time.monotonic() + limit_s
     while not condition():
-        assert time.monotonic() < give_up_at, f'not within {WAIT_S} s: {what}'
+        assert time.monotonic() < give_up_at, f'not within {limit_s} s: {what}'
         time.sleep(_POLL_S)
--- /dev/null
+++ b/features/steps/open_routes.py
@@ -0,0 +1,184 @@
+"""Steps on routes that are open to all."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import replace
+
+from behave import given, then, when
+from behave.runner import Context
+from callers import wait_for
+
+from pimentohoist._http_client import HttpReply, HttpRequest
+from pimentohoist.configuration import (
+    Configuration,
+    Endpoint,
+    EndpointGroup,
+    GroupKind,
+    Route,
+    Workspace,
+)
+from pimentohoist.keys import create_key
+from pimentohoist_standins.fleet import Fleet
+
+_COST_TOKENS = 10
+_BODY = b'{"note": 1, "model": "review", "prompt": "Check."}'
+_RECORDS = Route(
+    'records',
+    'ledger',
+    is_idempotent=True,
+    workspaces=('house',),
+    cost_tokens=_COST_TOKENS,
+)
+
+
+@given('a daemon with an open route, an open action and a closed route to one ledger')
+def start_open_fleet(context: Context) -> None:
+    fleet = context.stack.enter_context(Fleet())
+    context.fleet = fleet
+    fleet.start_standin('ledger', 'service')
+    fleet.start_daemon('entry-1')
+    granted, granted_key = create_key('line-1', 'house')
+    other, other_key = create_key('line-2', 'other')
+    withdrawn_key = create_key('line-3', 'house')[1]
+    context.keys = {
+        'no key': '',
+        'a granted key': f'Bearer {granted_key}',
+        "another's key": f'Bearer {other_key}',
+        'a withdrawn key': f'Bearer {withdrawn_key}',
+        'a malformed key': granted_key,
+    }
+    ledger = (Endpoint('ledger', fleet.addresses['ledger'], 'a'),)
+    context.sections = (
+        # One call of the closed route, and in a test's time no second one.
+        Workspace('house', rate_tokens_per_s=0.01, burst_tokens=15),
+        Workspace('other', rate_tokens_per_s=1, burst_tokens=10),
+        granted,
+        other,
+        EndpointGroup('ledger', GroupKind.SERVICE, ledger),
+        Route('hours', 'ledger', True, is_open=True, cost_tokens=_COST_TOKENS),
+        Route('notes', 'ledger', False, is_open=True),
+    )
+    publish(context, _RECORDS)
+
+
+def publish(context: Context, records: Route) -> None:
+    configuration = Configuration.of(*context.sections, records)
+    report = context.fleet.publish(configuration)
+    assert report.is_in_force, report.text()
+
+
+def call(
+    context: Context, method: str, path: str, key: str, idempotency_key: str = ''
+) -> HttpReply:
+    headers = {'Content-Type': 'application/json'}
+    if context.keys[key]:
+        headers['Authorization'] = context.keys[key]
+    if idempotency_key:
+        headers['Idempotency-Key'] = idempotency_key
+    body = b'' if method == 'GET' else _BODY
+    return context.fleet.ask('entry-1', HttpRequest(method, path, body, headers, False))
+
+
+@when('a caller with {key} asks {method} "{path}"')
+def ask_with_key(context: Context, key: str, method: str, path: str) -> None:
+    context.reply = call(context, method, path, key)
+
+
+@then('the open call is answered with {status:d} and reached the ledger as "{path}"')
+def check_open_call(context: Context, status: int, path: str) -> None:
+    assert context.reply.status == status, context.reply
+    seen = context.fleet.seen('ledger')
+    assert [entry['target'] for entry in seen] == [path], seen
+
+
+@then('no key reached the ledger or the log')
+def check_no_key(context: Context) -> None:
+    seen = context.fleet.seen('ledger')
+    assert all('Authorization' not in entry['headers'] for entry in seen), seen
+    text = json.dumps(seen) + context.fleet.logs('entry-1')
+    for key in filter(None, context.keys.values()):
+        assert key.rpartition('_')[-1] not in text
+
+
+@then('the call is refused with {status:d} "{code}" as not run')
+def check_closed(context: Context, status: int, code: str) -> None:
+    error = context.reply.document()['error']
+    found = (context.reply.status, error['code'], error['run'])
+    assert found == (status, code, 'not_run'), context.reply
+
+
+@then('nothing reached the ledger')
+def check_unreached(context: Context) -> None:
+    assert not context.fleet.seen('ledger')
+
+
+@when(
+    '{count:d} callers without a key ask for the open route, which costs 10 tokens a call'
+)
+def ask_often(context: Context, count: int) -> None:
+    context.replies = [
+        call(context, 'GET', '/services/hours/today', 'no key') for _ in range(count)
+    ]
+
+
+@then('all {count:d} open calls are answered with {status:d}')
+def check_all_open(context: Context, count: int, status: int) -> None:
+    assert len(context.replies) == count
+    assert {reply.status for reply in context.replies} == {status}
+
+
+@then(
+    'the second of 2 calls of the closed route, of the same cost, is refused with {status:d}'
+)
+def check_limited(context: Context, status: int) -> None:
+    def ask() -> int:
+        return call(context, 'GET', '/services/records/lots', 'a granted key').status
+
+    # The shares of the limit begin some seconds after the publish.
+    wait_for(lambda: ask() == 200, 'the first call is answered')
+    assert ask() == status
+
+
+@when('a caller without a key posts the open action without an idempotency key')
+def post_without_idempotency_key(context: Context) -> None:
+    context.reply = call(context, 'POST', '/services/notes/new', 'no key')
+
+
+@when('a caller without a key posts the open action twice under one idempotency key')
+def post_twice(context: Context) -> None:
+    context.replies = []
+
+    def post() -> bool:
+        reply = call(context, 'POST', '/services/notes/new', 'no key', 'note-1')
+        if reply.status == 201:
+            context.replies.append(reply)
+        return len(context.replies) == 2
+
+    wait_for(post, 'both are answered')
+
+
+@then('both get the same answer and the ledger has {count:d} entry')
+def check_once(context: Context, count: int) -> None:
+    first, second = context.replies
+    assert first.body == second.body
+    assert context.fleet.state('ledger')['entries'] == count
+
+
+@when('the closed route is opened')
+def open_route(context: Context) -> None:
+    publish(context, replace(_RECORDS, is_open=True))
+
+
+@when('the route is closed again')
+def close_route(context: Context) -> None:
+    publish(context, _RECORDS)
+
+
+@then('a caller without a key gets {status:d} on it within {limit_s:d} s')
+def check_within(context: Context, status: int, limit_s: int) -> None:
+    def is_met() -> bool:
+        reply = call(context, 'GET', '/services/records/lots', 'no key')
+        return reply.status == status
+
+    wait_for(is_met, f'status {status}', limit_s)
--- a/features/steps/thin_path.py
+++ b/features/steps/thin_path.py
@@ -9,7 +9,7 @@
 import openai
 from behave import given, then, when
 from behave.runner import Context
-from callers import expected_text
+from callers import expected_text, wait_for
 
 from pimentohoist._http_client import HttpReply, HttpRequest
 from pimentohoist._platform.log import HttpLog
@@ -19,7 +19,6 @@
 from pimentohoist_standins.fleet import Fleet
 
 _PROMPT = 'Check the ingredient declaration.'
-_POLL_S = 0.05
 
 
 @given('a fleet of 1 daemon, 1 engine and a ledger with a published configuration')
@@ -45,6 +44,8 @@
     headers = {**request.headers, 'Authorization': f'Bearer {key or context.key}'}
     if key == '':
         headers.pop('Authorization')
+    if key == 'without scheme':
+        headers['Authorization'] = context.key
     return context.fleet.ask('entry-1', replace(request, body=body, headers=headers))
 
 
@@ -77,6 +78,34 @@
     assert context.key not in json.dumps(seen)
 
 
+@then(
+    "the daemon's log is JSON lines, one of which names its request id, step and peer"
+)
+def check_log(context: Context) -> None:
+    request_id = context.reply.headers['X-Request-Id']
+
+    def answered() -> list[dict]:
+        lines = context.fleet.logs('entry-1').splitlines()
+        entries = [json.loads(line) for line in lines]
+        return [entry for entry in entries if entry.get('request_id') == request_id]
+
+    wait_for(lambda: bool(answered()), 'the request is logged')
+    entry = answered()[-1]
+    assert (entry['step'], entry['peer']) == ('answered', 'engine-1'), entry
+    assert entry['instance'] == 'entry-1', entry
+
+
+@when('the state of "{name}" is asked for')
+def ask_state(context: Context, name: str) -> None:
+    context.dump = context.fleet.state(name)
+
+
+@then('the dump has "{names}"')
+def check_dump(context: Context, names: str) -> None:
+    missing = set(names.split()) - context.dump.keys()
+    assert not missing, (missing, context.dump)
+
+
 @when('the public client asks for a completion and a chat on "{model}"')
 def ask_public_client(context: Context, model: str) -> None:
     address = context.fleet.addresses['entry-1']
@@ -118,12 +147,12 @@
     'a completion is refused with {status:d} "{code}" as not run within {limit_s:d} s'
 )
 def check_withdrawn(context: Context, status: int, code: str, limit_s: int) -> None:
-    while True:
+    def is_refused() -> bool:
         context.reply = send(context, '/v1/completions', completion('batch-summary'))
-        if context.reply.status == status:
-            break
-        assert time.monotonic() - context.withdrawn_at < limit_s
-        time.sleep(_POLL_S)
+        return context.reply.status == status
+
+    left_s = context.withdrawn_at + limit_s - time.monotonic()
+    wait_for(is_refused, f'status {status}', left_s)
     check_refusal(context, status, code)
 
 
@@ -145,6 +174,7 @@
 @when('the caller sends {what}')
 def send_bad(context: Context, what: str) -> None:
     _, wrong_key = create_key('line-1', 'lipstick-house')
+    context.wrong_key = wrong_key
     good = completion('batch-summary')
     path, body, key = {
         'a malformed body': ('/v1/completions', b'{"model": ', None),
@@ -158,6 +188,14 @@
         'an oversized body': ('/v1/completions', b'"' + b'x' * 20_000 + b'"', None),
         'no key': ('/v1/completions', good, ''),
         'a wrong key': ('/v1/completions', good, wrong_key),
+        'a key without scheme': ('/v1/completions', good, 'without scheme'),
+        'no JSON object': ('/v1/completions', b'["model"]', None),
+        'no prompt': ('/v1/completions', b'{"model": "batch-summary"}', None),
+        'a negative limit': (
+            '/v1/completions',
+            completion('batch-summary', max_tokens=-1),
+            None,
+        ),
         'an unknown path': ('/v1/nothing', good, None),
     }[what]
     context.reply = send(context, path, body, key)
@@ -175,8 +213,9 @@
 def check_nothing_ran(context: Context) -> None:
     assert not context.fleet.seen('engine-1')
     assert not context.fleet.seen('ledger')
-    secret = context.key.rpartition('_')[-1]
-    assert secret not in context.fleet.logs('entry-1')
+    for key in (context.key, context.wrong_key):
+        secret = key.rpartition('_')[-1]
+        assert secret not in context.fleet.logs('entry-1')
 
 
 @when('the daemon is stopped')
--- a/features/thin_path.feature
+++ b/features/thin_path.feature
@@ -7,6 +7,7 @@
     When the caller streams a completion of 12 tokens on "batch-summary@1"
     Then the caller receives the 12 tokens that "batch-summary@1" generates
     And engine "engine-1" ran it on "batch-summary@1" without the caller's key
+    And the daemon's log is JSON lines, one of which names its request id, step and peer
 
   Scenario: A plain completion and a chat through the public client
     When the public client asks for a completion and a chat on "batch-summary"
@@ -35,8 +36,25 @@
       | an oversized body     | 413    | request_too_large |
       | no key                | 401    | invalid_api_key   |
       | a wrong key           | 401    | invalid_api_key   |
+      | a key without scheme  | 401    | invalid_api_key   |
+      | no JSON object        | 400    | invalid_request   |
+      | no prompt             | 400    | invalid_request   |
+      | a negative limit      | 400    | invalid_request   |
       | an unknown path       | 404    | not_found         |
 
+  Scenario Outline: Each process dumps its state on request
+    When the state of "<process>" is asked for
+    Then the dump has "<fields>"
+
+    Examples:
+      | process   | fields                                                             |
+      | entry-1   | name configuration view freshness claims limits endpoints metrics  |
+      | engine-1  | faults controls requests_seen resident running fencing_number      |
+      | ledger    | faults controls requests_seen entries                              |
+      | log       | faults controls requests_seen streams                              |
+      | weights   | faults controls requests_seen in_flight                            |
+      | instances | faults controls requests_seen visible latest                       |
+
   Scenario: A daemon told to stop leaves the view
     When the daemon is stopped
     Then it exits with code 0 and its last view record is a leave
--- a/src/pimentohoist/_callers_app.py
+++ b/src/pimentohoist/_callers_app.py
@@ -9,6 +9,7 @@
 import uuid
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
+from urllib.parse import quote, urlsplit
 
 from werkzeug.exceptions import HTTPException, RequestEntityTooLarge
 from werkzeug.routing import Map, Rule
@@ -34,6 +35,8 @@
 _STEP = 'callers_app'
 _JSON = 'application/json'
 _TIMEOUT_HEADER = 'X-Request-Timeout-S'
+_URI_CHARACTERS = "%/?:@!$&'()*+,;=~[]"
+_PARTS_ABOVE_PATH = 2
 _METHODS = ('GET', 'POST', 'PUT', 'DELETE', 'PATCH')
 _logger = logging.getLogger(__name__)
 
@@ -131,7 +134,7 @@
             request_id,
             kind,
             request.method,
-            path='/' + arguments.get('path', '') + _query(request),
+            path=_path_below_route(request.environ),
             authorization=request.headers.get('Authorization', ''),
             body=body,
             content_type=request.headers.get('Content-Type', ''),
@@ -185,9 +188,13 @@
         ) from error
 
 
-def _query(request: Request) -> str:
-    text = request.query_string.decode('latin-1')
-    return f'?{text}' if text else ''
+def _path_below_route(environ: Mapping[str, Any]) -> str:
+    """Return path and query below ``/services/<route>`` as the caller encoded them."""
+    target = urlsplit(environ['REQUEST_URI'])
+    parts = target.path.lstrip('/').split('/', _PARTS_ABOVE_PATH)
+    path = ''.join(parts[_PARTS_ABOVE_PATH:])
+    query = f'?{target.query}' if target.query else ''
+    return quote(f'/{path}{query}', safe=_URI_CHARACTERS, encoding='latin-1')
 
 
 def _read_exchange(request: CallerRequest, environ: Mapping[str, Any]) -> Exchange:
--- a/src/pimentohoist_standins/engine.py
+++ b/src/pimentohoist_standins/engine.py
@@ -106,6 +106,18 @@
                 self.state.resident.clear()
                 self.state.restarts += 1
 
+    def dump(self) -> dict[str, Any]:
+        """Return what the engine holds and runs."""
+        with self._lock:
+            return {
+                'resident': sorted(self.state.resident),
+                'running': dict(self.state.running),
+                'fencing_number': self.state.fencing_number,
+                'restarts': self.state.restarts,
+                'loads': self.state.loads,
+                'violations': list(self.state.violations),
+            }
+
     def answer(self, request: Request) -> Response:
         """Answer by path."""
         if request.path not in self._paths:
--- a/src/pimentohoist_standins/faults.py
+++ b/src/pimentohoist_standins/faults.py
@@ -70,10 +70,10 @@
 
 
 class StandIn:
-    """WSGI application with faults, ``/control`` and ``/seen`` around another.
+    """WSGI application with faults, ``/control``, ``/seen`` and ``/state`` around another.
 
-    A subclass adds `answer` and, as attributes named in `controls`, what else can be set
-    through ``POST /control``.
+    A subclass adds `answer`, `dump` and, as attributes named in `controls`, what else can
+    be set through ``POST /control``. These paths answer whatever faults are in force.
     """
 
     controls: tuple[str, ...] = ()
@@ -90,18 +90,25 @@
                 return self._control(request)(environ, start_response)
             case '/seen':
                 return json_response(list(self.seen))(environ, start_response)
+            case '/state':
+                return json_response(self._state())(environ, start_response)
         return self._faulty(request)(environ, start_response)
 
     def answer(self, request: Request) -> Response:
         """Answer a request of the protocol."""
         raise NotImplementedError
 
+    def dump(self) -> dict[str, Any]:
+        """Return what this stand-in holds now."""
+        raise NotImplementedError
+
     def note(self, request: Request, **facts: Any) -> None:
         """Keep what was received, headers included, for ``/seen``."""
         self.seen.append(
             {
                 'method': request.method,
                 'path': request.full_path,
+                'target': request.environ['REQUEST_URI'],
                 'headers': dict(request.headers),
                 'body': request.get_data(as_text=True),
                 **facts,
@@ -123,6 +130,17 @@
             return _cut()
         return _muted(response, self.faults, connection)
 
+    def _state(self) -> dict[str, Any]:
+        return {
+            'faults': self._faults_in_force(),
+            'controls': {name: getattr(self, name) for name in self.controls},
+            'requests_seen': len(self.seen),
+            **self.dump(),
+        }
+
+    def _faults_in_force(self) -> dict[str, Any]:
+        return {name: getattr(self.faults, name) for name in sorted(_control_names())}
+
     def _control(self, request: Request) -> Response:
         document = request.get_json(silent=True) or {}
         if document.pop('silence', False):
@@ -132,9 +150,7 @@
             if name not in known and name not in self.controls:
                 return Response(f'unknown control: {name}', HTTPStatus.BAD_REQUEST)
             setattr(self.faults if name in known else self, name, value)
-        return json_response(
-            {control: getattr(self.faults, control) for control in sorted(known)}
-        )
+        return json_response(self._faults_in_force())
 
 
 def _control_names() -> set[str]:
--- a/src/pimentohoist_standins/fleet.py
+++ b/src/pimentohoist_standins/fleet.py
@@ -155,8 +155,10 @@
         return received
 
     def state(self, name: str) -> dict[str, Any]:
-        """Return a daemon's dump."""
-        client = self._client(self.operators_address(name))
+        """Return the dump of a daemon or stand-in."""
+        is_daemon = name in self.daemons
+        address = self.operators_address(name) if is_daemon else self.addresses[name]
+        client = self._client(address)
         document: dict[str, Any] = client.ask_json(HttpRequest.of_json('GET', '/state'))
         return document
 
--- a/src/pimentohoist_standins/instances.py
+++ b/src/pimentohoist_standins/instances.py
@@ -27,10 +27,15 @@
 
     def answer(self, request: Request) -> Response:
         """Show or replace the list."""
-        now = time.monotonic()
         if request.method == 'PUT':
-            self.versions.append((now, request.get_json()))
-        visible = [
-            entries for set_at, entries in self.versions if set_at <= now - self.lag_s
-        ]
-        return json_response(visible[-1] if visible else [])
+            self.versions.append((time.monotonic(), request.get_json()))
+        return json_response(self._visible())
+
+    def dump(self) -> dict[str, Any]:
+        """Return the list as it is and as it is shown."""
+        return {'latest': self.versions[-1][1], 'visible': self._visible()}
+
+    def _visible(self) -> _Entries:
+        oldest = time.monotonic() - self.lag_s
+        visible = [entries for set_at, entries in self.versions if set_at <= oldest]
+        return visible[-1] if visible else []
--- a/src/pimentohoist_standins/log.py
+++ b/src/pimentohoist_standins/log.py
@@ -6,6 +6,7 @@
 import time
 from dataclasses import dataclass, field
 from http import HTTPStatus
+from typing import Any
 
 from werkzeug.wrappers import Request, Response
 
@@ -68,6 +69,19 @@
         wait_s = float(request.args.get('wait_s', 0))
         return self._read(name, offset, wait_s)
 
+    def dump(self) -> dict[str, Any]:
+        """Return the offsets kept, by stream."""
+        with self.changed:
+            return {
+                'streams': {
+                    name: {
+                        'first_offset': stream.first_offset,
+                        'next_offset': stream.next_offset,
+                    }
+                    for name, stream in self.streams.items()
+                }
+            }
+
     def _append(self, name: str, request: Request) -> Response:
         bodies = request.get_json()
         if not isinstance(bodies, list):
--- a/src/pimentohoist_standins/service.py
+++ b/src/pimentohoist_standins/service.py
@@ -5,6 +5,7 @@
 import threading
 import time
 from http import HTTPStatus
+from typing import Any
 
 from werkzeug.wrappers import Request, Response
 
@@ -22,6 +23,10 @@
         self.entries: list[str] = []
         self._lock = threading.Lock()
 
+    def dump(self) -> dict[str, Any]:
+        """Return the number of entries written."""
+        return {'entries': len(self.entries)}
+
     def answer(self, request: Request) -> Response:
         """Write an entry or return the number of entries."""
         self.note(request)
--- a/src/pimentohoist_standins/weights.py
+++ b/src/pimentohoist_standins/weights.py
@@ -5,6 +5,7 @@
 import threading
 import time
 from http import HTTPStatus
+from typing import Any
 
 from werkzeug.wrappers import Request, Response
 
@@ -50,6 +51,10 @@
             }
         )
 
+    def dump(self) -> dict[str, Any]:
+        """Return the loads under way."""
+        return {'in_flight': self.in_flight, 'most_in_flight': self.most_in_flight}
+
     def _transfer(self) -> None:
         with self._lock:
             self.in_flight += 1
