--- a/features/configuration_fold.feature
+++ b/features/configuration_fold.feature
@@ -6,7 +6,7 @@
 
   Scenario: The cost of a change does not follow the size of the configuration
     Given a fold of 2000 adapters
-    When one adapter changes and one is removed
+    When one adapter changes and one is removed with its workspace
     Then the fold has not read or copied its sections as a whole
 
   Scenario: Every fault of a text is told with its line
--- a/features/steps/configuration_fold.py
+++ b/features/steps/configuration_fold.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import json
-from collections import UserDict
+from collections import Counter, UserDict
 from collections.abc import Iterator, Mapping
+from functools import lru_cache
 from types import MappingProxyType
 
 from behave import given, then, when
@@ -15,6 +16,7 @@
 from naive_configuration import NaiveFold
 
 from pimentohoist._configuration_fold import Change, ConfigurationFold, Publish
+from pimentohoist._decisions.sections import references
 from pimentohoist.configuration import (
     Adapter,
     Configuration,
@@ -24,6 +26,7 @@
     Key,
     Route,
     Workspace,
+    parse_sections,
     section_id,
     section_text,
 )
@@ -188,7 +191,7 @@
 
 
 def check_against_naive(fold: ConfigurationFold, naive: NaiveFold) -> None:
-    assert fold.texts == naive.texts, (fold.texts, naive.texts)
+    assert fold.sections.texts() == naive.texts, (fold.text(), naive.texts)
     assert fold.skipped_records == naive.skipped
     # A repeat that comes after its first verdict was forgotten must be rejected.
     decided = {verdict.offset: verdict for verdict in fold.verdicts.values()}
@@ -200,6 +203,23 @@
     first_at = {name: fold.verdicts[name].offset for name in recent}
     assert first_at == recent, 'a repeat was decided anew'
     check_kept(fold)
+    check_index(fold, naive)
+
+
+def check_index(fold: ConfigurationFold, naive: NaiveFold) -> None:
+    """Compare what the fold counts and finds with what its texts name."""
+    naming = {name: named_by(text) for name, text in naive.texts.items()}
+    counts = Counter(reference for names in naming.values() for reference in names)
+    assert fold.index.referrer_counts == counts
+    for reference in counts:
+        found = sorted(fold.sections.find_referrers(reference))
+        assert found == sorted(name for name in naming if reference in naming[name])
+
+
+@lru_cache
+def named_by(text: str) -> tuple[str, ...]:
+    """Return what the section of a text names."""
+    return references(parse_sections(text)[0])
 
 
 def check_kept(fold: ConfigurationFold) -> None:
@@ -232,10 +252,15 @@
 @given('a fold of {count:d} adapters')
 def fold_many(context: Context, count: int) -> None:
     context.fold = ConfigurationFold()
-    sections = [Workspace('w1', 1, 1), EndpointGroup('g1', GroupKind.ENGINE)]
+    sections = [
+        Workspace('w1', 1, 1),
+        Workspace('w2', 1, 1),
+        EndpointGroup('g1', GroupKind.ENGINE),
+        Adapter('alone', 'g1', (1,), 1, ('w2',)),
+    ]
     sections += [Adapter(f'a{index}', 'g1', (1,), 1, ('w1',)) for index in range(count)]
     apply_sections(context.fold, sections)
-    assert len(context.fold.sections) == count + 2
+    assert len(context.fold.sections) == count + 4
 
 
 def apply_sections(fold: ConfigurationFold, sections: list) -> None:
@@ -262,26 +287,33 @@
         return super().__iter__()
 
 
-@when('one adapter changes and one is removed')
+@when('one adapter changes and one is removed with its workspace')
 def change_one(context: Context) -> None:
     fold = context.fold
-    fold.index.sections = CountingDict(fold.index.sections)
-    fold.texts = CountingDict(fold.texts)
+    bodies = fold.sections.bodies
+    fold.sections.bodies = {kind: CountingDict(bodies[kind]) for kind in bodies}
     fold.versions = CountingDict(fold.versions)
-    context.before = (fold.index.sections, fold.texts, fold.versions)
+    fold.index.holders = CountingDict(fold.index.holders)
+    context.before = held_whole(fold)
     apply_sections(fold, [Adapter('a1', 'g1', (1, 2), 2, ('w1',))])
     offset = fold.next_offset
-    removal = Change(section='adapters/a2', text=None)
-    publish = Publish(publish_id='r', base_offset=offset, changes=(removal,))
+    removals = tuple(
+        Change(section=name, text=None) for name in ('adapters/alone', 'workspaces/w2')
+    )
+    publish = Publish(publish_id='r', base_offset=offset, changes=removals)
     fold.apply(LogRecord(offset, publish.model_dump_json().encode()))
     assert fold.verdicts['r'].is_accepted
 
 
+def held_whole(fold: ConfigurationFold) -> tuple[CountingDict, ...]:
+    """Return what grows with the number of sections."""
+    return (*fold.sections.bodies.values(), fold.versions, fold.index.holders)
+
+
 @then('the fold has not read or copied its sections as a whole')
 def check_cost(context: Context) -> None:
     fold = context.fold
-    now = (fold.index.sections, fold.texts, fold.versions)
-    for before, after in zip(context.before, now, strict=True):
+    for before, after in zip(context.before, held_whole(fold), strict=True):
         assert before is after
         assert after.walks == 0
 
--- a/src/pimentohoist/_configuration_fold.py
+++ b/src/pimentohoist/_configuration_fold.py
@@ -6,22 +6,15 @@
 from collections import Counter, OrderedDict
 from collections.abc import Iterator, Mapping
 from dataclasses import asdict, dataclass
+from itertools import islice
 from typing import Annotated, Any, Literal
 
 from pydantic import BaseModel, Field, TypeAdapter, ValidationError
 
-from pimentohoist._configuration_text import (
-    join_texts,
-    parse_sections,
-    text_digest,
-)
+from pimentohoist._configuration_text import parse_sections, text_digest
 from pimentohoist._decisions.sections import SectionIndex
-from pimentohoist._sections import (
-    Section,
-    section_id,
-    section_text,
-)
-from pimentohoist.configuration import Configuration
+from pimentohoist._section_texts import SectionTexts
+from pimentohoist._sections import Section, section_id
 from pimentohoist.exceptions import ConfigurationError
 from pimentohoist.models import LogRecord
 
@@ -106,8 +99,8 @@
 
     Attributes
     ----------
-    texts : dict of str to str
-        Printed sections by id.
+    index : SectionIndex
+        Sections as printed text, and what the checks need of them.
     versions : dict of str to int
         By section id; removed sections included for `window` records.
     verdicts : mapping of str to Verdict
@@ -116,8 +109,7 @@
 
     def __init__(self, window: int = WINDOW_RECORDS) -> None:
         self.window = window
-        self.index = SectionIndex()
-        self.texts: dict[str, str] = {}
+        self.index = SectionIndex(SectionTexts())
         self.versions: dict[str, int] = {}
         self.removed: OrderedDict[str, int] = OrderedDict()
         self.verdicts: OrderedDict[str, Verdict] = OrderedDict()
@@ -130,18 +122,24 @@
         return self._next_offset
 
     @property
-    def sections(self) -> Mapping[str, Section]:
+    def sections(self) -> SectionTexts:
         """The sections in force, by id."""
         return self.index.sections
 
-    @property
-    def configuration(self) -> Configuration:
-        """A copy of the configuration in force."""
-        return Configuration(dict(self.index.sections))
-
     def text(self) -> str:
         """Return the text in force."""
-        return join_texts(self.texts)
+        return self.sections.text()
+
+    def copy(self) -> ConfigurationFold:
+        """Return a copy, made without printing or parsing."""
+        other = ConfigurationFold(self.window)
+        other.index = self.index.copy()
+        other.versions = self.versions.copy()
+        other.removed = self.removed.copy()
+        other.verdicts = self.verdicts.copy()
+        other.skipped_records = self.skipped_records
+        other._next_offset = self._next_offset
+        return other
 
     def apply(self, record: LogRecord) -> None:
         """Apply one record; a broken or foreign one is counted and skipped."""
@@ -160,32 +158,39 @@
             {'publish_id': publish_id, **asdict(verdict)}
             for publish_id, verdict in self.verdicts.items()
         ]
+        text = self.text()
         document = {
             'next_offset': self._next_offset,
-            'text': self.text(),
+            'text': text,
+            'digest': text_digest(text),
             'versions': dict(sorted(self.versions.items())),
             'removed': list(self.removed),
+            'referrer_counts': dict(sorted(self.index.referrer_counts.items())),
+            'holders': dict(sorted(self.index.holders.items())),
             'skipped_records': self.skipped_records,
             'verdicts': verdicts,
         }
         return json.dumps(document).encode()
 
     def restore(self, body: bytes) -> None:
-        """Replace the state by a snapshot's, if that covers more."""
+        """Replace the state by a snapshot's, if that covers more.
+
+        The sections are not parsed: they were certified before they were printed, and
+        the digest tells whether the text is still the same.
+        """
         document: Mapping[str, Any] = json.loads(body)
         if document['next_offset'] <= self._next_offset:
             return
-        sections = {
-            section_id(section): section for section in parse_sections(document['text'])
-        }
-        index = SectionIndex.of(sections)
-        texts = {name: section_text(section) for name, section in sections.items()}
-        versions = dict(document['versions'])
+        versions = _share_numbers(document['versions'])
         removed = OrderedDict((name, versions[name]) for name in document['removed'])
+        sections = SectionTexts.split(
+            _checked_text(document),
+            sorted(name for name in versions if name not in removed),
+        )
+        index = SectionIndex(sections, document['referrer_counts'], document['holders'])
         verdicts = OrderedDict(_read_verdict(entry) for entry in document['verdicts'])
         # Nothing may fail from here on, so that the state is replaced whole or not at all.
         self.index = index
-        self.texts = texts
         self.versions = versions
         self.removed = removed
         self.verdicts = verdicts
@@ -232,11 +237,11 @@
             changes = dict(map(_parse_change, publish.changes))
         except ConfigurationError as error:
             return error.faults[:_MOST_FAULTS]
-        found = self.index.find_faults(changes)
+        found = islice(self.index.find_faults(changes), _MOST_FAULTS)
         faults = tuple(f'{identity}: {fault}' for identity, fault in found)
         if not faults:
             self._replace(changes, offset + 1)
-        return faults[:_MOST_FAULTS]
+        return faults
 
     def _replace(self, changes: Mapping[str, Section | None], version: int) -> None:
         self.index.apply(changes)
@@ -244,10 +249,7 @@
             self.versions[name] = version
             self.removed.pop(name, None)
             if section is None:
-                self.texts.pop(name)
                 self.removed[name] = version
-            else:
-                self.texts[name] = section_text(section)
 
     def _forget(self) -> None:
         """Drop what no publish with an admissible base can need."""
@@ -291,6 +293,21 @@
     return publish_id, Verdict(**fields)
 
 
+def _share_numbers(versions: Mapping[str, int]) -> dict[str, int]:
+    """Return the versions with equal numbers held once."""
+    numbers: dict[int, int] = {}
+    return {
+        name: numbers.setdefault(version, version) for name, version in versions.items()
+    }
+
+
+def _checked_text(document: Mapping[str, Any]) -> str:
+    text: str = document['text']
+    if text_digest(text) != document['digest']:
+        raise ValueError('the text is not the one that was printed')
+    return text
+
+
 def _parse_change(change: Change) -> tuple[str, Section | None]:
     if change.text is None:
         return change.section, None
--- a/src/pimentohoist/_controllers/configuration.py
+++ b/src/pimentohoist/_controllers/configuration.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import Any, Self
+from typing import Any, Self, TypeVar
 
 from pimentohoist._configuration_fold import (
     CONFIGURATION_STREAM,
@@ -12,19 +12,22 @@
     Verdict,
 )
 from pimentohoist._controllers.follower import StreamFollower
-from pimentohoist._configuration_text import join_texts, text_digest
+from pimentohoist._configuration_text import text_digest
+from pimentohoist._sections import section_kind
 from pimentohoist._snapshots import Snapshot
 from pimentohoist.configuration import (
     Adapter,
-    Configuration,
     EndpointGroup,
     Key,
     Route,
+    Section,
     Workspace,
 )
 from pimentohoist.exceptions import UnavailableError
 from pimentohoist.protocols import Log
 
+SectionT = TypeVar('SectionT', bound=Section)
+
 _STEP = 'configuration'
 _RETRY_AFTER_S = 1.0
 
@@ -79,17 +82,20 @@
                 'no configuration yet', step=_STEP, retry_after_s=_RETRY_AFTER_S
             )
 
-    def configuration(self) -> Configuration:
-        """Return a copy of the configuration in force."""
+    def sections(self, section_type: type[SectionT]) -> tuple[SectionT, ...]:
+        """Return the sections of a type, by name."""
+        kind = section_kind(section_type)
         with self.follower.changed:
-            return self.follower.fold.configuration
+            found = self.follower.fold.sections.of_kind(kind)
+        parsed = (found[name] for name in sorted(found))
+        return tuple(part for part in parsed if isinstance(part, section_type))
 
     def in_force(self) -> InForce:
         """Return the text in force and the offset that it covers."""
         with self.follower.changed:
             fold = self.follower.fold
-            texts, next_offset = dict(fold.texts), fold.next_offset
-        return InForce(join_texts(texts), next_offset)
+            sections, next_offset = fold.sections.copy(), fold.next_offset
+        return InForce(sections.text(), next_offset)
 
     def verdict(self, publish_id: str) -> Verdict | None:
         """Return what was decided on a publish; None if it was not read yet."""
--- a/src/pimentohoist/_controllers/follower.py
+++ b/src/pimentohoist/_controllers/follower.py
@@ -6,7 +6,7 @@
 import threading
 import time
 from collections.abc import Callable, Mapping
-from typing import Any, Generic, Self, TypeVar
+from typing import Any, Generic, Protocol, Self, TypeVar, runtime_checkable
 
 from pimentohoist._snapshots import Snapshot, find_snapshots
 from pimentohoist.exceptions import LogError, OffsetExpiredError, PimentohoistError
@@ -20,6 +20,14 @@
 _logger = logging.getLogger(__name__)
 
 
+@runtime_checkable
+class CopyableFold(Fold, Protocol):
+    """A fold that is copied in a short time and holds much."""
+
+    def copy(self) -> Self:
+        """Return a copy that later records don't change."""
+
+
 class StreamFollower(Generic[FoldT]):
     """A controller that applies a stream's records as they come.
 
@@ -28,7 +36,7 @@
     peer_snapshot : callable or None
         Returns other daemons' state of a stream; asked if the log is down at the start.
     fold : Fold
-        State; read it only while holding `changed`.
+        State; read it only while holding `changed`. A restored one takes its place.
     changed : threading.Condition
         Notified after each applied page.
     head_read_at : float
@@ -85,7 +93,11 @@
     def snapshot(self) -> Snapshot:
         """Return the present state."""
         with self.changed:
-            return Snapshot(self.fold.next_offset, self.fold.snapshot())
+            if not isinstance(self.fold, CopyableFold):
+                return Snapshot(self.fold.next_offset, self.fold.snapshot())
+            fold = self.fold.copy()
+        # Printing a large state takes longer than readers may wait.
+        return Snapshot(fold.next_offset, fold.snapshot())
 
     def wait_for(self, offset: int, timeout_s: float) -> bool:
         """Return whether the fold covers the record at `offset` in time."""
@@ -155,16 +167,27 @@
 
     def _restore(self, snapshot: Snapshot) -> bool:
         """Return whether the fold covers what the snapshot covers."""
+        try:
+            self._replace_fold(snapshot)
+        except _BAD_SNAPSHOT:
+            self.bad_snapshots += 1
+            _logger.warning('bad snapshot', extra={'stream': self.stream})
+            return False
         with self.changed:
-            try:
-                self.fold.restore(snapshot.body)
-            except _BAD_SNAPSHOT:
-                self.bad_snapshots += 1
-                _logger.warning('bad snapshot', extra={'stream': self.stream})
-                return False
             self.restored_offset = self.fold.next_offset
             self.changed.notify_all()
-            return True
+        return True
+
+    def _replace_fold(self, snapshot: Snapshot) -> None:
+        with self.changed:
+            if not isinstance(self.fold, CopyableFold):
+                self.fold.restore(snapshot.body)
+                return
+            fold = self.fold.copy()
+        # Readers go on with the former state meanwhile; only this thread changes it.
+        fold.restore(snapshot.body)
+        with self.changed:
+            self.fold = fold
 
     def _report(self, error: LogError) -> None:
         self.errors += 1
--- a/src/pimentohoist/_controllers/load_permits.py
+++ b/src/pimentohoist/_controllers/load_permits.py
@@ -149,12 +149,10 @@
         return self._offers.pop(place, None)
 
     def _limits(self) -> StoreLimits:
-        sections = self.configuration.configuration().sections
-        for identity in sorted(sections):
-            section = sections[identity]
-            if isinstance(section, StoreBudget):
-                return StoreLimits(section.loads_per_s, section.loads_at_once)
-        return _NO_LIMITS
+        budgets = self.configuration.sections(StoreBudget)
+        if not budgets:
+            return _NO_LIMITS
+        return StoreLimits(budgets[0].loads_per_s, budgets[0].loads_at_once)
 
     def _weight(self, workspace: str) -> float:
         section = self.configuration.workspace(workspace)
--- a/src/pimentohoist/_controllers/share_homes.py
+++ b/src/pimentohoist/_controllers/share_homes.py
@@ -126,8 +126,7 @@
             offset = follower.fold.next_offset
             head_read_at = follower.head_read_at
         if offset != self._configuration_offset:
-            sections = self.configuration.configuration().sections.values()
-            names = [part.name for part in sections if isinstance(part, Workspace)]
+            names = [part.name for part in self.configuration.sections(Workspace)]
             with self.lock:
                 self.absent_at = {
                     name: self.absent_at.get(name, self._absent_until) for name in names
--- a/src/pimentohoist/_decisions/sections.py
+++ b/src/pimentohoist/_decisions/sections.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import heapq
+from collections import Counter
 from collections.abc import Collection, Iterable, Iterator, Mapping
-from typing import TypeAlias
+from typing import Generic, Protocol, Self, TypeAlias, TypeVar
 
 from pimentohoist._sections import (
     Adapter,
@@ -22,30 +23,75 @@
 _MOST_REFERRERS_NAMED = 5
 
 
-class SectionIndex:
+class SectionStore(Protocol):
+    """Holds sections by id."""
+
+    def get(self, identity: str, /) -> Section | None:
+        """Return a section; None if there is none."""
+
+    def put(self, identity: str, section: Section) -> None:
+        """Add or replace a section."""
+
+    def remove(self, identity: str) -> Section | None:
+        """Remove a section and return it; None if there is none."""
+
+    def find_referrers(self, reference: str) -> Iterable[str]:
+        """Return the ids of the sections that name `reference`."""
+
+    def copy(self) -> Self:
+        """Return a copy."""
+
+
+class PlainSections(dict[str, Section]):
+    """Implements `SectionStore` by parsed sections."""
+
+    def put(self, identity: str, section: Section) -> None:
+        """Add or replace a section."""
+        self[identity] = section
+
+    def remove(self, identity: str) -> Section | None:
+        """Remove a section and return it; None if there is none."""
+        return self.pop(identity, None)
+
+    def find_referrers(self, reference: str) -> Iterable[str]:
+        """Return the ids of the sections that name `reference`."""
+        return [name for name, part in self.items() if reference in references(part)]
+
+    def copy(self) -> PlainSections:
+        """Return a copy."""
+        return PlainSections(self)
+
+
+StoreT = TypeVar('StoreT', bound=SectionStore)
+
+
+class SectionIndex(Generic[StoreT]):
     """Sections by id, and which of them name or hold what.
 
     Attributes
     ----------
-    sections : dict of str to Section
+    sections : SectionStore
         By `section_id`.
-    referrers : dict of str to set of str
-        By section id: the sections that name it.
+    referrer_counts : Counter of str
+        By section id: how many sections name it. Who they are is looked up only for the
+        faults of a publish that is rejected.
     holders : dict of str to str
         By what only one section may hold: the section that does.
     """
 
-    def __init__(self) -> None:
-        self.sections: dict[str, Section] = {}
-        self.referrers: dict[str, set[str]] = {}
-        self.holders: dict[str, str] = {}
-
-    @classmethod
-    def of(cls, sections: Mapping[str, Section]) -> SectionIndex:
-        """Return an index of these sections."""
-        index = cls()
-        index.apply(sections)
-        return index
+    def __init__(
+        self,
+        sections: StoreT,
+        referrer_counts: Mapping[str, int] | None = None,
+        holders: Mapping[str, str] | None = None,
+    ) -> None:
+        self.sections = sections
+        self.referrer_counts = Counter(referrer_counts)
+        self.holders = dict(holders or {})
+
+    def copy(self) -> SectionIndex[StoreT]:
+        """Return a copy."""
+        return SectionIndex(self.sections.copy(), self.referrer_counts, self.holders)
 
     def find_faults(self, changes: Changes) -> Iterator[tuple[str, str]]:
         """Yield section id and fault of each contradiction that `changes` would cause.
@@ -53,14 +99,15 @@
         The cost follows from what changes and what names it, not from all sections.
         """
         claimed: dict[str, str] = {}
+        replaced = self._count_replaced(changes)
         for identity, section in changes.items():
             if section is None:
-                yield from self._removal_faults(identity, changes)
+                yield from self._removal_faults(identity, changes, replaced)
                 continue
             yield from _own_faults(identity, section)
             yield from self._reference_faults(identity, section, changes)
             yield from self._holder_faults(identity, section, changes, claimed)
-            yield from self._kind_faults(identity, section, changes)
+            yield from self._kind_faults(identity, section, changes, replaced)
 
     def apply(self, changes: Changes) -> None:
         """Replace and remove sections."""
@@ -71,34 +118,41 @@
                 self._add(identity, section)
 
     def _remove(self, identity: str) -> None:
-        section = self.sections.pop(identity, None)
+        section = self.sections.remove(identity)
         if section is None:
             return
         for reference in references(section):
-            names = self.referrers[reference]
-            names.discard(identity)
-            if not names:
-                self.referrers.pop(reference)
+            self.referrer_counts[reference] -= 1
+            if not self.referrer_counts[reference]:
+                self.referrer_counts.pop(reference)
         for thing in exclusive_things(section):
             if self.holders.get(thing) == identity:
                 self.holders.pop(thing)
 
     def _add(self, identity: str, section: Section) -> None:
-        self.sections[identity] = section
-        for reference in references(section):
-            self.referrers.setdefault(reference, set()).add(identity)
+        self.sections.put(identity, section)
+        self.referrer_counts.update(references(section))
         for thing in exclusive_things(section):
             self.holders[thing] = identity
 
+    def _count_replaced(self, changes: Changes) -> Counter[str]:
+        """Count, by section id, the referrers that change or go."""
+        replaced: Counter[str] = Counter()
+        for identity in changes:
+            section = self.sections.get(identity)
+            if section is not None:
+                replaced.update(references(section))
+        return replaced
+
     def _after(self, identity: str, changes: Changes) -> Section | None:
         return changes.get(identity, self.sections.get(identity))
 
     def _removal_faults(
-        self, identity: str, changes: Changes
+        self, identity: str, changes: Changes, replaced: Counter[str]
     ) -> Iterator[tuple[str, str]]:
-        if identity not in self.sections:
+        if self.sections.get(identity) is None:
             yield identity, f'there is no {identity} to remove'
-        for referrer in self._other_referrers(identity, changes):
+        for referrer in self._other_referrers(identity, changes, replaced):
             yield referrer, f'names {identity}, which is removed'
 
     def _reference_faults(
@@ -126,20 +180,27 @@
                 yield identity, f'{thing} stands in {holder} too'
 
     def _kind_faults(
-        self, identity: str, section: Section, changes: Changes
+        self,
+        identity: str,
+        section: Section,
+        changes: Changes,
+        replaced: Counter[str],
     ) -> Iterator[tuple[str, str]]:
         before = self.sections.get(identity)
         if not isinstance(section, EndpointGroup) or before is None:
             return
         if isinstance(before, EndpointGroup) and before.kind is section.kind:
             return
-        for referrer in self._other_referrers(identity, changes):
+        for referrer in self._other_referrers(identity, changes, replaced):
             yield referrer, f'{identity} is no longer of the kind that it needs'
 
-    def _other_referrers(self, identity: str, changes: Changes) -> list[str]:
-        others = (
-            name for name in self.referrers.get(identity, ()) if name not in changes
-        )
+    def _other_referrers(
+        self, identity: str, changes: Changes, replaced: Counter[str]
+    ) -> list[str]:
+        if self.referrer_counts[identity] == replaced[identity]:
+            return []
+        found = self.sections.find_referrers(identity)
+        others = (name for name in found if name not in changes)
         # In one order at every reader, so that verdicts agree to the letter.
         return heapq.nsmallest(_MOST_REFERRERS_NAMED, others)
 
@@ -170,7 +231,7 @@
 def whole_faults(sections: Iterable[Section]) -> Iterator[tuple[str, str]]:
     """Yield section id and fault of each contradiction between `sections`."""
     changes = {section_id(section): section for section in sections}
-    return SectionIndex().find_faults(changes)
+    return SectionIndex(PlainSections()).find_faults(changes)
 
 
 def _fits(section: Section, target: Section) -> bool:
--- a/src/pimentohoist/_filters/dispatch.py
+++ b/src/pimentohoist/_filters/dispatch.py
@@ -46,7 +46,6 @@
 
     def _list_models(self, exchange: Exchange) -> Answer:
         workspace = exchange.workspace
-        sections = self.configuration.configuration().sections.values()
         entries = [
             {
                 'id': f'{section.name}@{version}',
@@ -54,10 +53,8 @@
                 'created': 0,
                 'owned_by': section.group,
             }
-            for section in sections
-            if isinstance(section, Adapter)
-            and workspace is not None
-            and workspace.name in section.workspaces
+            for section in self.configuration.sections(Adapter)
+            if workspace is not None and workspace.name in section.workspaces
             for version in section.versions
         ]
         body = json.dumps({'object': 'list', 'data': entries}).encode()
--- a/src/pimentohoist/_sections.py
+++ b/src/pimentohoist/_sections.py
@@ -225,6 +225,11 @@
 )
 
 
+def section_kind(section_type: type[Any]) -> str:
+    """Return the kind by which sections of a type are named and grouped."""
+    return _KIND_NAMES[section_type]
+
+
 def section_id(section: Section) -> str:
     """Return ``kind/name``, the section's identity in a publish."""
     return f'{_KIND_NAMES[type(section)]}/{section.name}'
