pimentohoistctl: JSON, progress and one clear line on every command; split into a package

Errors name the command as step. Addresses and names are checked first: a number as a path, an address without a port, a bad key name and the address of another service ended in a traceback before (found by the rows of 'A command that fails has published nothing': publish with the log's address as the daemon's raised KeyError). 'key withdraw' asked only the first daemon given; it asks the next one now, as publish does.

--- a/features/ctl.feature
+++ b/features/ctl.feature
@@ -40,15 +40,116 @@
       | check nothing.toml                               | 2    | nothing.toml                    |
       | check broken.toml                                | 2    | not TOML                        |
       | check negative.toml                              | 2    | line 2: workspaces.house.rate   |
-      | show 127.0.0.1:1                                 | 1    | peer 127.0.0.1:1                |
-      | publish fleet.toml 127.0.0.1:1 127.0.0.1:1       | 1    | peer 127.0.0.1:1                |
+      | check broken.toml --json                         | 2    | not TOML                        |
+      | check 1                                          | 2    | 1: No such file                 |
+      | check latin.toml                                 | 2    | latin.toml: not UTF-8           |
+      | show 127.0.0.1:1                                 | 1    | [show, peer 127.0.0.1:1]        |
+      | show 127.0.0.1:1 --json                          | 1    | [show, peer 127.0.0.1:1]        |
+      | show nonsense                                    | 2    | not an address                  |
+      | show :8001                                       | 2    | not an address                  |
+      | diff fleet.toml 127.0.0.1:1                      | 1    | [diff, peer 127.0.0.1:1]        |
+      | diff nothing.toml 127.0.0.1:1                    | 2    | nothing.toml                    |
+      | diff broken.toml 127.0.0.1:1                     | 2    | not TOML                        |
+      | history 127.0.0.1:1                              | 1    | [history, peer 127.0.0.1:1]     |
+      | state 127.0.0.1:1                                | 1    | [state, peer 127.0.0.1:1]       |
+      | drain 127.0.0.1:1                                | 1    | [drain, peer 127.0.0.1:1]       |
+      | drain 127.0.0.1:1 --wait                         | 1    | [drain, peer 127.0.0.1:1]       |
+      | entries 127.0.0.1:1                              | 1    | [entries, peer 127.0.0.1:1]     |
+      | key new 'line 1' house                           | 2    | 'line 1'                        |
+      | key withdraw line-1 127.0.0.1:1 127.0.0.1:1      | 1    | peer 127.0.0.1:1                |
+      | key withdraw line-1 nonsense 127.0.0.1:1         | 2    | [key withdraw]                  |
+      | publish nothing.toml 127.0.0.1:1 127.0.0.1:1     | 2    | nothing.toml                    |
+      | publish broken.toml 127.0.0.1:1 127.0.0.1:1      | 2    | not TOML                        |
+      | publish fleet.toml 127.0.0.1:1 127.0.0.1:1       | 1    | [publish, peer 127.0.0.1:1]     |
+      | publish fleet.toml 127.0.0.1:1 nonsense          | 2    | [publish]                       |
+      | forecast nothing.toml                            | 2    | [forecast]                      |
+      | forecast broken.toml                             | 2    | not TOML                        |
       | forecast fleet.toml --month=soon                 | 2    | not as 2027-01                  |
       | forecast fleet.toml --output=cake                | 2    | not table, csv or json          |
 
+  Scenario: A command that fails has published nothing
+    Given a fleet of 2 daemons and an operator's folder
+    When each command runs and ends with its code and one line
+      | command                                          | code | text                        |
+      | publish broken.toml LOG ENTRY-1                  | 2    | not TOML                    |
+      | publish fleet.toml LOG ENTRY-1 --base=broken.toml | 2   | not TOML                    |
+      | publish fleet.toml LOG ENTRY-1 --base=nothing.toml | 2  | nothing.toml                |
+      | publish fleet.toml LOG ENTRY-1 --base=faster.toml | 3   | changed meanwhile           |
+      | publish fleet.toml 127.0.0.1:1 ENTRY-1           | 1    | peer 127.0.0.1:1            |
+      | publish fleet.toml LOG LOG                       | 1    | not the answer of a daemon  |
+      | show LOG                                         | 1    | not the answer of a daemon  |
+      | state LOG                                        | 1    | not the answer of a daemon  |
+      | history LOG                                      | 1    | not the answer of a daemon  |
+      | entries LOG                                      | 1    | not the answer of a daemon  |
+      | drain LOG                                        | 1    | [drain, peer                |
+      | history CALLERS-1                                | 2    | there is no /history        |
+      | key withdraw line-1 LOG ENTRY-1                  | 2    | there is no key             |
+    Then the log has no publish
+
+  Scenario: Every command prints JSON on request
+    Given a fleet of 2 daemons and an operator's folder
+    When each command runs and ends with code 0 and JSON that has its fields
+      | command                                      | fields                             |
+      | check fleet.toml --json                      | digest sections                    |
+      | publish fleet.toml LOG ENTRY-1 --json        | publish_id digest changes verdicts |
+      | publish fleet.toml LOG ENTRY-1 --json        | publish_id digest changes verdicts |
+      | diff faster.toml ENTRY-1 --json              | section change text                |
+      | show ENTRY-1 --json                          | text digest next_offset            |
+      | history ENTRY-1 --json                       | offset operator is_accepted        |
+      | forecast fleet.toml --json                   | workspace most_tokens currency     |
+      | forecast fleet.toml --output=json            | workspace most_tokens currency     |
+      | state ENTRY-1 --json                         | name view configuration drain      |
+      | entries CALLERS-1 --json                     | entries max_age_s                  |
+      | key new line-2 house --json                  | name workspace salt digest         |
+      | key withdraw line-1 LOG ENTRY-1 --json       | publish_id is_in_force             |
+      | drain ENTRY-2 --json                         | daemon has_ended                   |
+
+  Scenario: What takes long tells how far it is on standard error
+    Given a fleet of 2 daemons and an operator's folder
+    When the operator runs "publish fleet.toml LOG ENTRY-1 --progress"
+    Then the command ends with code 0 and says "in force on 2 daemons"
+    And standard error tells "3 sections", "the log has it", "decided on 2 of 2 daemons"
+    When the operator runs "drain ENTRY-2 --wait --progress"
+    Then the command ends with code 0 and says "has ended"
+    And standard error tells "off the address list, 0 requests", "", ""
+    And daemon 2 of the operator's fleet ends with exit code 0 within 1 s
+
+  Scenario: A new key is printed as a section, and only once as itself
+    Given an operator's folder
+    When the operator runs "key new line-2 house"
+    Then the command ends with code 0 and says "[keys.line-2]"
+    And standard error has the key of the printed section and nothing else
+
+  Scenario Outline: Every command explains itself with an example
+    Given an operator's folder
+    When the operator runs "<command> --help"
+    Then the help has "Example: pimentohoistctl <command>"
+
+    Examples:
+      | command      |
+      | check        |
+      | diff         |
+      | publish      |
+      | show         |
+      | history      |
+      | forecast     |
+      | key new      |
+      | key withdraw |
+      | state        |
+      | drain        |
+      | entries      |
+
+  Scenario: The help lists every command and the exit codes
+    Given an operator's folder
+    When the operator runs "--help"
+    Then the help has "Exit codes: 0 done; 1 failed"
+
   Scenario: The forecast is rate times the seconds of the month, and one burst
     Given an operator's folder
     When the operator runs "forecast fleet.toml --month=2027-02 --output=csv"
     Then the command ends with code 0 and says "house,2419205,4.84,EUR"
+    When the operator runs "forecast fleet.toml --month=2027-02"
+    Then the command ends with code 0 and says "house          2419205           4.84       EUR"
 
   Scenario Outline: The example of each deployment is sound and at its true size
     Given an operator's folder
--- a/features/steps/ctl.py
+++ b/features/steps/ctl.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import json
 import shlex
 import signal
 import subprocess
@@ -15,8 +16,8 @@
 from behave.runner import Context
 
 from pimentohoist._http_client import HttpClient, HttpRequest
-from pimentohoist.configuration import Configuration, Workspace
-from pimentohoist.keys import create_key
+from pimentohoist.configuration import Configuration, Workspace, parse_sections
+from pimentohoist.keys import create_key, is_secret_of, split_authorization
 from pimentohoist_standins.fleet import Fleet
 
 _HOUSE = Workspace('house', 1, 5, price_per_million_tokens='2')
@@ -42,6 +43,58 @@
     }
     for name, text in texts.items():
         (folder / f'{name}.toml').write_text(text)
+    (folder / 'latin.toml').write_bytes('# café'.encode('latin-1'))
+
+
+@when('each command runs and ends with its code and one line')
+def run_failing(context: Context) -> None:
+    for row in context.table:
+        run_command(context, row['command'])
+        check_error(context, int(row['code']), row['text'])
+
+
+@then('the log has no publish')
+def check_no_publish(context: Context) -> None:
+    streams = context.fleet.state('log')['streams']
+    assert streams['configuration']['next_offset'] == 0, streams
+
+
+@when('each command runs and ends with code 0 and JSON that has its fields')
+def run_for_json(context: Context) -> None:
+    for row in context.table:
+        run_command(context, row['command'])
+        assert context.run.returncode == 0, context.run
+        document = json.loads(context.run.stdout)
+        first = document[0] if isinstance(document, list) else document
+        missing = set(row['fields'].split()) - first.keys()
+        assert not missing, (row['command'], missing, document)
+
+
+@then('standard error tells "{first}", "{second}", "{third}"')
+@then('standard error tells "{first}", "", ""')
+def check_progress(
+    context: Context, first: str, second: str = '', third: str = ''
+) -> None:
+    for text in (first, second, third):
+        assert text in context.run.stderr, context.run
+
+
+@then('standard error has the key of the printed section and nothing else')
+def check_new_key(context: Context) -> None:
+    section = Configuration.of(_HOUSE, *parse_sections(context.run.stdout)).sections[
+        'keys/line-2'
+    ]
+    name, secret = split_authorization(f'Bearer {context.run.stderr.strip()}')
+    assert name == 'line-2'
+    assert is_secret_of(section, secret)
+    assert secret not in context.run.stdout
+
+
+@then('the help has "{text}"')
+def check_help(context: Context, text: str) -> None:
+    assert context.run.returncode == 0, context.run
+    printed = ' '.join((context.run.stdout + context.run.stderr).split())
+    assert text in printed, printed
 
 
 @given("a fleet of 2 daemons and an operator's folder")
@@ -63,6 +116,8 @@
         command = command.replace('LOG', fleet.addresses['log'])
         for name in fleet.daemons:
             command = command.replace(name.upper(), fleet.operators_address(name))
+            callers = name.upper().replace('ENTRY', 'CALLERS')
+            command = command.replace(callers, fleet.addresses[name])
     code = 'from pimentohoist.ctl import main; main()'
     return subprocess.run(
         [sys.executable, '-c', code, *shlex.split(command)],
--- /dev/null
+++ b/src/pimentohoist/_commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of ``pimentohoistctl``."""
--- a/src/pimentohoist/_publisher.py
+++ b/src/pimentohoist/_publisher.py
@@ -4,7 +4,7 @@
 
 import time
 import uuid
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from datetime import UTC, datetime
@@ -82,6 +82,10 @@
     return f'rejected: {"; ".join(moved + list(verdict["faults"]))}'
 
 
+def _ignore(line: str) -> None:
+    """Stand in for the listener where there is none."""
+
+
 class Publisher:
     """Publishes to the log and asks the live members what came of it.
 
@@ -89,12 +93,25 @@
     ----------
     daemons : sequence of str
         Operators' addresses of some daemons; they name the other live members.
+    tell : callable
+        Is given a line whenever the publish is one step further.
     """
 
-    def __init__(self, log: Log, daemons: Sequence[str], operator: str) -> None:
+    def __init__(
+        self,
+        log: Log,
+        daemons: Sequence[str],
+        operator: str,
+        tell: Callable[[str], None] = _ignore,
+    ) -> None:
         self.log = log
         self.operator = operator
         self.daemons = tuple(daemons)
+        self.tell = tell
+
+    def in_force(self) -> Configuration:
+        """Return what is in force at the first daemon that answers."""
+        return Configuration.parse(str(self._in_force()['text']))
 
     def publish(
         self, configuration: Configuration, base: Configuration | None = None
@@ -127,7 +144,9 @@
             published_at=datetime.now(UTC).isoformat(timespec='seconds'),
             changes=changes,
         )
+        self.tell(f'publish {publish.publish_id}: {len(changes)} sections')
         self._append(publish)
+        self.tell('the log has it; waiting for every live member')
         verdicts = self._await_all(publish.publish_id)
         return Report(
             publish.publish_id, configuration.digest(), len(changes), verdicts
@@ -135,6 +154,8 @@
 
     def _in_force(self) -> Mapping[str, Any]:
         document: Mapping[str, Any] = self._ask_any('/configuration')
+        if 'text' not in document:
+            raise PeerError('not the answer of a daemon', step=_STEP)
         return document
 
     def _ask_any(self, path: str) -> Any:
@@ -159,6 +180,7 @@
         """Ask every daemon that is a live member until each has a verdict."""
         give_up_at = time.monotonic() + _TIMEOUT_S
         found: dict[str, Mapping[str, Any] | None] = {}
+        told = 0
         ask = partial(_ask_verdict, publish_id)
         with ThreadPoolExecutor(_THREADS) as pool:
             while time.monotonic() < give_up_at:
@@ -166,6 +188,10 @@
                 found.update(zip(waiting, pool.map(ask, waiting), strict=True))
                 live = self._live()
                 found = {name: found.get(name) for name in live}
+                decided = sum(1 for verdict in found.values() if verdict)
+                if decided != told:
+                    self.tell(f'decided on {decided} of {len(live)} daemons')
+                    told = decided
                 if all(found.values()):
                     break
                 time.sleep(_POLL_S)
