Benchmark of first tokens and time between tokens at callers at a stated rate

Streams begin at an even rate from four caller processes; engines of no group, asked directly by the same callers, are the baseline. The daemon's and the busiest engine's processor time are printed, so that it shows which of them binds.

--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 	$(BIN)/pimentohoist-bench claims
 	$(BIN)/pimentohoist-bench serving
 	$(BIN)/pimentohoist-bench requests
+	$(BIN)/pimentohoist-bench streams
 
 capacity: $(STAMP)
 	$(BIN)/pimentohoist-capacity
--- /dev/null
+++ b/src/pimentohoist_standins/_measured_fleet.py
@@ -0,0 +1,146 @@
+"""A fleet of one daemon and its engines, set up to measure the request path."""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Iterator, Mapping
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass, replace
+from http import HTTPStatus
+from pathlib import Path
+from types import MappingProxyType
+from typing import Any
+
+from pimentohoist._http_client import HttpClient, HttpRequest
+from pimentohoist.configuration import (
+    Adapter,
+    Configuration,
+    EndpointGroup,
+    Workspace,
+)
+from pimentohoist.keys import create_key
+from pimentohoist_standins.demo import demo_sections
+from pimentohoist_standins.fleet import Fleet
+
+DAEMON = 'entry-1'
+ADAPTERS = 10
+TIMEOUT_S = 60.0
+FAST_TOKEN_S = 0.0005
+
+ENGINES = 5
+_KNEE_REQUESTS = 120
+_THREADS = 520
+_USER_TICKS = 11
+_SYSTEM_TICKS = 12
+MODEL = 'batch-summary@1'
+_UNLIMITED_TOKENS = 1_000_000_000
+_JSON = MappingProxyType({'Content-Type': 'application/json'})
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """Where requests are sent, and with which headers."""
+
+    name: str
+    client: HttpClient
+    headers: Mapping[str, str]
+
+    def complete(self, **fields: Any) -> bytes:
+        """Send a completion and return the whole body."""
+        document = {
+            'model': MODEL,
+            'prompt': 'measure',
+            'request_id': 'bench',
+            'cache_salt': '',
+            'resume_offset': 0,
+            **fields,
+        }
+        request = HttpRequest(
+            'POST', '/v1/completions', json.dumps(document).encode(), self.headers
+        )
+        reply = self.client.ask(request, timeout_s=TIMEOUT_S)
+        if reply.status != HTTPStatus.OK or b'"error"' in reply.body:
+            raise RuntimeError(f'{self.name}: {reply.status} {reply.body!r}')
+        return reply.body
+
+
+@contextmanager
+def measured_fleet(token_s: float) -> Iterator[tuple[Fleet, Target, Target]]:
+    """Give a fleet, an engine called directly and its daemon.
+
+    The engine called directly belongs to no group, so that nothing else runs on it.
+    """
+    with ExitStack() as stack:
+        fleet = stack.enter_context(Fleet())
+        for index in range(ENGINES):
+            fleet.start_standin(
+                f'engine-{index}',
+                'engine',
+                token_s=token_s,
+                knee_requests=_KNEE_REQUESTS,
+            )
+        fleet.start_standin('ledger', 'service')
+        settings: dict[str, dict[str, Any]] = {
+            'callers': {'threads': _THREADS},
+            'logging': {'level': 'ERROR'},
+        }
+        fleet.start_daemon(DAEMON, settings)
+        headers = {**_JSON, 'Authorization': f'Bearer {_publish(fleet)}'}
+        daemon = _target(fleet, DAEMON, headers)
+        daemon.complete(max_tokens=1)
+        yield fleet, direct_engine(fleet, 'direct', FAST_TOKEN_S), daemon
+
+
+def _publish(fleet: Fleet) -> str:
+    key_section, key = create_key('bench', 'lipstick-house')
+    sections = [_unlimited(section) for section in demo_sections(fleet)]
+    adapters = [
+        Adapter(f'bench-{index}', 'review', (1,), 1, ('lipstick-house',))
+        for index in range(ADAPTERS)
+    ]
+    report = fleet.publish(Configuration.of(*sections, *adapters, key_section))
+    if not report.is_in_force:
+        raise RuntimeError(report.text())
+    return key
+
+
+def direct_engine(fleet: Fleet, name: str, token_s: float) -> Target:
+    """Start an engine of no group with the adapter loaded, asked without a daemon."""
+    fleet.start_standin(name, 'engine', token_s=token_s, knee_requests=_KNEE_REQUESTS)
+    target = _target(fleet, name, _JSON)
+    order = {'lora_name': MODEL, 'fencing_number': _UNLIMITED_TOKENS}
+    target.client.ask_json(HttpRequest.of_json('POST', '/v1/load_lora_adapter', order))
+    return target
+
+
+def _target(fleet: Fleet, name: str, headers: Mapping[str, str]) -> Target:
+    client = HttpClient(fleet.addresses[name], timeout_s=TIMEOUT_S, step='bench')
+    return Target(name, client, headers)
+
+
+def _unlimited(section: Any) -> Any:
+    if isinstance(section, Workspace):
+        return replace(
+            section,
+            rate_tokens_per_s=_UNLIMITED_TOKENS,
+            burst_tokens=_UNLIMITED_TOKENS,
+        )
+    if isinstance(section, EndpointGroup):
+        return replace(section, knee_requests=_KNEE_REQUESTS)
+    return section
+
+
+def processor_s(fleet: Fleet, name: str = DAEMON) -> float:
+    """Return the processor time that a process has used."""
+    pid = fleet.processes[name].popen.pid
+    fields = Path(f'/proc/{pid}/stat').read_text().rpartition(')')[2].split()
+    ticks = int(fields[_USER_TICKS]) + int(fields[_SYSTEM_TICKS])
+    return ticks / os.sysconf('SC_CLK_TCK')
+
+
+def resident_kb(fleet: Fleet) -> int:
+    """Return the memory that the daemon holds."""
+    pid = fleet.processes[DAEMON].popen.pid
+    lines = Path(f'/proc/{pid}/status').read_text().splitlines()
+    return next(int(line.split()[1]) for line in lines if line.startswith('VmRSS'))
--- a/src/pimentohoist_standins/bench.py
+++ b/src/pimentohoist_standins/bench.py
@@ -10,6 +10,7 @@
     bench_limits,
     bench_requests,
     bench_serving,
+    bench_streams,
 )
 
 _SEED = 20
@@ -38,6 +39,10 @@
         """Measure the request path beside the engine called directly."""
         bench_requests.main()
 
+    def streams(self) -> None:
+        """Measure first tokens and the time between tokens at callers."""
+        bench_streams.main()
+
 
 def main() -> None:
     """Run ``pimentohoist-bench``."""
