Tokens are passed on by one thread for all streams, in batches

Now a request's own thread runs it up to the first token, and again for retries, errors and the end. In between one relay thread waits for all engines' sockets (epoll), reads what has come in one go, checks it and writes it to the callers. Generations are asked for by HTTP/1.0, so that what comes is the body and a read never waits for the rest of a chunk. While nothing comes every answer is asked four times a second whether it must end (key, caller, read limit); a resumed answer waits for its slot beside that.

Seen failing while it was built: the relay kept the engine's own descriptor, which an answer closes when it is cut; Engine killed and Engine restarted cold (retry) hung. It now has a descriptor of its own. The steps' fake engine gives batches of one token; what is checked is the same.

retry.py is split: what generations share, what failures mean, and the run.

--- a/features/steps/retry.py
+++ b/features/steps/retry.py
@@ -11,6 +11,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from fractions import Fraction
+from itertools import chain
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -27,7 +28,8 @@
     RetryBudget,
 )
 from pimentohoist._http_client import HttpClient, HttpRequest
-from pimentohoist._filters.retry import GenerationRun, RetryTools
+from pimentohoist._filters.retry import GenerationRun
+from pimentohoist._filters.retry_tools import RetryTools
 from pimentohoist.configuration import Endpoint, EndpointGroup, GroupKind
 from pimentohoist.exceptions import (
     PeerConnectError,
@@ -35,7 +37,13 @@
     PimentohoistError,
     RunState,
 )
-from pimentohoist.exchanges import CallerRequest, Exchange, RequestKind, SlotRequest
+from pimentohoist.exchanges import (
+    Awaited,
+    CallerRequest,
+    Exchange,
+    RequestKind,
+    SlotRequest,
+)
 from pimentohoist.models import AdapterVersion, Generation, TokenChunk
 from pimentohoist_standins.fleet import Fleet
 
@@ -125,8 +133,8 @@
         """Nothing runs."""
 
     def generate(
-        self, generation: Generation, *, timeout_s: float
-    ) -> Iterator[TokenChunk]:
+        self, generation: Generation, awaited: Awaited, *, timeout_s: float
+    ) -> Iterator[list[TokenChunk]]:
         script = self.attempts.pop(0) if self.attempts else Attempt(0, 99, None, None)
         first = max(0, generation.resume_offset + script.start_shift)
         last = generation.max_tokens - 1
@@ -136,7 +144,7 @@
             request_id = 'foreign' if is_foreign else generation.request_id
             text = '!' if is_foreign else f'{offset} '
             self.sent += 1
-            yield TokenChunk(request_id, generation.adapter, offset, text, reason)
+            yield [TokenChunk(request_id, generation.adapter, offset, text, reason)]
         if script.error is not None:
             raise script.error
 
@@ -205,8 +213,8 @@
     whole = [f'{offset} ' for offset in range(max_tokens)]
     received = []
     try:
-        for chunk in run.chunks():
-            received.append(chunk.text)
+        for batch in run.batches():
+            received.extend(chunk.text for chunk in batch)
     except PimentohoistError as error:
         assert run.attempts == MAX_ATTEMPTS
         assert received == whole[: len(received)]
@@ -382,7 +390,7 @@
 
 @then('a run whose slots fail on one of two endpoints ends on the other')
 def check_failing_orders(context: Context) -> None:
-    tokens = list(make_run(FailingOrders([]), 3).chunks())
+    tokens = list(chain(*make_run(FailingOrders([]), 3).batches()))
     assert [chunk.offset for chunk in tokens] == [0, 1, 2]
 
 
@@ -390,6 +398,6 @@
 def check_alone(context: Context) -> None:
     for known in (Standing.SUSPECT, Standing.CLEAR):
         endpoint = FakeEndpoint([])
-        list(make_run(endpoint, 3, known).chunks())
+        list(make_run(endpoint, 3, known).batches())
         asked = [request.is_alone for request in endpoint.requests]
         assert asked == [known is Standing.SUSPECT]
--- a/src/pimentohoist/_callers_app.py
+++ b/src/pimentohoist/_callers_app.py
@@ -8,6 +8,7 @@
 import time
 import uuid
 from collections.abc import Callable, Iterable, Mapping
+from contextlib import closing
 from typing import Any
 
 from werkzeug.exceptions import HTTPException, RequestEntityTooLarge
@@ -21,13 +22,20 @@
     read_max_tokens,
     read_prompt,
 )
+from pimentohoist._relay import Relay
 from pimentohoist.exceptions import (
     InvalidRequestError,
     NotFoundError,
     OversizedRequestError,
     PimentohoistError,
 )
-from pimentohoist.exchanges import Answer, CallerRequest, Exchange, RequestKind
+from pimentohoist.exchanges import (
+    Answer,
+    Awaited,
+    CallerRequest,
+    Exchange,
+    RequestKind,
+)
 from pimentohoist.protocols import Handler
 from pimentohoist.settings import CallersSettings
 
@@ -53,6 +61,12 @@
 )
 
 
+class _StreamedResponse(Response):
+    """A response whose body gives empty parts where it would block."""
+
+    awaited: Awaited
+
+
 class CallersApp:
     """WSGI application on the callers' address.
 
@@ -69,10 +83,12 @@
         handler: Handler,
         entries: Callable[[], tuple[str, ...]],
         settings: CallersSettings,
+        relay: Relay,
     ) -> None:
         self.handler = handler
         self.entries = entries
         self.settings = settings
+        self.relay = relay
 
     def __call__(self, environ: Any, start_response: Any) -> Iterable[bytes]:
         """Answer one request."""
@@ -87,8 +103,20 @@
                 PimentohoistError('internal error', step=_STEP), request_id
             )
         response.headers['X-Request-Id'] = request_id
+        if isinstance(response, _StreamedResponse):
+            return self._stream(response, environ, start_response)
         return response(environ, start_response)
 
+    def _stream(
+        self, response: _StreamedResponse, environ: Any, start_response: Any
+    ) -> Iterable[bytes]:
+        """Write the answer's parts as they come, and return nothing more."""
+        headers = response.get_wsgi_headers(environ).to_wsgi_list()
+        write = start_response(response.status, headers)
+        with closing(response):
+            self.relay.run(iter(response.response), response.awaited, write)
+        return ()
+
     def _respond(self, environ: Any, request_id: str) -> Response:
         request = Request(environ)
         request.max_content_length = self.settings.max_body_bytes
@@ -103,13 +131,7 @@
         )
         answer = self.handler(exchange)
         _logger.info('request answered', extra=_log_fields(exchange, answer))
-        return Response(
-            answer.body,
-            answer.status,
-            answer.headers,
-            content_type=answer.content_type,
-            direct_passthrough=True,
-        )
+        return _response(answer)
 
     def _entries(self) -> Response:
         document = {
@@ -176,6 +198,20 @@
         return response
 
 
+def _response(answer: Answer) -> Response:
+    kind = Response if answer.awaited is None else _StreamedResponse
+    response = kind(
+        answer.body,
+        answer.status,
+        answer.headers,
+        content_type=answer.content_type,
+        direct_passthrough=True,
+    )
+    if isinstance(response, _StreamedResponse) and answer.awaited is not None:
+        response.awaited = answer.awaited
+    return response
+
+
 def _read_body(request: Request) -> bytes:
     try:
         return request.get_data(cache=False)
--- a/src/pimentohoist/_decisions/token_order.py
+++ b/src/pimentohoist/_decisions/token_order.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from enum import Enum
 
 from pimentohoist.models import AdapterVersion, TokenChunk
@@ -45,8 +45,6 @@
 
     def after(self, chunk: TokenChunk) -> TokenOrder:
         """Return the order with `chunk` passed on."""
-        return replace(
-            self,
-            next_offset=chunk.offset + 1,
-            is_finished=chunk.finish_reason is not None,
+        return TokenOrder(
+            self.adapter, chunk.offset + 1, chunk.finish_reason is not None
         )
--- a/src/pimentohoist/_filters/dispatch.py
+++ b/src/pimentohoist/_filters/dispatch.py
@@ -6,16 +6,19 @@
 import hashlib
 import itertools
 import json
+from collections.abc import Sequence
 from http import HTTPStatus
 
 from pimentohoist._controllers.configuration import ConfigurationController
 from pimentohoist._filters.dispatch_service import ServiceDispatch
-from pimentohoist._filters.retry import GenerationRun, RetryTools
+from pimentohoist._filters.retry import GenerationRun
+from pimentohoist._filters.retry_tools import RetryTools
 from pimentohoist._openai import AnswerWriter
+from pimentohoist._relay import Relay, first_part
 from pimentohoist.configuration import Adapter, EndpointGroup
 from pimentohoist.exceptions import NotFoundError
 from pimentohoist.exchanges import Answer, Exchange, RequestKind, SlotRequest
-from pimentohoist.models import AdapterVersion, Generation
+from pimentohoist.models import AdapterVersion, Generation, TokenChunk
 
 _STEP = 'dispatch'
 _JSON = 'application/json'
@@ -29,9 +32,11 @@
         self,
         configuration: ConfigurationController,
         tools: RetryTools,
+        relay: Relay,
     ) -> None:
         self.configuration = configuration
         self.tools = tools
+        self.relay = relay
         self.call_service = ServiceDispatch(tools.slots, tools.clock)
 
     def __call__(self, exchange: Exchange) -> Answer:
@@ -70,17 +75,21 @@
             _generation(exchange),
             self.tools,
         )
-        chunks = run.chunks()
         writer = AnswerWriter(exchange)
+        awaited = exchange.awaited
+        batches = run.batches()
         if not exchange.request.document.get('stream'):
-            with contextlib.closing(chunks):
-                body = writer.whole(chunks)
-            return Answer(HTTPStatus.OK, _JSON, [body])
+            received: list[Sequence[TokenChunk]] = []
+            with contextlib.closing(batches):
+                self.relay.run(batches, awaited, received.append)
+            return Answer(HTTPStatus.OK, _JSON, [writer.whole(received)])
         # Waiting for the first token lets an error still become a whole JSON answer.
-        first = next(chunks)
-        events = writer.events(itertools.chain((first,), chunks))
-        answer = Answer(HTTPStatus.OK, _EVENTS, events, {'Cache-Control': 'no-cache'})
-        return answer.on_close(chunks.close)
+        first = first_part(batches, awaited)
+        events = writer.events(itertools.chain((first,), batches))
+        answer = Answer(
+            HTTPStatus.OK, _EVENTS, events, {'Cache-Control': 'no-cache'}, awaited
+        )
+        return answer.on_close(batches.close)
 
 
 def _group(exchange: Exchange) -> EndpointGroup:
--- a/src/pimentohoist/_filters/quarantine.py
+++ b/src/pimentohoist/_filters/quarantine.py
@@ -5,7 +5,7 @@
 import hashlib
 
 from pimentohoist._decisions.quarantine import Standing
-from pimentohoist._filters.retry import CrashReports
+from pimentohoist._filters.retry_tools import CrashReports
 from pimentohoist.exceptions import QuarantinedError
 from pimentohoist.exchanges import Answer, Exchange
 from pimentohoist.protocols import Handler
--- a/src/pimentohoist/_filters/retry.py
+++ b/src/pimentohoist/_filters/retry.py
@@ -8,23 +8,18 @@
 
 import contextlib
 import logging
-import random
-import threading
-import time
-from collections.abc import Callable, Generator, Iterator
-from dataclasses import dataclass, field, replace
-from http import HTTPStatus
-from typing import Any, Protocol, Self
-
-from pimentohoist._controllers.cancellations import CancellationsController
+from collections.abc import Generator, Iterator, Sequence
+from concurrent.futures import Future, ThreadPoolExecutor, wait
+from dataclasses import replace
+
 from pimentohoist._decisions.quarantine import Standing
-from pimentohoist._decisions.retry_budget import RetryBudget, retry_delay_s
+from pimentohoist._decisions.retry_budget import retry_delay_s
 from pimentohoist._decisions.token_order import TokenOrder, Verdict
+from pimentohoist._filters.failures import combined, is_cut, is_down, is_retryable
+from pimentohoist._filters.retry_tools import RetryTools
 from pimentohoist.exceptions import (
     CallerDisconnectedError,
-    PeerConnectError,
     PeerError,
-    PeerRefusedError,
     PeerTimeoutError,
     PimentohoistError,
     QuarantinedError,
@@ -33,99 +28,18 @@
 )
 from pimentohoist.exchanges import Exchange, SlotRequest
 from pimentohoist.models import Generation, TokenChunk
-from pimentohoist.protocols import Clock, Engine, Slot, Slots
+from pimentohoist.protocols import Slot
+
+Batches = Generator[Sequence[TokenChunk], None, None]
 
 _STEP = 'retry'
 _READ_TIMEOUT_S = 10.0
 _SHORTEST_TIMEOUT_S = 0.001
 _FAILURES_TO_AVOID = 2
-_FINAL_STATUSES = frozenset(
-    (
-        HTTPStatus.BAD_REQUEST,
-        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-        HTTPStatus.UNPROCESSABLE_ENTITY,
-    )
-)
+_CHECK_S = 0.25
 _logger = logging.getLogger(__name__)
 
 
-class CrashReports(Protocol):
-    """What is known fleet-wide of requests that crash endpoints."""
-
-    def standing(self, fingerprint: str) -> Standing:
-        """Return what is known of a request."""
-
-    def report_crash(self, fingerprint: str, endpoint: str) -> Standing:
-        """Tell all daemons of a crash; return what is known then."""
-
-    def report_success(self, fingerprint: str) -> None:
-        """Tell all daemons that a suspect ran to its end."""
-
-
-class RetryCounter:
-    """The daemon's retry budget, shared by its requests."""
-
-    def __init__(self) -> None:
-        self.budget = RetryBudget()
-        self.requests = 0
-        self.retries = 0
-        self.refused_retries = 0
-        self._lock = threading.Lock()
-
-    def __enter__(self) -> Self:
-        """Start."""
-        return self
-
-    def __exit__(self, *exc_info: object) -> None:
-        """Stop."""
-
-    def note_request(self) -> None:
-        """Add the credit of a request."""
-        with self._lock:
-            self.requests += 1
-            self.budget = self.budget.after_request()
-
-    def take(self) -> bool:
-        """Return whether a retry may be made, and count it."""
-        with self._lock:
-            left = self.budget.after_retry()
-            if left is None:
-                self.refused_retries += 1
-                return False
-            self.budget = left
-            self.retries += 1
-            return True
-
-    def dump(self) -> dict[str, Any]:
-        """Return counts and credit."""
-        with self._lock:
-            return {
-                'requests': self.requests,
-                'retries': self.retries,
-                'refused_retries': self.refused_retries,
-                'credit_tenths': self.budget.units,
-            }
-
-
-@dataclass(frozen=True)
-class RetryTools:
-    """What every generation of a daemon uses.
-
-    Attributes
-    ----------
-    sleep, jitter : callable
-        Waits for seconds; returns a random number from 0 to 1.
-    """
-
-    slots: Slots
-    cancellations: CancellationsController
-    crashes: CrashReports
-    clock: Clock
-    counter: RetryCounter = field(default_factory=RetryCounter)
-    sleep: Callable[[float], None] = time.sleep
-    jitter: Callable[[], float] = random.random
-
-
 class GenerationRun:
     """One caller's generation.
 
@@ -156,8 +70,10 @@
         self.fingerprint = str(exchange.facts.get('fingerprint', ''))
         self._failures: dict[str, int] = {}
 
-    def chunks(self) -> Generator[TokenChunk, None, None]:
-        """Yield each token once, in order.
+    def batches(self) -> Batches:
+        """Yield each token once, in order, as many together as have come.
+
+        Yields none while it waits, so that who reads it can end it in time.
 
         Raises
         ------
@@ -173,11 +89,11 @@
         if self.fingerprint:
             self.tools.crashes.report_success(self.fingerprint)
 
-    def _attempt(self) -> Iterator[TokenChunk]:
+    def _attempt(self) -> Iterator[Sequence[TokenChunk]]:
         self.attempts += 1
         timing = self.exchange.timing
         asked_at = self.tools.clock()
-        slot = self._acquire()
+        slot = yield from self._acquire_beside()
         held_at = self.tools.clock()
         timing.slot_wait_s += held_at - asked_at
         self.exchange.endpoint = slot.endpoint.name
@@ -190,6 +106,24 @@
             finally:
                 timing.slot_s += self.tools.clock() - held_at
 
+    def _acquire_beside(self) -> Generator[Sequence[TokenChunk], None, Slot]:
+        """Acquire a slot; under a begun answer in another thread.
+
+        The answer can then be ended while the slot is waited for.
+        """
+        if not self.order.next_offset:
+            return self._acquire()
+        pool = ThreadPoolExecutor(1, thread_name_prefix=_STEP)
+        acquired = pool.submit(self._acquire)
+        pool.shutdown(wait=False)
+        try:
+            while not wait((acquired,), _CHECK_S).done:
+                yield ()
+        except GeneratorExit:
+            acquired.add_done_callback(_give_back)
+            raise
+        return acquired.result()
+
     def _acquire(self) -> Slot:
         blamed = {
             name
@@ -215,7 +149,7 @@
             if endpoint.address == address:
                 self._failures[endpoint.name] = _FAILURES_TO_AVOID
 
-    def _read(self, slot: Slot) -> Iterator[TokenChunk]:
+    def _read(self, slot: Slot) -> Iterator[Sequence[TokenChunk]]:
         engine = self.tools.slots.engine(slot.endpoint)
         request_id = self._attempt_id()
         generation = replace(
@@ -223,30 +157,52 @@
             request_id=request_id,
             resume_offset=self.order.next_offset,
         )
-        parts = engine.generate(generation, timeout_s=self._timeout_s())
+        awaited = self.exchange.awaited
+        parts = engine.generate(generation, awaited, timeout_s=self._timeout_s())
         try:
             yield from self._pass_on(parts, slot)
+        except PimentohoistError:
+            # What follows may block.
+            awaited.clear()
+            yield ()
+            raise
         finally:
             _close(parts)
             if not self.order.is_finished:
                 self.tools.cancellations.cancel(engine, request_id)
 
-    def _pass_on(self, parts: Iterator[TokenChunk], slot: Slot) -> Iterator[TokenChunk]:
-        for chunk in parts:
+    def _pass_on(
+        self, parts: Iterator[Sequence[TokenChunk]], slot: Slot
+    ) -> Iterator[Sequence[TokenChunk]]:
+        request_id = self._attempt_id()
+        for batch in parts:
             if self.exchange.is_cancelled():
                 raise CallerDisconnectedError('the caller has gone', step=_STEP)
-            if self._is_next(chunk, slot):
-                self.order = self.order.after(chunk)
-                self.exchange.used_tokens = self.order.next_offset
-                self.exchange.timing.note_token(self.tools.clock())
-                yield chunk
+            if batch:
+                yield self._note(batch, request_id, slot)
+            else:
+                yield batch
         if not self.order.is_finished:
             raise PeerError(
                 'the answer ended early', step=_STEP, peer=slot.endpoint.address
             )
 
-    def _is_next(self, chunk: TokenChunk, slot: Slot) -> bool:
-        match self.order.judge(chunk, self._attempt_id()):
+    def _note(
+        self, batch: Sequence[TokenChunk], request_id: str, slot: Slot
+    ) -> Sequence[TokenChunk]:
+        """Return those tokens of a batch that are next, and count them."""
+        passed = []
+        for chunk in batch:
+            if self._is_next(chunk, request_id, slot):
+                self.order = self.order.after(chunk)
+                passed.append(chunk)
+        if passed:
+            self.exchange.used_tokens = self.order.next_offset
+            self.exchange.timing.note_tokens(len(passed), self.tools.clock())
+        return passed
+
+    def _is_next(self, chunk: TokenChunk, request_id: str, slot: Slot) -> bool:
+        match self.order.judge(chunk, request_id):
             case Verdict.PASS:
                 return True
             case Verdict.REPEATED:
@@ -271,7 +227,7 @@
         else:
             self._failures[name] = _FAILURES_TO_AVOID
             slot.mark_failed()
-        if _is_cut(error) and _is_down(self.tools.slots.engine(slot.endpoint)):
+        if is_cut(error) and is_down(self.tools.slots.engine(slot.endpoint)):
             self._note_crash(slot)
 
     def _note_crash(self, slot: Slot) -> None:
@@ -288,7 +244,7 @@
 
     def _recover(self, error: PimentohoistError) -> None:
         """Wait for the next attempt, or raise the error as final."""
-        self.run_state = _combined(self.run_state, error, self.order.next_offset)
+        self.run_state = combined(self.run_state, error, self.order.next_offset)
         error.run_state = self.run_state
         if self.order.is_finished:
             return
@@ -310,7 +266,7 @@
         self.tools.sleep(delay_s)
 
     def _delay_s(self, error: PimentohoistError) -> float | None:
-        if not _is_retryable(error):
+        if not is_retryable(error):
             return None
         delay_s = retry_delay_s(
             self.attempts,
@@ -337,36 +293,14 @@
         return min(_READ_TIMEOUT_S, max(_SHORTEST_TIMEOUT_S, remaining_s))
 
 
-def _combined(earlier: RunState, error: PimentohoistError, tokens: int) -> RunState:
-    states = {earlier, error.run_state}
-    if tokens or RunState.RUN in states:
-        return RunState.RUN
-    return RunState.UNKNOWN if RunState.UNKNOWN in states else RunState.NOT_RUN
-
-
-def _is_retryable(error: PimentohoistError) -> bool:
-    if isinstance(error, PeerRefusedError):
-        return error.peer_status not in _FINAL_STATUSES
-    return isinstance(error, PeerError)
-
-
-def _is_cut(error: PeerError) -> bool:
-    """Return whether the peer ended the connection under a request that it had."""
-    others = PeerConnectError | PeerTimeoutError | PeerRefusedError | WrongAnswerError
-    return not isinstance(error, others)
-
-
-def _is_down(engine: Engine) -> bool:
-    try:
-        engine.status()
-    except (PeerRefusedError, PeerTimeoutError):
-        return False
-    except PeerError:
-        return True
-    return False
+def _give_back(acquired: Future[Slot]) -> None:
+    """Give a slot back that came when nobody waited for it any more."""
+    if acquired.exception() is None:
+        with acquired.result():
+            _logger.debug('slot not used any more')
 
 
-def _close(parts: Iterator[TokenChunk]) -> None:
+def _close(parts: Iterator[Sequence[TokenChunk]]) -> None:
     if isinstance(parts, Generator):
         with contextlib.suppress(PeerError):
             parts.close()
--- a/src/pimentohoist/_filters/watch_key.py
+++ b/src/pimentohoist/_filters/watch_key.py
@@ -2,12 +2,8 @@
 
 from __future__ import annotations
 
-import contextlib
-import queue
-import threading
 import time
-from collections.abc import Callable, Iterable, Iterator
-from typing import Any
+from collections.abc import Callable, Iterator
 
 from pimentohoist._controllers.configuration import ConfigurationController
 from pimentohoist._openai import error_event
@@ -23,12 +19,10 @@
 
 _STEP = 'watch_key'
 _CHECK_S = 0.25
-_PARTS_AHEAD = 16
 _RETRY_AFTER_S = 1.0
 # Together with the age at which a read is no longer fresh, below the five seconds within
 # which a withdrawn key must have stopped.
 _STALE_GRACE_S = 2.0
-_END = object()
 
 
 class WatchKey:
@@ -65,7 +59,7 @@
             getattr(answer.body, 'close', _nothing)()
             raise error
         if answer.content_type.startswith('text/event-stream'):
-            answer.body = _WatchedBody(answer.body, watch.find_error)
+            answer.body = _WatchedBody(answer, watch)
         return answer
 
 
@@ -74,11 +68,19 @@
         self.owner = owner
         self.key = key
         self.fresh_at = owner.clock()
+        self.checked_at = self.fresh_at
+
+    def find_new_error(self) -> PimentohoistError | None:
+        """Look again if the last time is long enough ago."""
+        if self.owner.clock() - self.checked_at < _CHECK_S:
+            return None
+        return self.find_error()
 
     def find_error(self) -> PimentohoistError | None:
         """Return why the answer must end; None if it may go on."""
         error: PimentohoistError | None = None
         now = self.owner.clock()
+        self.checked_at = now
         if self.owner.is_fresh():
             self.fresh_at = now
         if self.owner.configuration.key(self.key.name) != self.key:
@@ -93,64 +95,32 @@
 
 
 class _WatchedBody:
-    """Reads the parts in a thread of its own, so that a silent engine delays no check."""
+    """Passes parts on; the empty ones let it end an answer of a silent engine."""
 
-    def __init__(
-        self,
-        parts: Iterable[bytes],
-        find_error: Callable[[], PimentohoistError | None],
-    ) -> None:
-        self._parts = parts
-        self._find_error = find_error
-        self._read: queue.Queue[Any] = queue.Queue(_PARTS_AHEAD)
-        self._closed = threading.Event()
-        self._thread = threading.Thread(target=self._pump, name=_STEP, daemon=True)
+    def __init__(self, answer: Answer, watch: _Watch) -> None:
+        self._parts = answer.body
+        self._awaited = answer.awaited
+        self._watch = watch
 
     def __iter__(self) -> Iterator[bytes]:
-        self._thread.start()
-        while True:
-            part = self._take()
-            error = None if part is _END else self._find_error()
+        for part in self._parts:
+            error = self._watch.find_new_error()
             if error is not None:
-                self.close()
-                yield error_event(error)
-            if part is _END or error is not None:
+                yield from self._end(error)
                 return
-            if part:
-                yield part
+            yield part
 
     def close(self) -> None:
-        """Give the rest up; the thread that reads it closes it."""
-        self._closed.set()
-        if not self._thread.ident:
-            getattr(self._parts, 'close', _nothing)()
-
-    def _take(self) -> Any:
-        try:
-            part = self._read.get(timeout=_CHECK_S)
-        except queue.Empty:
-            return b''
-        if isinstance(part, Exception):
-            raise part
-        return part
-
-    def _pump(self) -> None:
-        last: Any = _END
-        try:
-            for part in self._parts:
-                self._put(part)
-                if self._closed.is_set():
-                    break
-        except Exception as error:
-            last = error
-        finally:
-            getattr(self._parts, 'close', _nothing)()
-        self._put(last)
-
-    def _put(self, part: Any) -> None:
-        while not self._closed.is_set():
-            with contextlib.suppress(queue.Full):
-                return self._read.put(part, timeout=_CHECK_S)
+        """Give the rest up."""
+        getattr(self._parts, 'close', _nothing)()
+
+    def _end(self, error: PimentohoistError) -> Iterator[bytes]:
+        if self._awaited is not None:
+            # Closing may block.
+            self._awaited.clear()
+            yield b''
+        self.close()
+        yield error_event(error)
 
 
 def _nothing() -> None:
--- a/src/pimentohoist/_http_client.py
+++ b/src/pimentohoist/_http_client.py
@@ -13,10 +13,10 @@
 import threading
 import time
 from collections.abc import Iterator, Mapping
-from contextlib import AbstractContextManager, contextmanager
-from dataclasses import dataclass, field
+from contextlib import AbstractContextManager, ExitStack, closing, contextmanager
+from dataclasses import dataclass, field, replace
 from http import HTTPStatus
-from typing import Any
+from typing import Any, Self
 
 from pimentohoist._addresses import split_address
 from pimentohoist.exceptions import (
@@ -95,6 +95,12 @@
         self.sock = self.http.sock
         self.limit_next_read()
 
+    def send(self, request: HttpRequest) -> None:
+        """Send a request."""
+        self.http.request(
+            request.method, request.path, request.body, dict(request.headers)
+        )
+
     def limit_next_read(self) -> None:
         """Let the next read wait no longer than the whole answer may."""
         if self.sock is not None:
@@ -102,6 +108,13 @@
             self.sock.settimeout(max(_SHORTEST_TIMEOUT_S, left_s))
 
 
+class _PlainConnection(http.client.HTTPConnection):
+    """A connection for one request, answered without chunks."""
+
+    _http_vsn = 10
+    _http_vsn_str = 'HTTP/1.0'
+
+
 class HttpClient:
     """Client of one peer, for many threads."""
 
@@ -152,6 +165,23 @@
         with self._answer(request, timeout_s) as (_, response):
             yield response
 
+    @contextmanager
+    def start(self, request: HttpRequest, *, timeout_s: float) -> Iterator[Begun]:
+        """Send a request on a connection of its own and give the answer to come.
+
+        It is asked for by HTTP/1.0, so the answer's body is what comes, in no chunks, and
+        a read of what has arrived never waits for more.
+        """
+        connection = self._open(_PlainConnection)
+        with closing(connection.http):
+            with _errors(self.address, self.step):
+                connection.expect_answer(timeout_s)
+                # HTTP/1.0 adds none by itself.
+                headers = {'Host': self.address, **request.headers}
+                connection.send(replace(request, headers=headers))
+            with Begun(self, connection) as begun:
+                yield begun
+
     def close(self) -> None:
         """Close the idle connections."""
         with self._lock:
@@ -200,9 +230,7 @@
     ) -> http.client.HTTPResponse:
         with _errors(self.address, self.step, connection.http):
             connection.expect_answer(timeout_s)
-            connection.http.request(
-                request.method, request.path, request.body, dict(request.headers)
-            )
+            connection.send(request)
             return connection.http.getresponse()
 
     def _take(self, request: HttpRequest) -> _Connection:
@@ -216,9 +244,11 @@
                 connection.http.close()
         return self._open()
 
-    def _open(self) -> _Connection:
+    def _open(
+        self, kind: type[http.client.HTTPConnection] = http.client.HTTPConnection
+    ) -> _Connection:
         host, port = split_address(self.address)
-        connection = http.client.HTTPConnection(host, port, timeout=_CONNECT_TIMEOUT_S)
+        connection = kind(host, port, timeout=_CONNECT_TIMEOUT_S)
         try:
             connection.connect()
         except OSError as error:
@@ -241,6 +271,43 @@
         connection.http.close()
 
 
+class Begun:
+    """A request that was sent, and its answer as it comes.
+
+    Attributes
+    ----------
+    socket : socket
+        Readable when there is something to read.
+    """
+
+    def __init__(self, client: HttpClient, connection: _Connection) -> None:
+        self.client = client
+        self.socket: socket.socket = connection.http.sock
+        self._http = connection.http
+        self._stack = ExitStack()
+
+    def __enter__(self) -> Self:
+        """Give the answer."""
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Close the answer."""
+        self._stack.close()
+
+    def response(self) -> http.client.HTTPResponse:
+        """Wait for the answer's head."""
+        with errors_of(self.client):
+            return self._stack.enter_context(closing(self._http.getresponse()))
+
+    def begin_body(self, response: http.client.HTTPResponse) -> bool:
+        """Return whether a part of the body came with the head.
+
+        From now on a read doesn't wait; it finds an end where there is nothing to read.
+        """
+        self.socket.setblocking(False)
+        return bool(response.peek(1))
+
+
 def errors_of(client: HttpClient) -> AbstractContextManager[None]:
     """Return a context that turns errors of reading an answer into ours."""
     return _errors(client.address, client.step)
--- a/src/pimentohoist/_openai.py
+++ b/src/pimentohoist/_openai.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import re
 import time
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from types import MappingProxyType
 from typing import Any
@@ -18,6 +19,7 @@
 _TOKEN_PATTERN = re.compile(r'\w+|[^\w\s]')
 _DEFAULT_MAX_TOKENS = 256
 _MAX_TOKENS_LIMIT = 32_768
+_encode = json.JSONEncoder().encode
 END_EVENT = b'data: [DONE]\n\n'
 
 
@@ -121,11 +123,11 @@
         self.shape = _SHAPES[self.kind]
         self.created = int(time.time())
 
-    def whole(self, chunks: Iterable[TokenChunk]) -> bytes:
+    def whole(self, batches: Iterable[Sequence[TokenChunk]]) -> bytes:
         """Return the whole answer as one JSON text."""
         texts = []
         reason = None
-        for chunk in chunks:
+        for chunk in itertools.chain.from_iterable(batches):
             texts.append(chunk.text)
             reason = chunk.finish_reason
         text = ''.join(texts)
@@ -141,19 +143,22 @@
         document = self._document(self.shape.whole, choice)
         return json.dumps({**document, 'usage': self._usage()}).encode()
 
-    def events(self, chunks: Iterable[TokenChunk]) -> Iterator[bytes]:
-        """Yield the answer as server-sent events.
+    def events(self, batches: Iterable[Sequence[TokenChunk]]) -> Iterator[bytes]:
+        """Yield the answer as server-sent events, a batch of tokens in each part.
 
         An error ends it with its event and without the end event, which only a whole
         answer has.
         """
         head = self._part_head()
+        text_key = self.shape.text_key
         tail = self.shape.part_tail
         try:
-            for chunk in chunks:
-                reason = json.dumps(chunk.finish_reason)
-                text = json.dumps(chunk.text)
-                yield f'{head}{reason}{self.shape.text_key}{text}{tail}'.encode()
+            for batch in batches:
+                yield ''.join(
+                    f'{head}{_encode(chunk.finish_reason)}{text_key}'
+                    f'{_encode(chunk.text)}{tail}'
+                    for chunk in batch
+                ).encode()
         except PimentohoistError as error:
             yield error_event(error)
             return
--- a/src/pimentohoist/_platform/engine.py
+++ b/src/pimentohoist/_platform/engine.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterator
-from dataclasses import replace
+import time
+from collections.abc import Iterator, Sequence
 from functools import lru_cache
 from http import HTTPStatus
+from http.client import HTTPResponse
 from typing import Any
 
-from pimentohoist._http_client import HttpClient, HttpRequest, errors_of
+from pimentohoist._http_client import Begun, HttpClient, HttpRequest, errors_of
 from pimentohoist.exceptions import PeerError, PeerRefusedError
+from pimentohoist.exchanges import Awaited
 from pimentohoist.models import (
     AdapterOrder,
     AdapterVersion,
@@ -24,6 +26,8 @@
 _LOAD_TIMEOUT_S = 30.0
 _EVENT_PREFIX = b'data: '
 _END_OF_STREAM = b'[DONE]'
+_PART_BYTES = 65_536
+_decode = json.JSONDecoder().decode
 
 
 class HttpEngine:
@@ -51,20 +55,23 @@
         self._order('/v1/unload_lora_adapter', order)
 
     def generate(
-        self, generation: Generation, *, timeout_s: float
-    ) -> Iterator[TokenChunk]:
-        """Run a request and yield its tokens in order."""
+        self, generation: Generation, awaited: Awaited, *, timeout_s: float
+    ) -> Iterator[Sequence[TokenChunk]]:
+        """Run a request and yield its tokens in order, as many as have come."""
         # Repeats are counted and limited by the caller of this method, so none is made
         # on a kept connection that may be dead.
-        request = replace(
-            HttpRequest.of_json('POST', '/v1/completions', _body(generation)),
-            is_repeatable=False,
-        )
-        with self.client.stream(request, timeout_s=timeout_s) as response:
-            if response.status >= HTTPStatus.BAD_REQUEST:
-                raise self._refusal(response.status, response.read())
-            with errors_of(self.client):
-                yield from self._chunks(response)
+        request = HttpRequest.of_json('POST', '/v1/completions', _body(generation))
+        with errors_of(self.client):
+            with self.client.start(request, timeout_s=timeout_s) as begun:
+                awaited.wait_for(begun.socket)
+                yield from _until_ready(awaited, timeout_s)
+                # The head may still come in pieces.
+                awaited.clear()
+                yield ()
+                response = begun.response()
+                if response.status >= HTTPStatus.BAD_REQUEST:
+                    raise self._refusal(response.status, response.read())
+                yield from self._batches(begun, response, awaited, timeout_s)
 
     def cancel(self, request_id: str) -> None:
         """Stop a request."""
@@ -86,25 +93,80 @@
             text, step=_STEP, peer=self.client.address, peer_status=status
         )
 
-    def _chunks(self, lines: Any) -> Iterator[TokenChunk]:
-        for line in lines:
-            event = line.strip().removeprefix(_EVENT_PREFIX)
-            if event == _END_OF_STREAM:
-                lines.read()
-                return
-            if event:
-                yield self._chunk(event)
-        raise PeerError('the stream was cut', step=_STEP, peer=self.client.address)
-
-    def _chunk(self, event: bytes) -> TokenChunk:
+    def _batches(
+        self,
+        begun: Begun,
+        response: HTTPResponse,
+        awaited: Awaited,
+        timeout_s: float,
+    ) -> Iterator[Sequence[TokenChunk]]:
+        events = EventReader()
+        # Chunks, although HTTP/1.0 was asked for, may come in pieces.
+        may_block = response.chunked
+        if not may_block and not begun.begin_body(response):
+            awaited.wait_for(begun.socket)
+        while not events.is_over:
+            if awaited.source is not None:
+                yield from _until_ready(awaited, timeout_s)
+            batch = self._parse(events.feed(self._read(response)))
+            if may_block or events.is_over:
+                awaited.clear()
+            else:
+                awaited.wait_for(begun.socket)
+            yield batch
+
+    def _read(self, response: HTTPResponse) -> bytes:
+        part = response.read1(_PART_BYTES)
+        if not part:
+            raise PeerError('the stream was cut', step=_STEP, peer=self.client.address)
+        return part
+
+    def _parse(self, events: Sequence[bytes]) -> Sequence[TokenChunk]:
         try:
-            return _parse_chunk(json.loads(event))
+            return [_parse_chunk(_decode(event.decode())) for event in events]
         except (ValueError, KeyError, TypeError) as error:
             raise PeerError(
                 f'broken event: {error}', step=_STEP, peer=self.client.address
             ) from error
 
 
+class EventReader:
+    """Splits a stream of server-sent events into what each carries.
+
+    Attributes
+    ----------
+    is_over : bool
+        Whether the event that ends the stream has come.
+    """
+
+    def __init__(self) -> None:
+        self.is_over = False
+        self._rest = b''
+
+    def feed(self, part: bytes) -> list[bytes]:
+        """Return the data of the events that are whole by now."""
+        lines = (self._rest + part).split(b'\n')
+        self._rest = lines.pop()
+        events = []
+        for line in lines:
+            event = line.strip().removeprefix(_EVENT_PREFIX)
+            if event == _END_OF_STREAM:
+                self.is_over = True
+                break
+            if event:
+                events.append(event)
+        return events
+
+
+def _until_ready(awaited: Awaited, timeout_s: float) -> Iterator[Sequence[TokenChunk]]:
+    """Yield nothing until there is something to read."""
+    give_up_at = time.monotonic() + timeout_s
+    while not awaited.is_ready:
+        if time.monotonic() > give_up_at:
+            raise TimeoutError(f'nothing came for {timeout_s:.3g} s')
+        yield ()
+
+
 @lru_cache(maxsize=_MOST_NAMES)
 def parse_adapter(name: str) -> AdapterVersion:
     """Return the adapter version that an engine names; raises ValueError."""
--- a/src/pimentohoist/_request_path.py
+++ b/src/pimentohoist/_request_path.py
@@ -12,8 +12,9 @@
 from pimentohoist._controllers.quarantine import Membership, QuarantineController
 from pimentohoist._filters.measure import Measure
 from pimentohoist._filters.quarantine import Quarantine
-from pimentohoist._filters.retry import RetryCounter, RetryTools
+from pimentohoist._filters.retry_tools import RetryCounter, RetryTools
 from pimentohoist._platform.instances import HttpInstanceList
+from pimentohoist._relay import Relay
 from pimentohoist.protocols import Controller, Log, Peers, Slots
 from pimentohoist.settings import Settings
 
@@ -49,6 +50,7 @@
             limit_s=settings.callers.drain_limit_s,
         )
         self.cancellations = CancellationsController()
+        self.relay = Relay()
         self.retries = RetryCounter()
         self.metrics = MetricsController()
         self.tools = RetryTools(
@@ -74,6 +76,7 @@
             'quarantine': self.quarantine,
             'cancellations': self.cancellations,
             'drain': self.drain,
+            'relay': self.relay,
             'retries': self.retries,
             'metrics': self.metrics,
         }
--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -126,7 +126,7 @@
             ClaimAction(self.claims),
             self.requests.filter(),
         )
-        last = Dispatch(self.configuration, self.requests.tools)
+        last = Dispatch(self.configuration, self.requests.tools, self.requests.relay)
         return build_handler(filters, last)
 
     def entries(self) -> tuple[str, ...]:
@@ -143,7 +143,7 @@
     def _callers_server(self) -> HttpServer:
         callers = self.settings.callers
         return HttpServer(
-            CallersApp(self.handler(), self.entries, callers),
+            CallersApp(self.handler(), self.entries, callers, self.requests.relay),
             self.settings.daemon.callers_address,
             threads=callers.threads,
         )
--- a/src/pimentohoist/exchanges.py
+++ b/src/pimentohoist/exchanges.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
-from typing import Any
+from typing import Any, Protocol
 
 from pimentohoist.configuration import Adapter, EndpointGroup, Route, Workspace
 from pimentohoist.models import AdapterVersion
@@ -79,16 +79,53 @@
     gaps_ms: Counter[int] = field(default_factory=Counter)
     failure: str = ''
 
-    def note_token(self, now: float) -> None:
-        """Count a token that is passed on at `now`."""
-        self.tokens += 1
+    def note_tokens(self, count: int, now: float) -> None:
+        """Count tokens that are passed on together at `now`."""
+        self.tokens += count
         if self.first_token_at is None:
             self.first_token_at = now
         else:
             self.gaps_ms[round((now - self.last_token_at) * _MS_PER_S)] += 1
+        if count > 1:
+            self.gaps_ms[0] += count - 1
         self.last_token_at = now
 
 
+class HasDescriptor(Protocol):
+    """A socket or file that can be waited for."""
+
+    def fileno(self) -> int:
+        """Return its descriptor."""
+
+
+@dataclass(slots=True)
+class Awaited:
+    """What an answer under way waits for.
+
+    The iterator of the answer's parts gives an empty part when it can't go on without
+    blocking. Who drives it waits until `source` is readable, or a while, says in
+    `is_ready` which of the two it was, and goes on.
+
+    Attributes
+    ----------
+    source : HasDescriptor or None
+        None if the next step may block for other reasons.
+    """
+
+    source: HasDescriptor | None = None
+    is_ready: bool = False
+
+    def wait_for(self, source: HasDescriptor) -> None:
+        """Say that the next step needs something from `source`."""
+        self.source = source
+        self.is_ready = False
+
+    def clear(self) -> None:
+        """Say that the next step may block."""
+        self.source = None
+        self.is_ready = False
+
+
 @dataclass(slots=True)
 class Exchange:
     """A request with what the filters found out about it so far.
@@ -114,6 +151,7 @@
     is_sent: bool = False
     is_cancelled: Callable[[], bool] = field(default=lambda: False)
     timing: RequestTiming = field(default_factory=RequestTiming)
+    awaited: Awaited = field(default_factory=Awaited)
     facts: dict[str, Any] = field(default_factory=dict)
 
 
@@ -153,12 +191,15 @@
     ----------
     body : iterable of bytes
         Parts in order; closed by the server when sent or given up.
+    awaited : Awaited or None
+        What the body waits for, if it gives empty parts instead of blocking.
     """
 
     status: int
     content_type: str
     body: Iterable[bytes]
     headers: dict[str, str] = field(default_factory=dict)
+    awaited: Awaited | None = None
 
     def on_close(self, callback: Callable[[], None]) -> Answer:
         """Return the answer with `callback` run once its body has ended."""
--- a/src/pimentohoist/protocols.py
+++ b/src/pimentohoist/protocols.py
@@ -10,7 +10,7 @@
 from typing import Any, Protocol, Self
 
 from pimentohoist.configuration import Endpoint
-from pimentohoist.exchanges import Answer, Exchange, SlotRequest
+from pimentohoist.exchanges import Answer, Awaited, Exchange, SlotRequest
 from pimentohoist.models import (
     AdapterOrder,
     AdapterVersion,
@@ -86,9 +86,11 @@
         """Evict an adapter version."""
 
     def generate(
-        self, generation: Generation, *, timeout_s: float
-    ) -> Iterator[TokenChunk]:
-        """Run a request and yield its tokens in order.
+        self, generation: Generation, awaited: Awaited, *, timeout_s: float
+    ) -> Iterator[Sequence[TokenChunk]]:
+        """Run a request and yield its tokens in order, as many together as have come.
+
+        Yields none where it would have to wait for what it names in `awaited`.
 
         Raises
         ------
