Fewer steps to read and write a token

Only the last token's reason for an end is encoded, and an event is parsed by the decoder's own raw_decode, with the check that nothing follows.

--- a/src/pimentohoist/_openai.py
+++ b/src/pimentohoist/_openai.py
@@ -152,10 +152,14 @@
         head = self._part_head()
         text_key = self.shape.text_key
         tail = self.shape.part_tail
+        # All but the last token have no reason for an end.
+        going_on = f'{head}null{text_key}'
         try:
             for batch in batches:
                 yield ''.join(
-                    f'{head}{_encode(chunk.finish_reason)}{text_key}'
+                    f'{going_on}{_encode(chunk.text)}{tail}'
+                    if chunk.finish_reason is None
+                    else f'{head}{_encode(chunk.finish_reason)}{text_key}'
                     f'{_encode(chunk.text)}{tail}'
                     for chunk in batch
                 ).encode()
--- a/src/pimentohoist/_platform/engine.py
+++ b/src/pimentohoist/_platform/engine.py
@@ -27,7 +27,7 @@
 _EVENT_PREFIX = b'data: '
 _END_OF_STREAM = b'[DONE]'
 _PART_BYTES = 65_536
-_decode = json.JSONDecoder().decode
+_decoder = json.JSONDecoder()
 
 
 class HttpEngine:
@@ -123,7 +123,7 @@
 
     def _parse(self, events: Sequence[bytes]) -> Sequence[TokenChunk]:
         try:
-            return [_parse_chunk(_decode(event.decode())) for event in events]
+            return [_parse_chunk(event.decode()) for event in events]
         except (ValueError, KeyError, TypeError) as error:
             raise PeerError(
                 f'broken event: {error}', step=_STEP, peer=self.client.address
@@ -174,7 +174,10 @@
     return AdapterVersion(adapter, int(version))
 
 
-def _parse_chunk(document: Any) -> TokenChunk:
+def _parse_chunk(event: str) -> TokenChunk:
+    document, end = _decoder.raw_decode(event)
+    if end != len(event):
+        raise ValueError('more than one JSON text')
     return TokenChunk(
         document['id'],
         parse_adapter(document['model']),
