Knee found from measured times of requests, starting at the setting

A pure module compares the median time per token on a full engine with that on a half empty one and moves the limit by one at a time within half and twice the setting; admission and dispatch use it, the dump shows it. Adopted pins give no sample, since their start was not seen.

--- a/features/serving_decisions.feature
+++ b/features/serving_decisions.feature
@@ -36,3 +36,9 @@
 
   Scenario: Requests spread over one copy more while homes say busy
     Then the copies of an adapter grow with each busy home and shrink with time
+
+  Scenario: The knee found from measured times is a naive version's, seed 507
+    Then the knee and a naive version agree over generated samples
+
+  Scenario: The knee is found in spite of noise, seed 508
+    Then the knee of a noisy engine is found from any start within the bounds
--- a/src/pimentohoist/_controllers/endpoint_home.py
+++ b/src/pimentohoist/_controllers/endpoint_home.py
@@ -170,6 +170,7 @@
                 'resident': sorted(str(adapter) for adapter in residency.resident),
                 'loading': sorted(str(adapter) for adapter in residency.loading),
                 'service_s': round(state.admission.service.mean_s, 3),
+                'knee_requests': state.admission.knee_requests,
                 'load_s': round(state.admission.load.mean_s, 3),
                 **self.counts,
             }
--- a/src/pimentohoist/_decisions/admission.py
+++ b/src/pimentohoist/_decisions/admission.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from pimentohoist._decisions.knee import KneeEstimate, ServiceSample
 from pimentohoist._decisions.queue import FairQueue, Waiting
 from pimentohoist._decisions.residency import Residency
 from pimentohoist.models import AdapterVersion
@@ -67,6 +68,8 @@
     ----------
     service, load : Estimate
         Of requests and of loads.
+    knee : KneeEstimate
+        Found from the times of requests.
     settled_at : float
         Before this time nothing is evicted, since pins given by a former home may
         not be known.
@@ -77,11 +80,22 @@
     ) -> None:
         self.queue = queue
         self.residency = residency
-        self.knee_requests = knee_requests
+        self.knee = KneeEstimate(knee_requests)
         self.settled_at = float('-inf')
         self.service = Estimate(_FIRST_SERVICE_S)
         self.load = Estimate(_FIRST_LOAD_S)
 
+    @property
+    def knee_requests(self) -> int:
+        """Return how many requests to keep in flight."""
+        return self.knee.limit
+
+    def note_service(self, service_s: float, sample: ServiceSample | None) -> None:
+        """Take in how long a request ran, and how fast if that is known."""
+        self.service.note(service_s)
+        if sample is not None:
+            self.knee.note(sample)
+
     def is_settled(self, now: float) -> bool:
         """Return whether all pins are known."""
         return now >= self.settled_at
--- a/src/pimentohoist/_decisions/endpoint.py
+++ b/src/pimentohoist/_decisions/endpoint.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from pimentohoist._decisions.admission import Admission, Reason, Refusal
+from pimentohoist._decisions.knee import ServiceSample
 from pimentohoist._decisions.loads import LoadWish
 from pimentohoist._decisions.queue import FairQueue, Lane, Waiting
 from pimentohoist._decisions.residency import Residency
@@ -19,13 +20,47 @@
 
 @dataclass(frozen=True, slots=True)
 class Pin:
-    """A request's hold on an endpoint and an adapter, until its deadline."""
+    """A request's hold on an endpoint and an adapter, until its deadline.
+
+    Attributes
+    ----------
+    cost : float
+        In tokens; 0 if it is not known.
+    in_flight : int
+        Requests on the endpoint at the start, this one included.
+    """
 
     pin_id: str
     adapter: AdapterVersion | None
     deadline: float
     is_alone: bool = False
     started_at: float = 0
+    cost: float = 0
+    in_flight: int = 0
+
+    @classmethod
+    def of(cls, entry: Waiting, now: float, in_flight: int) -> Pin:
+        """Return the pin of a request that starts now."""
+        return cls(
+            entry.request_id,
+            entry.adapter,
+            entry.deadline,
+            entry.is_alone,
+            now,
+            entry.cost,
+            in_flight,
+        )
+
+    def sample(self, service_s: float, in_flight: int) -> ServiceSample | None:
+        """Return how fast the request ran, if this home has seen it start."""
+        if not (self.cost and self.in_flight):
+            return None
+        return ServiceSample(
+            (self.in_flight + in_flight) // 2,
+            service_s / self.cost,
+            self.started_at,
+            self.started_at + service_s,
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,9 +119,7 @@
             entry = self.queue.take(self._can_run)
             if entry is None:
                 break
-            self.pins[entry.request_id] = Pin(
-                entry.request_id, entry.adapter, entry.deadline, entry.is_alone, now
-            )
+            self.pins[entry.request_id] = Pin.of(entry, now, len(self.pins) + 1)
             started.append(entry)
         return started
 
@@ -114,11 +147,13 @@
     def release(self, pin_id: str, service_s: float, *, has_failed: bool) -> None:
         """Give a pin back, or give a waiting request up; unknown ones are ignored."""
         self.queue.remove(pin_id)
+        in_flight = len(self.pins)
         pin = self._drop_pin(pin_id)
         if pin is None:
             return
         if not has_failed:
-            self.admission.service.note(service_s)
+            sample = pin.sample(service_s, in_flight)
+            self.admission.note_service(service_s, sample)
         elif pin.adapter is not None:
             self.residency.suspects.add(pin.adapter)
 
