Regions that lose each other: daemons whose network can be cut, three scenarios

A daemon can now be started with clients of the log and of other daemons that are told over HTTP which hosts nothing reaches; a cut call times out, as over a network that drops packets. Endpoints stay reachable from both sides, which is the harder case for limits, pins and actions.

Seen failing: 'Without the log the regions that hold the majority go on' found a fault. An entry daemon whose preferred engine's home was cut off gave that home up only after five releases of 2 s each, and answered nobody within 20 s, though the other engine's home was reachable. Ruled out: freshness (all daemons of the majority were fresh), limits (no refusal).

--- /dev/null
+++ b/features/steps/regions.py
@@ -0,0 +1,263 @@
+"""Steps on regions that lose each other."""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
+from dataclasses import replace
+from types import MappingProxyType
+
+from behave import given, then, when
+from behave.runner import Context
+
+from pimentohoist._http_client import HttpReply, HttpRequest
+from pimentohoist._openai import count_tokens
+from pimentohoist._platform.log import HttpLog
+from pimentohoist._publisher import Publisher
+from pimentohoist.configuration import Adapter, Configuration, Workspace
+from pimentohoist.exceptions import PimentohoistError
+from pimentohoist.keys import create_key
+from pimentohoist_standins.demo import demo_sections
+from pimentohoist_standins.partition import CuttableFleet
+
+_REGIONS = 'abc'
+_DAEMONS_A_REGION = 2
+_POLL_S = 0.1
+_ASK_TIMEOUT_S = 5.0
+_SETTLE_S = 30.0
+_FLOOD = Workspace('flood', rate_tokens_per_s=60, burst_tokens=90)
+_FLOOD_FACTOR = 3
+_MODELS = MappingProxyType(
+    {'line-1': 'batch-summary', 'line-2': 'batch-summary', 'flood': 'of-flood'}
+)
+_PROMPT = 'one two'
+_MAX_TOKENS = 4
+_COST = count_tokens(_PROMPT) + _MAX_TOKENS
+
+
+@given('3 regions of 2 daemons whose network can be cut, with endpoints that all reach')
+def start_regions(context: Context) -> None:
+    fleet = context.stack.enter_context(CuttableFleet(tuple(_REGIONS)))
+    context.fleet = fleet
+    for engine in ('engine-1', 'engine-2'):
+        fleet.start_standin(engine, 'engine', token_s=0.001)
+    fleet.start_standin('ledger', 'service')
+    for number in range(len(_REGIONS) * _DAEMONS_A_REGION):
+        fleet.start_daemon(f'entry-{number + 1}')
+    context.sections = [
+        *demo_sections(fleet),
+        _FLOOD,
+        Adapter('of-flood', 'review', (1,), 1, ('flood',)),
+    ]
+    context.keys = {}
+    for name in _MODELS:
+        workspace = 'flood' if name == 'flood' else 'lipstick-house'
+        section, context.keys[name] = create_key(name, workspace)
+        context.sections.append(section)
+    report = fleet.publish(Configuration.of(*context.sections))
+    assert report.is_in_force, report.text()
+    context.published_at = time.monotonic()
+    for name in _MODELS:
+        await_answers(context, fleet.daemons, name, _SETTLE_S)
+
+
+def daemons_of(regions: str) -> list[str]:
+    numbers = range(len(_REGIONS) * _DAEMONS_A_REGION)
+    return [
+        f'entry-{number + 1}'
+        for number in numbers
+        if _REGIONS[number % len(_REGIONS)] in regions
+    ]
+
+
+def others_than(region: str) -> list[str]:
+    return daemons_of(_REGIONS.replace(region, ''))
+
+
+def ask(context: Context, daemon: str, key_name: str = 'line-1') -> HttpReply | None:
+    """Return the answer to a small request; None if there was none."""
+    document = {
+        'model': _MODELS[key_name],
+        'prompt': _PROMPT,
+        'max_tokens': _MAX_TOKENS,
+    }
+    request = HttpRequest.of_json('POST', '/v1/completions', document)
+    return send(context, daemon, key_name, request)
+
+
+def send(
+    context: Context, daemon: str, key_name: str, request: HttpRequest
+) -> HttpReply | None:
+    key = context.keys[key_name]
+    headers = {
+        **request.headers,
+        'Authorization': f'Bearer {key}',
+        'Idempotency-Key': 'lot-7',
+    }
+    with suppress(PimentohoistError):
+        return context.fleet.ask(
+            daemon,
+            replace(request, headers=headers, is_repeatable=False),
+            _ASK_TIMEOUT_S,
+        )
+    return None
+
+
+def is_answered(context: Context, daemon: str, key_name: str) -> bool:
+    reply = ask(context, daemon, key_name)
+    return reply is not None and reply.status == 200
+
+
+def await_answers(
+    context: Context, daemons: list[str], key_name: str, limit_s: float
+) -> None:
+    give_up_at = time.monotonic() + limit_s
+    pending = list(daemons)
+    while pending:
+        pending = [name for name in pending if not is_answered(context, name, key_name)]
+        assert time.monotonic() < give_up_at, (pending, ask(context, pending[0]))
+        time.sleep(_POLL_S)
+
+
+def cut_off(context: Context, region: str, *more: str) -> None:
+    inside = daemons_of(region)
+    outside = others_than(region)
+    context.fleet.cut(inside, [*outside, *more])
+    context.fleet.cut(outside, inside)
+    context.cut_at = time.monotonic()
+
+
+@when('region "{region}" is cut off from the other regions and the log')
+def cut_off_with_log(context: Context, region: str) -> None:
+    cut_off(context, region, 'log')
+
+
+@when('the log goes down and region "{region}" is cut off from the other regions')
+def cut_off_without_log(context: Context, region: str) -> None:
+    context.fleet.control('log', is_down=True)
+    cut_off(context, region)
+
+
+@then('within {limit_s:d} s each daemon of region "{region}" refuses a key as not run')
+def check_refused(context: Context, limit_s: int, region: str) -> None:
+    time.sleep(max(0, context.cut_at + limit_s - time.monotonic()))
+    for daemon in daemons_of(region):
+        reply = ask(context, daemon)
+        assert reply is not None, daemon
+        error = reply.document()['error']
+        assert reply.status == 503 and error['run'] == 'not_run', error
+        assert error['step'] == 'authenticate', error
+
+
+@then('within {limit_s:d} s each daemon of regions "{regions}" answers a key')
+def check_answered(context: Context, limit_s: int, regions: str) -> None:
+    await_answers(context, daemons_of(regions), 'line-1', limit_s)
+
+
+@then(
+    'each daemon of regions "{regions}" answers a key after {wait_s:d} s without the log'
+)
+def check_majority(context: Context, regions: str, wait_s: int) -> None:
+    time.sleep(max(0, context.cut_at + wait_s - time.monotonic()))
+    await_answers(context, daemons_of(regions), 'line-1', wait_s)
+    for daemon in daemons_of(regions):
+        assert context.fleet.state(daemon)['view']['is_fresh'], daemon
+
+
+@when('the other regions withdraw the second key and the cut heals')
+def withdraw_and_heal(context: Context) -> None:
+    kept = [part for part in context.sections if part.name != 'line-2']
+    daemons = [context.fleet.operators_address(name) for name in others_than('c')]
+    log = HttpLog(context.fleet.addresses['log'], timeout_s=_ASK_TIMEOUT_S)
+    report = Publisher(log, daemons, 'regions').publish(Configuration.of(*kept))
+    assert report.is_in_force, report.text()
+    context.fleet.heal()
+
+
+@then('no daemon answers the withdrawn key')
+def check_withdrawn(context: Context) -> None:
+    give_up_at = time.monotonic() + _ASK_TIMEOUT_S
+    while time.monotonic() < give_up_at:
+        for daemon in context.fleet.daemons:
+            assert not is_answered(context, daemon, 'line-2'), daemon
+
+
+@when('the log is back and the cut heals')
+def heal_all(context: Context) -> None:
+    context.fleet.control('log', is_down=False)
+    context.fleet.heal()
+
+
+@when(
+    'region "{region}" is cut off for {time_s:d} s while one tenant floods all regions'
+)
+def flood(context: Context, region: str, time_s: int) -> None:
+    context.actions = []
+    until = time.monotonic() + time_s + 2
+    flooding = threading.Thread(target=keep_asking, args=(context, until))
+    flooding.start()
+    act_everywhere(context)
+    cut_off(context, region, 'log')
+    act_everywhere(context)
+    time.sleep(max(0, context.cut_at + time_s - time.monotonic()))
+    act_everywhere(context)
+    context.fleet.heal()
+    flooding.join()
+
+
+def keep_asking(context: Context, until: float) -> None:
+    pause_s = _COST / _FLOOD.rate_tokens_per_s / _FLOOD_FACTOR
+    with ThreadPoolExecutor(16) as pool:
+        for daemon in round_daemons(context):
+            if time.monotonic() > until:
+                break
+            pool.submit(ask, context, daemon, 'flood')
+            time.sleep(pause_s)
+
+
+def round_daemons(context: Context) -> Iterator[str]:
+    while True:
+        yield from context.fleet.daemons
+
+
+def act_everywhere(context: Context) -> None:
+    request = HttpRequest.of_json('POST', '/services/release/lots', {'lot': 7})
+    with ThreadPoolExecutor(len(context.fleet.daemons)) as pool:
+        replies = pool.map(
+            lambda daemon: send(context, daemon, 'line-1', request),
+            context.fleet.daemons,
+        )
+        context.actions.extend(replies)
+
+
+@when('the same action is sent to every daemon before, during and after the cut')
+def act_after(context: Context) -> None:
+    await_answers(context, context.fleet.daemons, 'line-1', _SETTLE_S)
+    act_everywhere(context)
+
+
+@then('the flooding tenant received no more than its rate and burst')
+def check_received(context: Context) -> None:
+    elapsed_s = time.monotonic() - context.published_at
+    seen = [
+        run for name in ('engine-1', 'engine-2') for run in context.fleet.seen(name)
+    ]
+    runs = [run for run in seen if run.get('adapter') == 'of-flood']
+    received = _COST * len(runs)
+    most = _FLOOD.burst_tokens + _FLOOD.rate_tokens_per_s * elapsed_s
+    assert 0 < received <= most, (received, most)
+
+
+@then('the action ran once, and every answer to it is the same')
+def check_action(context: Context) -> None:
+    seen = [one for one in context.fleet.seen('ledger') if one['method'] == 'POST']
+    assert len(seen) == 1, seen
+    answers = [reply for reply in context.actions if reply and reply.status < 300]
+    assert {reply.body for reply in answers} == {b'{"entry": 1}'}, answers
+    last = context.actions[-len(context.fleet.daemons) :]
+    statuses = [reply and reply.status for reply in last]
+    assert set(statuses) == {201}, json.dumps(statuses)
--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -31,7 +31,7 @@
 from pimentohoist._platform.log import HttpLog
 from pimentohoist.exceptions import SettingsError
 from pimentohoist._peers import PeerClients, PeerServer
-from pimentohoist.protocols import Controller, Handler, PeerAnswering
+from pimentohoist.protocols import Controller, Handler, Log, PeerAnswering
 from pimentohoist.settings import Settings, read_settings
 
 _EXIT_SETTINGS = 2
@@ -40,13 +40,26 @@
 
 
 class Daemon:
-    """Everything that one daemon runs, from start to stop of its context."""
+    """Everything that one daemon runs, from start to stop of its context.
 
-    def __init__(self, settings: Settings) -> None:
+    Parameters
+    ----------
+    log : Log, optional
+        The platform's log; by default over HTTP, as the settings say.
+    peers : PeerClients, optional
+        Connections to other daemons.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        log: Log | None = None,
+        peers: PeerClients | None = None,
+    ) -> None:
         self.settings = settings
         platform = settings.platform
-        self.log = HttpLog(platform.log_address, timeout_s=platform.timeout_s)
-        self.peers = PeerClients()
+        self.log = log or HttpLog(platform.log_address, timeout_s=platform.timeout_s)
+        self.peers = peers or PeerClients()
         peer_snapshots = PeerSnapshots(self.peers, settings.daemon.seed_peers)
         self.configuration = ConfigurationController(
             ShortPolls(self.log), peer_snapshots.fetch
@@ -178,13 +191,22 @@
     settings : str
         Path of the TOML settings file.
     """
+    run_until_stopped(Daemon(read_checked_settings(settings)))
+
+
+def read_checked_settings(path: str) -> Settings:
+    """Return the settings and start logging; ends the process if they have faults."""
     try:
-        checked = read_settings(settings)
+        checked = read_settings(path)
     except SettingsError as error:
         sys.stderr.write(f'pimentohoistd: {error}\n')
         sys.exit(_EXIT_SETTINGS)
     configure_logs(checked.logging.level, instance=checked.daemon.name)
-    daemon = Daemon(checked)
+    return checked
+
+
+def run_until_stopped(daemon: Daemon) -> None:
+    """Run a daemon until SIGTERM or SIGINT, then until it has drained."""
     call_on_stop(daemon.requests.drain.signal)
     with daemon:
         _logger.info('started', extra={'step': 'start'})
--- a/src/pimentohoist_standins/fleet.py
+++ b/src/pimentohoist_standins/fleet.py
@@ -83,8 +83,12 @@
         By name.
     addresses : dict of str to str
         Address of each stand-in, callers' address of each daemon.
+    daemon_module : str
+        Module whose ``main`` runs a daemon.
     """
 
+    daemon_module = 'pimentohoist.daemon'
+
     def __init__(self, failure_domains: tuple[str, ...] = ('a', 'b', 'c')) -> None:
         self.failure_domains = failure_domains
         self.processes: dict[str, FleetProcess] = {}
@@ -128,7 +132,7 @@
         """Start a daemon and return its callers' address."""
         path = self._folder / f'{name}.toml'
         path.write_text(tomli_w.dumps(self._settings(name, settings or {})))
-        code = 'from pimentohoist.daemon import main; main()'
+        code = f'from {self.daemon_module} import main; main()'
         self._start(name, [sys.executable, '-c', code, str(path)])
         self._await(name, self.addresses[name])
         return self.addresses[name]
--- /dev/null
+++ b/src/pimentohoist_standins/partition.py
@@ -0,0 +1,132 @@
+"""Daemons whose network can be cut, for tests of instances that lose each other.
+
+Each is the daemon itself, with clients of the log and of other daemons that can be told
+over HTTP which hosts nothing reaches any more. Cut calls are lost without a word: they
+end as timed out. To part two daemons, each is told the other's host.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterable, Sequence
+from http import HTTPStatus
+from typing import Any
+
+import fire
+from werkzeug.wrappers import Request, Response
+
+from pimentohoist._addresses import split_address
+from pimentohoist._http_client import HttpClient, HttpRequest
+from pimentohoist._http_server import HttpServer
+from pimentohoist._peers import PeerClients
+from pimentohoist._platform.log import HttpLog
+from pimentohoist.daemon import Daemon, read_checked_settings, run_until_stopped
+from pimentohoist.exceptions import AppendUnknownError, LogError, PeerTimeoutError
+from pimentohoist.models import LogPage
+from pimentohoist_standins.faults import StandIn
+from pimentohoist_standins.fleet import Fleet
+
+_STEP = 'partition'
+_THREADS = 4
+_CONTROL_PORT = 9000
+_CONTROL_TIMEOUT_S = 5.0
+
+
+class Network(StandIn):
+    """Which hosts nothing reaches any more.
+
+    Attributes
+    ----------
+    unreachable : list of str
+        IP numbers.
+    """
+
+    controls = ('unreachable',)
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.unreachable: list[str] = []
+
+    def answer(self, request: Request) -> Response:
+        """Refuse everything but ``/control`` and ``/seen``."""
+        return Response('only /control is served', HTTPStatus.NOT_FOUND)
+
+    def is_cut(self, address: str) -> bool:
+        """Return whether nothing reaches the host of an ``ip:port``."""
+        return split_address(address)[0] in self.unreachable
+
+
+class CutPeers(PeerClients):
+    """Calls to other daemons over a network that can be cut."""
+
+    def __init__(self, network: Network) -> None:
+        super().__init__()
+        self.network = network
+
+    def call(self, address: str, method: str, request: Any, *, timeout_s: float) -> Any:
+        """Call a method, or time out."""
+        if self.network.is_cut(address):
+            time.sleep(timeout_s)
+            raise PeerTimeoutError(f'{method}: cut off', step=_STEP, peer=address)
+        return super().call(address, method, request, timeout_s=timeout_s)
+
+
+class CutLog(HttpLog):
+    """The platform's log over a network that can be cut."""
+
+    def __init__(self, network: Network, address: str, *, timeout_s: float) -> None:
+        super().__init__(address, timeout_s=timeout_s)
+        self.network = network
+
+    def append(self, stream: str, bodies: Sequence[bytes]) -> int:
+        """Append records, or time out without knowing whether they were appended."""
+        if self.network.is_cut(self.client.address):
+            time.sleep(self.client.timeout_s)
+            raise AppendUnknownError('cut off', step=_STEP, peer=self.client.address)
+        return super().append(stream, bodies)
+
+    def read(self, stream: str, offset: int, *, wait_s: float) -> LogPage:
+        """Read records, or time out."""
+        if self.network.is_cut(self.client.address):
+            time.sleep(self.client.timeout_s)
+            raise LogError('cut off', step=_STEP, peer=self.client.address)
+        return super().read(stream, offset, wait_s=wait_s)
+
+
+class CuttableFleet(Fleet):
+    """A fleet of daemons that can be parted from each other and from the log."""
+
+    daemon_module = __name__
+
+    def cut(self, daemons: Iterable[str], others: Iterable[str]) -> None:
+        """Let nothing pass from daemons to others; replaces what was cut before."""
+        hosts = [split_address(self.addresses[other])[0] for other in others]
+        for daemon in daemons:
+            address = _control_address(self.addresses[daemon])
+            client = HttpClient(address, timeout_s=_CONTROL_TIMEOUT_S, step=_STEP)
+            request = HttpRequest.of_json('POST', '/control', {'unreachable': hosts})
+            client.ask_json(request)
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self.cut(self.daemons, ())
+
+
+def serve(settings: str) -> None:
+    """Run a daemon until SIGTERM, with ``/control`` at an address of its own."""
+    checked = read_checked_settings(settings)
+    control_address = _control_address(checked.daemon.callers_address)
+    platform = checked.platform
+    network = Network()
+    log = CutLog(network, platform.log_address, timeout_s=platform.timeout_s)
+    with HttpServer(network, control_address, threads=_THREADS):
+        run_until_stopped(Daemon(checked, log, CutPeers(network)))
+
+
+def _control_address(callers_address: str) -> str:
+    return f'{split_address(callers_address)[0]}:{_CONTROL_PORT}'
+
+
+def main() -> None:
+    """Run the daemon."""
+    fire.Fire(serve, name='partition')
