Homes of shares lie in different failure domains; configuration's sections by type for the homes of engines

The rule of share_placement is in force: share homes, and where a leaving home passes a share on. place_watch asked for the whole configuration, which the merge of streams had removed. regions: the withdrawal waits until the region that is cut off has expired; the publish waited 10 s for a member that could not answer and then said so. make lint clean; share_placement 1, limits 6, membership 5 passed; regions 2 of 3 before the wait was added.

--- a/features/regions.feature
+++ b/features/regions.feature
@@ -7,6 +7,7 @@
     When region "c" is cut off from the other regions and the log
     Then within 5 s each daemon of region "c" refuses a key as not run
     And within 15 s each daemon of regions "ab" answers a key
+    And within 15 s no daemon of region "c" is a member for the others
     When the other regions withdraw the second key and the cut heals
     Then no daemon answers the withdrawn key
     And within 15 s each daemon of regions "abc" answers a key
--- a/features/steps/regions.py
+++ b/features/steps/regions.py
@@ -13,6 +13,7 @@
 
 from behave import given, then, when
 from behave.runner import Context
+from callers import wait_for
 
 from pimentohoist._http_client import HttpReply, HttpRequest
 from pimentohoist._openai import count_tokens
@@ -183,6 +184,21 @@
         assert context.fleet.state(daemon)['view']['is_fresh'], daemon
 
 
+@then('within {limit_s:d} s no daemon of region "{region}" is a member for the others')
+def check_expired(context: Context, limit_s: int, region: str) -> None:
+    for daemon in others_than(region):
+        wait_for(
+            lambda name=daemon: not members_of(context, name, region),
+            f'expired at {daemon}',
+            limit_s,
+        )
+
+
+def members_of(context: Context, daemon: str, region: str) -> list[str]:
+    members = context.fleet.state(daemon)['view']['members']
+    return [one for one in members if one['failure_domain'] == region]
+
+
 @when('the other regions withdraw the second key and the cut heals')
 def withdraw_and_heal(context: Context) -> None:
     kept = [part for part in context.sections if part.name != 'line-2']
--- a/src/pimentohoist/_controllers/place_watch.py
+++ b/src/pimentohoist/_controllers/place_watch.py
@@ -47,10 +47,9 @@
         return None
 
     def _read_places(self) -> tuple[Place, ...]:
-        sections = self.configuration.configuration().sections.values()
         return tuple(
-            Place(section, endpoint)
-            for section in sections
-            if isinstance(section, EndpointGroup) and section.kind is GroupKind.ENGINE
-            for endpoint in section.endpoints
+            Place(group, endpoint)
+            for group in self.configuration.sections(EndpointGroup)
+            if group.kind is GroupKind.ENGINE
+            for endpoint in group.endpoints
         )
--- a/src/pimentohoist/_controllers/share_homes.py
+++ b/src/pimentohoist/_controllers/share_homes.py
@@ -9,6 +9,7 @@
 from pimentohoist._controllers.configuration import ConfigurationController
 from pimentohoist._controllers.tenure_reader import TenureReader
 from pimentohoist._controllers.view import ViewController
+from pimentohoist._decisions.share_placement import share_home
 from pimentohoist._decisions.shares import (
     SHARES,
     Grant,
@@ -48,7 +49,7 @@
         self.configuration = configuration
         self.clock = clock
         self.keeper = ShareKeeper()
-        self.tenures = TenureReader(view)
+        self.tenures = TenureReader(view, share_home)
         self.fenced_at = fenced_at
         self.absent_at: dict[str, float] = {}
         self.lock = threading.RLock()
--- a/src/pimentohoist/_controllers/share_takers.py
+++ b/src/pimentohoist/_controllers/share_takers.py
@@ -13,10 +13,11 @@
     write_uses,
 )
 from pimentohoist._decisions.grants import ShareHome
+from pimentohoist._decisions.share_placement import share_home
 from pimentohoist._decisions.shares import Grant, GrantOrder, GrantUse
 from pimentohoist._decisions.tenures import ShareName
 from pimentohoist._generated import peer_pb2
-from pimentohoist._view_fold import rank
+from pimentohoist._view_fold import View
 from pimentohoist.exceptions import PeerError, PeerRefusedError, UnavailableError
 from pimentohoist.models import Member
 from pimentohoist.protocols import Peers
@@ -118,19 +119,19 @@
 
     def hand_over_all(self) -> None:
         """Pass every share at home here on, for good, before leaving the view."""
-        others = [
+        others = tuple(
             member
             for member in self.view.members()
             if member.incarnation != self.view.incarnation
-        ]
-        epoch = self.view.epoch + 1
+        )
+        after = View(self.view.epoch + 1, others)
         for name in self.homes.names():
-            last = self.homes.close(name, epoch)
+            last = self.homes.close(name, after.epoch)
             if last.state is not None and others:
                 message = write_state(name, last)
                 message.sender.CopyFrom(self._sender())
-                home = rank(name.thing, others)[0]
-                self._call(home.incarnation, 'HandOverShare', message)
+                home = share_home(name.thing, after)
+                self._call(home, 'HandOverShare', message)
 
     def _pull(self, name: ShareName, epoch: int, former_home: str) -> bool:
         """Return whether the tenure before that one has to be asked."""
