--- a/features/steps/regions.py
+++ b/features/steps/regions.py
@@ -186,12 +186,13 @@
 
 @then('within {limit_s:d} s no daemon of region "{region}" is a member for the others')
 def check_expired(context: Context, limit_s: int, region: str) -> None:
-    for daemon in others_than(region):
-        wait_for(
-            lambda name=daemon: not members_of(context, name, region),
-            f'expired at {daemon}',
-            limit_s,
-        )
+    wait_for(
+        lambda: (
+            not any(members_of(context, name, region) for name in others_than(region))
+        ),
+        f'region {region} expired',
+        limit_s,
+    )
 
 
 def members_of(context: Context, daemon: str, region: str) -> list[str]:
