Shares of a limit live in different failure domains; a proved end shortens their takeover

Cause of the 429 within rate with a daemon killed: all three shares of a workspace could be at home on one daemon, since each was placed by itself, and the next home began 5.01 s after the fence. Now the shares are at different members, in different failure domains where there are three (share_home), so that one loss takes one share, and a former home whose end is proved is waited for only as long as its last grant lives (3 s instead of the fence plus 5 s); every former home of the chain has to be over, each by either proof. A share that moves between live members is pulled at once.

Ruled out: shares by rank of one list, since one departure would move all after it.

Seen failing: limit_guards without the time of grants after an end and without the proof; homes: shares each by itself, any domain, by weight alone, witnesses not spread. limits, membership and leaving pass.

Mended too: a new tenure whose fence was skipped over by a reader of many views waited for ever; the fence of a later view now counts.

--- a/features/homes.feature
+++ b/features/homes.feature
@@ -11,3 +11,8 @@
   Scenario: What proves the end of a process
     Then one refused connection proves nothing, nor do two with an answer or a silence between
     And two refused connections in a row prove the end, another incarnation only a new name
+
+  Scenario: The loss of a failure domain takes one share of each workspace and few witnesses
+    Then in 200 generated views each share is at another member, in another domain where there are 3
+    And the loss of a whole domain takes one share at most, and leaves a majority of witnesses
+    And a member that joins or ends moves no share between domains that stay
--- a/features/limit_guards.feature
+++ b/features/limit_guards.feature
@@ -29,6 +29,16 @@
     And at 41.0 s daemon 0 sends what it can
     Then no window is over the limit, and the second daemon was admitted something
 
+  Scenario: Grants of a home that has certainly ended and its successor
+    Given a limit of 20 token/s and a burst of 30 with one home that has read the log
+    When another daemon takes a grant from each share and the first home is killed
+    And at 0.2 s the second daemon knows that the first has ended and begins if it may
+    And at 2.9 s daemon 1 sends what it can
+    And at 3.3 s the second daemon begins if it may
+    And at 4.0 s daemon 1 sends what it can
+    Then no window is over the limit, and the second daemon was admitted something
+    And the second daemon has begun with all shares before the time of a fence
+
   Scenario: Times and clocks
     Then a grant spent just before its end leaves nothing accrued up to that time
     And a home whose clock runs fast accrues no more than the rate in true time
--- a/features/limit_world.py
+++ b/features/limit_world.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from pimentohoist._decisions.grants import GrantPool, ShareHome, split_need
+from pimentohoist._decisions.share_places import share_home
 from pimentohoist._decisions.shares import (
     DRIFT,
     SHARES,
@@ -52,13 +53,16 @@
     name: str
     speed: float
     offset: float
-    book: TenureBook = field(default_factory=lambda: TenureBook(is_complete=True))
+    book: TenureBook = field(
+        default_factory=lambda: TenureBook(is_complete=True, home_of=share_home)
+    )
     keeper: ShareKeeper = field(default_factory=ShareKeeper)
     pool: GrantPool = field(default_factory=GrantPool)
     seen: int = 0
     read_at: float = float('-inf')
     fresh_since: float = float('inf')
     fenced_at: dict = field(default_factory=dict)
+    gone_at: dict = field(default_factory=dict)
     running: list = field(default_factory=list)
     is_frozen: bool = False
     is_gone: bool = False
@@ -108,6 +112,7 @@
             self.deliver_late,
             self.pull,
             self.drain,
+            self.probe,
         )
         for place in range(daemons):
             self.start(place)
@@ -244,7 +249,9 @@
 
     def around(self, daemon: SimulatedDaemon) -> Surroundings:
         now = self.now(daemon)
-        return Surroundings(now, daemon.fresh_since, daemon.fenced_at, {})
+        return Surroundings(
+            now, daemon.fresh_since, daemon.fenced_at, {}, daemon.gone_at
+        )
 
     def now(self, daemon: SimulatedDaemon) -> float:
         return daemon.now(self.time)
@@ -319,6 +326,15 @@
         if self.late:
             self.late.pop(size % len(self.late))()
 
+    def probe(self, place: int, size: int) -> None:
+        """Find out which members have ended; frozen ones answer nothing."""
+        daemon = self.daemons[place]
+        present = {other.name for other in self.daemons}
+        names = {name for view in self.views for name in view.incarnations}
+        if not daemon.is_frozen:
+            for name in sorted(names - present):
+                daemon.gone_at.setdefault(name, self.now(daemon))
+
     def close(self, daemon: SimulatedDaemon, name: ShareName, epoch: int) -> LastState:
         own = daemon.book.tenure(name.thing).of(daemon.name)
         if own is None:
--- a/features/steps/limit_guards.py
+++ b/features/steps/limit_guards.py
@@ -11,12 +11,13 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from limit_shares import find_overshoot  # noqa: E402
-from limit_world import LimitWorld  # noqa: E402
+from limit_world import LimitWorld, SimulatedDaemon  # noqa: E402
 
 from pimentohoist._decisions.grants import GrantPool, ShareHome  # noqa: E402
 from pimentohoist._decisions.shares import (  # noqa: E402
     DRIFT,
     GRANT_S,
+    SHARES,
     Grant,
     GrantOrder,
     ShareBucket,
@@ -24,6 +25,7 @@
     ShareState,
 )
 from pimentohoist._decisions.tenures import (  # noqa: E402
+    TAKEOVER_S,
     ShareKeeper,
     ShareName,
     Surroundings,
@@ -69,6 +71,43 @@
     world.see(0, 0)
 
 
+@when('another daemon takes a grant from each share and the first home is killed')
+def take_and_kill(context: Context) -> None:
+    world = context.world
+    taker = SimulatedDaemon('taker', 1, 0)
+    first = world.daemons[0]
+    taker.see(world.views, 0, 0)
+    for share in range(SHARES):
+        world.take(taker, share, GrantOrder(f'kept-{share}', 30), 0)
+    world.daemons = [first, taker]
+    world.change_view(lambda _: (taker.name,))
+    world.daemons[0] = SimulatedDaemon('nobody', 1, 0, is_frozen=True)
+
+
+@when(
+    'at {time:f} s the second daemon knows that the first has ended and begins if it may'
+)
+def probe_first(context: Context, time: float) -> None:
+    context.world.time = time
+    context.world.probe(1, 0)
+    begin_second(context, time)
+
+
+@when('at {time:f} s the second daemon begins if it may')
+def begin_second(context: Context, time: float) -> None:
+    world = context.world
+    world.time = time
+    world.see(1, 0)
+    second = world.daemons[1]
+    context.begun = [world.bucket(second, share) is not None for share in range(SHARES)]
+
+
+@then('the second daemon has begun with all shares before the time of a fence')
+def check_begun(context: Context) -> None:
+    assert all(context.begun), context.begun
+    assert context.world.time < TAKEOVER_S
+
+
 @then('no window is over the limit, and the second daemon was admitted something')
 def check_world(context: Context) -> None:
     world = context.world
--- a/features/steps/quarantine.py
+++ b/features/steps/quarantine.py
@@ -119,15 +119,23 @@
         )
         for index in range(count)
     }
-    wait_for(
-        lambda: (
-            sum(len(runs(context.fleet, name)) for name in context.engines) == count
-        ),
-        'all innocent streams run',
-    )
+    try:
+        wait_for(lambda: run_count(context) == count, 'all innocent streams run')
+    except AssertionError as error:
+        answers = {
+            prompt: str(future.result()) if future.done() else 'no answer yet'
+            for prompt, future in context.innocents.items()
+        }
+        raise AssertionError(
+            f'{error}: {run_count(context)} runs, {answers}'
+        ) from error
     time.sleep(0.2)
 
 
+def run_count(context: Context) -> int:
+    return sum(len(runs(context.fleet, name)) for name in context.engines)
+
+
 @when('the caller sends "{prompt}" through "{daemon}"')
 def send_poison(context: Context, prompt: str, daemon: str) -> None:
     context.reply = context.caller.complete(
--- a/src/pimentohoist/_controllers/limits.py
+++ b/src/pimentohoist/_controllers/limits.py
@@ -12,6 +12,7 @@
 from typing import Any, Self
 
 from pimentohoist._controllers.configuration import ConfigurationController
+from pimentohoist._controllers.end_proofs import EndProofs
 from pimentohoist._controllers.share_homes import ShareHomes
 from pimentohoist._controllers.share_messages import ShareAnswers
 from pimentohoist._controllers.share_takers import ShareTaker
@@ -73,11 +74,11 @@
         view: ViewController,
         configuration: ConfigurationController,
         peers: Peers,
-        fenced_at: Mapping[int, float],
+        proofs: EndProofs,
         clock: Clock = time.monotonic,
     ) -> None:
         self.clock = clock
-        self.homes = ShareHomes(view, configuration, fenced_at, clock)
+        self.homes = ShareHomes(view, configuration, proofs, clock)
         self.taker = ShareTaker(self.homes, peers)
         self.accounts: dict[str, _Account] = {}
         self.refusals = 0
--- a/src/pimentohoist/_controllers/share_homes.py
+++ b/src/pimentohoist/_controllers/share_homes.py
@@ -7,8 +7,10 @@
 from typing import Any
 
 from pimentohoist._controllers.configuration import ConfigurationController
+from pimentohoist._controllers.end_proofs import EndProofs
 from pimentohoist._controllers.tenure_reader import TenureReader
 from pimentohoist._controllers.view import ViewController
+from pimentohoist._decisions.share_places import share_home
 from pimentohoist._decisions.shares import (
     SHARES,
     Grant,
@@ -41,15 +43,15 @@
         self,
         view: ViewController,
         configuration: ConfigurationController,
-        fenced_at: Mapping[int, float],
+        proofs: EndProofs,
         clock: Clock,
     ) -> None:
         self.view = view
         self.configuration = configuration
         self.clock = clock
         self.keeper = ShareKeeper()
-        self.tenures = TenureReader(view)
-        self.fenced_at = fenced_at
+        self.tenures = TenureReader(view, share_home)
+        self.proofs = proofs
         self.absent_at: dict[str, float] = {}
         self.lock = threading.RLock()
         self._absent_until = float('-inf')
@@ -168,7 +170,11 @@
 
     def _around(self) -> Surroundings:
         return Surroundings(
-            self.clock(), self.view.fresh_since(), self.fenced_at, self.absent_at
+            self.clock(),
+            self.view.fresh_since(),
+            self.proofs.fenced_at,
+            self.absent_at,
+            self.proofs.gone_at,
         )
 
     def _limit(self, name: ShareName) -> ShareLimit | None:
--- a/src/pimentohoist/_controllers/share_takers.py
+++ b/src/pimentohoist/_controllers/share_takers.py
@@ -13,10 +13,11 @@
     write_uses,
 )
 from pimentohoist._decisions.grants import ShareHome
+from pimentohoist._decisions.share_places import share_home
 from pimentohoist._decisions.shares import Grant, GrantOrder, GrantUse
-from pimentohoist._decisions.tenures import ShareName
+from pimentohoist._decisions.tenures import ShareName, Tenure
 from pimentohoist._generated import peer_pb2
-from pimentohoist._view_fold import rank
+from pimentohoist._view_fold import View
 from pimentohoist.exceptions import PeerError, PeerRefusedError, UnavailableError
 from pimentohoist.models import Member
 from pimentohoist.protocols import Peers
@@ -110,6 +111,7 @@
             return
         if not self.view.is_fresh() or self.homes.has_begun(name):
             return
+        self._ask_for_ends(tenure)
         for former in islice(tenure.chain(), 1, None):
             if self._is_silent(former.home) or not self._pull(
                 name, tenure.epoch, former.home
@@ -129,8 +131,21 @@
             if last.state is not None and others:
                 message = write_state(name, last)
                 message.sender.CopyFrom(self._sender())
-                home = rank(name.thing, others)[0]
-                self._call(home.incarnation, 'HandOverShare', message)
+                home = share_home(name.thing, View(epoch, tuple(others)))
+                self._call(home, 'HandOverShare', message)
+
+    def _ask_for_ends(self, tenure: Tenure) -> None:
+        """Find out whether former homes that have left the view still act."""
+        formers = {former.home for former in islice(tenure.chain(), 1, None)}
+        known = {
+            member.incarnation: member
+            for view in self.view.recent_views()[0]
+            for member in view.members
+            if member.incarnation in formers
+        }
+        for member in self.view.members():
+            known.pop(member.incarnation, None)
+        self.homes.proofs.ask_for(known.values())
 
     def _pull(self, name: ShareName, epoch: int, former_home: str) -> bool:
         """Return whether the tenure before that one has to be asked."""
--- a/src/pimentohoist/_decisions/tenures.py
+++ b/src/pimentohoist/_decisions/tenures.py
@@ -4,10 +4,11 @@
 
 from collections import deque
 from collections.abc import Callable, Iterator, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from itertools import islice, pairwise
 from typing import Protocol
 
+from pimentohoist._decisions.share_places import share_thing
 from pimentohoist._decisions.shares import (
     DRIFT,
     GRANT_S,
@@ -85,6 +86,9 @@
         return next((part for part in self.chain() if part.home == home), None)
 
 
+_FORMER_SHARE = FormerWait(
+    after_fence_s=TAKEOVER_S, after_end_s=GRANT_S * (1 + 2 * DRIFT)
+)
 HomeRule = Callable[[str, View], str]
 """Returns the home of a thing in a view; empty if the view is empty."""
 
@@ -153,14 +157,16 @@
     Each former tenure is over once the view after it is fenced, or once its home is known
     to act no longer.
     """
-    ends = [
-        min(
-            proofs.fenced_at.get(successor.epoch, _NEVER) + wait.after_fence_s,
+    free_from, fenced_at = -_NEVER, _NEVER
+    for successor, former in pairwise(tenure.chain()):
+        # The fence of a view is one of all views before it.
+        fenced_at = min(fenced_at, proofs.fenced_at.get(successor.epoch, _NEVER))
+        over_at = min(
+            fenced_at + wait.after_fence_s,
             proofs.gone_at.get(former.home, _NEVER) + wait.after_end_s,
         )
-        for successor, former in pairwise(tenure.chain())
-    ]
-    return max(ends, default=-_NEVER)
+        free_from = max(free_from, over_at)
+    return free_from
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,7 +179,7 @@
     @property
     def thing(self) -> str:
         """Name by which the home is found."""
-        return f'limit/{self.workspace}/{self.share}'
+        return share_thing(self.workspace, self.share)
 
 
 @dataclass(frozen=True, slots=True)
@@ -187,12 +193,15 @@
     absent_at : mapping of str to float
         By workspace: last time at which the configuration didn't name it yet; minus
         infinity if it was there when this daemon started.
+    gone_at : mapping of str to float
+        By incarnation: time at which it was known that it no longer acts.
     """
 
     now: float
     fresh_since: float
     fenced_at: Mapping[int, float]
     absent_at: Mapping[str, float]
+    gone_at: Mapping[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -297,7 +306,7 @@
         handed = self.handed.pop((name, former.home), None)
         if handed is not None:
             return handed
-        begins_at = around.fenced_at.get(tenure.epoch, _NEVER) + TAKEOVER_S
+        begins_at = free_at(tenure, around, _FORMER_SHARE)
         if around.now < begins_at:
             return None
         is_new = around.absent_at.get(name.workspace, -_NEVER) >= begins_at
--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -56,7 +56,7 @@
         self.freshness = FreshnessController(self.view, self.peers)
         self.claims = ClaimsController(self.log, self.view)
         self.limits = LimitsController(
-            self.view, self.configuration, self.peers, self.freshness.fenced_at
+            self.view, self.configuration, self.peers, self.freshness.proofs
         )
         self.endpoints = EndpointsController(
             self.view,
