Limits that change while grants are open: the promise, its test, and a fault mended

Found by reading for it: tokens that came back from a grant after the burst was lowered filled the share above its new burst and could be granted again in the same call, for ever. limit_guards: A burst that was lowered, seen failing (30 of 3 tokens); the level is capped when a grant is closed.

--- a/features/limit_guards.feature
+++ b/features/limit_guards.feature
@@ -47,3 +47,6 @@
   Scenario: Ends of tenures
     Then a tenure that was closed does not begin again, nor give its state twice
     And a tenure that never began does not pass on the state of one before
+
+  Scenario: A burst that was lowered while grants are open
+    Then tokens given back to a share never fill it above its new burst, nor are they granted again
--- a/features/limit_world.py
+++ b/features/limit_world.py
@@ -46,6 +46,15 @@
     unused: int
 
 
+@dataclass(frozen=True)
+class LimitInForce:
+    """A limit of the configuration and the time at which it was accepted."""
+
+    time: float
+    rate: float
+    burst: int
+
+
 @dataclass
 class SimulatedDaemon:
     """One incarnation with the decisions' state and a clock of its own."""
@@ -59,6 +68,7 @@
     keeper: ShareKeeper = field(default_factory=ShareKeeper)
     pool: GrantPool = field(default_factory=GrantPool)
     seen: int = 0
+    limit_number: int = 0
     read_at: float = float('-inf')
     fresh_since: float = float('inf')
     fenced_at: dict = field(default_factory=dict)
@@ -88,8 +98,7 @@
     """All daemons of a history and what they admitted."""
 
     def __init__(self, rate: float, burst: int, daemons: int = 3) -> None:
-        self.rate = rate
-        self.burst = burst
+        self.limits = [LimitInForce(0, rate, burst)]
         self.time: float = 0
         self.is_log_up = True
         self.views: list[View] = []
@@ -120,6 +129,14 @@
             self.see(place % daemons, 0)
             self.pull(place % daemons, place // daemons)
 
+    @property
+    def rate(self) -> float:
+        return self.limits[-1].rate
+
+    @property
+    def burst(self) -> int:
+        return self.limits[-1].burst
+
     def run(self, history: Iterable[tuple[int, int, int]]) -> None:
         for operation, place, size in history:
             self.operations[operation](place, size)
@@ -131,6 +148,7 @@
         self.daemons = [*others[:place], daemon, *others[place + 1 :]]
         self.change_view(lambda names: (*names, daemon.name))
         daemon.see(self.views, self.now(daemon), self.now(daemon))
+        daemon.limit_number = len(self.limits) - 1
 
     def change_view(self, change: Callable) -> None:
         names = change(self.views[-1].incarnations if self.views else ())
@@ -164,6 +182,18 @@
         if self.is_log_up and not daemon.is_frozen:
             now = self.now(daemon)
             daemon.see(self.views, now, now)
+            daemon.limit_number = len(self.limits) - 1
+
+    def change_limit(self, place: int, size: int) -> None:
+        """Raise or lower rate and burst; each daemon learns it as it reads the log."""
+        if self.is_log_up:
+            burst = 3 + size
+            limit = LimitInForce(self.time, burst / (1 + place * 3), burst)
+            self.limits.append(limit)
+
+    def share_limit(self, daemon: SimulatedDaemon, share: int) -> ShareLimit:
+        limit = self.limits[daemon.limit_number]
+        return ShareLimit.of(limit.rate, limit.burst, share)
 
     def request(self, place: int, size: int) -> None:
         daemon = self.daemons[place]
@@ -244,7 +274,7 @@
         tenure = daemon.book.tenure(name.thing)
         if tenure.home != daemon.name or not daemon.is_fresh(self.time):
             return None
-        limit = ShareLimit.of(self.rate, self.burst, share)
+        limit = self.share_limit(daemon, share)
         return daemon.keeper.bucket(name, tenure, limit, self.around(daemon))
 
     def around(self, daemon: SimulatedDaemon) -> Surroundings:
@@ -339,7 +369,7 @@
         own = daemon.book.tenure(name.thing).of(daemon.name)
         if own is None:
             return LastState(None)
-        limit = ShareLimit.of(self.rate, self.burst, name.share)
+        limit = self.share_limit(daemon, name.share)
         daemon.keeper.bucket(name, own, limit, self.around(daemon))
         return daemon.keeper.close(name, own.epoch, epoch, self.around(daemon))
 
@@ -363,6 +393,6 @@
     def adopt(self, daemon, name: ShareName, tenure, last: LastState) -> None:
         is_lost = next(self.ids) % _LOST_REPLIES == 0
         if last.state is not None and not is_lost:
-            limit = ShareLimit.of(self.rate, self.burst, name.share)
+            limit = self.share_limit(daemon, name.share)
             pulled = PulledState(last.state, self.now(daemon))
             daemon.keeper.adopt(name, tenure, limit, pulled)
--- a/features/steps/limit_guards.py
+++ b/features/steps/limit_guards.py
@@ -20,6 +20,7 @@
     SHARES,
     Grant,
     GrantOrder,
+    GrantUse,
     ShareBucket,
     ShareLimit,
     ShareState,
@@ -166,3 +167,18 @@
     keeper.bucket(_NAME, Tenure('me', 1), _LIMIT, _AROUND)
     last = keeper.close(_NAME, 3, 4, _AROUND)
     assert (last.state, last.has_never_begun) == (None, True)
+
+
+@then(
+    'tokens given back to a share never fill it above its new burst, nor are they '
+    'granted again'
+)
+def check_lowered(context: Context) -> None:
+    bucket = ShareBucket(_LIMIT, ShareState(30), 0)
+    bucket.advance(0, _EARLY)
+    assert bucket.grant(GrantOrder('g', 30), 0).tokens == 30
+    bucket.advance(1, _EARLY)
+    bucket.resize(ShareLimit(1, 3))
+    bucket.note_uses((GrantUse('g', 0, is_closed=True),), 1)
+    assert bucket.total_tokens <= 3
+    assert bucket.grant(GrantOrder('h', 30), 1).tokens <= 3
--- a/features/steps/limit_shares.py
+++ b/features/steps/limit_shares.py
@@ -15,7 +15,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from limit_world import LimitWorld  # noqa: E402
+from limit_world import LimitInForce, LimitWorld  # noqa: E402
 
 from pimentohoist._decisions.peaks import PeakHistory  # noqa: E402
 from pimentohoist._decisions.shares import DRIFT  # noqa: E402
@@ -24,16 +24,21 @@
 _TOLERANCE = 1e-6
 _DAEMONS = 3
 _SIZES = 61
+_KNOWN_S = 5.1
 _FAULT_WEIGHTS = (0, 0, 0, 1)
 _USUAL_WEIGHTS = (5, 10, 30)
 _RARE = (5, 6, 7, 8, 9, 10, 11)
 
 
-def random_history(number: int) -> tuple[LimitWorld, list[tuple[int, int, int]]]:
+def random_history(
+    number: int, *, changes_limits: bool = False
+) -> tuple[LimitWorld, list[tuple[int, int, int]]]:
     """Return a world and its history; each has its own mix of operations."""
     rng = random.Random(number)
     burst = rng.randint(3, 60)
     world = LimitWorld(burst / rng.choice((0.5, 2, 8)), burst, _DAEMONS)
+    if changes_limits:
+        world.operations = (*world.operations, world.change_limit)
     weights = [
         rng.choice(_FAULT_WEIGHTS if operation in _RARE else _USUAL_WEIGHTS)
         for operation in range(len(world.operations))
@@ -68,6 +73,33 @@
     return worst
 
 
+def find_excess(world: LimitWorld) -> float:
+    """Return the most by which any window passes the largest limit that counts.
+
+    Limits count that were in force in the window or within `_KNOWN_S` before it: so long
+    a home may not know of a change, and a grant of before may be spent.
+    """
+    worst: float = 0
+    for first, (start, _) in enumerate(world.admitted):
+        received = 0
+        for time, tokens in world.admitted[first:]:
+            received += tokens
+            counting = limits_between(world, start - _KNOWN_S, time)
+            burst = max(limit.burst for limit in counting)
+            rate = max(limit.rate for limit in counting)
+            worst = max(worst, received - burst - rate * (time - start))
+    return worst
+
+
+def limits_between(world: LimitWorld, start: float, end: float) -> list[LimitInForce]:
+    ends = [limit.time for limit in world.limits[1:]] + [float('inf')]
+    return [
+        limit
+        for limit, replaced_at in zip(world.limits, ends, strict=True)
+        if limit.time <= end and replaced_at >= start
+    ]
+
+
 class GlobalBucket:
     """One bucket for the whole fleet."""
 
@@ -91,6 +123,15 @@
     assert overshoot <= _TOLERANCE, overshoot
 
 
+def check_changes(context: Context, number: int) -> None:
+    world, history = random_history(number, changes_limits=True)
+    world.run(history)
+    context.admissions += len(world.admitted)
+    context.changes += len(world.limits) - 1
+    excess = find_excess(world)
+    assert excess <= _TOLERANCE, excess
+
+
 def check_sound(
     context: Context, requests: list, rate: float, burst: int, spare: int
 ) -> None:
@@ -134,6 +175,18 @@
     assert context.admissions > 1000, context.admissions
 
 
+@then(
+    'in {count:d} generated histories with faults no window receives more than the '
+    'largest limit in force in it or {before_s:f} s before'
+)
+def run_changes(context: Context, count: int, before_s: float) -> None:
+    assert before_s == _KNOWN_S
+    context.admissions, context.changes = 0, 0
+    for_all(count, lambda number: check_changes(context, number), st.integers(0, 2**32))
+    assert context.admissions > 1000, context.admissions
+    assert context.changes > count, context.changes
+
+
 @then(
     'in {count:d} generated histories without faults every request is admitted that '
     'a global bucket covers with {spare:d} tokens to spare'
--- a/src/pimentohoist/_decisions/shares.py
+++ b/src/pimentohoist/_decisions/shares.py
@@ -232,6 +232,8 @@
         record.is_over = True
         self.open_tokens -= unspent
         self.level_tokens += unspent
+        # The burst may have been lowered since they were granted.
+        self._cap()
         self.peaks.push(self.total_tokens, now)
 
     def _end(self, record: _Record) -> None:
