--- a/features/steps/limit_guards.py
+++ b/features/steps/limit_guards.py
@@ -11,19 +11,22 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from limit_shares import find_overshoot  # noqa: E402
-from limit_world import LimitWorld  # noqa: E402
+from limit_world import LimitWorld, SimulatedDaemon  # noqa: E402
 
 from pimentohoist._decisions.grants import GrantPool, ShareHome  # noqa: E402
 from pimentohoist._decisions.shares import (  # noqa: E402
     DRIFT,
     GRANT_S,
+    SHARES,
     Grant,
     GrantOrder,
+    GrantUse,
     ShareBucket,
     ShareLimit,
     ShareState,
 )
 from pimentohoist._decisions.tenures import (  # noqa: E402
+    TAKEOVER_S,
     ShareKeeper,
     ShareName,
     Surroundings,
@@ -69,6 +72,43 @@
     world.see(0, 0)
 
 
+@when('another daemon takes a grant from each share and the first home is killed')
+def take_and_kill(context: Context) -> None:
+    world = context.world
+    taker = SimulatedDaemon('taker', 1, 0)
+    first = world.daemons[0]
+    taker.see(world.views, 0, 0)
+    for share in range(SHARES):
+        world.take(taker, share, GrantOrder(f'kept-{share}', 30), 0)
+    world.daemons = [first, taker]
+    world.change_view(lambda _: (taker.name,))
+    world.daemons[0] = SimulatedDaemon('nobody', 1, 0, is_frozen=True)
+
+
+@when(
+    'at {time:f} s the second daemon knows that the first has ended and begins if it may'
+)
+def probe_first(context: Context, time: float) -> None:
+    context.world.time = time
+    context.world.probe(1, 0)
+    begin_second(context, time)
+
+
+@when('at {time:f} s the second daemon begins if it may')
+def begin_second(context: Context, time: float) -> None:
+    world = context.world
+    world.time = time
+    world.see(1, 0)
+    second = world.daemons[1]
+    context.begun = [world.bucket(second, share) is not None for share in range(SHARES)]
+
+
+@then('the second daemon has begun with all shares before the time of a fence')
+def check_begun(context: Context) -> None:
+    assert all(context.begun), context.begun
+    assert context.world.time < TAKEOVER_S
+
+
 @then('no window is over the limit, and the second daemon was admitted something')
 def check_world(context: Context) -> None:
     world = context.world
@@ -127,3 +167,18 @@
     keeper.bucket(_NAME, Tenure('me', 1), _LIMIT, _AROUND)
     last = keeper.close(_NAME, 3, 4, _AROUND)
     assert (last.state, last.has_never_begun) == (None, True)
+
+
+@then(
+    'tokens given back to a share never fill it above its new burst, nor are they '
+    'granted again'
+)
+def check_lowered(context: Context) -> None:
+    bucket = ShareBucket(_LIMIT, ShareState(30), 0)
+    bucket.advance(0, _EARLY)
+    assert bucket.grant(GrantOrder('g', 30), 0).tokens == 30
+    bucket.advance(1, _EARLY)
+    bucket.resize(ShareLimit(1, 3))
+    bucket.note_uses((GrantUse('g', 0, is_closed=True),), 1)
+    assert bucket.total_tokens <= 3
+    assert bucket.grant(GrantOrder('h', 30), 1).tokens <= 3
