A repeat of an action that sends nothing to a service is given its charge back

Cause: the limit is charged before the claim is judged, and a service call's charge was never given back. Now it is, unless a byte of the call may have reached a service (Exchange.is_sent). Ruled out: claiming before the limit (a workspace over its limit would fill the claims stream).

--- /dev/null
+++ b/features/steps/replay_charge.py
@@ -0,0 +1,107 @@
+"""Steps on what a repeated action is charged."""
+
+from __future__ import annotations
+
+import time
+
+from behave import given, then, when
+from behave.runner import Context
+
+from pimentohoist._chain import build_handler
+from pimentohoist._claims_fold import ClaimRecord, StoredAnswer
+from pimentohoist._filters.claim import ClaimAction
+from pimentohoist._filters.limit import Limit
+from pimentohoist.configuration import Route, Workspace
+from pimentohoist.exceptions import (
+    ActionInProgressError,
+    ActionUnknownError,
+    PeerError,
+    PimentohoistError,
+)
+from pimentohoist.exchanges import Answer, CallerRequest, Exchange, RequestKind
+
+_JSON = 'application/json'
+_OUTCOMES = {
+    'has run before': StoredAnswer(200, _JSON, b'{}'),
+    'has run, answer dropped': StoredAnswer(200, _JSON, None),
+    'is in progress': ActionInProgressError('in progress', step='claims'),
+    'has an unknown outcome': ActionUnknownError('unknown', step='claims'),
+}
+
+
+class Account:
+    """Stands in for the limits: counts what is charged and given back."""
+
+    def __init__(self) -> None:
+        self.paid = 0
+
+    def charge(self, workspace: Workspace, tokens: int) -> tuple[int, ...]:
+        self.paid += tokens
+        return (tokens,)
+
+    def settle(self, workspace: str, charges: tuple[int, ...], unused: int) -> None:
+        self.paid -= unused
+
+
+class OneClaim:
+    """Stands in for the claims: knows what came of one action."""
+
+    def __init__(self, claimed: str) -> None:
+        self.outcome = _OUTCOMES.get(claimed)
+
+    def claim(self, action: object, deadline: float) -> ClaimRecord | StoredAnswer:
+        if isinstance(self.outcome, PimentohoistError):
+            raise self.outcome
+        return self.outcome or ClaimRecord(
+            action='a', claim_id='c', digest='d', incarnation='i', written_at=1
+        )
+
+    def answer(self, claim: ClaimRecord, answer: StoredAnswer) -> None:
+        """Keep nothing."""
+
+    def lose(self, claim: ClaimRecord) -> None:
+        """Keep nothing."""
+
+
+@given('a route of {cost:d} tokens whose action {claimed}')
+def start_action(context: Context, cost: int, claimed: str) -> None:
+    def call(exchange: Exchange) -> Answer:
+        exchange.is_sent = True
+        if claimed.endswith('lost'):
+            raise PeerError('no answer', step='service', peer='127.0.0.1:1')
+        return Answer(200, _JSON, [b'{}'])
+
+    context.account = Account()
+    filters = (Limit(context.account), ClaimAction(OneClaim(claimed)))
+    context.handler = build_handler(filters, call)
+    context.exchange = Exchange(
+        CallerRequest(
+            'r',
+            RequestKind.SERVICE,
+            'POST',
+            path='/',
+            authorization='',
+            body=b'{}',
+            content_type=_JSON,
+            deadline=time.monotonic() + 1,
+            idempotency_key='lot',
+        ),
+        workspace=Workspace('house', 1, 10),
+        route=Route('release', 'ledger', is_idempotent=False),
+        cost_tokens=cost,
+    )
+
+
+@when('it is called')
+def call_action(context: Context) -> None:
+    try:
+        answer = context.handler(context.exchange)
+    except PimentohoistError:
+        return
+    assert b''.join(answer.body) == b'{}'
+    answer.body.close()
+
+
+@then('the workspace has paid {tokens:d} tokens')
+def check_paid(context: Context, tokens: int) -> None:
+    assert context.account.paid == tokens, context.account.paid
--- a/src/pimentohoist/_filters/limit.py
+++ b/src/pimentohoist/_filters/limit.py
@@ -13,8 +13,8 @@
     """Implements `Filter`.
 
     The most that the request can cost is charged at its admission. What it didn't use is
-    given back once its answer has ended: all of it if it was not run, nothing if nobody
-    knows how far it ran.
+    given back once its answer has ended: all of it if it was not run, or was a repeat of
+    an action that ran for an earlier call, and nothing if nobody knows how far it ran.
     """
 
     def __init__(self, limits: LimitsController) -> None:
@@ -29,8 +29,8 @@
         try:
             answer = proceed(exchange)
         except PimentohoistError as error:
-            is_not_run = error.run_state is RunState.NOT_RUN
-            unused = exchange.cost_tokens if is_not_run else 0
+            is_free = error.run_state is RunState.NOT_RUN or _is_unsent_call(exchange)
+            unused = exchange.cost_tokens if is_free else 0
             self.limits.settle(workspace.name, charges, unused)
             raise
         except BaseException:
@@ -45,6 +45,11 @@
 
 def _unused_tokens(exchange: Exchange) -> int:
     if exchange.request.kind is RequestKind.SERVICE:
-        return 0
+        return exchange.cost_tokens if _is_unsent_call(exchange) else 0
     used = count_tokens(exchange.prompt) + exchange.used_tokens
     return max(0, exchange.cost_tokens - used)
+
+
+def _is_unsent_call(exchange: Exchange) -> bool:
+    """Return whether nothing of the call went to a service, as of a repeated action."""
+    return exchange.request.kind is RequestKind.SERVICE and not exchange.is_sent
