--- a/features/steps/replay_charge.py
+++ b/features/steps/replay_charge.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from types import MappingProxyType
 
 from behave import given, then, when
 from behave.runner import Context
@@ -21,12 +22,14 @@
 from pimentohoist.exchanges import Answer, CallerRequest, Exchange, RequestKind
 
 _JSON = 'application/json'
-_OUTCOMES = {
-    'has run before': StoredAnswer(200, _JSON, b'{}'),
-    'has run, answer dropped': StoredAnswer(200, _JSON, None),
-    'is in progress': ActionInProgressError('in progress', step='claims'),
-    'has an unknown outcome': ActionUnknownError('unknown', step='claims'),
-}
+_OUTCOMES = MappingProxyType(
+    {
+        'has run before': StoredAnswer(200, _JSON, b'{}'),
+        'has run, answer dropped': StoredAnswer(200, _JSON, None),
+        'is in progress': ActionInProgressError('in progress', step='claims'),
+        'has an unknown outcome': ActionUnknownError('unknown', step='claims'),
+    }
+)
 
 
 class Account:
