--- a/features/steps/claims_retention.py
+++ b/features/steps/claims_retention.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from types import MappingProxyType
 from typing import Any
@@ -46,10 +46,13 @@
     return context.fleet.ask(daemon, request, timeout_s=_WAIT_S)
 
 
-def is_ready(context: Context, daemon: str) -> bool:
-    state = context.fleet.state(daemon)
+def are_ready(context: Context, daemons: Iterable[str]) -> bool:
+    states = [context.fleet.state(daemon) for daemon in daemons]
     members = len(context.fleet.daemons)
-    return state['view']['is_fresh'] and len(state['view']['members']) == members
+    return all(
+        state['view']['is_fresh'] and len(state['view']['members']) == members
+        for state in states
+    )
 
 
 def claims_of(context: Context, daemon: str) -> dict[str, Any]:
@@ -106,7 +109,7 @@
 @when('a daemon starts that has read none of them')
 def start_newcomer(context: Context) -> None:
     context.fleet.start_daemon(_NEW_DAEMON, _SETTINGS)
-    await_true(lambda: is_ready(context, _NEW_DAEMON), 'the view of the newcomer')
+    await_true(lambda: are_ready(context, (_NEW_DAEMON,)), 'the view of the newcomer')
 
 
 @then('each action repeated through it gets its first answer')
