--- a/features/steps/claims_retention.py
+++ b/features/steps/claims_retention.py
@@ -69,9 +69,7 @@
     section, context.key = create_key('line-1', 'lipstick-house')
     report = fleet.publish(Configuration.of(*demo_sections(fleet), section))
     assert report.is_in_force, report.text()
-    await_true(
-        lambda: all(is_ready(context, name) for name in _OLD_DAEMONS), 'the view'
-    )
+    await_true(lambda: are_ready(context, _OLD_DAEMONS), 'the view')
     context.answers = {}
     for lot in range(count):
         reply = act(context, _OLD_DAEMONS[lot % 2], f'lot-{lot}')
