--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 	$(BIN)/pimentohoist-bench limits
 	$(BIN)/pimentohoist-bench claims
 	$(BIN)/pimentohoist-bench serving
+	$(BIN)/pimentohoist-bench knee
 	$(BIN)/pimentohoist-bench requests
 
 capacity: $(STAMP)
--- a/src/pimentohoist_standins/_serving_runs.py
+++ b/src/pimentohoist_standins/_serving_runs.py
@@ -2,10 +2,6 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
-from collections import OrderedDict
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
 
@@ -22,14 +18,15 @@
     OUTAGE_S,
     SERVICE_S,
     SHARES,
+    SLOW_SPEED,
     Arrival,
     Case,
     Fault,
     arrivals,
 )
+from pimentohoist_standins._virtual_time import Loop, Server
 
 _TICK_S = 0.1
-_DONE = 1e-9
 
 
 @dataclass(slots=True)
@@ -47,6 +44,13 @@
         """Return whether the answer was there in time."""
         return self.ended_at is not None and self.ended_at <= self.arrival.deadline
 
+    @property
+    def refused_after_s(self) -> float | None:
+        """Return how long it waited for its refusal; None if it was not refused."""
+        if self.refused_at is None:
+            return None
+        return self.refused_at - self.arrival.at
+
     @property
     def stall_s(self) -> float:
         """Return how long it waited for a load."""
@@ -54,82 +58,6 @@
         return min(end, self.arrival.deadline) - self.arrival.at
 
 
-class Loop:
-    """Events in virtual time."""
-
-    def __init__(self) -> None:
-        self.now = float(0)
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._numbers = itertools.count()
-
-    def at(self, when: float, event: Callable[[], None]) -> None:
-        """Run `event` at a time."""
-        heapq.heappush(self._events, (when, next(self._numbers), event))
-
-    def run(self, end: float) -> None:
-        """Run all events up to a time."""
-        while self._events and self._events[0][0] <= end:
-            self.now, _, event = heapq.heappop(self._events)
-            event()
-
-
-class Store:
-    """The weight store: at full speed up to its concurrency, shared beyond it."""
-
-    def __init__(self, loop: Loop, loads_per_s: float, loads_at_once: int) -> None:
-        self.loop = loop
-        self.loads_per_s = loads_per_s
-        self.loads_at_once = loads_at_once
-        self.speed = float(1)
-        self.most_in_flight = 0
-        self._left: dict[int, tuple[float, Callable[[], None]]] = {}
-        self._numbers = itertools.count()
-        self._moved_at = float(0)
-        self._version = 0
-
-    def load(self, done: Callable[[], None]) -> None:
-        """Transfer one adapter, then call `done`."""
-        self._move()
-        self._left[next(self._numbers)] = (1, done)
-        self.most_in_flight = max(self.most_in_flight, len(self._left))
-        self._plan()
-
-    def change_speed(self, speed: float) -> None:
-        """Change the speed of all loads."""
-        self._move()
-        self.speed = speed
-        self._plan()
-
-    def _per_load(self) -> float:
-        sharers = max(len(self._left), self.loads_at_once)
-        return self.speed * self.loads_per_s / sharers
-
-    def _move(self) -> None:
-        moved = (self.loop.now - self._moved_at) * self._per_load()
-        self._moved_at = self.loop.now
-        self._left = {
-            number: (left - moved, done) for number, (left, done) in self._left.items()
-        }
-
-    def _plan(self) -> None:
-        self._version += 1
-        version = self._version
-        if self._left:
-            least = min(left for left, _ in self._left.values())
-            wait_s = max(0, least) / self._per_load()
-            self.loop.at(self.loop.now + wait_s, lambda: self._finish(version))
-
-    def _finish(self, version: int) -> None:
-        if version != self._version:
-            return
-        self._move()
-        ended = [number for number, entry in self._left.items() if entry[0] <= _DONE]
-        calls = [self._left.pop(number)[1] for number in ended]
-        self._plan()
-        for done in calls:
-            done()
-
-
 @dataclass
 class Bench:
     """What both routers run on."""
@@ -139,7 +67,7 @@
 
     def __post_init__(self) -> None:
         deployment = self.case.deployment
-        self.store = Store(self.loop, deployment.loads_per_s, deployment.loads_at_once)
+        self.store = Server(self.loop, deployment.loads_per_s, deployment.loads_at_once)
         self.outcomes: dict[str, Outcome] = {}
 
     def start(self, router: Router) -> list[Outcome]:
@@ -160,7 +88,7 @@
             self.loop.at(FAULT_AT_S, lambda: router.crash(0))
             self.loop.at(FAULT_AT_S + OUTAGE_S, lambda: router.restart(0))
         if self.case.fault is Fault.SLOW_STORE:
-            self.loop.at(FAULT_AT_S, lambda: self.store.change_speed(0.5))
+            self.loop.at(FAULT_AT_S, lambda: self.store.change_speed(SLOW_SPEED))
             self.loop.at(FAULT_AT_S + FAULT_S, lambda: self.store.change_speed(1))
 
 
@@ -248,14 +176,14 @@
 
     def _order(self, arrival: Arrival) -> list[str]:
         if arrival.adapter not in self._ranked:
-            name = str(_adapter(arrival))
+            name = str(adapter_of(arrival))
             self._ranked[arrival.adapter] = rank_names(name, self.states)
-        copies = self.copies.copies(_adapter(arrival), self.loop.now)
+        copies = self.copies.copies(adapter_of(arrival), self.loop.now)
         in_flight = {name: len(state.pins) for name, state in self.states.items()}
         return order_endpoints(self._ranked[arrival.adapter], copies, in_flight)
 
     def _accepted(self, outcome: Outcome, name: str) -> None:
-        adapter = _adapter(outcome.arrival)
+        adapter = adapter_of(outcome.arrival)
         resident = self.states[name].residency.is_ready(adapter)
         outcome.stalled = outcome.stalled or not resident
         self._decide(name)
@@ -288,7 +216,7 @@
     def _begin(self, name: str, adapter: AdapterVersion) -> None:
         if self.states[name].begin_load(adapter, self.loop.now) is not None:
             run = self.runs[name]
-            self.bench.store.load(lambda: self._loaded(name, adapter, run))
+            self.bench.store.start(lambda: self._loaded(name, adapter, run))
 
     def _loaded(self, name: str, adapter: AdapterVersion, run: int) -> None:
         is_loaded = run == self.runs[name]
@@ -297,108 +225,8 @@
         self._load()
 
 
-@dataclass
-class NaiveEngine:
-    """An engine as the naive router uses it."""
-
-    resident: OrderedDict[AdapterVersion, None] = field(default_factory=OrderedDict)
-    loading: set[AdapterVersion] = field(default_factory=set)
-    waiting: list[Outcome] = field(default_factory=list)
-    running: list[Outcome] = field(default_factory=list)
-    run: int = 0
-    is_down: bool = False
-
-    @property
-    def connections(self) -> int:
-        """Return what a least-connections router counts."""
-        return len(self.waiting) + len(self.running)
-
-    def make_room(self, slots: int) -> bool:
-        """Evict the least recently used adapter if need be and if one is unused."""
-        if len(self.resident) + len(self.loading) < slots:
-            return True
-        used = {_adapter(outcome.arrival) for outcome in self.running}
-        for adapter in self.resident:
-            if adapter not in used:
-                self.resident.pop(adapter)
-                return True
-        return False
-
-
-class NaiveRouter(Router):
-    """Least connections, load on demand, evict least recently used, first come first."""
-
-    def __init__(self, bench: Bench) -> None:
-        super().__init__(bench)
-        self.engines = [NaiveEngine() for _ in range(self.deployment.engines)]
-
-    def arrive(self, outcome: Outcome) -> None:
-        """Send the request to the engine with the fewest connections."""
-        engine = min(
-            (engine for engine in self.engines if not engine.is_down),
-            key=lambda candidate: candidate.connections,
-        )
-        is_resident = _adapter(outcome.arrival) in engine.resident
-        outcome.stalled = outcome.stalled or not is_resident
-        engine.waiting.append(outcome)
-        self._serve(engine)
-
-    def tick(self) -> None:
-        """Give up what is past its deadline."""
-        for engine in self.engines:
-            for outcome in tuple(engine.waiting):
-                if outcome.arrival.deadline <= self.loop.now:
-                    engine.waiting.remove(outcome)
-                    outcome.refused_at = self.loop.now
-
-    def crash(self, engine: int) -> None:
-        """Lose an engine; its requests are sent again elsewhere."""
-        lost = self.engines[engine]
-        self.engines[engine] = NaiveEngine(run=lost.run + 1, is_down=True)
-        for outcome in (*lost.running, *lost.waiting):
-            outcome.started_at = None
-            self.arrive(outcome)
-
-    def restart(self, engine: int) -> None:
-        """Get it back, cold."""
-        self.engines[engine].is_down = False
-
-    def _serve(self, engine: NaiveEngine) -> None:
-        for outcome in tuple(engine.waiting):
-            adapter = _adapter(outcome.arrival)
-            if adapter in engine.resident:
-                engine.resident.move_to_end(adapter)
-                engine.waiting.remove(outcome)
-                self._run(engine, outcome)
-            elif adapter not in engine.loading:
-                if engine.make_room(self.deployment.slots):
-                    self._load(engine, adapter)
-
-    def _load(self, engine: NaiveEngine, adapter: AdapterVersion) -> None:
-        engine.loading.add(adapter)
-        self.bench.store.load(lambda: self._loaded(engine, adapter))
-
-    def _loaded(self, engine: NaiveEngine, adapter: AdapterVersion) -> None:
-        if any(engine is present for present in self.engines):
-            engine.loading.discard(adapter)
-            engine.resident[adapter] = None
-            self._serve(engine)
-
-    def _run(self, engine: NaiveEngine, outcome: Outcome) -> None:
-        outcome.started_at = self.loop.now
-        engine.running.append(outcome)
-        crowding = max(1, len(engine.running) / self.deployment.knee_requests)
-        end = self.loop.now + SERVICE_S * crowding
-        self.loop.at(end, lambda: self._end(engine, outcome))
-
-    def _end(self, engine: NaiveEngine, outcome: Outcome) -> None:
-        if any(engine is present for present in self.engines):
-            engine.running.remove(outcome)
-            outcome.ended_at = self.loop.now
-            self._serve(engine)
-
-
-def _adapter(arrival: Arrival) -> AdapterVersion:
+def adapter_of(arrival: Arrival) -> AdapterVersion:
+    """Return the adapter that a request asks for."""
     return AdapterVersion(f'adapter-{arrival.adapter}', 1)
 
 
@@ -406,7 +234,7 @@
     return Waiting(
         str(arrival.number),
         arrival.workspace,
-        _adapter(arrival),
+        adapter_of(arrival),
         arrival.cost,
         arrival.is_urgent,
         arrival.deadline,
--- a/src/pimentohoist_standins/_serving_workload.py
+++ b/src/pimentohoist_standins/_serving_workload.py
@@ -18,6 +18,9 @@
 OUTAGE_S = 10.0
 """Time for which a crashed engine is gone before it is back, cold."""
 
+SLOW_SPEED = 0.5
+"""Speed of the weight store while it is slow, as a share of its usual one."""
+
 GREEDY = 'workspace-3'
 GREEDY_FACTOR = 5
 SHARES = {  # noqa: WPS407
@@ -59,9 +62,9 @@
         weights = _weights()
         return sum(weights[: self.engines * self.slots]) / sum(weights)
 
-    def rate_bound(self) -> float:
+    def rate_bound(self, store_speed: float = 1) -> float:
         """Return the requests a second that the best fixed set carries, without joining."""
-        by_store = self.loads_per_s / (1 - self.hit_bound())
+        by_store = store_speed * self.loads_per_s / (1 - self.hit_bound())
         return min(by_store, self.engines * self.knee_requests / SERVICE_S)
 
 
@@ -124,10 +127,11 @@
 
 def _rate_factor(case: Case, workspace: str, at: float) -> float:
     is_greedy = case.fault is Fault.GREEDY and workspace == GREEDY
-    return GREEDY_FACTOR if is_greedy and _is_faulty(at) else 1
+    return GREEDY_FACTOR if is_greedy and is_faulty(at) else 1
 
 
-def _is_faulty(at: float) -> bool:
+def is_faulty(at: float) -> bool:
+    """Return whether a lasting fault is present at a time."""
     return FAULT_AT_S <= at < FAULT_AT_S + FAULT_S
 
 
--- a/src/pimentohoist_standins/bench.py
+++ b/src/pimentohoist_standins/bench.py
@@ -34,6 +34,10 @@
         """Measure placement, loads and queues beside a naive router."""
         bench_serving.bench(seed, deployment, slots)
 
+    def knee(self, seed: int = _SEED) -> None:
+        """Measure the knee found on engines whose knee is not the setting."""
+        bench_serving.bench_knee(seed)
+
     def requests(self) -> None:
         """Measure the request path beside the engine called directly."""
         bench_requests.main()
--- a/src/pimentohoist_standins/bench_serving.py
+++ b/src/pimentohoist_standins/bench_serving.py
@@ -8,26 +8,26 @@
 
 import statistics
 import sys
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
 
 import fire
 
-from pimentohoist_standins._serving_runs import (
-    Bench,
-    HomesRouter,
-    NaiveRouter,
-    Outcome,
-    Router,
-)
+from pimentohoist_standins._serving_knee import HEADINGS as KNEE_HEADINGS
+from pimentohoist_standins._serving_knee import knee_cases, knee_row
+from pimentohoist_standins._serving_naive import NaiveRouter
+from pimentohoist_standins._serving_runs import Bench, HomesRouter, Outcome, Router
 from pimentohoist_standins._serving_workload import (
+    FAULT_S,
     GREEDY,
     MEASURED_S,
     SHARES,
+    SLOW_SPEED,
     Case,
     Deployment,
     Fault,
+    is_faulty,
     percentile,
 )
 
@@ -55,6 +55,7 @@
     'worst served / median',
     'worst p99 / median',
     'refused within rate %',
+    'refused after s, p50',
 )
 
 
@@ -72,6 +73,8 @@
     worst_served: float
     worst_p99: float
     refused_share: float
+    refused_after_s: float
+    done_while_slow_per_s: float
 
     def cells(self) -> Iterator[str]:
         """Yield the cells of a row."""
@@ -79,8 +82,7 @@
         yield from (deployment.name, str(deployment.slots))
         yield f'{self.case.load * _PERCENT:.0f}'
         yield from (self.case.fault.value, self.router)
-        yield f'{deployment.rate_bound():.2f}'
-        yield f'{self.done_per_s:.2f}'
+        yield from self._rates()
         yield f'{self.efficiency:.3f}'
         yield f'{self.stall_share * _PERCENT:.1f}'
         yield f'{self.stall_p50_s:.2f}'
@@ -88,6 +90,16 @@
         yield f'{self.worst_served:.3f}'
         yield f'{self.worst_p99:.2f}'
         yield f'{self.refused_share * _PERCENT:.3f}'
+        yield f'{self.refused_after_s:.1f}' if self.refused_share else ''
+
+    def _rates(self) -> tuple[str, str]:
+        """Return bound and result, also those while the store was slow."""
+        bound = self.case.deployment.rate_bound
+        usual = (f'{bound():.2f}', f'{self.done_per_s:.2f}')
+        if self.case.fault is not Fault.SLOW_STORE:
+            return usual
+        slow_bound = f'{usual[0]}, slow {bound(SLOW_SPEED):.2f}'
+        return slow_bound, f'{usual[1]}, slow {self.done_while_slow_per_s:.2f}'
 
 
 def deployments(slots: int) -> tuple[Deployment, ...]:
@@ -159,6 +171,19 @@
         worst_served=worst_served,
         worst_p99=worst_p99,
         refused_share=1 - sum(entry.is_served for entry in within) / len(within),
+        refused_after_s=percentile(_refusal_waits(within), _MEDIAN),
+        done_while_slow_per_s=_done_while_faulty(outcomes) / FAULT_S,
+    )
+
+
+def _refusal_waits(outcomes: Iterable[Outcome]) -> list[float]:
+    waits = (outcome.refused_after_s for outcome in outcomes)
+    return [wait_s for wait_s in waits if wait_s is not None]
+
+
+def _done_while_faulty(outcomes: Iterable[Outcome]) -> int:
+    return sum(
+        outcome.is_served and is_faulty(outcome.ended_at or 0) for outcome in outcomes
     )
 
 
@@ -179,12 +204,12 @@
     )
 
 
-def table(results: Iterable[Result]) -> Iterator[str]:
+def table(headings: Sequence[str], rows: Iterable[Iterable[str]]) -> Iterator[str]:
     """Yield the lines of a Markdown table."""
-    yield f'| {" | ".join(_HEADINGS)} |'
-    yield f'|{"---|" * len(_HEADINGS)}'
-    for result in results:
-        yield f'| {" | ".join(result.cells())} |'
+    yield f'| {" | ".join(headings)} |'
+    yield f'|{"---|" * len(headings)}'
+    for row in rows:
+        yield f'| {" | ".join(row)} |'
 
 
 def bench(seed: int = _SEED, deployment: str = '', slots: int = 0) -> None:
@@ -197,13 +222,25 @@
     ]
     with ProcessPoolExecutor(_WORKERS) as pool:
         results = [result for pair in pool.map(measure, chosen) for result in pair]
-    for line in table(results):
+    _print(table(_HEADINGS, (result.cells() for result in results)))
+
+
+def bench_knee(seed: int = _SEED) -> None:
+    """Measure the knee found on engines whose knee is not the setting."""
+    with ProcessPoolExecutor(_WORKERS) as pool:
+        rows = list(pool.map(knee_row, knee_cases(seed)))
+    _print(table(KNEE_HEADINGS, rows))
+
+
+def _print(lines: Iterable[str]) -> None:
+    for line in lines:
         sys.stdout.write(f'{line}\n')
 
 
 def main() -> None:
-    """Run the benchmark."""
-    fire.Fire(bench, name='bench-serving')
+    """Run a benchmark."""
+    commands = {'serving': bench, 'knee': bench_knee}
+    fire.Fire(commands, name='bench-serving')
 
 
 if __name__ == '__main__':
