--- a/features/steps/serving_shares.py
+++ b/features/steps/serving_shares.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from collections.abc import Mapping
 from typing import Any
@@ -16,6 +17,7 @@
     FLOOD_S,
     MOST_FLOOD_LEAD_LOADS,
     MOST_LEAD_LOADS,
+    MUCH_LESS_FACTOR,
     LoadShares,
 )
 
@@ -36,7 +38,7 @@
     def note_load(self, workspace: str) -> None:
         self.events.append(workspace)
 
-    def leads(self) -> dict[str, float]:
+    def reached(self) -> dict[str, float]:
         reached = dict.fromkeys(WORKSPACES, float(0))
         latest = float(0)
         waiting: Mapping[str, int] = {}
@@ -48,12 +50,25 @@
                 reached[newcomer] = max(reached[newcomer], latest)
             waiting = event
             latest = max(latest, min((reached[name] for name in waiting), default=0))
-        least = min(reached[other] for other in waiting)
-        return {other: WEIGHTS[other] * (reached[other] - least) for other in waiting}
+            for name, weight in WEIGHTS.items():
+                reached[name] = min(reached[name], latest + MOST_LEAD_LOADS / weight)
+        return reached
+
+    def waiting(self) -> Mapping[str, int]:
+        return [event for event in self.events if not isinstance(event, str)][-1]
+
+    def leads(self) -> dict[str, float]:
+        reached, waiting = self.reached(), self.waiting()
+        leads: dict[str, float] = dict.fromkeys(waiting, 0)
+        for ahead, behind in itertools.permutations(waiting, 2):
+            needs = [waiting[name] / WEIGHTS[name] for name in (ahead, behind)]
+            if needs[1] * MUCH_LESS_FACTOR < needs[0]:
+                lead = WEIGHTS[ahead] * (reached[ahead] - reached[behind])
+                leads[ahead] = max(leads[ahead], lead)
+        return leads
 
     def within_bounds(self, loads_per_s: float) -> frozenset[str]:
-        moments = [event for event in self.events if not isinstance(event, str)]
-        waiting = moments[-1]
+        waiting = self.waiting()
         bounds = (MOST_LEAD_LOADS, MOST_FLOOD_LEAD_LOADS)
         return frozenset(
             workspace
--- a/src/pimentohoist/_decisions/load_shares.py
+++ b/src/pimentohoist/_decisions/load_shares.py
@@ -1,7 +1,9 @@
 """Workspaces' shares of the loads: start-time fair queueing with a bounded lead.
 
 Each workspace's virtual time grows by one load over its weight. Which load goes first is
-free as long as nobody is too far ahead of a workspace that waits as well.
+free as long as nobody is too far ahead of one that waits for much less. Among those that
+wait for about as much, for their weights, nobody is held back: when all wait for more than
+the store carries, all wait equally long.
 """
 
 from __future__ import annotations
@@ -17,6 +19,9 @@
 FLOOD_S = 10.0
 """A workspace that waits for more loads than the whole store carries in this time floods it."""
 
+MUCH_LESS_FACTOR = 3.0
+"""Who waits for less than another by this factor, for their weights, waits for much less."""
+
 
 class LoadShares:
     """Who is how far ahead of its share.
@@ -40,9 +45,10 @@
             self._virtual_times.setdefault(newcomer, self._now)
         self._backlogs = dict(backlogs)
         if backlogs:
-            self._now = max(self._now, self._least())
+            least = min(self._virtual_times[waiting] for waiting in backlogs)
+            self._now = max(self._now, least)
         self._virtual_times = {
-            workspace: virtual_time
+            workspace: min(virtual_time, self._now + self._longest(workspace))
             for workspace, virtual_time in self._virtual_times.items()
             if virtual_time > self._now or workspace in backlogs
         }
@@ -52,13 +58,8 @@
         self._virtual_times[workspace] += 1 / self.weight_of(workspace)
 
     def leads(self) -> dict[str, float]:
-        """Return by how many loads each waiting one is ahead of the furthest back."""
-        least = self._least() if self._backlogs else 0
-        return {
-            workspace: self.weight_of(workspace) * (virtual_time - least)
-            for workspace, virtual_time in self._virtual_times.items()
-            if workspace in self._backlogs
-        }
+        """Return by how many loads each waiting one is ahead of those with much less."""
+        return {workspace: self._lead(workspace) for workspace in self._backlogs}
 
     def within_bounds(self, loads_per_s: float) -> frozenset[str]:
         """Return the waiting workspaces that are not too far ahead."""
@@ -68,9 +69,30 @@
             if lead < self._most_lead(workspace, loads_per_s)
         )
 
+    def _lead(self, workspace: str) -> float:
+        reached = self._virtual_times[workspace]
+        bound = self._need(workspace) / MUCH_LESS_FACTOR
+        least = min(
+            (
+                self._virtual_times[other]
+                for other in self._backlogs
+                if self._need(other) < bound
+            ),
+            default=reached,
+        )
+        return self.weight_of(workspace) * max(0, reached - least)
+
+    def _longest(self, workspace: str) -> float:
+        """Return the lead that is remembered, in virtual time.
+
+        What a workspace got beyond it, while nobody waited for much less, isn't held
+        against it later.
+        """
+        return MOST_LEAD_LOADS / self.weight_of(workspace)
+
+    def _need(self, workspace: str) -> float:
+        return self._backlogs[workspace] / self.weight_of(workspace)
+
     def _most_lead(self, workspace: str, loads_per_s: float) -> float:
         is_flood = self._backlogs[workspace] > FLOOD_S * loads_per_s
         return MOST_FLOOD_LEAD_LOADS if is_flood else MOST_LEAD_LOADS
-
-    def _least(self) -> float:
-        return min(self._virtual_times[workspace] for workspace in self._backlogs)
