--- a/src/pimentohoist/_decisions/loads.py
+++ b/src/pimentohoist/_decisions/loads.py
@@ -21,7 +21,7 @@
 GRANT_LIFE_S = 15.0
 """Time after which a load of an endpoint that no longer reports counts as ended."""
 
-_URGENT_WEIGHT = 4.0
+_URGENT_WEIGHT = 36.0
 
 
 @dataclass(frozen=True, slots=True)
