Eviction forgets the past faster while popularity shifts

Cause: counts with a half-life of 900 s keep the adapters of before a shift for 10 minutes; the share of hits was 0.37 after 1 to 2 minutes and 0.48 after 2 to 5 (32 slots, no queue). The clock of the counts now runs 300 times faster while hits of late lie 3 standard deviations below the usual share.

--- a/features/serving_decisions.feature
+++ b/features/serving_decisions.feature
@@ -42,3 +42,9 @@
 
   Scenario: The knee is found in spite of noise, seed 508
     Then the knee of a noisy engine is found from any start within the bounds
+
+  Scenario: The clock of past requests is a naive version's, seed 509
+    Then the clock of past requests and a naive version agree over generated hits
+
+  Scenario: A shift of popularity is found, seed 510
+    Then a shift is found soon and steady popularity hardly ever counts as one
--- /dev/null
+++ b/features/steps/serving_popularity.py
@@ -0,0 +1,109 @@
+"""Steps that compare the clock of past requests with a naive version."""
+
+from __future__ import annotations
+
+import math
+import random
+
+from behave import then
+from behave.runner import Context
+from hypothesis import given as generated
+from hypothesis import strategies as st
+from serving_generated import fixed, seen_events
+
+from pimentohoist._decisions.popularity import (
+    LATE_REQUESTS,
+    MOST_DEVIATIONS,
+    SHIFTED_SPEED,
+    USUAL_REQUESTS,
+    PopularityClock,
+)
+
+_REQUESTS = 700
+_SHIFTS_AT = (100, 450)
+_PAUSES_S = (0, 0.1, 1)
+
+
+def naive_share(hits: list[bool], over: int) -> float:
+    """Return the share of hits, each weighing less by 1 / `over` for each later one."""
+    first, later = hits[:over], hits[over:]
+    share = sum(first) / len(first)
+    for hit in later:
+        share = share * (1 - 1 / over) + hit / over
+    return share
+
+
+def naive_speed(hits: list[bool]) -> float:
+    if len(hits) < USUAL_REQUESTS:
+        return 1
+    late, usual = (naive_share(hits, over) for over in (LATE_REQUESTS, USUAL_REQUESTS))
+    deviation = math.sqrt(usual * (1 - usual) / (2 * LATE_REQUESTS))
+    return SHIFTED_SPEED if late < usual - MOST_DEVIATIONS * deviation else 1
+
+
+class ClockPair:
+    """The clock and its naive version, told the same."""
+
+    def __init__(self) -> None:
+        self.clock = PopularityClock()
+        self.hits: list[bool] = []
+        self.now = float(0)
+        self.expected = float(0)
+
+    def note(self, pause_s: float, *, is_hit: bool) -> None:
+        self.now += pause_s
+        self.hits.append(is_hit)
+        self.clock.note(self.now, is_hit=is_hit)
+        speed = naive_speed(self.hits)
+        seen_events['shifted'] += speed > 1
+        self.expected += speed * pause_s
+        assert math.isclose(self.clock.at(self.now + 1), self.expected + 1)
+
+
+@fixed(509, 40)
+@generated(
+    share=st.floats(0.2, 0.9),
+    later_share=st.floats(0, 0.9),
+    shift_at=st.sampled_from(_SHIFTS_AT),
+    number=st.integers(0, 10**6),
+)
+def clocks_agree(share: float, later_share: float, shift_at: int, number: int) -> None:
+    chance = random.Random(number)
+    pair = ClockPair()
+    for request in range(_REQUESTS):
+        current = later_share if request >= shift_at else share
+        is_hit = chance.random() < current
+        pair.note(chance.choice(_PAUSES_S), is_hit=is_hit)
+
+
+@then('the clock of past requests and a naive version agree over generated hits')
+def compare_clocks(context: Context) -> None:
+    clocks_agree()
+    assert seen_events['shifted'] > 200, seen_events
+
+
+def speeds(shares: tuple[float, ...], number: int) -> list[bool]:
+    """Return whether popularity was found to shift after each request, one a second."""
+    chance = random.Random(number)
+    clock = PopularityClock()
+    found: list[bool] = []
+    for request, share in enumerate(shares):
+        clock.note(request, is_hit=chance.random() < share)
+        found.append(clock.is_shifting())
+    return found
+
+
+@fixed(510, 30)
+@generated(share=st.floats(0.4, 0.7), number=st.integers(0, 10**6))
+def shifts_are_found(share: float, number: int) -> None:
+    steady = (share,) * 1000
+    shifted = (share / 4,) * (2 * LATE_REQUESTS)
+    found = speeds(steady + shifted, number)
+    # Chance alone may do it now and then.
+    assert sum(found[: len(steady)]) <= len(steady) / 20
+    assert any(found[len(steady) :])
+
+
+@then('a shift is found soon and steady popularity hardly ever counts as one')
+def check_shifts(context: Context) -> None:
+    shifts_are_found()
--- a/src/pimentohoist/_decisions/endpoint.py
+++ b/src/pimentohoist/_decisions/endpoint.py
@@ -101,7 +101,8 @@
         if entry.request_id in self.queue.entries or entry.request_id in self.pins:
             return None
         if entry.adapter is not None:
-            self.residency.frequency.note(entry.adapter, now)
+            is_resident = entry.adapter in self.residency.resident
+            self.residency.frequency.note(entry.adapter, now, is_resident=is_resident)
         if self.is_down:
             return Refusal.of(entry, Reason.DOWN, _DOWN_RETRY_S)
         refusal = self.admission.objection(
--- a/src/pimentohoist/_decisions/placement.py
+++ b/src/pimentohoist/_decisions/placement.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from pimentohoist._decisions.popularity import PopularityClock
 from pimentohoist.models import AdapterVersion
 
 HALF_LIFE_S = 900.0
@@ -17,22 +18,31 @@
 
 
 class DecayedFrequency:
-    """Requests by adapter, each weighing half after every `HALF_LIFE_S`."""
+    """Requests by adapter, each weighing half after every `HALF_LIFE_S`.
+
+    While popularity shifts, the past is forgotten faster.
+    """
 
     def __init__(self) -> None:
+        self._clock = PopularityClock()
         self._counts: dict[AdapterVersion, tuple[float, float]] = {}
         self._prune_at = _LEAST_PRUNED
 
-    def note(self, adapter: AdapterVersion, now: float) -> None:
-        """Count one request."""
-        self._counts[adapter] = (self.of(adapter, now) + 1, now)
+    def note(
+        self, adapter: AdapterVersion, now: float, *, is_resident: bool = True
+    ) -> None:
+        """Count one request for an adapter that is resident or not."""
+        self._clock.note(now, is_hit=is_resident)
+        noted_at = self._clock.at(now)
+        self._counts[adapter] = (self.of(adapter, now) + 1, noted_at)
         if len(self._counts) > self._prune_at:
             self._prune(now)
 
     def of(self, adapter: AdapterVersion, now: float) -> float:
         """Return the frequency of an adapter."""
-        count, noted_at = self._counts.get(adapter, (float(0), now))
-        return float(count * 0.5 ** ((now - noted_at) / HALF_LIFE_S))
+        time = self._clock.at(now)
+        count, noted_at = self._counts.get(adapter, (float(0), time))
+        return float(count * 0.5 ** ((time - noted_at) / HALF_LIFE_S))
 
     def _prune(self, now: float) -> None:
         self._counts = {
