--- a/features/serving_homes.feature
+++ b/features/serving_homes.feature
@@ -54,3 +54,10 @@
     Given a serving fleet of 1 daemons with 1 engine of 3 slots and 1 adapter
     And every place was held for 3 s, is held again, and 14 more wait
     Then a completion with 1 s left is refused as not run within half a second
+
+  Scenario: A whole failure domain is lost at once
+    Given a serving fleet of 6 daemons with 2 engines of 3 slots and 12 adapters
+    When both daemons of the failure domain that has the home of "engine-1" are killed at once
+    And 8 callers send 80 completions of 20 tokens on all adapters through the other daemons
+    Then every answer is whole or said to be not run, and at most 5 of 100 are not run
+    And no engine has evicted an adapter in use
--- a/features/steps/failure_domains.py
+++ b/features/steps/failure_domains.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import random
+import signal
 import sys
 from collections import Counter
 from pathlib import Path
 
-from behave import then
+from behave import then, when
 from behave.runner import Context
 from hypothesis import strategies as st
 
@@ -21,7 +22,7 @@
     choose_witnesses,
     is_majority,
 )
-from pimentohoist._view_fold import View  # noqa: E402
+from pimentohoist._view_fold import View, rank_names  # noqa: E402
 from pimentohoist.models import Member  # noqa: E402
 
 _LEAST_MEMBERS = 2
@@ -115,3 +116,22 @@
 @then('a member that joins or ends moves no share between domains that stay')
 def run_still(context: Context) -> None:
     for_all(context.views, check_still, st.integers(0, 2**32))
+
+
+@when(
+    'both daemons of the failure domain that has the home of "{engine}" are killed at '
+    'once'
+)
+def kill_domain(context: Context, engine: str) -> None:
+    members = context.fleet.state(context.daemons[0])['view']['members']
+    by_name = {member['incarnation']: member for member in members}
+    home = by_name[rank_names(f'review/{engine}', by_name)[0]]
+    lost = [
+        name.rpartition('-')[0]
+        for name, member in by_name.items()
+        if member['failure_domain'] == home['failure_domain']
+    ]
+    assert len(lost) == 2, by_name
+    for victim in lost:
+        context.fleet.processes[victim].signal(signal.SIGKILL)
+    context.others = sorted(set(context.daemons) - set(lost))
