--- a/features/steps/limit_guards.py
+++ b/features/steps/limit_guards.py
@@ -11,7 +11,8 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from limit_shares import find_overshoot  # noqa: E402
-from limit_world import LimitWorld, SimulatedDaemon  # noqa: E402
+from limit_daemons import SimulatedDaemon  # noqa: E402
+from limit_world import LimitWorld  # noqa: E402
 
 from pimentohoist._decisions.grants import GrantPool, ShareHome  # noqa: E402
 from pimentohoist._decisions.shares import (  # noqa: E402
--- a/features/steps/limit_shares.py
+++ b/features/steps/limit_shares.py
@@ -15,7 +15,8 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from limit_world import LimitInForce, LimitWorld  # noqa: E402
+from limit_daemons import LimitInForce  # noqa: E402
+from limit_world import LimitWorld  # noqa: E402
 
 from pimentohoist._decisions.peaks import PeakHistory  # noqa: E402
 from pimentohoist._decisions.shares import DRIFT  # noqa: E402
