Capacity command measures the roles that had no figure

Endpoint home, share home, claims, heartbeat and witness messages, polls with HTTP headers, restore and lock of the configuration, and adapters of which no two share their text; three sizes each.

--- /dev/null
+++ b/src/pimentohoist_standins/_capacity_configuration.py
@@ -0,0 +1,87 @@
+"""The configuration reader's state at a size, for ``capacity``."""
+
+from __future__ import annotations
+
+import time
+
+from pimentohoist._configuration_fold import Change, ConfigurationFold, Publish
+from pimentohoist.configuration import (
+    Adapter,
+    EndpointGroup,
+    GroupKind,
+    Section,
+    Workspace,
+    section_id,
+    section_text,
+)
+from pimentohoist.models import LogRecord
+
+_SECTIONS_A_PUBLISH = 500
+_MILLISECONDS_PER_S = 1000
+
+
+def _publish(offset: int, *sections: Section) -> LogRecord:
+    changes = tuple(
+        Change(section=section_id(section), text=section_text(section))
+        for section in sections
+    )
+    publish = Publish(
+        publish_id=f'publish-{offset}', base_offset=offset, changes=changes
+    )
+    return LogRecord(offset, publish.model_dump_json().encode())
+
+
+def _adapter(index: int, *versions: int) -> Adapter:
+    return Adapter(
+        f'adapter-{index}',
+        'review',
+        versions or (1,),
+        default_version=1,
+        workspaces=('house',),
+    )
+
+
+def build_configuration(size: int) -> ConfigurationFold:
+    """Return a fold that holds so many adapters."""
+    fold = ConfigurationFold()
+    fold.apply(
+        _publish(
+            0,
+            Workspace('house', rate_tokens_per_s=1, burst_tokens=1),
+            EndpointGroup('review', GroupKind.ENGINE),
+        )
+    )
+    for offset, start in enumerate(range(0, size, _SECTIONS_A_PUBLISH), start=1):
+        adapters = range(start, min(size, start + _SECTIONS_A_PUBLISH))
+        fold.apply(_publish(offset, *(_adapter(index) for index in adapters)))
+    return fold
+
+
+def change_adapter(fold: ConfigurationFold, number: int) -> None:
+    """Publish a new version of one adapter, as an operator would."""
+    fold.apply(_publish(fold.next_offset, _adapter(number, 1, 2)))
+
+
+def build_different(size: int) -> ConfigurationFold:
+    """Return a fold that holds so many adapters, no two of which share their text."""
+    fold = build_configuration(0)
+    for start in range(0, size, _SECTIONS_A_PUBLISH):
+        adapters = range(start, min(size, start + _SECTIONS_A_PUBLISH))
+        fold.apply(
+            _publish(
+                fold.next_offset, *(_adapter(index, 1, index + 2) for index in adapters)
+            )
+        )
+    return fold
+
+
+def measure_restore(size: int) -> str:
+    """Return the row of a snapshot's restore and of the copy made under the lock."""
+    fold = build_configuration(size)
+    body = fold.snapshot()
+    started_at = time.process_time()
+    ConfigurationFold().restore(body)
+    restored_at = time.process_time()
+    fold.copy()
+    copied_ms = (time.process_time() - restored_at) * _MILLISECONDS_PER_S
+    return f'| {size:,} | {restored_at - started_at:.3f} | {copied_ms:.1f} |'
--- a/src/pimentohoist_standins/capacity.py
+++ b/src/pimentohoist_standins/capacity.py
@@ -8,42 +8,47 @@
 from __future__ import annotations
 
 import gc
-import json
 import sys
 import time
 import tracemalloc
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass
 from statistics import linear_regression
 from typing import Any
 
 import fire
 
-from pimentohoist._configuration_fold import Change, ConfigurationFold, Publish
-from pimentohoist._http_client import HttpRequest
-from pimentohoist._platform.log import HttpLog
 from pimentohoist._view_fold import Join, ViewFold, rank
-from pimentohoist.configuration import (
-    Adapter,
-    EndpointGroup,
-    GroupKind,
-    Section,
-    Workspace,
-    section_id,
-    section_text,
-)
 from pimentohoist.models import LogRecord
-from pimentohoist_standins.fleet import Fleet
+from pimentohoist_standins._capacity_configuration import (
+    build_configuration,
+    build_different,
+    change_adapter,
+    measure_restore,
+)
+from pimentohoist_standins._capacity_polls import measure_polls
+from pimentohoist_standins._capacity_roles import (
+    apply_claim,
+    build_claims,
+    build_endpoints,
+    build_shares,
+    grant_tokens,
+    message_rows,
+    run_request,
+)
 
 _ADAPTER_SIZES = (1000, 10_000, 50_000)
 _MEMBER_SIZES = (8, 64, 370)
+_ENGINE_SIZES = (1, 4, 16)
+_TARGET_ENGINES = 4.3
+_WORKSPACE_SIZES = (5, 50, 500)
+_CLAIM_SIZES = (1000, 4000, 16_000)
+_TARGET_CLAIMS = 100_000
 _TARGET_ADAPTERS = 50_000
 _TARGET_MEMBERS = 370
 _REPEATS = 200
-_SECTIONS_A_PUBLISH = 500
 _BYTES_PER_MB = 1_000_000
 _MICROSECONDS_PER_S = 1_000_000
-_POLLS = 200
 _HOSTS = 250
 
 
@@ -83,7 +88,7 @@
     step: str
     unit: str
     sizes: tuple[int, ...]
-    target: int
+    target: float
     build: Callable[[int], Any]
     advance: Callable[[Any, int], None]
 
@@ -125,48 +130,6 @@
     return lambda size: slope * size + intercept
 
 
-def _publish(offset: int, *sections: Section) -> LogRecord:
-    changes = tuple(
-        Change(section=section_id(section), text=section_text(section))
-        for section in sections
-    )
-    publish = Publish(
-        publish_id=f'publish-{offset}', base_offset=offset, changes=changes
-    )
-    return LogRecord(offset, publish.model_dump_json().encode())
-
-
-def _adapter(index: int, *versions: int) -> Adapter:
-    return Adapter(
-        f'adapter-{index}',
-        'review',
-        versions or (1,),
-        default_version=1,
-        workspaces=('house',),
-    )
-
-
-def build_configuration(size: int) -> ConfigurationFold:
-    """Return a fold that holds so many adapters."""
-    fold = ConfigurationFold()
-    fold.apply(
-        _publish(
-            0,
-            Workspace('house', rate_tokens_per_s=1, burst_tokens=1),
-            EndpointGroup('review', GroupKind.ENGINE),
-        )
-    )
-    for offset, start in enumerate(range(0, size, _SECTIONS_A_PUBLISH), start=1):
-        adapters = range(start, min(size, start + _SECTIONS_A_PUBLISH))
-        fold.apply(_publish(offset, *(_adapter(index) for index in adapters)))
-    return fold
-
-
-def change_adapter(fold: ConfigurationFold, number: int) -> None:
-    """Publish a new version of one adapter, as an operator would."""
-    fold.apply(_publish(fold.next_offset, _adapter(number, 1, 2)))
-
-
 def build_view(size: int) -> ViewFold:
     """Return a fold that holds so many members."""
     fold = ViewFold()
@@ -197,6 +160,42 @@
 
 
 PROBES = (
+    Probe(
+        'configuration reader, no text shared',
+        'publish of one section',
+        'adapters',
+        _ADAPTER_SIZES,
+        _TARGET_ADAPTERS,
+        build_different,
+        change_adapter,
+    ),
+    Probe(
+        'endpoint home, 15 of 16 places taken',
+        'request queued, started, ended',
+        'engines',
+        _ENGINE_SIZES,
+        _TARGET_ENGINES,
+        build_endpoints,
+        run_request,
+    ),
+    Probe(
+        'share home, 3 shares each',
+        'grant and its use',
+        'workspaces',
+        _WORKSPACE_SIZES,
+        _WORKSPACE_SIZES[-1],
+        build_shares,
+        grant_tokens,
+    ),
+    Probe(
+        'claims',
+        'claim and outcome',
+        'claims',
+        _CLAIM_SIZES,
+        _TARGET_CLAIMS,
+        build_claims,
+        apply_claim,
+    ),
     Probe(
         'configuration reader',
         'publish of one section',
@@ -227,35 +226,29 @@
 )
 
 
-def measure_long_poll() -> str:
-    """Return processor time and bytes of one empty long poll of the log."""
-    with Fleet() as fleet:
-        log = HttpLog(fleet.addresses['log'], timeout_s=2)
-        started_at = time.process_time()
-        for _ in range(_POLLS):
-            log.read('idle', 0, wait_s=0)
-        poll_s = (time.process_time() - started_at) / _POLLS
-        request = HttpRequest.of_json('GET', '/streams/idle?offset=0&wait_s=0')
-        reply = fleet.ask('log', request)
-    sent = len(request.path) + sum(len(name) for name in request.headers)
-    received = len(reply.body) + len(json.dumps(dict(reply.headers)))
-    return (
-        f'| reader of one idle stream | {poll_s * _MICROSECONDS_PER_S:.0f} µs '
-        f'| about {sent + received} bytes |'
-    )
-
-
 def run() -> None:
     """Measure every probe and print the tables."""
-    sys.stdout.write(
-        '| role | size | memory MB | step | processor time µs |\n'
-        '|---|---|---|---|---|\n'
-    )
+    _table('| role | size | memory MB | step | processor time µs |')
     for probe in PROBES:
-        for row in probe.rows():
-            sys.stdout.write(f'{row}\n')
-    sys.stdout.write('\n| role | one long poll | on the wire |\n|---|---|---|\n')
-    sys.stdout.write(f'{measure_long_poll()}\n')
+        _write(probe.rows())
+    _table('| adapters | restore, s of a core | lock held, ms of a core |')
+    for size in _ADAPTER_SIZES:
+        _write((measure_restore(size),))
+    _table('| call | view | bytes of messages | calls/s | bytes/s |')
+    for members in _MEMBER_SIZES:
+        _write(message_rows(members))
+    _table('| records in a poll | bytes asked | bytes answered | processor time µs |')
+    _write(measure_polls())
+
+
+def _write(rows: Iterable[str]) -> None:
+    for row in rows:
+        sys.stdout.write(f'{row}\n')
+
+
+def _table(heading: str) -> None:
+    rule = '|---' * (heading.count('|') - 1)
+    sys.stdout.write(f'\n{heading}\n{rule}|\n')
 
 
 def main() -> None:
