--- a/src/pimentohoist/_decisions/loads.py
+++ b/src/pimentohoist/_decisions/loads.py
@@ -21,7 +21,10 @@
 GRANT_LIFE_S = 15.0
 """Time after which a load of an endpoint that no longer reports counts as ended."""
 
-_URGENT_WEIGHT = 36.0
+_URGENT_WEIGHT = 4.0
+_LATE_URGENT_WEIGHT = 36.0
+_LATE_S = 4.0
+"""Age from which on urgent requests, which have little time, weigh more."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,8 +54,9 @@
         The root keeps adapters with one request from waiting until their deadline behind
         popular ones.
         """
-        weight = self.waiting_requests + (_URGENT_WEIGHT - 1) * self.urgent_requests
         mean_age_s = self.waited_s / max(1, self.waiting_requests)
+        urgent_weight = _LATE_URGENT_WEIGHT if mean_age_s >= _LATE_S else _URGENT_WEIGHT
+        weight = self.waiting_requests + (urgent_weight - 1) * self.urgent_requests
         return math.sqrt(weight) * (1 + mean_age_s)
 
 
