Crashed engine: a loaded adapter is no suspect, and a cold restart no shift

And misses while a restarted engine's slots fill counted as a shift of popularity. Each with a scenario, first seen failing with the guard left out.

--- a/features/serving_decisions.feature
+++ b/features/serving_decisions.feature
@@ -48,3 +48,11 @@
 
   Scenario: A shift of popularity is found, seed 510
     Then a shift is found soon and steady popularity hardly ever counts as one
+
+  Scenario: An adapter loaded again after a crash is used at once
+    Given an engine that crashed while a request ran and has loaded the adapter again
+    Then the next request for it runs at once, before the engine reports
+
+  Scenario: A cold restart is no shift of popularity
+    Given an engine whose slots are empty after a cold restart
+    Then misses while it fills them do not count as a shift of popularity
--- a/features/steps/serving_home_state.py
+++ b/features/steps/serving_home_state.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from behave import then
+from behave import given, then
 from behave.runner import Context
 from hypothesis import given as generated
 from hypothesis import strategies as st
@@ -20,6 +20,7 @@
     DecayedFrequency,
     choose_victim,
 )
+from pimentohoist._decisions.popularity import LATE_REQUESTS, USUAL_REQUESTS
 from pimentohoist._decisions.queue import Waiting
 from pimentohoist.models import AdapterVersion
 
@@ -225,3 +226,48 @@
     table.note_busy(adapter, 2, 1)
     seen += [table.copies(adapter, now) for now in (1, 5.5, 6.5, 11.5, 30)]
     assert seen == [1, 3, 3, 2, 1, 1], seen
+
+
+def waiting_for(adapter: AdapterVersion, number: int, now: float) -> Waiting:
+    return Waiting(f'r{number}', 'lipstick', adapter, 1, False, now + 60, now)
+
+
+@given('an engine that crashed while a request ran and has loaded the adapter again')
+def crash_and_load(context: Context) -> None:
+    adapter, context.state = ADAPTERS[0], EndpointState(1, 2)
+    context.state.believe([adapter], 0)
+    context.state.offer(waiting_for(adapter, 0, 1), 1)
+    assert context.state.dispatch(1)
+    context.state.mark_down()
+    context.state.release('r0', 1, has_failed=True)
+    context.state.believe([], 2)
+    context.state.offer(waiting_for(adapter, 1, 3), 3)
+    assert context.state.begin_load(adapter, 3)
+    context.state.end_load(adapter, is_loaded=True, now=4)
+
+
+@then('the next request for it runs at once, before the engine reports')
+def check_runs(context: Context) -> None:
+    assert [entry.request_id for entry in context.state.dispatch(4)] == ['r1']
+
+
+@given('an engine whose slots are empty after a cold restart')
+def restart_cold(context: Context) -> None:
+    context.state = EndpointState(2, 2)
+    context.state.believe(ADAPTERS[:2], 0)
+    for number in range(2 * USUAL_REQUESTS):
+        context.state.residency.note_request(ADAPTERS[0], number)
+    context.state.mark_down()
+    context.state.believe([], 2 * USUAL_REQUESTS)
+
+
+@then('misses while it fills them do not count as a shift of popularity')
+def check_no_shift(context: Context) -> None:
+    residency = context.state.residency
+    start_s = 2 * USUAL_REQUESTS
+    before = residency.frequency.of(ADAPTERS[0], start_s)
+    for number in range(LATE_REQUESTS):
+        residency.note_request(ADAPTERS[1], start_s + number)
+    after = residency.frequency.of(ADAPTERS[0], start_s + LATE_REQUESTS)
+    decayed = before * 0.5 ** (LATE_REQUESTS / HALF_LIFE_S)
+    assert math.isclose(after, decayed), (after, decayed)
--- a/src/pimentohoist/_decisions/endpoint.py
+++ b/src/pimentohoist/_decisions/endpoint.py
@@ -101,8 +101,7 @@
         if entry.request_id in self.queue.entries or entry.request_id in self.pins:
             return None
         if entry.adapter is not None:
-            is_resident = entry.adapter in self.residency.resident
-            self.residency.frequency.note(entry.adapter, now, is_resident=is_resident)
+            self.residency.note_request(entry.adapter, now)
         if self.is_down:
             return Refusal.of(entry, Reason.DOWN, _DOWN_RETRY_S)
         refusal = self.admission.objection(
--- a/src/pimentohoist/_decisions/residency.py
+++ b/src/pimentohoist/_decisions/residency.py
@@ -59,6 +59,11 @@
         """Return whether the adapter is resident or being loaded."""
         return adapter in self.resident or adapter in self.loading
 
+    def note_request(self, adapter: AdapterVersion, now: float) -> None:
+        """Count a request; a miss while slots are free, as after a restart, tells nothing."""
+        is_resident = adapter in self.resident or self.free_slots() > 0
+        self.frequency.note(adapter, now, is_resident=is_resident)
+
     def free_slots(self) -> int:
         """Return how many loads fit in without an eviction."""
         return self.slots - len(self.resident) - len(self.loading)
@@ -85,6 +90,7 @@
         self.loading.discard(adapter)
         if is_loaded:
             self.resident[adapter] = now
+            self.suspects.discard(adapter)
             self._failures.pop(adapter, None)
             return
         earlier = self._failures.get(adapter)
