--- a/features/steps/actions.py
+++ b/features/steps/actions.py
@@ -10,6 +10,7 @@
 
 from behave import given, then, when
 from behave.runner import Context
+from callers import wait_for
 
 from pimentohoist._claims_fold import CLAIMS_STREAM
 from pimentohoist._http_client import HttpReply, HttpRequest
@@ -28,13 +29,6 @@
 _NOT_RUN = 'not_run'
 
 
-def wait_until(condition: Callable[[], bool], what: str) -> None:
-    give_up_at = time.monotonic() + _WAIT_S
-    while not condition():
-        assert time.monotonic() < give_up_at, what
-        time.sleep(_POLL_S)
-
-
 @given('3 daemons and a ledger that take actions')
 def start_actions_fleet(context: Context) -> None:
     fleet = context.stack.enter_context(Fleet())
@@ -45,7 +39,7 @@
     section, context.key = create_key('line-1', 'lipstick-house')
     report = fleet.publish(Configuration.of(*demo_sections(fleet), section))
     assert report.is_in_force, report.text()
-    wait_until(lambda: are_ready(fleet), 'the view')
+    wait_for(lambda: are_ready(fleet), 'the view', _WAIT_S)
     context.pool = context.stack.enter_context(ThreadPoolExecutor(24))
 
 
@@ -169,7 +163,7 @@
     context.fleet.control('ledger', work_s=1)
     expire(context, 'entry-1')
     sent = context.pool.submit(act, context, 'entry-1', 'lot')
-    wait_until(lambda: len(context.fleet.seen('ledger')) == 1, 'the call')
+    wait_for(lambda: len(context.fleet.seen('ledger')) == 1, 'the call', _WAIT_S)
     context.fleet.processes['entry-1'].kill()
     assert sent.exception(_WAIT_S) is not None
     error = error_of(act(context, 'entry-2', 'lot'))
@@ -184,7 +178,7 @@
         assert error_of(reply)['run'] == 'unknown', reply
         assert int(reply.headers['Retry-After']) >= 1, reply
     # An entry that was under way when its daemon died is written by now.
-    wait_until(lambda: entries(context) > 0, 'the entry')
+    wait_for(lambda: entries(context) > 0, 'the entry', _WAIT_S)
 
 
 @when('a daemon is frozen while it claims an action, is expired, taken over and thaws')
@@ -197,7 +191,7 @@
     time.sleep(0.5)
     fleet.processes['entry-1'].signal(signal.SIGSTOP)
     fleet.control('log', delay_s=0)
-    wait_until(lambda: has_claims(context), 'the claim')
+    wait_for(lambda: has_claims(context), 'the claim', _WAIT_S)
     append_expire(context)
     await_code(context, 'entry-2', 'action_outcome_unknown')
     time.sleep(_FREEZE_S)
--- a/features/steps/configuration_processes.py
+++ b/features/steps/configuration_processes.py
@@ -6,12 +6,12 @@
 import json
 import threading
 import time
-from collections.abc import Callable
 from dataclasses import replace
 from types import MappingProxyType
 
 from behave import given, then, when
 from behave.runner import Context
+from callers import wait_for
 
 from pimentohoist._addresses import split_address
 from pimentohoist._http_client import HttpClient, HttpReply, HttpRequest
@@ -24,7 +24,6 @@
 
 _STREAM = 'configuration'
 _PATIENCE_S = 40
-_POLL_S = 0.05
 _SETTINGS = MappingProxyType({'snapshots': {'every_s': 1, 'every_records': 1}})
 _BODY = json.dumps({'model': 'batch-summary', 'prompt': 'Lot 7', 'max_tokens': 2})
 
@@ -47,13 +46,6 @@
     assert report.is_in_force, report.text()
 
 
-def await_true(condition: Callable[[], bool], patience_s: float = _PATIENCE_S) -> None:
-    give_up_at = time.monotonic() + patience_s
-    while not condition():
-        assert time.monotonic() < give_up_at, 'it did not come true'
-        time.sleep(_POLL_S)
-
-
 def dump(context: Context, name: str) -> dict:
     return context.fleet.state(name)['configuration']
 
@@ -79,7 +71,7 @@
         context.sections = (*context.sections, house)
         publish(context, *context.sections, context.key_section)
     covered = dump(context, 'entry-1')['next_offset']
-    await_true(lambda: snapshot_offset(context) >= covered)
+    wait_for(lambda: snapshot_offset(context) >= covered, 'a snapshot', _PATIENCE_S)
 
 
 def snapshot_offset(context: Context) -> int:
@@ -113,7 +105,7 @@
 def check_held(context: Context, name: str, other: str) -> None:
     expected = in_force(context, other)
     assert expected['text'], expected
-    await_true(lambda: in_force(context, name) == expected)
+    wait_for(lambda: in_force(context, name) == expected, 'in force', _PATIENCE_S)
     assert dump(context, name)['restored_offset'] > 0, dump(context, name)
 
 
@@ -140,7 +132,7 @@
 @then('keyed requests to "{name}" are served again once the log is back')
 def check_served(context: Context, name: str) -> None:
     context.fleet.control('log', is_down=False)
-    await_true(lambda: ask(context, name).status == 200)
+    wait_for(lambda: ask(context, name).status == 200, 'an answer', _PATIENCE_S)
 
 
 @when('a publish loses the answer to its append')
--- a/src/pimentohoist/_commands/changing.py
+++ b/src/pimentohoist/_commands/changing.py
@@ -11,8 +11,7 @@
 from pydantic import ValidationError
 
 from pimentohoist._commands.console import (
-    EXIT_NOT_IN_FORCE,
-    EXIT_REJECTED,
+    ExitCode,
     Remote,
     checked_address,
     checked_addresses,
@@ -193,9 +192,9 @@
     fail((report.text(),), _exit_code(report))
 
 
-def _exit_code(report: Report) -> int:
+def _exit_code(report: Report) -> ExitCode:
     is_rejected = report.verdict is not None and not report.verdict['is_accepted']
-    return EXIT_REJECTED if is_rejected else EXIT_NOT_IN_FORCE
+    return ExitCode.REJECTED if is_rejected else ExitCode.NOT_IN_FORCE
 
 
 def _await_end(daemon: Remote, tell: Callable[[str], None]) -> None:
@@ -215,7 +214,7 @@
             tell(line)
             told = line
         time.sleep(_DRAIN_POLL_S)
-    fail((f'{daemon.address} still runs [drain]',), EXIT_NOT_IN_FORCE)
+    fail((f'{daemon.address} still runs [drain]',), ExitCode.NOT_IN_FORCE)
 
 
 def _drain_line(address: str, state: Any) -> str:
--- a/src/pimentohoist/_commands/console.py
+++ b/src/pimentohoist/_commands/console.py
@@ -6,6 +6,7 @@
 import sys
 from collections.abc import Mapping
 from dataclasses import dataclass
+from enum import IntEnum
 from http import HTTPStatus
 from pathlib import Path
 from types import MappingProxyType
@@ -22,16 +23,24 @@
     SettingsError,
 )
 
-EXIT_FAILED = 1
-EXIT_BAD_INPUT = 2
-EXIT_REJECTED = 3
-EXIT_NOT_IN_FORCE = 4
-_EXIT_CODES: Mapping[type[PimentohoistError], int] = MappingProxyType(
-    {SettingsError: EXIT_BAD_INPUT, PublishConflictError: EXIT_REJECTED}
-)
 _TIMEOUT_S = 5.0
 
 
+class ExitCode(IntEnum):
+    """How a command ended."""
+
+    DONE = 0
+    FAILED = 1
+    BAD_INPUT = 2
+    REJECTED = 3
+    NOT_IN_FORCE = 4
+
+
+_EXIT_CODES: Mapping[type[PimentohoistError], ExitCode] = MappingProxyType(
+    {SettingsError: ExitCode.BAD_INPUT, PublishConflictError: ExitCode.REJECTED}
+)
+
+
 @dataclass(frozen=True, slots=True)
 class Remote:
     """A daemon as one command sees it.
@@ -125,13 +134,13 @@
     sys.stderr.flush()
 
 
-def fail(lines: tuple[str, ...], code: int) -> NoReturn:
+def fail(lines: tuple[str, ...], code: ExitCode) -> NoReturn:
     """Write each line of an error on standard error and end with a code."""
     for line in lines:
         sys.stderr.write(f'pimentohoistctl: {" ".join(line.split())}\n')
     sys.exit(code)
 
 
-def exit_code(error: PimentohoistError) -> int:
+def exit_code(error: PimentohoistError) -> ExitCode:
     """Return the exit code that stands for an error."""
-    return _EXIT_CODES.get(type(error), EXIT_FAILED)
+    return _EXIT_CODES.get(type(error), ExitCode.FAILED)
--- a/src/pimentohoist/ctl.py
+++ b/src/pimentohoist/ctl.py
@@ -10,7 +10,7 @@
 import fire
 
 from pimentohoist._commands.changing import ChangingCommands
-from pimentohoist._commands.console import EXIT_BAD_INPUT, exit_code, fail
+from pimentohoist._commands.console import ExitCode, exit_code, fail
 from pimentohoist._commands.reading import ReadingCommands
 from pimentohoist.exceptions import ConfigurationError, PimentohoistError
 
@@ -31,6 +31,6 @@
     try:
         fire.Fire(Commands, name=_NAME)
     except ConfigurationError as error:
-        fail(error.faults, EXIT_BAD_INPUT)
+        fail(error.faults, ExitCode.BAD_INPUT)
     except PimentohoistError as error:
         fail((str(error),), exit_code(error))
