--- a/features/open_routes.feature
+++ b/features/open_routes.feature
@@ -46,6 +46,15 @@
     When a caller with no key asks GET "/services/hours/desk%20a/caf%C3%A9?x=%20y"
     Then the open call is answered with 200 and reached the ledger as "/desk%20a/caf%C3%A9?x=%20y"
 
+  Scenario: An open route is served when keys cannot be checked
+    When the log goes down and calls with another's key are refused with 503
+    And a caller with no key asks GET "/services/hours/today"
+    Then the open call is answered with 200 and reached the ledger as "/today"
+
+  Scenario: A key that is withdrawn between two filters ends its request
+    When a key is withdrawn after it was checked and before it is watched
+    Then the request ends with "invalid_api_key" and goes no further
+
   Scenario: A closed route that is opened is served without a key, and closed again is not
     When the closed route is opened
     Then a caller without a key gets 200 on it within 5 s
--- a/features/steps/open_routes.py
+++ b/features/steps/open_routes.py
@@ -9,6 +9,7 @@
 from behave.runner import Context
 from callers import wait_for
 
+from pimentohoist._filters.watch_key import WatchKey
 from pimentohoist._http_client import HttpReply, HttpRequest
 from pimentohoist.configuration import (
     Configuration,
@@ -18,6 +19,8 @@
     Route,
     Workspace,
 )
+from pimentohoist.exceptions import AuthenticationError
+from pimentohoist.exchanges import CallerRequest, Exchange, RequestKind
 from pimentohoist.keys import create_key
 from pimentohoist_standins.fleet import Fleet
 
@@ -165,6 +168,42 @@
     assert context.fleet.state('ledger')['entries'] == count
 
 
+@when("the log goes down and calls with another's key are refused with {status:d}")
+def take_log_down(context: Context, status: int) -> None:
+    context.fleet.control('log', is_down=True)
+
+    def is_refused() -> bool:
+        path = '/services/records/lots'
+        return call(context, 'GET', path, "another's key").status == status
+
+    wait_for(is_refused, f'status {status}')
+
+
+class EmptyConfiguration:
+    """Stands in for a configuration from which a key was withdrawn."""
+
+    def key(self, name: str) -> None:
+        """Find nothing."""
+
+
+@when('a key is withdrawn after it was checked and before it is watched')
+def withdraw_between(context: Context) -> None:
+    request = CallerRequest('r', RequestKind.MODELS, 'GET', '/', '', b'', '', 0)
+    exchange = Exchange(request, key_name='line-1')
+    context.passed_on = []
+    watch = WatchKey(EmptyConfiguration(), lambda: True)
+    try:
+        watch(exchange, context.passed_on.append)
+    except AuthenticationError as error:
+        context.error = error
+
+
+@then('the request ends with "{code}" and goes no further')
+def check_ended(context: Context, code: str) -> None:
+    assert not context.passed_on
+    assert (context.error.code, context.error.run_state) == (code, 'not_run')
+
+
 @when('the closed route is opened')
 def open_route(context: Context) -> None:
     publish(context, replace(_RECORDS, is_open=True))
--- a/src/pimentohoist/_filters/watch_key.py
+++ b/src/pimentohoist/_filters/watch_key.py
@@ -54,10 +54,12 @@
 
     def __call__(self, exchange: Exchange, proceed: Handler) -> Answer:
         """Pass the answer on as long as its key is in force."""
-        key = self.configuration.key(exchange.key_name)
         is_action = exchange.route is not None and not exchange.route.is_idempotent
-        if key is None or is_action:
+        if not exchange.key_name or is_action:
             return proceed(exchange)
+        key = self.configuration.key(exchange.key_name)
+        if key is None:
+            raise AuthenticationError('the key was withdrawn', step=_STEP)
         watch = _Watch(self, key)
         answer = proceed(exchange)
         error = watch.find_error()
