Copies of a suspect wait behind one another, whichever daemons they came through

Now a suspect is asked for at one endpoint at a time, in an order that follows from its fingerprint alone and so is the same for all daemons, and runs alone there; its copies wait in that home's queue. What is known of the request is looked at again once a slot is had, and before the next endpoint. After a refused connection the next attempt waits 0.5 s, the time within which a crash is told, since a copy may just have crashed that endpoint. It costs a request that is no suspect one look-up in memory and no message. Weighed against: asking the fingerprint's owner before each request (a call for every request), and at most two endpoints for each fingerprint (popular equal requests would wait).

Not covered: copies that begin on more than two endpoints before any crash, which needs an adapter with more than two copies in use.

The steps on innocents and on the joining daemon report what the callers were answered.

--- a/features/steps/quarantine.py
+++ b/features/steps/quarantine.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import threading
 import time
-from concurrent.futures import ThreadPoolExecutor
+from collections import Counter
+from concurrent.futures import Future, ThreadPoolExecutor
 from itertools import product
 
 from behave import given, then, when
@@ -13,8 +15,13 @@
 from hypothesis import seed, settings
 from hypothesis import strategies as st
 
-from pimentohoist._decisions.quarantine import CrashRegister, Standing
+from pimentohoist._decisions.quarantine import (
+    CrashRegister,
+    Standing,
+    suspect_order,
+)
 from pimentohoist._filters.quarantine import request_fingerprint
+from pimentohoist._http_client import HttpReply
 from pimentohoist.configuration import Workspace
 from pimentohoist.exchanges import CallerRequest, Exchange, RequestKind
 from pimentohoist.models import AdapterVersion
@@ -91,6 +98,34 @@
     check_register()
 
 
+_NAMES = st.lists(st.sampled_from('abcdefgh'), unique=True)
+
+
+@seed(505)
+@settings(max_examples=300, database=None, deadline=None)
+@over(st.text(max_size=8), _NAMES.flatmap(lambda names: st.permutations(names)), _NAMES)
+def check_suspect_order(name: str, endpoints: list[str], blamed: list[str]) -> None:
+    order = suspect_order(name, endpoints, ())
+    assert order == suspect_order(name, sorted(endpoints), ())
+    assert sorted(order) == sorted(endpoints)
+    own = suspect_order(name, endpoints, blamed)
+    assert own == [
+        *(endpoint for endpoint in order if endpoint not in blamed),
+        *(endpoint for endpoint in order if endpoint in blamed),
+    ]
+
+
+@then(
+    "over generated endpoints a suspect's order is one for all and blamed ones are last"
+)
+def compare_orders(context: Context) -> None:
+    check_suspect_order()
+    firsts = Counter(suspect_order(f'f{index}', 'abcd', ())[0] for index in range(400))
+    # 100 each is expected; 60 is more than four standard deviations below.
+    assert len(firsts) == 4, firsts
+    assert min(firsts.values()) > 60, firsts
+
+
 @given(
     'a quarantining fleet of {daemons:d} daemons and {engines:d} engines '
     'that crash on "{text}"'
@@ -119,15 +154,27 @@
         )
         for index in range(count)
     }
-    wait_for(
-        lambda: (
-            sum(len(runs(context.fleet, name)) for name in context.engines) == count
-        ),
-        'all innocent streams run',
-    )
+    try:
+        wait_for(
+            lambda: (
+                sum(len(runs(context.fleet, name)) for name in context.engines) == count
+            ),
+            'all innocent streams run',
+        )
+    except AssertionError as error:
+        raise AssertionError(f'{error}; {ended(context.innocents)}') from error
     time.sleep(0.2)
 
 
+def ended(streams: dict[str, Future[HttpReply]]) -> dict[str, str]:
+    """Return how those streams ended that have."""
+    return {
+        prompt: repr(stream.exception() or stream.result())
+        for prompt, stream in streams.items()
+        if stream.done()
+    }
+
+
 @when('the caller sends "{prompt}" through "{daemon}"')
 def send_poison(context: Context, prompt: str, daemon: str) -> None:
     context.reply = context.caller.complete(
@@ -155,12 +202,45 @@
         assert known == {'quarantined': 1}, known
 
 
+@when(
+    'callers send "{prompt}" {copies:d} times through each daemon at the same instant'
+)
+def send_copies(context: Context, prompt: str, copies: int) -> None:
+    daemons = context.fleet.daemons * copies
+    together = threading.Barrier(len(daemons))
+
+    def send(daemon: str) -> HttpReply:
+        together.wait()
+        return context.caller.complete(
+            daemon, model=_MODEL, prompt=prompt, max_tokens=2
+        )
+
+    with ThreadPoolExecutor(len(daemons)) as pool:
+        context.replies = list(pool.map(send, daemons))
+
+
+@then(
+    'every copy is refused, as quarantined or as not run, and at most two engines have crashed'
+)
+def check_copies(context: Context) -> None:
+    errors = [reply.document()['error'] for reply in context.replies]
+    found = Counter((error['code'], error['run']) for error in errors)
+    running = [
+        name for name in context.engines if context.fleet.processes[name].is_running()
+    ]
+    crashed = len(context.engines) - len(running)
+    assert 1 <= crashed <= 2, (crashed, found)
+    assert 'request_quarantined' in {code for code, _ in found}, found
+    for code, run_state in found:
+        assert code == 'request_quarantined' or run_state == 'not_run', found
+
+
 @when('a third daemon joins and has asked the others')
 def join_third(context: Context) -> None:
     context.fleet.start_daemon('entry-3')
     wait_for(
         lambda: 'quarantined' in context.fleet.state('entry-3')['quarantine']['known'],
-        'the third daemon knows',
+        f'the third daemon knows; the first answered {context.reply}',
     )
 
 
--- a/src/pimentohoist/_controllers/quarantine.py
+++ b/src/pimentohoist/_controllers/quarantine.py
@@ -10,7 +10,12 @@
 from concurrent.futures import ThreadPoolExecutor, wait
 from typing import Any, Protocol, Self
 
-from pimentohoist._decisions.quarantine import CrashHistory, CrashRegister, Standing
+from pimentohoist._decisions.quarantine import (
+    CRASH_TOLD_S,
+    CrashHistory,
+    CrashRegister,
+    Standing,
+)
 from pimentohoist._generated import peer_pb2
 from pimentohoist.exceptions import PeerError
 from pimentohoist.models import Member
@@ -18,7 +23,6 @@
 
 _STEP = 'quarantine'
 _THREADS = 32
-_TELL_TIMEOUT_S = 0.5
 _FETCH_TIMEOUT_S = 2.0
 _FETCH_PERIOD_S = 0.5
 _MOST_SOURCES = 3
@@ -136,12 +140,12 @@
         calls = [
             self._pool.submit(self._send, member, report) for member in self._others()
         ]
-        wait(calls, timeout=_TELL_TIMEOUT_S)
+        wait(calls, timeout=CRASH_TOLD_S)
 
     def _send(self, member: Member, report: peer_pb2.CrashReport) -> None:
         try:
             self.peers.call(
-                member.peer_address, 'ReportCrash', report, timeout_s=_TELL_TIMEOUT_S
+                member.peer_address, 'ReportCrash', report, timeout_s=CRASH_TOLD_S
             )
         except PeerError as error:
             with self._lock:
--- a/src/pimentohoist/_decisions/quarantine.py
+++ b/src/pimentohoist/_decisions/quarantine.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterator
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass
 from enum import StrEnum
 
+from pimentohoist._view_fold import rank_names
+
 KEPT_S = 600.0
 CRASHES_TO_QUARANTINE = 2
 MAX_FINGERPRINTS = 10_000
+CRASH_TOLD_S = 0.5
 
 _SAME_CRASH_S = 1.0
 
@@ -41,6 +44,18 @@
     last_at: float
 
 
+def suspect_order(
+    fingerprint: str, endpoints: Iterable[str], blamed: Collection[str]
+) -> list[str]:
+    """Return the endpoints in the order in which a suspect is tried there.
+
+    It depends on nothing that one daemon knows better than another, but for endpoints
+    that failed this copy, which come last. Different suspects begin at different ones.
+    """
+    ranked = rank_names(fingerprint, endpoints)
+    return sorted(ranked, key=lambda name: name in blamed)
+
+
 class CrashRegister:
     """Crashes by request fingerprint, for a limited time and in limited memory."""
 
--- a/src/pimentohoist/_filters/retry.py
+++ b/src/pimentohoist/_filters/retry.py
@@ -12,13 +12,15 @@
 from concurrent.futures import Future, ThreadPoolExecutor, wait
 from dataclasses import replace
 
-from pimentohoist._decisions.quarantine import Standing
+from pimentohoist._decisions.quarantine import CRASH_TOLD_S, Standing
 from pimentohoist._decisions.retry_budget import retry_delay_s
 from pimentohoist._decisions.token_order import TokenOrder, Verdict
 from pimentohoist._filters.failures import combined, is_cut, is_down, is_retryable
 from pimentohoist._filters.retry_tools import RetryTools
+from pimentohoist._filters.slot_asking import SlotAsking
 from pimentohoist.exceptions import (
     CallerDisconnectedError,
+    PeerConnectError,
     PeerError,
     PeerTimeoutError,
     PimentohoistError,
@@ -35,7 +37,6 @@
 _STEP = 'retry'
 _READ_TIMEOUT_S = 10.0
 _SHORTEST_TIMEOUT_S = 0.001
-_FAILURES_TO_AVOID = 2
 _CHECK_S = 0.25
 _logger = logging.getLogger(__name__)
 
@@ -68,7 +69,7 @@
         self.attempts = 0
         self.run_state = RunState.NOT_RUN
         self.fingerprint = str(exchange.facts.get('fingerprint', ''))
-        self._failures: dict[str, int] = {}
+        self.asking = SlotAsking(slot_request, self.fingerprint, tools)
 
     def batches(self) -> Batches:
         """Yield each token once, in order, as many together as have come.
@@ -112,9 +113,9 @@
         The answer can then be ended while the slot is waited for.
         """
         if not self.order.next_offset:
-            return self._acquire()
+            return self.asking.acquire(self._attempt_id())
         pool = ThreadPoolExecutor(1, thread_name_prefix=_STEP)
-        acquired = pool.submit(self._acquire)
+        acquired = pool.submit(self.asking.acquire, self._attempt_id())
         pool.shutdown(wait=False)
         try:
             while not wait((acquired,), _CHECK_S).done:
@@ -124,31 +125,6 @@
             raise
         return acquired.result()
 
-    def _acquire(self) -> Slot:
-        blamed = {
-            name
-            for name, count in self._failures.items()
-            if count >= _FAILURES_TO_AVOID
-        }
-        request = replace(
-            self.slot_request,
-            request_id=self._attempt_id(),
-            excluded=self.slot_request.excluded | blamed,
-            is_alone=self._standing() is Standing.SUSPECT,
-        )
-        try:
-            return self.tools.slots.acquire(request)
-        except PeerError as error:
-            # A failed order to an endpoint has not run the request.
-            error.run_state = RunState.NOT_RUN
-            self._avoid(error.peer)
-            raise
-
-    def _avoid(self, address: str) -> None:
-        for endpoint in self.slot_request.group.endpoints:
-            if endpoint.address == address:
-                self._failures[endpoint.name] = _FAILURES_TO_AVOID
-
     def _read(self, slot: Slot) -> Iterator[Sequence[TokenChunk]]:
         engine = self.tools.slots.engine(slot.endpoint)
         request_id = self._attempt_id()
@@ -220,12 +196,11 @@
         name = slot.endpoint.name
         if self.order.is_finished:
             return
-        if isinstance(error, PeerTimeoutError | WrongAnswerError):
-            # The first such failure may be the connection's; the next attempt uses a
-            # new one.
-            self._failures[name] = self._failures.get(name, 0) + 1
-        else:
-            self._failures[name] = _FAILURES_TO_AVOID
+        # The first time-out or foreign answer may be the connection's; the next attempt
+        # uses a new one.
+        is_certain = not isinstance(error, PeerTimeoutError | WrongAnswerError)
+        self.asking.note_failure(name, is_certain=is_certain)
+        if is_certain:
             slot.mark_failed()
         if is_cut(error) and is_down(self.tools.slots.engine(slot.endpoint)):
             self._note_crash(slot)
@@ -276,13 +251,12 @@
         )
         if delay_s is None or not self.tools.counter.take():
             return None
+        if isinstance(error, PeerConnectError):
+            # A copy of this request may just have crashed the endpoint; by then that is
+            # told.
+            return max(delay_s, CRASH_TOLD_S)
         return delay_s
 
-    def _standing(self) -> Standing:
-        if not self.fingerprint:
-            return Standing.CLEAR
-        return self.tools.crashes.standing(self.fingerprint)
-
     def _attempt_id(self) -> str:
         """Return the id of the attempt, so that a late answer to another differs."""
         request_id = self.generation.request_id
