--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -36,6 +36,7 @@
 
 _EXIT_SETTINGS = 2
 _OPERATORS_THREADS = 4
+_SWITCH_INTERVAL_S = 0.0005
 _logger = logging.getLogger(__name__)
 
 
@@ -184,6 +185,9 @@
         sys.stderr.write(f'pimentohoistd: {error}\n')
         sys.exit(_EXIT_SETTINGS)
     configure_logs(checked.logging.level, instance=checked.daemon.name)
+    # The thread that passes tokens on waits for others that compute after each system
+    # call; the interpreter's own 5 ms are too long for that.
+    sys.setswitchinterval(_SWITCH_INTERVAL_S)
     daemon = Daemon(checked)
     call_on_stop(daemon.requests.drain.signal)
     with daemon:
