--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -36,6 +36,7 @@
 
 _EXIT_SETTINGS = 2
 _OPERATORS_THREADS = 4
+_SWITCH_INTERVAL_S = 0.0005
 _logger = logging.getLogger(__name__)
 
 
@@ -211,6 +212,9 @@
 
 def run_until_stopped(daemon: Daemon) -> None:
     """Run a daemon until SIGTERM or SIGINT, then until it has drained."""
+    # The thread that passes tokens on waits for others that compute after each system
+    # call; the interpreter's own 5 ms are too long for that.
+    sys.setswitchinterval(_SWITCH_INTERVAL_S)
     call_on_stop(daemon.requests.drain.signal)
     with daemon:
         _logger.info('started', extra={'step': 'start'})
