Requests wait a short time for shares between two homes; a pull from who lags is refused

And an entry daemon refused 429 for its rate although some shares had not answered at all. Ruled out: engines (429 comes before a slot is asked for), demand (2 tokens of 900).

Now such a pull is refused and repeated at the next tick. A charge that missed a share asks again for up to 2 s, at most 4 requests of a workspace at a time, so that a flood holds up nobody; a refusal by shares that answer still comes at once.

--- /dev/null
+++ b/features/steps/admission.py
@@ -0,0 +1,152 @@
+"""Steps on requests whose shares are between two homes."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections import Counter
+from concurrent.futures import Future, ThreadPoolExecutor
+from types import SimpleNamespace
+from typing import Any
+
+from behave import given, then, when
+from behave.runner import Context
+from callers import wait_for
+
+from pimentohoist._controllers.limits import LimitsController
+from pimentohoist._controllers.share_homes import ShareHomes
+from pimentohoist._decisions.grants import ShareHome
+from pimentohoist._decisions.share_places import share_home
+from pimentohoist._decisions.shares import SHARES, Grant, GrantOrder
+from pimentohoist._decisions.tenures import ShareName
+from pimentohoist._view_fold import View
+from pimentohoist.configuration import Workspace
+from pimentohoist.exceptions import LimitExceededError, UnavailableError
+from pimentohoist.models import Member
+
+_HOUSE = Workspace('house', rate_tokens_per_s=1, burst_tokens=30)
+_GRANT_S = 3.0
+
+
+class FakeTaker:
+    """Asks shares that are between two homes for a number of questions."""
+
+    def __init__(self, missed: int, tokens: int) -> None:
+        self.missed = missed
+        self.tokens = tokens
+        self.asked: Counter[int] = Counter()
+        self.failures = 0
+        self._lock = threading.Lock()
+
+    def home(self, name: ShareName) -> ShareHome:
+        return ShareHome(name.share, 'home')
+
+    def take(
+        self, name: ShareName, home: ShareHome, order: GrantOrder, uses: Any
+    ) -> Grant:
+        with self._lock:
+            self.asked[name.share] += 1
+            if sum(self.asked.values()) <= self.missed:
+                raise UnavailableError('not begun', step='test')
+        granted = min(self.tokens, order.need_tokens + order.extra_tokens)
+        return Grant(order.grant_id, granted, _GRANT_S)
+
+
+def start_limit(context: Context, missed: int, tokens: int) -> None:
+    context.limits = LimitsController(None, None, None, None)  # type: ignore[arg-type]
+    context.limits.taker = FakeTaker(missed, tokens)
+
+
+@given('a limit whose shares are between two homes for the first {count:d} questions')
+def start_moving(context: Context, count: int) -> None:
+    start_limit(context, count, 10)
+
+
+@given('a limit whose shares answer and have no tokens')
+def start_empty(context: Context) -> None:
+    start_limit(context, 0, 0)
+
+
+@when('a request of {tokens:d} tokens is charged')
+def charge(context: Context, tokens: int) -> None:
+    try:
+        context.outcome = context.limits.charge(_HOUSE, tokens)
+    except LimitExceededError as error:
+        context.outcome = error
+
+
+@then('it is admitted')
+def check_admitted(context: Context) -> None:
+    assert not isinstance(context.outcome, LimitExceededError), context.outcome
+    charged = [charge.tokens for charge in context.outcome]
+    assert sum(charged) == 10, charged
+
+
+@then('it is refused and no share was asked more than twice')
+def check_refused(context: Context) -> None:
+    assert isinstance(context.outcome, LimitExceededError), context.outcome
+    assert max(context.limits.taker.asked.values()) <= 2, context.limits.taker.asked
+
+
+@when('{count:d} requests of {tokens:d} tokens are charged at the same moment')
+def charge_many(context: Context, count: int, tokens: int) -> None:
+    pool = context.stack.enter_context(ThreadPoolExecutor(count))
+    context.pending = [
+        pool.submit(context.limits.charge, _HOUSE, tokens) for _ in range(count)
+    ]
+
+
+@then('{refused:d} of them are refused while {waiting:d} still wait')
+def check_flood(context: Context, refused: int, waiting: int) -> None:
+    wait_for(lambda: len(ended(context.pending)) >= refused, 'the rest is refused')
+    assert len(ended(context.pending)) == refused
+    assert len(context.pending) == refused + waiting
+    for future in context.pending:
+        assert isinstance(future.exception(), LimitExceededError)
+
+
+def ended(pending: list[Future]) -> list[Future]:
+    return [future for future in pending if future.done()]
+
+
+def member(name: str) -> Member:
+    return Member(name, '', '', 'a')
+
+
+@given('a member that has not read of the workspace yet')
+def start_member(context: Context) -> None:
+    first, second = member('first'), member('second')
+    views = (View(1, (first,)), View(2, (first, second)))
+    context.known = {}
+    view = SimpleNamespace(
+        incarnation='first',
+        epoch=2,
+        recent_views=lambda: (views, True),
+        is_fresh=lambda: True,
+        fresh_since=time.monotonic,
+    )
+    configuration = SimpleNamespace(workspace=context.known.get)
+    proofs = SimpleNamespace(fenced_at={}, gone_at={})
+    context.homes = ShareHomes(view, configuration, proofs, time.monotonic)
+    names = [ShareName(_HOUSE.name, share) for share in range(SHARES)]
+    homes = [share_home(name.thing, views[1]) for name in names]
+    context.name = names[homes.index('second')]
+
+
+@when("the share's next home pulls it, before and after the member has read of it")
+def pull_twice(context: Context) -> None:
+    context.pulls = []
+    for _ in range(2):
+        try:
+            context.pulls.append(context.homes.close(context.name, 2))
+        except UnavailableError as error:
+            context.pulls.append(error)
+        context.known[_HOUSE.name] = _HOUSE
+
+
+@then('the first pull is refused and the second one passes the whole burst on')
+def check_pulls(context: Context) -> None:
+    first, second = context.pulls
+    assert isinstance(first, UnavailableError), first
+    assert second.state is not None, second
+    assert second.state.level_tokens == _HOUSE.burst_tokens / SHARES, second
--- a/src/pimentohoist/_controllers/limits.py
+++ b/src/pimentohoist/_controllers/limits.py
@@ -37,6 +37,8 @@
 _TICK_S = 0.1
 _REFUSING_S = 0.05
 _SHORTEST_RETRY_S = 0.1
+_LONGEST_WAIT_S = 2.0
+_MOST_WAITING = 4
 _THREADS = 16
 _ID_BYTES = 8
 _logger = logging.getLogger(__name__)
@@ -51,6 +53,11 @@
     refusing_until : float
         Time up to which requests of `refused_tokens` or more are refused without asking
         the homes, which had not enough a moment ago.
+    has_missed_share : bool
+        Whether a share had no home that answered when the shares were last asked.
+    places_to_wait : Semaphore
+        Bounds the requests that wait for such a share, so that a workspace at several
+        times its rate doesn't hold up the others.
     """
 
     pool: GrantPool = field(default_factory=GrantPool)
@@ -58,6 +65,14 @@
     refusing_until: float = 0
     refused_tokens: int = 0
     rotation: int = 0
+    has_missed_share: bool = False
+    places_to_wait: threading.Semaphore = field(
+        default_factory=lambda: threading.Semaphore(_MOST_WAITING)
+    )
+
+    def is_refusing(self, tokens: int, now: float) -> bool:
+        """Return whether so many tokens were refused a moment ago."""
+        return tokens >= self.refused_tokens and now < self.refusing_until
 
 
 class LimitsController:
@@ -117,8 +132,10 @@
         with self._lock:
             account.demand.add(tokens, self.clock())
             charges = account.pool.charge(tokens, self.clock())
-        if charges is None and not self._is_refusing(account, tokens):
+        if charges is None and not account.is_refusing(tokens, self.clock()):
             charges = self._take_and_charge(workspace.name, account, tokens)
+        if charges is None and account.has_missed_share:
+            charges = self._wait_for_shares(workspace.name, account, tokens)
         if charges is None:
             self._refuse(workspace, account, tokens)
         return charges or ()
@@ -155,10 +172,6 @@
         with self._lock:
             return self.accounts.setdefault(workspace, _Account())
 
-    def _is_refusing(self, account: _Account, tokens: int) -> bool:
-        is_large = tokens >= account.refused_tokens
-        return is_large and self.clock() < account.refusing_until
-
     def _refuse(self, workspace: Workspace, account: _Account, tokens: int) -> None:
         now = self.clock()
         with self._lock:
@@ -178,6 +191,7 @@
     ) -> tuple[Charge, ...] | None:
         with self._lock:
             account.rotation += 1
+            account.has_missed_share = False
             missing = tokens - account.pool.available(self.clock())
             needs = split_need(max(0, missing), account.rotation)
         self._take(workspace, tuple(GrantOrder(_new_id(), need) for need in needs))
@@ -192,6 +206,29 @@
         with self._lock:
             return account.pool.charge(tokens, self.clock())
 
+    def _wait_for_shares(
+        self, workspace: str, account: _Account, tokens: int
+    ) -> tuple[Charge, ...] | None:
+        """Ask again for a short time, since a share between two homes may have tokens."""
+        if not account.places_to_wait.acquire(blocking=False):
+            return None
+        try:
+            return self._ask_until_answered(workspace, account, tokens)
+        finally:
+            account.places_to_wait.release()
+
+    def _ask_until_answered(
+        self, workspace: str, account: _Account, tokens: int
+    ) -> tuple[Charge, ...] | None:
+        give_up_at = self.clock() + _LONGEST_WAIT_S
+        charges: tuple[Charge, ...] | None = None
+        while charges is None and account.has_missed_share:
+            is_closed = self._closed.wait(_TICK_S)
+            if is_closed or self.clock() >= give_up_at:
+                break
+            charges = self._take_and_charge(workspace, account, tokens)
+        return charges
+
     def _take(self, workspace: str, orders: tuple[GrantOrder, ...]) -> None:
         """Ask all shares at the same time."""
         futures = [
@@ -203,9 +240,11 @@
             future.result()
 
     def _take_from(self, name: ShareName, order: GrantOrder) -> None:
-        pool = self._account(name.workspace).pool
+        account = self._account(name.workspace)
+        pool = account.pool
         home = self.taker.home(name)
         if home is None:
+            account.has_missed_share = True
             return
         with self._lock:
             uses = pool.take_uses(home)
@@ -213,10 +252,12 @@
         try:
             grant = self.taker.take(name, home, order, uses)
         except (UnavailableError, PeerRefusedError):
+            account.has_missed_share = True
             return
         with self._lock:
             now = self.clock()
             if grant is None:
+                account.has_missed_share = True
                 pool.add_lost(order.grant_id, home, now)
                 return
             pool.confirm(uses, now)
--- a/src/pimentohoist/_controllers/share_homes.py
+++ b/src/pimentohoist/_controllers/share_homes.py
@@ -110,12 +110,20 @@
             self.keeper.receive(name, former_home, state)
 
     def close(self, name: ShareName, before_epoch: int) -> LastState:
-        """End older tenures of a share here and return what the last one leaves."""
+        """End older tenures of a share here and return what the last one leaves.
+
+        Raises
+        ------
+        UnavailableError
+            The workspace is not known here yet, so that it can't be said what is left.
+        """
         with self.lock:
             tenure = self.tenure(name)
             own = tenure and tenure.of(self.view.incarnation)
             if own is None:
                 return LastState(None)
+            if self._limit(name) is None:
+                raise UnavailableError('the workspace is not known here', step=_STEP)
             # A tenure that nobody asked for yet may have a burst to pass on.
             self._bucket_of(name, own)
             return self.keeper.close(name, own.epoch, before_epoch, self._around())
--- a/src/pimentohoist/_controllers/share_takers.py
+++ b/src/pimentohoist/_controllers/share_takers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from contextlib import suppress
 from itertools import islice
 from typing import Any
 
@@ -120,19 +121,24 @@
 
     def hand_over_all(self) -> None:
         """Pass every share at home here on, for good, before leaving the view."""
-        others = [
+        others = tuple(
             member
             for member in self.view.members()
             if member.incarnation != self.view.incarnation
-        ]
-        epoch = self.view.epoch + 1
+        )
+        after = View(self.view.epoch + 1, others)
         for name in self.homes.names():
-            last = self.homes.close(name, epoch)
-            if last.state is not None and others:
-                message = write_state(name, last)
-                message.sender.CopyFrom(self._sender())
-                home = share_home(name.thing, View(epoch, tuple(others)))
-                self._call(home, 'HandOverShare', message)
+            # A workspace that was removed a moment ago has nothing to pass on.
+            with suppress(UnavailableError):
+                self._hand_over(name, after)
+
+    def _hand_over(self, name: ShareName, after: View) -> None:
+        last = self.homes.close(name, after.epoch)
+        if last.state is not None and after.members:
+            message = write_state(name, last)
+            message.sender.CopyFrom(self._sender())
+            home = share_home(name.thing, after)
+            self._call(home, 'HandOverShare', message)
 
     def _ask_for_ends(self, tenure: Tenure) -> None:
         """Find out whether former homes that have left the view still act."""
