--- a/features/steps/claims_retention.py
+++ b/features/steps/claims_retention.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-import time
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import replace
 from types import MappingProxyType
 from typing import Any
 
 from behave import given, then, when
 from behave.runner import Context
+from callers import wait_for
 
 from pimentohoist._claims_fold import CLAIMS_STREAM
 from pimentohoist._http_client import HttpReply, HttpRequest
@@ -24,17 +24,9 @@
 _NEW_DAEMON = 'entry-3'
 _SETTINGS = MappingProxyType({'snapshots': {'every_s': 1}})
 _KEPT_RECORDS = 3
-_POLL_S = 0.1
 _WAIT_S = 60
 
 
-def await_true(condition: Callable[[], bool], what: str) -> None:
-    give_up_at = time.monotonic() + _WAIT_S
-    while not condition():
-        assert time.monotonic() < give_up_at, what
-        time.sleep(_POLL_S)
-
-
 def act(context: Context, daemon: str, key: str, body: bytes = b'{}') -> HttpReply:
     request = HttpRequest.of_json('POST', '/services/release/lots')
     headers = {
@@ -69,7 +61,7 @@
     section, context.key = create_key('line-1', 'lipstick-house')
     report = fleet.publish(Configuration.of(*demo_sections(fleet), section))
     assert report.is_in_force, report.text()
-    await_true(lambda: are_ready(context, _OLD_DAEMONS), 'the view')
+    wait_for(lambda: are_ready(context, _OLD_DAEMONS), 'the view', _WAIT_S)
     context.answers = {}
     for lot in range(count):
         reply = act(context, _OLD_DAEMONS[lot % 2], f'lot-{lot}')
@@ -82,9 +74,9 @@
     log = HttpLog(context.fleet.addresses['log'], timeout_s=_WAIT_S)
     claims = len(context.answers)
     # A claim and its outcome for each action.
-    await_true(lambda: head(log) >= 2 * claims, 'the outcomes')
+    wait_for(lambda: head(log) >= 2 * claims, 'the outcomes', _WAIT_S)
     covered = head(log)
-    await_true(lambda: covered in snapshot_offsets(context), 'a snapshot of the claims')
+    wait_for(lambda: covered in snapshot_offsets(context), 'a snapshot', _WAIT_S)
     context.fleet.control('log', keep_records=_KEPT_RECORDS)
     try:
         log.read(CLAIMS_STREAM, 0, wait_s=0)
@@ -107,14 +99,15 @@
 @when('a daemon starts that has read none of them')
 def start_newcomer(context: Context) -> None:
     context.fleet.start_daemon(_NEW_DAEMON, _SETTINGS)
-    await_true(lambda: are_ready(context, (_NEW_DAEMON,)), 'the view of the newcomer')
+    wait_for(lambda: are_ready(context, (_NEW_DAEMON,)), "the newcomer's view", _WAIT_S)
 
 
 @then('each action repeated through it gets its first answer')
 def check_answers(context: Context) -> None:
-    await_true(
+    wait_for(
         lambda: claims_of(context, _NEW_DAEMON)['claims'] == len(context.answers),
         'the claims of the newcomer',
+        _WAIT_S,
     )
     for key, body in context.answers.items():
         reply = act(context, _NEW_DAEMON, key)
--- a/features/steps/membership.py
+++ b/features/steps/membership.py
@@ -6,7 +6,6 @@
 import signal
 import sys
 import time
-from collections.abc import Callable
 from pathlib import Path
 
 from behave import given, then, when
@@ -15,6 +14,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
+from callers import wait_for  # noqa: E402
 from limit_shares import for_all  # noqa: E402
 
 from pimentohoist._view_fold import Expire, Join, Leave, ViewFold  # noqa: E402
@@ -24,13 +24,7 @@
 _POLL_S = 0.1
 _WAIT_S = 15
 _SETTLED_S = 2
-
-
-def wait_for(condition: Callable[[], bool], limit_s: float) -> None:
-    give_up_at = time.monotonic() + limit_s
-    while not condition():
-        assert time.monotonic() < give_up_at, 'not in time'
-        time.sleep(_POLL_S)
+_IN_TIME = 'the view or freshness asked for'
 
 
 def member_names(context: Context, daemon: str) -> list[str]:
@@ -41,7 +35,7 @@
 def check_members(
     context: Context, daemon: str, names: list[str], limit_s: float
 ) -> None:
-    wait_for(lambda: member_names(context, daemon) == names, limit_s)
+    wait_for(lambda: member_names(context, daemon) == names, _IN_TIME, limit_s)
 
 
 def incarnations(context: Context, daemon: str) -> set[str]:
@@ -67,21 +61,21 @@
 @then('within {limit_s:d} s the view of "{daemon}" has 2 members, without "{name}"')
 def check_expired(context: Context, limit_s: int, daemon: str, name: str) -> None:
     others = sorted({'entry-1', 'entry-2', 'entry-3'} - {name})
-    wait_for(lambda: member_names(context, daemon) == others, limit_s)
+    wait_for(lambda: member_names(context, daemon) == others, _IN_TIME, limit_s)
 
 
 @when('daemon "{name}" is frozen until it has expired and then thawed')
 def freeze_member(context: Context, name: str) -> None:
     context.before = incarnations(context, 'entry-2')
     context.fleet.processes[name].signal(signal.SIGSTOP)
-    wait_for(lambda: member_names(context, 'entry-2') == ['entry-2'], _WAIT_S)
+    wait_for(lambda: member_names(context, 'entry-2') == ['entry-2'], _IN_TIME, _WAIT_S)
     context.fleet.processes[name].signal(signal.SIGCONT)
 
 
 @then('within {limit_s:d} s the view of "{daemon}" has 2 members, with a new "{name}"')
 def check_rejoined(context: Context, limit_s: int, daemon: str, name: str) -> None:
     names = sorted((daemon, name))
-    wait_for(lambda: member_names(context, daemon) == names, limit_s)
+    wait_for(lambda: member_names(context, daemon) == names, _IN_TIME, limit_s)
     assert len(incarnations(context, daemon) - context.before) == 1
 
 
@@ -112,7 +106,9 @@
 
 @then('"{daemon}" is not fresh within {limit_s:d} s')
 def check_not_fresh(context: Context, daemon: str, limit_s: int) -> None:
-    wait_for(lambda: not context.fleet.state(daemon)['view']['is_fresh'], limit_s)
+    wait_for(
+        lambda: not context.fleet.state(daemon)['view']['is_fresh'], _IN_TIME, limit_s
+    )
     time.sleep(1)
     assert not context.fleet.state(daemon)['view']['is_fresh']
 
@@ -126,7 +122,7 @@
 @then('within {limit_s:d} s the view of "{daemon}" has 4 members, with one "{name}"')
 def check_joined(context: Context, limit_s: int, daemon: str, name: str) -> None:
     names = ['entry-1', 'entry-2', 'entry-3', name]
-    wait_for(lambda: member_names(context, daemon) == names, limit_s)
+    wait_for(lambda: member_names(context, daemon) == names, _IN_TIME, limit_s)
 
 
 @when('the log loses the answer to the next record and daemon "{name}" starts')
