--- a/features/steps/serving_homes.py
+++ b/features/steps/serving_homes.py
@@ -7,37 +7,27 @@
 import signal
 import time
 from collections import Counter
-from concurrent.futures import Future, ThreadPoolExecutor
-from dataclasses import replace
-from typing import Any
 
 from behave import given, then, when
 from behave.runner import Context
-from callers import WAIT_S, Caller, expected_text, streamed_text, wait_for
-from callers import runs as all_runs
+from callers import WAIT_S, expected_text, streamed_text, wait_for
+from serving_fleet import (
+    KNEE_REQUESTS,
+    PROMPT,
+    complete,
+    first_for,
+    home_of,
+    others,
+    runs,
+    send_many,
+    start_serving,
+    submit,
+)
 
-from pimentohoist._http_client import HttpReply, HttpRequest
+from pimentohoist._http_client import HttpRequest
 from pimentohoist._platform.log import HttpLog
-from pimentohoist._view_fold import rank_names
-from pimentohoist.configuration import (
-    Adapter,
-    Configuration,
-    Endpoint,
-    EndpointGroup,
-    GroupKind,
-    StoreBudget,
-    Workspace,
-)
-from pimentohoist.keys import create_key
-from pimentohoist_standins.fleet import Fleet
 
-_PROMPT = 'Which lots wait for release?'
-_LOADS_PER_S = 20
-_KNEE_REQUESTS = 8
-_TIMEOUT_S = 10
 _TOKENS = 4
-_CALLERS = 8
-_WARM = 'warm@1'
 
 
 @given(
@@ -48,118 +38,10 @@
     'a serving fleet of {daemons:d} daemons with {engines:d} engine of {slots:d} slots'
     ' and {adapters:d} adapter'
 )
-def start_serving(
+def start(
     context: Context, daemons: int, engines: int, slots: int, adapters: int
 ) -> None:
-    fleet = context.stack.enter_context(Fleet())
-    context.fleet = fleet
-    context.daemons = [f'entry-{index + 1}' for index in range(daemons)]
-    context.engines = [f'engine-{index + 1}' for index in range(engines)]
-    context.models = [f'dossier-{index}@1' for index in range(adapters)]
-    context.replies, context.streams = [], []
-    fleet.control('weights', loads_per_s=_LOADS_PER_S)
-    for engine in context.engines:
-        fleet.start_standin(
-            engine,
-            'engine',
-            slots=slots,
-            token_s=0.02,
-            checks_fencing=engine == 'engine-1',
-            store_address=fleet.addresses['weights'],
-        )
-    for daemon in context.daemons:
-        fleet.start_daemon(daemon, {'callers': {'timeout_s': _TIMEOUT_S}})
-    section, key = create_key('line-1', 'lipstick-house')
-    report = fleet.publish(Configuration.of(*sections(context, slots), section))
-    assert report.is_in_force, report.text()
-    context.caller = Caller(fleet, key)
-    context.pool = context.stack.enter_context(ThreadPoolExecutor(24))
-    wait_for(lambda: is_ready(context), 'limits and homes are ready')
-
-
-def is_ready(context: Context) -> bool:
-    replies = [complete(context, name, _WARM, 1) for name in context.daemons]
-    return all(reply.status == 200 for reply in replies)
-
-
-def runs(context: Context, engine: str) -> list[dict[str, Any]]:
-    """Return what an engine was given to run since the fleet is ready."""
-    entries = all_runs(context.fleet, engine)
-    return [entry for entry in entries if f'{entry["adapter"]}@1' != _WARM]
-
-
-def sections(context: Context, slots: int) -> list[Any]:
-    endpoints = tuple(
-        Endpoint(name, context.fleet.addresses[name], 'a', name == 'engine-1')
-        for name in context.engines
-    )
-    group = EndpointGroup(
-        'review', GroupKind.ENGINE, endpoints, 'review-7b', slots, _KNEE_REQUESTS
-    )
-    adapters = (
-        Adapter(model.partition('@')[0], 'review', (1,), 1, ('lipstick-house',))
-        for model in (*context.models, _WARM)
-    )
-    workspace = Workspace('lipstick-house', rate_tokens_per_s=1e6, burst_tokens=10**7)
-    store = StoreBudget('weights', loads_per_s=_LOADS_PER_S, loads_at_once=2)
-    return [workspace, group, store, *adapters]
-
-
-def complete(
-    context: Context, daemon: str, model: str, tokens: int, **headers: str
-) -> HttpReply:
-    document = {'model': model, 'prompt': _PROMPT, 'max_tokens': tokens, 'stream': True}
-    request = HttpRequest.of_json('POST', '/v1/completions', document)
-    request = replace(
-        request, headers={**context.caller.headers(), **headers}, is_repeatable=False
-    )
-    return context.fleet.ask(daemon, request, timeout_s=2 * _TIMEOUT_S)
-
-
-def first_for(context: Context, model: str) -> str:
-    """Return the engine that an adapter's first copy is loaded on."""
-    return rank_names(model, context.engines)[0]
-
-
-def home_of(context: Context, engine: str) -> str:
-    homes = [
-        daemon
-        for daemon in context.daemons
-        if context.fleet.processes[daemon].is_running()
-        and f'review/{engine}' in context.fleet.state(daemon)['endpoints']['homes']
-    ]
-    assert len(homes) == 1, homes
-    return homes[0]
-
-
-def others(context: Context, daemon: str) -> list[str]:
-    return [name for name in context.daemons if name != daemon]
-
-
-def submit(context: Context, daemon: str, model: str, tokens: int) -> Future[HttpReply]:
-    return context.pool.submit(complete, context, daemon, model, tokens)
-
-
-def pick(models: list[str], index: int) -> str:
-    """Every third request is on one of two adapters, the others go through all."""
-    if index % 3 == 0:
-        return models[index // 3 % 2]
-    return models[7 * index % len(models)]
-
-
-def send_many(
-    context: Context, count: int, tokens: int, models: list[str], through: Any
-) -> None:
-    daemons = itertools.cycle(through)
-    order = [pick(models, index) for index in range(count)]
-    with ThreadPoolExecutor(_CALLERS) as pool:
-        calls = [
-            pool.submit(complete, context, next(daemons), model, tokens)
-            for model in order
-        ]
-    context.replies += [
-        (model, tokens, call.result()) for model, call in zip(order, calls, strict=True)
-    ]
+    start_serving(context, daemons, engines, slots, adapters)
 
 
 @when(
@@ -194,7 +76,7 @@
     refused = []
     for model, tokens, reply in context.replies:
         if reply.status == 200:
-            assert streamed_text(reply) == expected_text(_PROMPT, model, tokens)
+            assert streamed_text(reply) == expected_text(PROMPT, model, tokens)
         else:
             refused.append(reply)
             assert reply.document()['error']['run'] == 'not_run', reply
@@ -330,7 +212,7 @@
     assert len(context.streams) >= 3
     for model, tokens, future in context.streams:
         text = streamed_text(future.result(2 * WAIT_S))
-        assert text == expected_text(_PROMPT, model, tokens)
+        assert text == expected_text(PROMPT, model, tokens)
 
 
 @when('{count:d} loads fail on the engine that comes first for an adapter')
@@ -342,7 +224,7 @@
 @then('a completion on it ends whole on the other engine')
 def check_elsewhere(context: Context) -> None:
     reply = complete(context, 'entry-1', context.model, _TOKENS)
-    assert streamed_text(reply) == expected_text(_PROMPT, context.model, _TOKENS)
+    assert streamed_text(reply) == expected_text(PROMPT, context.model, _TOKENS)
     assert not runs(context, first_for(context, context.model))
 
 
@@ -376,7 +258,7 @@
         assert time.monotonic() < give_up_at, reply
         time.sleep(0.2)
         reply = complete(context, 'entry-1', context.model, _TOKENS)
-    assert streamed_text(reply) == expected_text(_PROMPT, context.model, _TOKENS)
+    assert streamed_text(reply) == expected_text(PROMPT, context.model, _TOKENS)
 
 
 @when('every serving engine restarts cold')
@@ -390,10 +272,10 @@
     assert complete(context, 'entry-1', context.models[0], 1).status == 200
     home = home_of(context, 'engine-1')
     context.home, context.entry = home, others(context, home)[0]
-    for _ in range(_KNEE_REQUESTS):
+    for _ in range(KNEE_REQUESTS):
         submit(context, context.entry, context.models[0], 300)
     wait_for(
-        lambda: len(runs(context, 'engine-1')) == _KNEE_REQUESTS + 1,
+        lambda: len(runs(context, 'engine-1')) == KNEE_REQUESTS + 1,
         'every place is taken',
     )
 
@@ -410,7 +292,7 @@
     while reply.status != 200:
         assert time.monotonic() - context.killed_at < limit_s, reply
         reply = complete(context, context.home, context.models[0], _TOKENS)
-    text = expected_text(_PROMPT, context.models[0], _TOKENS)
+    text = expected_text(PROMPT, context.models[0], _TOKENS)
     assert streamed_text(reply) == text
 
 
@@ -423,10 +305,10 @@
     tokens = held_s * 50
     first = [
         submit(context, context.home, context.models[0], tokens)
-        for _ in range(_KNEE_REQUESTS)
+        for _ in range(KNEE_REQUESTS)
     ]
     assert all(call.result().status == 200 for call in first)
-    for _ in range(_KNEE_REQUESTS + waiting):
+    for _ in range(KNEE_REQUESTS + waiting):
         submit(context, context.home, context.models[0], tokens)
     wait_for(
         lambda: (
