A flood is refused at once also while a share is between two homes

The wait for shares took any question that failed for a share between two homes, a silent home and a lost answer too, and let a workspace wait that had been refused a moment before. Ruled out: a longer bound; the check is right.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -14,6 +14,9 @@
     Given a limit whose shares are between two homes for the first 100000 questions
     When 12 requests of 10 tokens are charged at the same moment
     Then 8 of them are refused while 4 still wait
+    When 0.9 s have passed for the limit
+    Then all of them are refused
+    And another request is refused after each share was asked at most twice more
 
   Scenario: A share of a workspace that is not known yet is not given up
     Given a member that has not read of the workspace yet
--- a/features/steps/admission.py
+++ b/features/steps/admission.py
@@ -53,7 +53,8 @@
 
 
 def start_limit(context: Context, missed: int, tokens: int) -> None:
-    context.limits = LimitsController(None, None, None, None)  # type: ignore[arg-type]
+    context.now = 0
+    context.limits = LimitsController(None, None, None, None, lambda: context.now)  # type: ignore[arg-type]
     context.limits.taker = FakeTaker(missed, tokens)
 
 
@@ -99,12 +100,31 @@
 @then('{refused:d} of them are refused while {waiting:d} still wait')
 def check_flood(context: Context, refused: int, waiting: int) -> None:
     wait_for(lambda: len(ended(context.pending)) >= refused, 'the rest is refused')
+    asked = sum(context.limits.taker.asked.values())
+    wait_for(lambda: sum(context.limits.taker.asked.values()) > 2 * asked, 'questions')
     assert len(ended(context.pending)) == refused
     assert len(context.pending) == refused + waiting
+
+
+@when('{passed_s:g} s have passed for the limit')
+def pass_time(context: Context, passed_s: float) -> None:
+    context.now += passed_s
+
+
+@then('all of them are refused')
+def check_all_refused(context: Context) -> None:
     for future in context.pending:
         assert isinstance(future.exception(), LimitExceededError)
 
 
+@then('another request is refused after each share was asked at most twice more')
+def check_next_refused(context: Context) -> None:
+    context.now += 1
+    context.limits.taker.asked.clear()
+    charge(context, 10)
+    check_refused(context)
+
+
 def ended(pending: list[Future]) -> list[Future]:
     return [future for future in pending if future.done()]
 
--- a/src/pimentohoist/_controllers/limits.py
+++ b/src/pimentohoist/_controllers/limits.py
@@ -37,7 +37,8 @@
 _TICK_S = 0.1
 _REFUSING_S = 0.05
 _SHORTEST_RETRY_S = 0.1
-_LONGEST_WAIT_S = 2.0
+_LONGEST_WAIT_S = 0.8
+_FLOOD_MEMORY_S = 5.0
 _MOST_WAITING = 4
 _THREADS = 16
 _ID_BYTES = 8
@@ -54,7 +55,9 @@
         Time up to which requests of `refused_tokens` or more are refused without asking
         the homes, which had not enough a moment ago.
     has_missed_share : bool
-        Whether a share had no home that answered when the shares were last asked.
+        Whether a share had not begun at its home when the shares were last asked.
+    refused_at : float
+        Time of the last refusal.
     places_to_wait : Semaphore
         Bounds the requests that wait for such a share, so that a workspace at several
         times its rate doesn't hold up the others.
@@ -66,6 +69,7 @@
     refused_tokens: int = 0
     rotation: int = 0
     has_missed_share: bool = False
+    refused_at: float = float('-inf')
     places_to_wait: threading.Semaphore = field(
         default_factory=lambda: threading.Semaphore(_MOST_WAITING)
     )
@@ -74,6 +78,10 @@
         """Return whether so many tokens were refused a moment ago."""
         return tokens >= self.refused_tokens and now < self.refusing_until
 
+    def may_wait(self, now: float) -> bool:
+        """Return whether a refusal may be wrong and is not one of many."""
+        return self.has_missed_share and now - self.refused_at > _FLOOD_MEMORY_S
+
 
 class LimitsController:
     """Admits requests within their workspaces' limits.
@@ -134,7 +142,7 @@
             charges = account.pool.charge(tokens, self.clock())
         if charges is None and not account.is_refusing(tokens, self.clock()):
             charges = self._take_and_charge(workspace.name, account, tokens)
-        if charges is None and account.has_missed_share:
+        if charges is None and account.may_wait(self.clock()):
             charges = self._wait_for_shares(workspace.name, account, tokens)
         if charges is None:
             self._refuse(workspace, account, tokens)
@@ -176,6 +184,7 @@
         now = self.clock()
         with self._lock:
             self.refusals += 1
+            account.refused_at = now
             missing = tokens - account.pool.available(now)
             if now >= account.refusing_until:
                 account.refusing_until = now + _REFUSING_S
@@ -244,7 +253,6 @@
         pool = account.pool
         home = self.taker.home(name)
         if home is None:
-            account.has_missed_share = True
             return
         with self._lock:
             uses = pool.take_uses(home)
@@ -257,7 +265,6 @@
         with self._lock:
             now = self.clock()
             if grant is None:
-                account.has_missed_share = True
                 pool.add_lost(order.grant_id, home, now)
                 return
             pool.confirm(uses, now)
