--- a/src/pimentohoist/_controllers/limits.py
+++ b/src/pimentohoist/_controllers/limits.py
@@ -130,7 +130,14 @@
         self._pool.shutdown(wait=False, cancel_futures=True)
 
     def charge(self, workspace: Workspace, tokens: int) -> tuple[Charge, ...]:
-        """Charge a request's tokens; raises LimitExceededError at once."""
+        """Charge a request's tokens.
+
+        Raises
+        ------
+        LimitExceededError
+            The shares refuse it, which is said at once, or one that was between two homes
+            had no answer after a short wait.
+        """
         if tokens > workspace.burst_tokens:
             self.refusals += 1
             raise LimitExceededError(
