--- a/features/serving_fleet.py
+++ b/features/serving_fleet.py
@@ -12,7 +12,7 @@
 from callers import runs as all_runs
 
 from pimentohoist._http_client import HttpReply, HttpRequest
-from pimentohoist._view_fold import rank_names
+from pimentohoist._rendezvous import rank_names
 from pimentohoist.configuration import (
     Adapter,
     Configuration,
--- a/features/steps/failure_domains.py
+++ b/features/steps/failure_domains.py
@@ -22,7 +22,8 @@
     choose_witnesses,
     is_majority,
 )
-from pimentohoist._view_fold import View, rank_names  # noqa: E402
+from pimentohoist._rendezvous import rank_names  # noqa: E402
+from pimentohoist._view_fold import View  # noqa: E402
 from pimentohoist.models import Member  # noqa: E402
 
 _LEAST_MEMBERS = 2
--- a/src/pimentohoist/__init__.py
+++ b/src/pimentohoist/__init__.py
@@ -10,20 +10,26 @@
 '[workspaces.house]'
 """
 
-from pimentohoist.configuration import (
-    Adapter,
-    Configuration,
-    Endpoint,
-    EndpointGroup,
-    GroupKind,
-    Key,
-    Route,
-    StoreBudget,
-    Workspace,
-)
-from pimentohoist.exceptions import PimentohoistError
-from pimentohoist.keys import create_key
-from pimentohoist.sessions import Session
+from __future__ import annotations
+
+from importlib import import_module
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from pimentohoist.configuration import (
+        Adapter,
+        Configuration,
+        Endpoint,
+        EndpointGroup,
+        GroupKind,
+        Key,
+        Route,
+        StoreBudget,
+        Workspace,
+    )
+    from pimentohoist.exceptions import PimentohoistError
+    from pimentohoist.keys import create_key
+    from pimentohoist.sessions import Session
 
 __all__ = (
     'Adapter',
@@ -39,3 +45,17 @@
     'Workspace',
     'create_key',
 )
+
+_MODULES = {
+    'PimentohoistError': 'exceptions',
+    'Session': 'sessions',
+    'create_key': 'keys',
+}
+_MOST = 'configuration'
+
+
+def __getattr__(name: str) -> Any:  # noqa: WPS413
+    """Import a public name when it is first used: daemons need few of them."""
+    if name not in __all__:
+        raise AttributeError(name)
+    return getattr(import_module(f'pimentohoist.{_MODULES.get(name, _MOST)}'), name)
--- a/src/pimentohoist/_controllers/endpoints.py
+++ b/src/pimentohoist/_controllers/endpoints.py
@@ -19,7 +19,7 @@
 from pimentohoist._decisions.placement import CopyTable, order_endpoints
 from pimentohoist._platform.engine import HttpEngine
 from pimentohoist._platform.service import HttpService
-from pimentohoist._view_fold import rank_names
+from pimentohoist._rendezvous import rank_names
 from pimentohoist.configuration import Endpoint
 from pimentohoist.exceptions import DeadlineError, UnavailableError
 from pimentohoist.exchanges import SlotRequest
--- /dev/null
+++ b/src/pimentohoist/_decisions/adapter_places.py
@@ -0,0 +1,170 @@
+"""The adapter places of one engine, as the engine's home decides on them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+
+from pimentohoist.entry_models import AdapterKey
+
+GRANT_KEPT_S = 0.6
+"""An adapter that was granted stays for two beats, until its use has been heard of."""
+
+MOST_ON_THEIR_WAY = 4
+"""Adapters that an engine fetches at once, as the platform states."""
+
+_HALF_LIFE_S = 10.0
+"""Demand for an adapter changes within seconds to minutes."""
+
+
+class PlaceState(StrEnum):
+    """What happens at a place."""
+
+    LOADING = 'loading'
+    READY = 'ready'
+    LEAVING = 'leaving'
+
+
+@dataclass(slots=True)
+class AdapterPlace:
+    """An adapter on the engine.
+
+    Attributes
+    ----------
+    kept_until : float
+        It isn't evicted before.
+    """
+
+    version: int
+    state: PlaceState
+    kept_until: float = 0
+
+
+@dataclass(frozen=True, slots=True)
+class LoadPlan:
+    """An adapter to load, after `victim` was evicted if there is one."""
+
+    adapter: AdapterKey
+    victim: AdapterKey | None
+
+
+class AdapterPlaces:
+    """What an engine holds and who uses it.
+
+    Parameters
+    ----------
+    capacity : int
+        Adapters that fit, those on their way included.
+    """
+
+    def __init__(self, capacity: int) -> None:
+        self.capacity = capacity
+        self.places: dict[AdapterKey, AdapterPlace] = {}
+        self.in_use: dict[str, frozenset[AdapterKey]] = {}
+        self._demand: dict[AdapterKey, tuple[float, float]] = {}
+
+    def note_demand(self, adapter: AdapterKey, now: float) -> None:
+        """Count a request for an adapter."""
+        self._demand[adapter] = (self.demand(adapter, now) + 1, now)
+
+    def demand(self, adapter: AdapterKey, now: float) -> float:
+        """Return how much an adapter was asked for of late."""
+        count, noted_at = self._demand.get(adapter, (0, now))
+        return float(count * 0.5 ** ((now - noted_at) / _HALF_LIFE_S))
+
+    def grant(self, adapter: AdapterKey, version: int, now: float) -> int | None:
+        """Keep a ready adapter for a request; return its version, None if not ready."""
+        place = self.places.get(adapter)
+        if place is None or place.state is not PlaceState.READY:
+            return None
+        if place.version < version:
+            return None
+        place.kept_until = now + GRANT_KEPT_S
+        return place.version
+
+    def is_outdated(self, adapter: AdapterKey, version: int) -> bool:
+        """Return whether a ready adapter must be replaced by a newer version."""
+        place = self.places.get(adapter)
+        is_ready = place is not None and place.state is PlaceState.READY
+        return is_ready and self.places[adapter].version < version
+
+    def is_coming(self, adapter: AdapterKey) -> bool:
+        """Return whether an adapter is on its way to the engine."""
+        place = self.places.get(adapter)
+        return place is not None and place.state is PlaceState.LOADING
+
+    def plan_load(self, adapter: AdapterKey, now: float) -> LoadPlan | None:
+        """Return how to load an adapter now; None if it must wait."""
+        if adapter in self.places or self._on_their_way() >= MOST_ON_THEIR_WAY:
+            return None
+        if len(self.places) < self.capacity:
+            return LoadPlan(adapter, None)
+        victim = min(
+            self._evictable(now),
+            key=lambda held: (self.demand(held, now), str(held)),
+            default=None,
+        )
+        return None if victim is None else LoadPlan(adapter, victim)
+
+    def begin(self, plan: LoadPlan) -> None:
+        """Note that a plan is being carried out."""
+        if plan.victim is not None:
+            self.places[plan.victim].state = PlaceState.LEAVING
+        self.places[plan.adapter] = AdapterPlace(0, PlaceState.LOADING)
+
+    def finish(self, adapter: AdapterKey, version: int, now: float) -> None:
+        """Note that a load has ended well."""
+        kept_until = now + GRANT_KEPT_S
+        self.places[adapter] = AdapterPlace(version, PlaceState.READY, kept_until)
+
+    def drop(self, adapter: AdapterKey) -> None:
+        """Note that an adapter isn't there, nor on its way."""
+        self.places.pop(adapter, None)
+
+    def reconcile(
+        self,
+        held: Mapping[AdapterKey, int],
+        coming: Iterable[AdapterKey],
+        now: float,
+    ) -> None:
+        """Take over what the engine reports instead of what was believed."""
+        known = self.places
+        self.places = {
+            adapter: AdapterPlace(
+                version,
+                PlaceState.READY,
+                known[adapter].kept_until if adapter in known else 0,
+            )
+            for adapter, version in held.items()
+        }
+        for adapter in coming:
+            self.places[adapter] = AdapterPlace(0, PlaceState.LOADING)
+        self._forget_demand(now)
+
+    def free_places(self, now: float) -> int:
+        """Return how many adapters could be loaded without waiting for a request."""
+        free = self.capacity - len(self.places)
+        return max(0, free) + sum(1 for _ in self._evictable(now))
+
+    def _evictable(self, now: float) -> Iterable[AdapterKey]:
+        used = frozenset().union(*self.in_use.values())
+        return (
+            adapter
+            for adapter, place in self.places.items()
+            if place.state is PlaceState.READY
+            and place.kept_until <= now
+            and adapter not in used
+        )
+
+    def _on_their_way(self) -> int:
+        return sum(
+            place.state is PlaceState.LOADING for place in self.places.values()
+        )
+
+    def _forget_demand(self, now: float) -> None:
+        self._demand = {
+            adapter: entry
+            for adapter, entry in self._demand.items()
+            if now - entry[1] < 6 * _HALF_LIFE_S
+        }
--- a/src/pimentohoist/_decisions/quarantine.py
+++ b/src/pimentohoist/_decisions/quarantine.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from pimentohoist._view_fold import rank_names
+from pimentohoist._rendezvous import rank_names
 
 KEPT_S = 600.0
 CRASHES_TO_QUARANTINE = 2
--- a/src/pimentohoist/_decisions/share_places.py
+++ b/src/pimentohoist/_decisions/share_places.py
@@ -5,7 +5,8 @@
 from collections.abc import Iterable
 
 from pimentohoist._decisions.shares import SHARES
-from pimentohoist._view_fold import View, rank_names
+from pimentohoist._rendezvous import rank_names
+from pimentohoist._view_fold import View
 from pimentohoist.models import Member
 
 
--- a/src/pimentohoist/_decisions/tenures.py
+++ b/src/pimentohoist/_decisions/tenures.py
@@ -16,7 +16,8 @@
     ShareLimit,
     ShareState,
 )
-from pimentohoist._view_fold import View, rank_names
+from pimentohoist._rendezvous import rank_names
+from pimentohoist._view_fold import View
 
 FRESH_S = 2.0
 """Time for which a daemon may act on what it has read."""
--- /dev/null
+++ b/src/pimentohoist/_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon on the users' platform: its controllers, filters and edge."""
--- /dev/null
+++ b/src/pimentohoist/_entry/crashes.py
@@ -0,0 +1,75 @@
+"""Requests that crash the endpoints that run them, known to the whole fleet."""
+
+from __future__ import annotations
+
+import hashlib
+import threading
+from collections.abc import Mapping
+from typing import Any
+
+from pimentohoist import _clock
+from pimentohoist._decisions.quarantine import CrashHistory, CrashRegister, Standing
+from pimentohoist._entry.members import Beat, MembersController
+from pimentohoist.entry_models import CallerRequest
+
+_DIGEST_BYTES = 8
+_MOST_TOLD = 20
+_TOLD_S = 30.0
+
+
+def fingerprint(request: CallerRequest) -> str:
+    """Return what a caller's repeats of a request have in common."""
+    digest = hashlib.blake2b(request.body, digest_size=_DIGEST_BYTES)
+    digest.update(f'\n{request.target}\n{request.key}'.encode())
+    return digest.hexdigest()
+
+
+class CrashesController:
+    """Remembers crashes and hears of those that other daemons saw."""
+
+    def __init__(self, members: MembersController) -> None:
+        self.register = CrashRegister()
+        self._told: dict[str, float] = {}
+        self._lock = threading.Lock()
+        members.on_beat.append(self._note_beat)
+
+    def is_quarantined(self, name: str) -> bool:
+        """Return whether a request has crashed more than one endpoint."""
+        with self._lock:
+            standing = self.register.standing(name, _clock.now())
+        return standing is Standing.QUARANTINED
+
+    def note_crash(self, name: str, endpoint_id: str) -> int:
+        """Note that an endpoint crashed on a request; return how many have."""
+        now = _clock.now()
+        with self._lock:
+            self.register.note_crash(name, endpoint_id, now)
+            self._told[name] = now
+            counts = {key: known.crashes for key, known in self.register.histories(now)}
+        return counts.get(name, 0)
+
+    def told(self) -> list[str]:
+        """Return the newest crashes, as beats carry them."""
+        now = _clock.now()
+        with self._lock:
+            self._told = {
+                name: at for name, at in self._told.items() if now - at < _TOLD_S
+            }
+            newest = sorted(self._told, key=self._told.__getitem__)[-_MOST_TOLD:]
+            known = dict(self.register.histories(now))
+        return [
+            f'{name}:{known[name].crashes}:{known[name].endpoint}'
+            for name in newest
+            if name in known
+        ]
+
+    def dump(self) -> Mapping[str, Any]:
+        """Return how many requests are known to crash endpoints."""
+        return {'told': len(self._told)}
+
+    def _note_beat(self, beat: Beat, before: Beat | None) -> None:
+        for told in beat.crashes:
+            name, count, endpoint_id = told.split(':', 2)
+            history = CrashHistory(int(count), endpoint_id, _clock.now())
+            with self._lock:
+                self.register.merge(name, history)
--- /dev/null
+++ b/src/pimentohoist/_entry/declaration_peers.py
@@ -0,0 +1,92 @@
+"""Gets the configuration from another daemon that has a newer one."""
+
+from __future__ import annotations
+
+import logging
+import threading
+from collections.abc import Mapping
+from typing import Any, Self
+
+from pimentohoist._entry.declarations import DeclarationsController
+from pimentohoist._entry.members import Beat, MembersController
+from pimentohoist._generated import peer_pb2
+from pimentohoist._peers import PeerClients
+from pimentohoist.exceptions import PeerError
+
+_TIMEOUT_S = 0.8
+_PATIENCE_S = 0.3
+"""The store tells everybody at nearly the same time; only who misses it asks."""
+
+_logger = logging.getLogger(__name__)
+
+
+class DeclarationPeers:
+    """Implements `Controller`: asks a daemon whose beats tell a newer version."""
+
+    def __init__(
+        self,
+        declarations: DeclarationsController,
+        members: MembersController,
+        peers: PeerClients,
+    ) -> None:
+        self.declarations = declarations
+        self.peers = peers
+        self._newer: str | None = None
+        self._asked = threading.Event()
+        self._closed = threading.Event()
+        self._thread = threading.Thread(target=self._run, name='newer', daemon=True)
+        members.on_beat.append(self._note_beat)
+
+    def __enter__(self) -> Self:
+        """Start asking."""
+        self._thread.start()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Stop asking."""
+        self._closed.set()
+        self._asked.set()
+
+    def peer_methods(self) -> Mapping[str, Any]:
+        """Return the calls that other daemons make."""
+        return {'FetchDeclaration': self._answer}
+
+    def _answer(self, request: peer_pb2.DeclarationRequest) -> Any:
+        text, versions = self.declarations.texts()
+        if self.declarations.version <= request.known_version:
+            text = b''
+        return peer_pb2.DeclarationReply(declaration=text, adapter_versions=versions)
+
+    def _note_beat(self, beat: Beat, before: Beat | None) -> None:
+        if self._is_newer(beat):
+            self._newer = beat.member
+            self._asked.set()
+
+    def _is_newer(self, beat: Beat) -> bool:
+        versions = sum(self.declarations.versions.values())
+        is_newer = beat.version > self.declarations.version
+        return is_newer or beat.adapter_versions > versions
+
+    def _run(self) -> None:
+        while not self._closed.is_set():
+            self._asked.wait()
+            self._closed.wait(_PATIENCE_S)
+            self._asked.clear()
+            address, self._newer = self._newer, None
+            if address is not None and not self._closed.is_set():
+                self._fetch(address)
+
+    def _fetch(self, address: str) -> None:
+        request = peer_pb2.DeclarationRequest(known_version=self.declarations.version)
+        try:
+            reply = self.peers.call(
+                address, 'FetchDeclaration', request, timeout_s=_TIMEOUT_S
+            )
+        except PeerError as error:
+            extra = {'step': 'configuration', 'peer': address, 'cause': str(error)}
+            _logger.info('configuration not fetched', extra=extra)
+            return
+        if reply.declaration:
+            self.declarations.offer(reply.declaration, address)
+        for text in reply.adapter_versions:
+            self.declarations.offer_version(text, address)
--- /dev/null
+++ b/src/pimentohoist/_entry/declarations.py
@@ -0,0 +1,135 @@
+"""The operators' configuration in force, and the versions of adapters."""
+
+from __future__ import annotations
+
+import logging
+import threading
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any, Self
+
+from pimentohoist._entry.followers import Follower, Pace
+from pimentohoist.entry_models import AdapterKey, Declaration
+from pimentohoist.exceptions import DocumentError
+from pimentohoist.platform import (
+    ADAPTER_VERSION_KEYS,
+    DECLARATION_KEY,
+    OPERATOR_RECORDS,
+    KeyedRecord,
+    Store,
+    decode_adapter_version,
+    decode_declaration,
+)
+
+_PACE = Pace(wait_s=1.0, pause_s=0)
+"""A read that hangs is noticed well within the bound of a configuration."""
+
+_logger = logging.getLogger(__name__)
+
+
+class DeclarationsController:
+    """Implements `Controller`: the newest configuration that could be got.
+
+    It comes from the store or from another daemon; an older version never replaces a
+    newer one.
+
+    Attributes
+    ----------
+    current : Declaration or None
+        None until the first one has come.
+    on_version : callable
+        Called with an adapter and its version when a newer one was declared.
+    """
+
+    def __init__(self, store: Store) -> None:
+        self.current: Declaration | None = None
+        self.versions: dict[AdapterKey, int] = {}
+        self.on_version: Callable[[AdapterKey, int], None] = _ignore
+        self.follower = Follower(store, OPERATOR_RECORDS, _PACE, self._take)
+        self._lock = threading.Lock()
+        self._version_texts: dict[AdapterKey, bytes] = {}
+
+    def __enter__(self) -> Self:
+        """Start following the store."""
+        self.follower.__enter__()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Stop following."""
+        self.follower.__exit__(*exc_info)
+
+    @property
+    def version(self) -> int:
+        """Return the version in force; -1 if there is none."""
+        return self.current.version if self.current is not None else -1
+
+    def version_of(self, adapter: AdapterKey | None) -> int:
+        """Return the newest version declared of an adapter; 0 if none was."""
+        return 0 if adapter is None else self.versions.get(adapter, 0)
+
+    def texts(self) -> tuple[bytes, list[bytes]]:
+        """Return what another daemon needs to have the same."""
+        current = self.current
+        text = b'' if current is None else current.text
+        return text, list(self._version_texts.values())
+
+    def offer(self, text: bytes, source: str) -> None:
+        """Take over a configuration if it is newer."""
+        try:
+            declaration = decode_declaration(text)
+        except DocumentError as error:
+            _logger.warning('configuration rejected', extra=_extra(source, str(error)))
+            return
+        with self._lock:
+            if declaration.version <= self.version:
+                return
+            before, self.current = self.version, declaration
+        extra = {
+            **_extra(source),
+            'version': declaration.version,
+            'before': before,
+            'routes': len(declaration.routes),
+        }
+        _logger.info('configuration in force', extra=extra)
+
+    def offer_version(self, text: bytes, source: str) -> None:
+        """Take over an adapter's version if it is newer."""
+        try:
+            adapter, version = decode_adapter_version(text)
+        except DocumentError as error:
+            extra = _extra(source, str(error))
+            _logger.warning('adapter version rejected', extra=extra)
+            return
+        with self._lock:
+            if version <= self.versions.get(adapter, 0):
+                return
+            self.versions[adapter] = version
+            self._version_texts[adapter] = text
+        extra = {**_extra(source), 'adapter': str(adapter), 'version': version}
+        _logger.info('adapter version declared', extra=extra)
+        self.on_version(adapter, version)
+
+    def dump(self) -> Mapping[str, Any]:
+        """Return what is in force, without keys."""
+        return {
+            'version': self.version,
+            'adapter_versions': len(self.versions),
+            'store_failures': self.follower.failures,
+        }
+
+    def _take(self, records: Sequence[KeyedRecord], is_whole: bool) -> None:
+        for record in records:
+            if record.body is None:
+                continue
+            if record.key == DECLARATION_KEY:
+                self.offer(record.body, 'store')
+            elif record.key.startswith(ADAPTER_VERSION_KEYS):
+                self.offer_version(record.body, 'store')
+
+
+def _ignore(adapter: AdapterKey, version: int) -> None:
+    """Do nothing with a new version."""
+
+
+def _extra(source: str, cause: str = '') -> dict[str, object]:
+    extra: dict[str, object] = {'step': 'configuration', 'source': source}
+    return {**extra, 'cause': cause} if cause else extra
--- /dev/null
+++ b/src/pimentohoist/_entry/edge.py
@@ -0,0 +1,147 @@
+"""Callers' edge: WSGI applications for requests, the directory and readiness."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterable, Mapping
+from http import HTTPStatus
+from typing import Any
+
+from pimentohoist import _clock
+from pimentohoist._entry.passage import EntryAnswer
+from pimentohoist._entry.request_path import RequestPath
+from pimentohoist.exceptions import PimentohoistError
+from pimentohoist.platform import RawRequest, read_request
+
+Environ = Mapping[str, Any]
+StartResponse = Callable[..., object]
+
+_JSON = ('Content-Type', 'application/json')
+_HTTP_PREFIX = 'HTTP_'
+_DIRECTORY_AGE_S = 2.0
+"""Callers learn of a lost or leaving daemon after this time."""
+
+_MOST_ADDRESSES = 64
+
+
+class RequestsApp:
+    """Answers callers' requests."""
+
+    def __init__(self, path: RequestPath) -> None:
+        self.path = path
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Pass a request on and give the answer as it comes."""
+        arrived_at = _clock.now()
+        try:
+            request = read_request(_raw(environ), arrived_at)
+            answer = self.path.answer(request, environ['waitress.client_disconnected'])
+        except PimentohoistError as error:
+            return _refuse(error, start_response)
+        return _give(answer, start_response)
+
+
+class DirectoryApp:
+    """Tells callers where to connect."""
+
+    def __init__(self, addresses: Callable[[], list[str]], most_age_s: float) -> None:
+        self.addresses = addresses
+        self.age_s = min(_DIRECTORY_AGE_S, most_age_s)
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Return the addresses of the daemons that are ready."""
+        if environ['PATH_INFO'] != '/v1/resolve':
+            return _give_json(HTTPStatus.NOT_FOUND, {}, start_response)
+        addresses = self.addresses()[:_MOST_ADDRESSES]
+        if not addresses:
+            return _give_json(HTTPStatus.SERVICE_UNAVAILABLE, {}, start_response)
+        document = {'addresses': addresses, 'ttl-s': self.age_s}
+        return _give_json(HTTPStatus.OK, document, start_response)
+
+
+class ReadyApp:
+    """Tells the platform whether the daemon is ready."""
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        self.is_ready = is_ready
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Return 200 or 503."""
+        is_ready = self.is_ready()
+        status = HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE
+        return _give_json(status, {'is_ready': is_ready}, start_response)
+
+
+class MetricsApp:
+    """Gives metrics as text, and the state of all controllers as JSON."""
+
+    def __init__(
+        self, lines: Callable[[], Iterable[str]], state: Callable[[], Any]
+    ) -> None:
+        self.lines = lines
+        self.state = state
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Return the metrics, or the state below ``/state``."""
+        if environ['PATH_INFO'] == '/state':
+            return _give_json(HTTPStatus.OK, self.state(), start_response)
+        body = ''.join(f'{line}\n' for line in self.lines()).encode()
+        start_response('200 OK', [('Content-Type', 'text/plain')])
+        return [body]
+
+
+def _raw(environ: Environ) -> RawRequest:
+    headers = [
+        (_header_name(name), text)
+        for name, text in environ.items()
+        if name.startswith(_HTTP_PREFIX)
+    ]
+    content_type = environ.get('CONTENT_TYPE')
+    if content_type:
+        headers.append(('Content-Type', content_type))
+    body = environ['wsgi.input'].read()
+    return RawRequest(
+        environ['REQUEST_METHOD'], environ['REQUEST_URI'], tuple(headers), body
+    )
+
+
+def _header_name(name: str) -> str:
+    return name[len(_HTTP_PREFIX) :].replace('_', '-').title()
+
+
+def _give(answer: EntryAnswer, start_response: StartResponse) -> Iterable[bytes]:
+    headers = list(answer.headers)
+    if answer.length is not None:
+        headers.append(('Content-Length', str(answer.length)))
+    start_response(f'{answer.status} {answer.reason}', headers)
+    return answer.parts
+
+
+def _refuse(
+    error: PimentohoistError, start_response: StartResponse
+) -> Iterable[bytes]:
+    document = {'error': {'code': error.code, 'message': error.message}}
+    headers = []
+    if error.retry_after_s is not None:
+        headers.append(('Retry-After', f'{error.retry_after_s:.2f}'))
+    return _give_json(error.status, document, start_response, headers)
+
+
+def _give_json(
+    status: HTTPStatus,
+    document: object,
+    start_response: StartResponse,
+    headers: Iterable[tuple[str, str]] = (),
+) -> Iterable[bytes]:
+    body = json.dumps(document).encode()
+    length = ('Content-Length', str(len(body)))
+    start_response(f'{status.value} {status.phrase}', [_JSON, length, *headers])
+    return [body]
--- /dev/null
+++ b/src/pimentohoist/_entry/endpoints.py
@@ -0,0 +1,175 @@
+"""Endpoints as they describe themselves in the store, and how well they answer."""
+
+from __future__ import annotations
+
+import logging
+import threading
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from typing import Any, Self
+
+from pimentohoist import _clock
+from pimentohoist._decisions.endpoint_health import EndpointHealth
+from pimentohoist._entry.followers import Follower, Pace
+from pimentohoist.entry_models import Endpoint
+from pimentohoist.exceptions import DocumentError
+from pimentohoist.platform import (
+    ENDPOINT_RECORDS,
+    KeyedRecord,
+    Store,
+    decode_endpoint,
+)
+
+_PACE = Pace(wait_s=0.5, pause_s=0.4)
+"""Heartbeats come all the time; a leaving endpoint has 2 s until it gets no new work."""
+
+_RETURN_S = 2.5
+"""Entries that lapsed during an outage of the store are back within about 2 s of it."""
+
+_MOST_REJECTED_IDS = 256
+
+_logger = logging.getLogger(__name__)
+
+
+class EndpointsController:
+    """Implements `Controller`: endpoints that may get work, and their health.
+
+    Attributes
+    ----------
+    in_flight : Counter
+        This daemon's requests by endpoint id.
+    """
+
+    def __init__(self, store: Store) -> None:
+        self.endpoints: dict[str, Endpoint] = {}
+        self.health: dict[str, EndpointHealth] = {}
+        self.in_flight: Counter[str] = Counter()
+        self.follower = Follower(store, ENDPOINT_RECORDS, _PACE, self._take)
+        self._removed: dict[str, float] = {}
+        self._refused_incarnations: set[str] = set()
+        self._rejected: set[str] = set()
+        self._lock = threading.Lock()
+
+    def __enter__(self) -> Self:
+        """Start following the store."""
+        self.follower.__enter__()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Stop following."""
+        self.follower.__exit__(*exc_info)
+
+    def usable(self, group: str) -> list[Endpoint]:
+        """Return the endpoints of a group that may get new work."""
+        now = _clock.now()
+        return [
+            endpoint
+            for endpoint in self.alive()
+            if endpoint.group == group
+            and not endpoint.is_leaving
+            and self.health_of(endpoint.endpoint_id).paused_until <= now
+        ]
+
+    def alive(self) -> list[Endpoint]:
+        """Return all endpoints that have not gone, leaving ones included."""
+        self._drop_removed()
+        return [
+            endpoint
+            for endpoint in tuple(self.endpoints.values())
+            if endpoint.incarnation not in self._refused_incarnations
+        ]
+
+    def health_of(self, endpoint_id: str) -> EndpointHealth:
+        """Return how well an endpoint has answered."""
+        health = self.health.get(endpoint_id)
+        if health is None:
+            health = self.health.setdefault(endpoint_id, EndpointHealth())
+        return health
+
+    def note_other_incarnation(self, endpoint: Endpoint) -> None:
+        """Note that something else answers at an endpoint's address."""
+        self._refused_incarnations.add(endpoint.incarnation)
+        _logger.warning(
+            'endpoint has gone',
+            extra={'step': 'endpoints', 'endpoint': endpoint.endpoint_id},
+        )
+
+    def dump(self) -> Mapping[str, Any]:
+        """Return the endpoints with their load and health."""
+        return {
+            endpoint.endpoint_id: {
+                'group': endpoint.group,
+                'is_leaving': endpoint.is_leaving,
+                'in_flight': self.in_flight[endpoint.endpoint_id],
+                'failure_share': self.health_of(endpoint.endpoint_id).failure_share,
+            }
+            for endpoint in self.alive()
+        }
+
+    def _take(self, records: Sequence[KeyedRecord], is_whole: bool) -> None:
+        if is_whole:
+            listed = {record.key for record in records}
+            for endpoint_id in tuple(self.endpoints):
+                if endpoint_id not in listed:
+                    self._note_removed(endpoint_id)
+        for record in records:
+            if record.body is None:
+                self._note_removed(record.key)
+            else:
+                self._note_entry(record.key, record.body)
+        self._drop_removed()
+
+    def _note_entry(self, endpoint_id: str, body: bytes) -> None:
+        try:
+            endpoint = decode_endpoint(endpoint_id, body)
+        except DocumentError as error:
+            self._note_rejected(endpoint_id, error)
+            return
+        known = self.endpoints.get(endpoint_id)
+        if known is not None and endpoint.started_ms < known.started_ms:
+            return
+        if known is None or known.is_leaving != endpoint.is_leaving:
+            _logger.info('endpoint seen', extra=_extra(endpoint))
+        with self._lock:
+            self._removed.pop(endpoint_id, None)
+            self.endpoints[endpoint_id] = endpoint
+
+    def _note_rejected(self, endpoint_id: str, error: DocumentError) -> None:
+        if endpoint_id in self._rejected or len(self._rejected) > _MOST_REJECTED_IDS:
+            return
+        self._rejected.add(endpoint_id)
+        extra = {'step': 'endpoints', 'endpoint': endpoint_id, 'cause': str(error)}
+        _logger.warning('entry of an endpoint rejected', extra=extra)
+
+    def _note_removed(self, endpoint_id: str) -> None:
+        if endpoint_id in self.endpoints:
+            with self._lock:
+                self._removed.setdefault(endpoint_id, _clock.now())
+
+    def _drop_removed(self) -> None:
+        """Drop removed endpoints; after an outage only if they stay away."""
+        if not self._removed:
+            return
+        now = _clock.now()
+        patient_until = self.follower.restored_at + _RETURN_S
+        if self.follower.is_failing() or now < patient_until:
+            return
+        with self._lock:
+            removed, self._removed = self._removed, {}
+            for endpoint_id in removed:
+                self.endpoints.pop(endpoint_id, None)
+                self.health.pop(endpoint_id, None)
+        for endpoint_id in removed:
+            extra = {'step': 'endpoints', 'endpoint': endpoint_id}
+            _logger.info('endpoint removed', extra=extra)
+
+
+def _extra(endpoint: Endpoint) -> dict[str, object]:
+    return {
+        'step': 'endpoints',
+        'endpoint': endpoint.endpoint_id,
+        'group': endpoint.group,
+        'address': endpoint.address,
+        'is_leaving': endpoint.is_leaving,
+        'started_ms': endpoint.started_ms,
+    }
--- /dev/null
+++ b/src/pimentohoist/_entry/filters.py
@@ -0,0 +1,99 @@
+"""Filters that a request passes before it is sent to an endpoint."""
+
+from __future__ import annotations
+
+import random
+
+from pimentohoist._entry.crashes import CrashesController, fingerprint
+from pimentohoist._entry.passage import Passage
+from pimentohoist._entry.quotas import QuotasController
+from pimentohoist.entry_models import Declaration, EndpointGroup, Route
+from pimentohoist.exceptions import (
+    AuthenticationError,
+    LimitExceededError,
+    NotFoundError,
+    UnavailableError,
+)
+
+_LEAST_WAIT_S = 0.2
+_LONGEST_WAIT_S = 4.0
+_SPREAD = 0.5
+"""Callers that were refused together return over half as long again."""
+
+
+class Authenticate:
+    """Finds the workspace of a request's key, unless its route is open to all."""
+
+    def __call__(self, passage: Passage) -> None:
+        """Set the workspace."""
+        declaration = passage.declaration
+        workspace = declaration.workspaces_by_key.get(passage.request.key)
+        is_needed = bool(declaration.workspaces) and not passage.route.is_open
+        if workspace is None and is_needed:
+            raise AuthenticationError('the key is not valid', step='authenticate')
+        passage.workspace = None if passage.route.is_open else workspace
+
+
+class ChargeQuota:
+    """Charges the workspace with the request's tokens."""
+
+    def __init__(self, quotas: QuotasController) -> None:
+        self.quotas = quotas
+
+    def __call__(self, passage: Passage) -> None:
+        """Charge, or refuse what is beyond rate and burst."""
+        workspace = passage.workspace
+        if workspace is None:
+            return
+        tokens = passage.request.tokens
+        cost = workspace.plain_tokens if tokens is None else tokens
+        wait_s = self.quotas.charge(workspace, cost)
+        if wait_s is not None:
+            raise LimitExceededError(
+                f'{workspace.name} is beyond its rate and burst',
+                step='quota',
+                retry_after_s=spread(wait_s),
+            )
+        passage.charged = cost
+
+
+class Quarantine:
+    """Refuses requests that crash endpoints."""
+
+    def __init__(self, crashes: CrashesController) -> None:
+        self.crashes = crashes
+
+    def __call__(self, passage: Passage) -> None:
+        """Refuse a request that has crashed more than one endpoint."""
+        if self.crashes.is_quarantined(fingerprint(passage.request)):
+            raise UnavailableError(
+                'the request crashes endpoints',
+                step='quarantine',
+                retry_after_s=spread(_LONGEST_WAIT_S),
+            )
+
+
+def find_route(
+    declaration: Declaration | None, host: str, path: str
+) -> tuple[Declaration, Route, EndpointGroup]:
+    """Return where a request goes; raises UnavailableError, NotFoundError."""
+    if declaration is None:
+        raise UnavailableError(
+            'no configuration is known', step='route', retry_after_s=spread(0.5)
+        )
+    route = declaration.find_route(host, path)
+    if route is None:
+        raise NotFoundError(f'no route for {host}{path}', step='route')
+    names = [share.group for share in route.shares]
+    weights = [share.weight for share in route.shares]
+    chosen = random.choices(names, weights if any(weights) else None)[0]
+    group = declaration.groups.get(chosen)
+    if group is None:
+        raise UnavailableError(f'unknown group {chosen}', step='route')
+    return declaration, route, group
+
+
+def spread(wait_s: float) -> float:
+    """Return a time to come back at, different for each caller."""
+    base_s = min(_LONGEST_WAIT_S, max(_LEAST_WAIT_S, wait_s))
+    return base_s * random.uniform(1, 1 + _SPREAD)
--- /dev/null
+++ b/src/pimentohoist/_entry/followers.py
@@ -0,0 +1,121 @@
+"""Follows a keyed topic of the store and keeps on trying when the store fails."""
+
+from __future__ import annotations
+
+import logging
+import random
+import threading
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Self
+
+from pimentohoist import _clock
+from pimentohoist.exceptions import PimentohoistError
+from pimentohoist.platform import KeyedRecord, RecordsExpiredError, Store
+
+_FIRST_RETRY_S = 0.15
+_LONGEST_RETRY_S = 0.6
+"""Short against the two seconds in which a configuration must be in force."""
+
+_logger = logging.getLogger(__name__)
+
+Sink = Callable[[Sequence[KeyedRecord], bool], None]
+"""Takes records, and whether they are all that there are."""
+
+
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """How often a topic is read.
+
+    Attributes
+    ----------
+    wait_s : float
+        The store answers after this time although nothing has changed.
+    pause_s : float
+        Between two reads, so that frequent changes come together.
+    """
+
+    wait_s: float
+    pause_s: float
+
+
+class Follower:
+    """Implements `Controller`: reads a topic's changes in a thread of its own.
+
+    Attributes
+    ----------
+    read_at : float
+        When the store last answered, on the daemon's clock.
+    restored_at : float
+        When it answered again after it had failed.
+    """
+
+    def __init__(self, store: Store, topic: str, pace: Pace, sink: Sink) -> None:
+        self.store = store
+        self.topic = topic
+        self.pace = pace
+        self.sink = sink
+        self.read_at = float('-inf')
+        self.restored_at = float('-inf')
+        self.failures = 0
+        self._offset: int | None = None
+        self._closed = threading.Event()
+        self._thread = threading.Thread(target=self._run, name=topic, daemon=True)
+
+    def __enter__(self) -> Self:
+        """Start reading."""
+        self._thread.start()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Stop after the read under way."""
+        self._closed.set()
+
+    def is_failing(self) -> bool:
+        """Return whether the last read failed."""
+        return self.failures > 0
+
+    def _run(self) -> None:
+        while not self._closed.is_set():
+            pause_s = self.pace.pause_s
+            try:
+                self._read()
+            except RecordsExpiredError as error:
+                self._offset = None
+                _logger.info('%s', error, extra={'step': 'follow', 'topic': self.topic})
+            except PimentohoistError as error:
+                pause_s = self._note_failure(error)
+            except Exception:
+                _logger.exception('follower failed', extra={'topic': self.topic})
+                pause_s = _LONGEST_RETRY_S
+                self._offset = None
+            self._closed.wait(pause_s)
+
+    def _read(self) -> None:
+        if self._offset is None:
+            records, self._offset = self.store.newest(self.topic)
+            self._note_success()
+            self.sink(records, True)
+            return
+        records, self._offset = self.store.changes(
+            self.topic, self._offset, wait_s=self.pace.wait_s
+        )
+        self._note_success()
+        if records:
+            self.sink(records, False)
+
+    def _note_success(self) -> None:
+        self.read_at = _clock.now()
+        if self.failures:
+            self.restored_at = self.read_at
+            extra = {'step': 'follow', 'topic': self.topic, 'failures': self.failures}
+            _logger.warning('store answers again', extra=extra)
+        self.failures = 0
+
+    def _note_failure(self, error: PimentohoistError) -> float:
+        if not self.failures:
+            extra = {'step': 'follow', 'topic': self.topic, 'cause': str(error)}
+            _logger.warning('store lost', extra=extra)
+        self.failures += 1
+        limit_s = min(_LONGEST_RETRY_S, _FIRST_RETRY_S * 2**self.failures)
+        return random.uniform(_FIRST_RETRY_S, limit_s)
--- /dev/null
+++ b/src/pimentohoist/_entry/homes.py
@@ -0,0 +1,150 @@
+"""Which engines this daemon is the home of: the only one to order them.
+
+The store's group deals partitions out with a generation that rises at each change; an
+engine belongs to one partition for good. Beats tell the others who holds what.
+"""
+
+from __future__ import annotations
+
+import logging
+import threading
+from collections.abc import Mapping
+from typing import Any, Self
+
+from pimentohoist import _clock
+from pimentohoist._decisions.ownership import (
+    Ownership,
+    Tenure,
+    home_of,
+    partition_of,
+)
+from pimentohoist._entry.members import MembersController
+from pimentohoist.exceptions import PimentohoistError
+from pimentohoist.platform import EntrySettings, Store
+
+_GROUP = 'pimentohoist-homes'
+_LEASE_S = 2.5
+"""Takeover time of a lost home; three joins fit in, so that two may be lost."""
+
+_JOIN_S = 0.8
+
+_logger = logging.getLogger(__name__)
+
+
+class HomesController:
+    """Implements `Controller`: holds this daemon's partitions in the store's group."""
+
+    def __init__(
+        self, settings: EntrySettings, store: Store, members: MembersController
+    ) -> None:
+        self.settings = settings
+        self.store = store
+        self.members = members
+        self.own = Ownership(settings.control_address, 0, frozenset())
+        self.joined_at = float('-inf')
+        self._tenures: dict[int, Tenure] = {}
+        self._lock = threading.Lock()
+        self._closed = threading.Event()
+        self._thread = threading.Thread(target=self._run, name='homes', daemon=True)
+
+    def __enter__(self) -> Self:
+        """Join the group."""
+        self._thread.start()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Stop; the lease runs out unless `leave` was called."""
+        self._closed.set()
+
+    def leave(self) -> None:
+        """Hand the partitions over and hold none from now on."""
+        self._closed.set()
+        self._hold(Ownership(self.own.member, self.own.generation, frozenset()))
+        try:
+            self.store.leave(_GROUP, self.own.member)
+        except PimentohoistError as error:
+            _logger.warning('group not left', extra=_extra(str(error)))
+
+    def home_address(self, endpoint_id: str) -> str | None:
+        """Return where the home of an engine answers; None if none is known."""
+        partition = partition_of(endpoint_id, self.settings.partitions)
+        claims = [beat.ownership() for beat in self.members.live()]
+        home = home_of(partition, (self.own, *claims))
+        return home.member if home is not None else None
+
+    def is_home(self, endpoint_id: str) -> bool:
+        """Return whether this daemon is an engine's home."""
+        return self.home_address(endpoint_id) == self.own.member
+
+    def may_order(self, endpoint_id: str) -> bool:
+        """Return whether this daemon may order an engine now."""
+        tenure = self._tenure(partition_of(endpoint_id, self.settings.partitions))
+        now = _clock.now()
+        if not self.settings.engines_check_fences and not self._is_fresh(now):
+            return False
+        return self.is_home(endpoint_id) and tenure.may_order(now)
+
+    def note_order(self, endpoint_id: str) -> None:
+        """Note that this daemon has ordered an engine."""
+        partition = partition_of(endpoint_id, self.settings.partitions)
+        self._tenure(partition).note_order(_clock.now())
+
+    def dump(self) -> Mapping[str, Any]:
+        """Return what is held."""
+        return {
+            'generation': self.own.generation,
+            'partitions': sorted(self.own.partitions),
+        }
+
+    def _is_fresh(self, now: float) -> bool:
+        return now - self.joined_at < _LEASE_S
+
+    def _tenure(self, partition: int) -> Tenure:
+        with self._lock:
+            lease_s = self.settings.bounds.lease_s
+            return self._tenures.setdefault(partition, Tenure(lease_s))
+
+    def _run(self) -> None:
+        is_failing = False
+        while not self._closed.is_set():
+            try:
+                self._join()
+                is_failing = False
+            except PimentohoistError as error:
+                if not is_failing:
+                    _logger.warning('group not joined', extra=_extra(str(error)))
+                is_failing = True
+            except Exception:
+                _logger.exception('join failed', extra=_extra())
+            self._closed.wait(_JOIN_S)
+
+    def _join(self) -> None:
+        asked_at = _clock.now()
+        held = self.store.join(_GROUP, self.own.member, self.own.generation, _LEASE_S)
+        if self._closed.is_set():
+            return
+        self.joined_at = asked_at
+        partitions = held.partitions
+        self._hold(Ownership(self.own.member, held.generation, partitions))
+
+    def _hold(self, held: Ownership) -> None:
+        before, self.own = self.own, held
+        if before.partitions == held.partitions:
+            return
+        now = _clock.now()
+        for partition in held.partitions - before.partitions:
+            self._tenure(partition).gain(now)
+        for lost in before.partitions - held.partitions:
+            self._tenure(lost).lose()
+        extra = {
+            **_extra(),
+            'generation': held.generation,
+            'partitions': sorted(held.partitions),
+            'before': sorted(before.partitions),
+        }
+        _logger.info('partitions held', extra=extra)
+
+
+def _extra(cause: str = '') -> dict[str, object]:
+    extra: dict[str, object] = {'step': 'homes'}
+    return {**extra, 'cause': cause} if cause else extra
--- /dev/null
+++ b/src/pimentohoist/_entry/measures.py
@@ -0,0 +1,52 @@
+"""Counters and latency histograms of an entry daemon."""
+
+from __future__ import annotations
+
+import threading
+from collections import Counter
+from collections.abc import Iterator
+
+from hdrh.histogram import HdrHistogram
+
+_LONGEST_MS = 60_000
+_SIGNIFICANT_DIGITS = 2
+_MS_PER_S = 1000
+_MOST_ROUTES = 64
+_OTHERS = 'others'
+_PERCENTILES = (50, 95, 99)
+
+
+class Measures:
+    """Requests by route and status, with histograms of their times."""
+
+    def __init__(self) -> None:
+        self.statuses: Counter[tuple[str, int]] = Counter()
+        self.histograms: dict[str, HdrHistogram] = {}
+        self._lock = threading.Lock()
+
+    def note(self, route: str, status: int, took_s: float) -> None:
+        """Count a request that has ended."""
+        with self._lock:
+            if route not in self.histograms and len(self.histograms) >= _MOST_ROUTES:
+                route = _OTHERS
+            histogram = self.histograms.get(route)
+            if histogram is None:
+                histogram = HdrHistogram(1, _LONGEST_MS, _SIGNIFICANT_DIGITS)
+                self.histograms[route] = histogram
+            self.statuses[route, status] += 1
+            took_ms = min(_LONGEST_MS, max(1, round(took_s * _MS_PER_S)))
+            histogram.record_value(took_ms)
+
+    def lines(self) -> Iterator[str]:
+        """Yield the metrics as text, a line each."""
+        with self._lock:
+            statuses = dict(self.statuses)
+            histograms = dict(self.histograms)
+        for (route, status), count in sorted(statuses.items()):
+            labels = f'route="{route}",status="{status}"'
+            yield f'pimentohoist_requests_total{{{labels}}} {count}'
+        for route, histogram in sorted(histograms.items()):
+            for percentile in _PERCENTILES:
+                labels = f'route="{route}",quantile="{percentile / 100}"'
+                took_ms = histogram.get_value_at_percentile(percentile)
+                yield f'pimentohoist_request_ms{{{labels}}} {took_ms}'
--- /dev/null
+++ b/src/pimentohoist/_entry/members.py
@@ -0,0 +1,255 @@
+"""The daemons of the fleet, by the beats that they send one another.
+
+A beat is a datagram: it may be lost, and the next one tells the same. It carries what a
+daemon claims and counts, so that all daemons judge quotas, loads and homes alike.
+"""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+import socket
+import threading
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any, Self
+
+from pimentohoist import _clock
+from pimentohoist._addresses import split_address
+from pimentohoist._decisions.ownership import Ownership
+from pimentohoist.exceptions import PimentohoistError
+from pimentohoist.platform import MEMBER_RECORDS, EntrySettings, Store
+
+BEAT_S = 0.25
+"""Four beats in the second within which a daemon counts as heard of."""
+
+HEARD_S = 1.2
+KNOWN_S = 10.0
+"""A daemon that is silent for so long has gone and leaves its part to the others."""
+
+_LARGEST_DATAGRAM = 65_000
+_REREAD_S = 30.0
+_MOST_AGE_S = 120.0
+
+_logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Beat:
+    """What a daemon tells the others a few times a second.
+
+    Attributes
+    ----------
+    used : mapping of str to float
+        Tokens admitted by workspace since the start of the incarnation.
+    running : mapping of str to mapping of str to int
+        Its requests by endpoint id and adapter.
+    engines : mapping of str to list
+        Of each engine that it is the home of: free places, and the adapters there.
+    crashes : list of str
+        Fingerprints of requests that crash endpoints.
+    """
+
+    member: str
+    incarnation: str
+    failure_domain: str
+    callers_address: str
+    is_ready: bool
+    version: int
+    adapter_versions: int
+    generation: int
+    partitions: list[int] = field(default_factory=list)
+    used: Mapping[str, float] = field(default_factory=dict)
+    running: Mapping[str, Mapping[str, int]] = field(default_factory=dict)
+    engines: Mapping[str, tuple[int, list[str]]] = field(default_factory=dict)
+    crashes: list[str] = field(default_factory=list)
+
+    def ownership(self) -> Ownership:
+        """Return which partitions the daemon claims."""
+        return Ownership(self.member, self.generation, frozenset(self.partitions))
+
+    def running_on(self, endpoint_id: str) -> int:
+        """Return how many of its requests an endpoint has."""
+        return sum(self.running.get(endpoint_id, {}).values())
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """A daemon's newest beat, and when it came."""
+
+    beat: Beat
+    heard_at: float
+
+
+class MembersController:
+    """Implements `Controller`: sends this daemon's beats and keeps those of others.
+
+    Parameters
+    ----------
+    make_beat : callable
+        Returns this daemon's beat of the moment.
+    """
+
+    def __init__(
+        self, settings: EntrySettings, store: Store, make_beat: Callable[[], Beat]
+    ) -> None:
+        self.settings = settings
+        self.store = store
+        self.make_beat = make_beat
+        self.on_beat: list[Callable[[Beat, Beat | None], None]] = []
+        self.heard: dict[str, Heard] = {}
+        self.addresses: dict[str, float] = {}
+        self.incarnation = os.urandom(6).hex()
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._closed = threading.Event()
+        self._threads = [
+            threading.Thread(target=target, name=target.__name__, daemon=True)
+            for target in (self._send_beats, self._receive, self._find_members)
+        ]
+
+    def __enter__(self) -> Self:
+        """Start sending and receiving."""
+        self._socket.bind((self.settings.host, self.settings.peer_port))
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Stop; the others notice the silence."""
+        self._closed.set()
+        self._socket.close()
+
+    @property
+    def member(self) -> str:
+        """Return this daemon's name in the fleet: where it answers other daemons."""
+        return self.settings.control_address
+
+    def live(self) -> list[Beat]:
+        """Return the newest beats of the other daemons that were heard of late."""
+        since = _clock.now() - HEARD_S
+        return [entry.beat for entry in self._entries() if entry.heard_at >= since]
+
+    def known_count(self) -> int:
+        """Return how many other daemons have not been silent for long."""
+        since = _clock.now() - KNOWN_S
+        return sum(entry.heard_at >= since for entry in self._entries())
+
+    def share(self) -> float:
+        """Return this daemon's and its live peers' part of the fleet."""
+        return (1 + len(self.live())) / (1 + self.known_count())
+
+    def send_now(self) -> None:
+        """Send a beat at once."""
+        own = self.make_beat()
+        data = json.dumps(_encode(own), separators=(',', ':')).encode()
+        for host in self._hosts():
+            self._send(data, host)
+
+    def dump(self) -> Mapping[str, Any]:
+        """Return when each daemon was last heard of."""
+        now = _clock.now()
+        return {
+            entry.beat.member: round(now - entry.heard_at, 3)
+            for entry in self._entries()
+        }
+
+    def _entries(self) -> list[Heard]:
+        return list(self.heard.values())
+
+    def _hosts(self) -> set[str]:
+        since = _clock.now() - _MOST_AGE_S
+        known = [
+            address for address, at in tuple(self.addresses.items()) if at >= since
+        ]
+        named = (*known, *self.settings.seeds)
+        hosts = {split_address(address)[0] for address in named}
+        return hosts - {self.settings.host}
+
+    def _send(self, data: bytes, host: str) -> None:
+        try:
+            self._socket.sendto(data, (host, self.settings.peer_port))
+        except OSError as error:
+            if not self._closed.is_set():
+                extra = {'step': 'beat', 'peer': host, 'cause': str(error)}
+                _logger.debug('beat not sent', extra=extra)
+
+    def _send_beats(self) -> None:
+        while not self._closed.wait(BEAT_S):
+            try:
+                self.send_now()
+            except Exception:
+                _logger.exception('no beat sent', extra={'step': 'beat'})
+
+    def _receive(self) -> None:
+        while not self._closed.is_set():
+            try:
+                data, _ = self._socket.recvfrom(_LARGEST_DATAGRAM)
+            except OSError as error:
+                if not self._closed.is_set():
+                    extra = {'step': 'beat', 'cause': str(error)}
+                    _logger.warning('no beat received', extra=extra)
+                    self._closed.wait(BEAT_S)
+                continue
+            self._take(data)
+
+    def _take(self, data: bytes) -> None:
+        try:
+            beat = _decode(data)
+        except (ValueError, TypeError, KeyError) as error:
+            _logger.warning(
+                'beat rejected', extra={'step': 'beat', 'cause': repr(error)}
+            )
+            return
+        if beat.member == self.member:
+            return
+        now = _clock.now()
+        before = self.heard.get(beat.member)
+        if before is None or now - before.heard_at > HEARD_S:
+            extra = {'step': 'beat', 'peer': beat.member, 'version': beat.version}
+            _logger.info('daemon heard', extra=extra)
+        self.heard[beat.member] = Heard(beat, now)
+        self.addresses[beat.member] = now
+        for listener in self.on_beat:
+            listener(beat, before.beat if before is not None else None)
+
+    def _find_members(self) -> None:
+        """Publish where this daemon answers, and read where the others do."""
+        is_published = False
+        while not self._closed.is_set():
+            try:
+                if not is_published:
+                    entry = {'at': self.member}
+                    self.store.put(MEMBER_RECORDS, self.settings.name, entry)
+                    is_published = True
+                self._read_members()
+            except PimentohoistError as error:
+                extra = {'step': 'members', 'cause': str(error)}
+                _logger.info('members not read', extra=extra)
+            # Daemons that hear of one another need no list; a lone one asks sooner.
+            is_alone = not self.heard
+            self._closed.wait(1.0 if is_alone else _REREAD_S)
+
+    def _read_members(self) -> None:
+        records, _ = self.store.newest(MEMBER_RECORDS)
+        now = _clock.now()
+        for record in records:
+            try:
+                address = json.loads(record.body or b'')['at']
+                split_address(address)
+            except (ValueError, TypeError, KeyError) as error:
+                extra = {'step': 'members', 'key': record.key, 'cause': repr(error)}
+                _logger.warning('member record rejected', extra=extra)
+                continue
+            self.addresses.setdefault(address, now)
+
+
+def _encode(beat: Beat) -> list[Any]:
+    return [getattr(beat, name) for name in Beat.__slots__]
+
+
+def _decode(data: bytes) -> Beat:
+    fields = json.loads(data)
+    if not isinstance(fields, list) or len(fields) != len(Beat.__slots__):
+        raise ValueError('not the fields of a beat')
+    return Beat(*fields)
--- /dev/null
+++ b/src/pimentohoist/_entry/passage.py
@@ -0,0 +1,81 @@
+"""A request on its way through the filters, and the answer that it gets."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from pimentohoist._entry.watch import Watched
+from pimentohoist.entry_models import (
+    CallerRequest,
+    Declaration,
+    EndpointGroup,
+    Route,
+    Workspace,
+)
+from pimentohoist.exceptions import PimentohoistError
+
+
+@dataclass(frozen=True, slots=True)
+class EntryAnswer:
+    """What is sent to the caller.
+
+    Attributes
+    ----------
+    length : int or None
+        Of the body, if it is known before it is sent.
+    """
+
+    status: int
+    reason: str
+    headers: list[tuple[str, str]]
+    parts: Iterable[bytes]
+    length: int | None
+
+
+@dataclass(slots=True)
+class Passage:
+    """What the filters have found out about a request.
+
+    Attributes
+    ----------
+    endpoints : list of str
+        Those to which it was sent, in order.
+    runs : int
+        Of these, the ones that may have run it.
+    failure : PimentohoistError or None
+        Why the last attempt failed.
+    """
+
+    request: CallerRequest
+    watched: Watched
+    declaration: Declaration
+    route: Route
+    group: EndpointGroup
+    workspace: Workspace | None = None
+    charged: float = 0
+    endpoints: list[str] = field(default_factory=list)
+    runs: int = 0
+    held_ms: int = 0
+    failure: PimentohoistError | None = None
+    cleanups: list[Callable[[], None]] = field(default_factory=list)
+
+    def left_s(self, now: float) -> float:
+        """Return the time until the request is given up."""
+        return self.watched.give_up_at - now
+
+    def finish(self) -> None:
+        """Release what the request holds."""
+        while self.cleanups:
+            self.cleanups.pop()()
+
+
+class Filter(Protocol):
+    """One step of a request; raises PimentohoistError to refuse it."""
+
+    def __call__(self, passage: Passage) -> None:
+        """Check or change the passage."""
+
+
+Parts = Iterator[bytes]
--- /dev/null
+++ b/src/pimentohoist/_entry/places.py
@@ -0,0 +1,217 @@
+"""The engines that this daemon is the home of, and calls to the homes of others."""
+
+from __future__ import annotations
+
+import logging
+import threading
+from collections.abc import Mapping
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any, Self
+
+from pimentohoist import _clock
+from pimentohoist._entry.declarations import DeclarationsController
+from pimentohoist._entry.endpoints import EndpointsController
+from pimentohoist._entry.engine_home import Authority, EngineHome
+from pimentohoist._entry.homes import HomesController
+from pimentohoist._entry.members import Beat, MembersController
+from pimentohoist._generated import peer_pb2
+from pimentohoist._peers import PeerClients
+from pimentohoist.entry_models import AdapterKey, Endpoint
+from pimentohoist.exceptions import NotHomeError, PimentohoistError, UnavailableError
+
+_STEP = 'hold_adapter'
+_LOADERS = 24
+_TICK_S = 0.25
+_CALL_SLACK_S = 0.15
+"""On top of the wait that a home is asked for, for the way there and back."""
+
+_MS_PER_S = 1000
+
+_logger = logging.getLogger(__name__)
+
+
+class PlacesController:
+    """Implements `Controller` and answers other daemons that ask for an adapter."""
+
+    def __init__(
+        self,
+        declarations: DeclarationsController,
+        endpoints: EndpointsController,
+        members: MembersController,
+        homes: HomesController,
+        peers: PeerClients,
+    ) -> None:
+        self.declarations = declarations
+        self.endpoints = endpoints
+        self.members = members
+        self.homes = homes
+        self.peers = peers
+        self.engines: dict[str, EngineHome] = {}
+        self.loaders = ThreadPoolExecutor(_LOADERS, thread_name_prefix='loader')
+        self._lock = threading.Lock()
+        self._closed = threading.Event()
+        self._thread = threading.Thread(target=self._run, name='places', daemon=True)
+        declarations.on_version = self._replace
+        members.on_beat.append(self._note_beat)
+
+    def __enter__(self) -> Self:
+        """Start taking over engines."""
+        self._thread.start()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """End all homes."""
+        self._closed.set()
+        for engine in self._engines():
+            engine.close()
+        self.loaders.shutdown(wait=False, cancel_futures=True)
+
+    def peer_methods(self) -> Mapping[str, Any]:
+        """Return the calls that other daemons make."""
+        return {'HoldAdapter': self._answer_hold}
+
+    def hold(self, endpoint_id: str, adapter: AdapterKey, wait_s: float) -> int:
+        """Have an adapter held on an engine by its home; return the version there.
+
+        Raises
+        ------
+        PimentohoistError
+            It is not held; nothing was sent to the engine for the request.
+        """
+        version = self.declarations.version_of(adapter)
+        address = self.homes.home_address(endpoint_id)
+        if address is None:
+            raise UnavailableError('no home is known', step=_STEP, peer=endpoint_id)
+        if address == self.members.member:
+            return self._hold_here(endpoint_id, adapter, version, wait_s)
+        request = peer_pb2.HoldRequest(
+            endpoint=endpoint_id,
+            model=adapter.model,
+            adapter=adapter.name,
+            member=self.members.member,
+            version=version,
+            wait_ms=int(wait_s * _MS_PER_S),
+        )
+        timeout_s = wait_s + _CALL_SLACK_S
+        reply = self.peers.call(address, 'HoldAdapter', request, timeout_s=timeout_s)
+        if reply.refusal:
+            raise UnavailableError(reply.refusal, step=_STEP, peer=address)
+        return int(reply.version)
+
+    def statuses(self) -> dict[str, tuple[int, list[str]]]:
+        """Return free places and adapters of the engines that are homed here."""
+        return {
+            engine.endpoint.endpoint_id: engine.status() for engine in self._engines()
+        }
+
+    def note_own_use(self, running: Mapping[str, Mapping[str, int]]) -> None:
+        """Note which adapters this daemon's own requests use."""
+        self._note_running(self.members.member, running)
+
+    def dump(self) -> Mapping[str, Any]:
+        """Return the engines that are homed here."""
+        return {
+            engine.endpoint.endpoint_id: engine.dump() for engine in self._engines()
+        }
+
+    def _answer_hold(self, request: peer_pb2.HoldRequest) -> peer_pb2.HoldReply:
+        adapter = AdapterKey(request.model, request.adapter)
+        try:
+            version = self._hold_here(
+                request.endpoint, adapter, request.version, request.wait_ms / _MS_PER_S
+            )
+        except PimentohoistError as error:
+            return peer_pb2.HoldReply(refusal=error.message)
+        return peer_pb2.HoldReply(version=version)
+
+    def _hold_here(
+        self, endpoint_id: str, adapter: AdapterKey, version: int, wait_s: float
+    ) -> int:
+        engine = self.engines.get(endpoint_id)
+        if engine is None:
+            raise NotHomeError('not the home', step=_STEP, peer=endpoint_id)
+        newest = max(version, self.declarations.version_of(adapter))
+        return engine.hold(adapter, newest, _clock.now() + wait_s)
+
+    def _engines(self) -> list[EngineHome]:
+        return list(self.engines.values())
+
+    def _run(self) -> None:
+        while not self._closed.wait(_TICK_S):
+            try:
+                self._take_over()
+            except Exception:
+                _logger.exception('takeover failed', extra={'step': _STEP})
+
+    def _take_over(self) -> None:
+        """Begin and end homes as partitions and engines come and go."""
+        alive = {endpoint.endpoint_id: endpoint for endpoint in self.endpoints.alive()}
+        for endpoint_id, engine in tuple(self.engines.items()):
+            endpoint = alive.get(endpoint_id)
+            is_same = (
+                endpoint is not None
+                and endpoint.incarnation == engine.endpoint.incarnation
+            )
+            if engine.is_over or not is_same or not self.homes.is_home(endpoint_id):
+                self._end(endpoint_id, engine)
+        for endpoint in alive.values():
+            is_new = endpoint.endpoint_id not in self.engines
+            if is_new and self.homes.may_order(endpoint.endpoint_id):
+                self._begin(endpoint)
+        live = frozenset(
+            (self.members.member, *(beat.member for beat in self.members.live()))
+        )
+        for engine in self._engines():
+            engine.forget_members(live)
+
+    def _begin(self, endpoint: Endpoint) -> None:
+        declaration = self.declarations.current
+        group = declaration.groups.get(endpoint.group) if declaration else None
+        if group is None or group.engine is None:
+            return
+        endpoint_id = endpoint.endpoint_id
+        authority = Authority(
+            self.members.member,
+            lambda: self.homes.may_order(endpoint_id),
+            lambda: self.homes.own.generation,
+            lambda: self.homes.note_order(endpoint_id),
+        )
+        capacity = group.engine.adapter_places(endpoint.models)
+        engine = EngineHome(endpoint, capacity, authority, self.loaders)
+        self.engines[endpoint_id] = engine
+        self.loaders.submit(engine.start)
+        extra = {
+            'step': 'home',
+            'endpoint': endpoint_id,
+            'capacity': capacity,
+            'fence': self.homes.own.generation,
+        }
+        _logger.info('home begins', extra=extra)
+
+    def _end(self, endpoint_id: str, engine: EngineHome) -> None:
+        self.engines.pop(endpoint_id, None)
+        engine.close()
+        extra = {'step': 'home', 'endpoint': endpoint_id, 'fenced_by': engine.fenced_by}
+        _logger.info('home ends', extra=extra)
+
+    def _replace(self, adapter: AdapterKey, version: int) -> None:
+        for engine in self._engines():
+            try:
+                engine.replace(adapter, version)
+            except NotHomeError as error:
+                _logger.info('not replaced: %s', error, extra={'step': _STEP})
+
+    def _note_beat(self, beat: Beat, before: Beat | None) -> None:
+        self._note_running(beat.member, beat.running)
+
+    def _note_running(
+        self, member: str, running: Mapping[str, Mapping[str, int]]
+    ) -> None:
+        for endpoint_id, engine in tuple(self.engines.items()):
+            names = running.get(endpoint_id, {})
+            engine.note_use(member, frozenset(_adapter(name) for name in names))
+
+
+def _adapter(name: str) -> AdapterKey:
+    model, _, adapter = name.partition('/')
+    return AdapterKey(model, adapter)
--- /dev/null
+++ b/src/pimentohoist/_entry/request_path.py
@@ -0,0 +1,176 @@
+"""The way of a request: route, filters, dispatch, and one log line at its end."""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Callable, Iterator, Sequence
+from http import HTTPStatus
+
+from pimentohoist import _clock
+from pimentohoist._entry.declarations import DeclarationsController
+from pimentohoist._entry.dispatch import Dispatch, StreamBrokenError
+from pimentohoist._entry.filters import find_route
+from pimentohoist._entry.measures import Measures
+from pimentohoist._entry.passage import EntryAnswer, Filter, Passage
+from pimentohoist._entry.quotas import QuotasController
+from pimentohoist._entry.watch import Watch, Watched
+from pimentohoist.entry_models import CallerRequest
+from pimentohoist.exceptions import (
+    CallerDisconnectedError,
+    PeerError,
+    PimentohoistError,
+)
+
+_MS_PER_S = 1000
+_RESERVED = frozenset(
+    (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
+)
+_SAMPLED_ABOVE = 20
+"""Requests under way above which only some successes are logged."""
+
+_SAMPLE_SHARE = 0.1
+
+_logger = logging.getLogger(__name__)
+
+
+class RequestPath:
+    """Answers requests."""
+
+    def __init__(
+        self,
+        declarations: DeclarationsController,
+        quotas: QuotasController,
+        filters: Sequence[Filter],
+        dispatch: Dispatch,
+        watch: Watch,
+    ) -> None:
+        self.declarations = declarations
+        self.quotas = quotas
+        self.filters = filters
+        self.dispatch = dispatch
+        self.watch = watch
+        self.measures = Measures()
+
+    def answer(
+        self, request: CallerRequest, has_caller_left: Callable[[], bool]
+    ) -> EntryAnswer:
+        """Return the answer; raises PimentohoistError."""
+        passage = self._begin(request, has_caller_left)
+        try:
+            answer = self._pass(passage)
+        except BaseException as error:
+            self._end(passage, error)
+            raise
+        parts = _Following(answer.parts, lambda error: self._end(passage, error, answer))
+        return EntryAnswer(
+            answer.status, answer.reason, answer.headers, parts, answer.length
+        )
+
+    def _begin(
+        self, request: CallerRequest, has_caller_left: Callable[[], bool]
+    ) -> Passage:
+        declaration, route, group = find_route(
+            self.declarations.current, request.host, request.path
+        )
+        allowed_s = route.timeout_s
+        if request.allowed_s is not None:
+            allowed_s = min(allowed_s, request.allowed_s)
+        watched = Watched(request.arrived_at + allowed_s, has_caller_left)
+        self.watch.begin(watched)
+        return Passage(request, watched, declaration, route, group)
+
+    def _pass(self, passage: Passage) -> EntryAnswer:
+        for check in self.filters:
+            check(passage)
+        try:
+            return self.dispatch(passage)
+        except PimentohoistError as error:
+            if passage.runs and error.status in _RESERVED:
+                # These statuses promise that nothing ran.
+                raise PeerError(error.message, step=error.step) from error
+            raise
+
+    def _end(
+        self,
+        passage: Passage,
+        error: BaseException | None,
+        answer: EntryAnswer | None = None,
+    ) -> None:
+        self.watch.finish(passage.watched)
+        passage.finish()
+        workspace = passage.workspace
+        if answer is None and not passage.runs and workspace is not None:
+            self.quotas.give_back(workspace, passage.charged)
+        took_s = _clock.now() - passage.request.arrived_at
+        status = _status(answer, error)
+        self.measures.note(passage.route.name, status, took_s)
+        is_sound = error is None and status < HTTPStatus.BAD_REQUEST
+        is_sampled = len(self.watch) > _SAMPLED_ABOVE
+        if is_sound and is_sampled and random.random() > _SAMPLE_SHARE:
+            return
+        extra = {
+            'step': getattr(error, 'step', 'answer'),
+            'id': passage.request.request_id,
+            'route': passage.route.name,
+            'workspace': workspace.name if workspace else '',
+            'adapter': str(passage.request.adapter or ''),
+            'version': passage.declaration.version,
+            'endpoints': passage.endpoints,
+            'runs': passage.runs,
+            'status': status,
+            'took_ms': round(took_s * _MS_PER_S),
+            'outcome': 'answered' if error is None else str(error),
+        }
+        _logger.info('request ended', extra=extra)
+
+
+class _Following:
+    """Parts of an answer; tells once how they ended."""
+
+    def __init__(
+        self, parts: object, on_end: Callable[[BaseException | None], None]
+    ) -> None:
+        self.parts: Iterator[bytes] = iter(parts)  # type: ignore[call-overload]
+        self.on_end = on_end
+        self._is_over = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Return itself."""
+        return self
+
+    def __next__(self) -> bytes:
+        """Return the next part."""
+        try:
+            return next(self.parts)
+        except StopIteration:
+            self._finish(None)
+            raise
+        except BaseException as error:
+            self._finish(error)
+            raise
+
+    def close(self) -> None:
+        """End early: the caller reads no more."""
+        if self._is_over:
+            return
+        closing = getattr(self.parts, 'close', None)
+        if closing is not None:
+            closing()
+        self._finish(CallerDisconnectedError('the caller has left', step='answer'))
+
+    def _finish(self, error: BaseException | None) -> None:
+        if not self._is_over:
+            self._is_over = True
+            self.on_end(error)
+
+
+def _status(answer: EntryAnswer | None, error: BaseException | None) -> int:
+    if answer is not None:
+        return answer.status
+    if isinstance(error, PimentohoistError):
+        return int(error.status)
+    return int(HTTPStatus.INTERNAL_SERVER_ERROR)
+
+
+__all__ = ('RequestPath', 'StreamBrokenError')
--- /dev/null
+++ b/src/pimentohoist/_entry/watch.py
@@ -0,0 +1,100 @@
+"""Ends exchanges whose caller has gone or whose time is over."""
+
+from __future__ import annotations
+
+import logging
+import threading
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import Self
+
+from pimentohoist import _clock
+from pimentohoist._entry.connections import Exchange
+
+_TICK_S = 0.1
+"""An engine must stop within half a second of its caller's leaving."""
+
+_logger = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class Watched:
+    """A request, from its arrival to the end of its answer.
+
+    Attributes
+    ----------
+    give_up_at : float
+        Its caller or its route allow no longer.
+    exchange : Exchange or None
+        What is under way for it.
+    """
+
+    give_up_at: float
+    has_caller_left: Callable[[], bool]
+    exchange: Exchange | None = None
+    is_over: bool = False
+    has_left: bool = False
+
+    def end(self, *, has_left: bool) -> None:
+        """End what is under way and let nothing more begin."""
+        self.has_left = has_left
+        self.is_over = True
+        if self.exchange is not None:
+            self.exchange.abort()
+
+
+class Watch:
+    """Implements `Controller`: looks at all requests several times a second."""
+
+    def __init__(self) -> None:
+        self._entries: dict[int, Watched] = {}
+        self._closed = threading.Event()
+        self._thread = threading.Thread(target=self._run, name='watch', daemon=True)
+
+    def __enter__(self) -> Self:
+        """Start looking."""
+        self._thread.start()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Stop."""
+        self._closed.set()
+
+    def __len__(self) -> int:
+        """Return the number of requests under way."""
+        return len(self._entries)
+
+    @contextmanager
+    def over(self, watched: Watched) -> Iterator[Watched]:
+        """Look after a request for the time of a context."""
+        self.begin(watched)
+        try:
+            yield watched
+        finally:
+            self.finish(watched)
+
+    def begin(self, watched: Watched) -> None:
+        """Look after a request until `finish`."""
+        self._entries[id(watched)] = watched
+
+    def finish(self, watched: Watched) -> None:
+        """Look no more after a request."""
+        self._entries.pop(id(watched), None)
+
+    def _run(self) -> None:
+        while not self._closed.wait(_TICK_S):
+            now = _clock.now()
+            for watched in tuple(self._entries.values()):
+                try:
+                    self._look(watched, now)
+                except Exception:
+                    _logger.exception('watch failed', extra={'step': 'watch'})
+
+    def _look(self, watched: Watched, now: float) -> None:
+        if watched.is_over:
+            return
+        if watched.has_caller_left():
+            watched.end(has_left=True)
+        elif now >= watched.give_up_at:
+            watched.end(has_left=False)
--- a/src/pimentohoist/_http_server.py
+++ b/src/pimentohoist/_http_server.py
@@ -29,21 +29,26 @@
         *,
         threads: int,
         max_body_bytes: int = 1_073_741_824,
+        **adjustments: Any,
     ) -> None:
         host, port = split_address(address)
         self.address = address
+        options = {
+            'connection_limit': max(1000, 2 * threads),
+            'channel_timeout': _IDLE_TIMEOUT_S,
+            **adjustments,
+        }
         self._server: Any = create_server(
             app,
             host=host,
             port=port,
             threads=threads,
-            connection_limit=max(1000, 2 * threads),
             max_request_body_size=max_body_bytes,
             channel_request_lookahead=_LOOKAHEAD_BYTES,
-            channel_timeout=_IDLE_TIMEOUT_S,
             cleanup_interval=5,
             asyncore_use_poll=True,
             ident=None,
+            **options,
         )
         self._thread = threading.Thread(
             target=self._run, name=f'http-{address}', daemon=True
--- a/src/pimentohoist/_peers.py
+++ b/src/pimentohoist/_peers.py
@@ -53,9 +53,11 @@
         it raises reaches the caller as `PeerRefusedError`.
     """
 
-    def __init__(self, address: str, methods: PeerMethods) -> None:
+    def __init__(
+        self, address: str, methods: PeerMethods, threads: int = _THREADS
+    ) -> None:
         self.address = address
-        self._server = grpc.server(ThreadPoolExecutor(_THREADS), options=_OPTIONS)
+        self._server = grpc.server(ThreadPoolExecutor(threads), options=_OPTIONS)
         peer_pb2_grpc.add_PeerServicer_to_server(_servicer(methods), self._server)
         self._server.add_insecure_port(address)
 
--- a/src/pimentohoist/_view_fold.py
+++ b/src/pimentohoist/_view_fold.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import json
 from collections import deque
 from collections.abc import Iterable
@@ -11,6 +10,7 @@
 
 from pydantic import BaseModel, Field, TypeAdapter, ValidationError
 
+from pimentohoist._rendezvous import rank_names
 from pimentohoist.models import LogRecord, Member
 
 VIEW_STREAM = 'view'
@@ -164,13 +164,3 @@
     """Return the members by rendezvous weight for `thing`, the home first."""
     by_name = {member.incarnation: member for member in members}
     return [by_name[name] for name in rank_names(thing, by_name)]
-
-
-def rank_names(thing: str, names: Iterable[str]) -> list[str]:
-    """Return the names by rendezvous weight for `thing`, the highest first."""
-    return sorted(names, key=lambda name: _weight(thing, name), reverse=True)
-
-
-def _weight(thing: str, name: str) -> bytes:
-    text = f'{thing}\n{name}'.encode()
-    return hashlib.blake2b(text, digest_size=8).digest()
--- /dev/null
+++ b/src/pimentohoist/entry.py
@@ -0,0 +1,240 @@
+"""The daemon on the users' platform, one on each entry instance."""
+
+from __future__ import annotations
+
+import logging
+import os
+import signal
+import sys
+import threading
+from collections.abc import Iterator
+from contextlib import ExitStack
+from typing import Any, Self
+
+from pimentohoist import _clock
+from pimentohoist._entry.crashes import CrashesController
+from pimentohoist._entry.declarations import DeclarationsController
+from pimentohoist._entry.declaration_peers import DeclarationPeers
+from pimentohoist._entry.dispatch import Dispatch
+from pimentohoist._entry.edge import DirectoryApp, MetricsApp, ReadyApp, RequestsApp
+from pimentohoist._entry.endpoints import EndpointsController
+from pimentohoist._entry.filters import Authenticate, ChargeQuota, Quarantine
+from pimentohoist._entry.homes import HomesController
+from pimentohoist._entry.members import Beat, MembersController
+from pimentohoist._entry.places import PlacesController
+from pimentohoist._entry.quotas import QuotasController
+from pimentohoist._entry.request_path import RequestPath
+from pimentohoist._entry.server import CallersServer
+from pimentohoist._entry.watch import Watch
+from pimentohoist._http_server import HttpServer
+from pimentohoist._logs import BoundedLogs
+from pimentohoist._peers import PeerClients, PeerServer
+from pimentohoist.exceptions import SettingsError
+from pimentohoist.platform import EntrySettings, Store, read_entry_settings
+
+_SETTINGS_VARIABLE = 'PIMENTOHOIST_BOOT'
+_EXIT_SETTINGS = 2
+_SIDE_THREADS = 2
+_PEER_THREADS = 32
+_STACK_BYTES = 262_144
+_STOP_MARGIN_S = 1.2
+"""Time before the kill at which the daemon ends whatever still runs."""
+
+_CALLERS_LEAVE_S = 2.5
+"""Callers keep an answer of the directory for two seconds, and look now and then."""
+
+_POLL_S = 0.1
+
+_logger = logging.getLogger(__name__)
+
+
+class EntryDaemon:
+    """Everything that one daemon runs, from start to stop of its context."""
+
+    def __init__(self, settings: EntrySettings, logs: BoundedLogs) -> None:
+        self.settings = settings
+        self.logs = logs
+        self.is_leaving = threading.Event()
+        self.store = Store(settings.store_address)
+        self.peers = PeerClients()
+        self.members = MembersController(settings, self.store, self._beat)
+        self.declarations = DeclarationsController(self.store)
+        self.endpoints = EndpointsController(self.store)
+        self.homes = HomesController(settings, Store(settings.store_address), self.members)
+        self.places = PlacesController(
+            self.declarations, self.endpoints, self.members, self.homes, self.peers
+        )
+        self.quotas = QuotasController(self.members)
+        self.crashes = CrashesController(self.members)
+        self.declaration_peers = DeclarationPeers(
+            self.declarations, self.members, self.peers
+        )
+        self.watch = Watch()
+        self.dispatch = Dispatch(
+            self.endpoints, self.members, self.places, self.crashes
+        )
+        filters = (Authenticate(), ChargeQuota(self.quotas), Quarantine(self.crashes))
+        self.path = RequestPath(
+            self.declarations, self.quotas, filters, self.dispatch, self.watch
+        )
+        self.callers = CallersServer(RequestsApp(self.path), settings.callers_address)
+        self._stack = ExitStack()
+
+    def __enter__(self) -> Self:
+        """Start the controllers, then the servers."""
+        methods = {
+            **self.places.peer_methods(),
+            **self.declaration_peers.peer_methods(),
+        }
+        with ExitStack() as stack:
+            parts: tuple[Any, ...] = (
+                self.peers,
+                PeerServer(self.settings.control_address, methods, _PEER_THREADS),
+                self.declarations,
+                self.endpoints,
+                self.members,
+                self.homes,
+                self.places,
+                self.declaration_peers,
+                self.watch,
+                *self._side_servers(),
+                self.callers,
+            )
+            for part in parts:
+                stack.enter_context(part)
+            self._stack = stack.pop_all()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Stop everything."""
+        self._stack.close()
+
+    def is_ready(self) -> bool:
+        """Return whether callers can be served."""
+        return self.declarations.current is not None and not self.is_leaving.is_set()
+
+    def addresses(self) -> list[str]:
+        """Return where callers may connect."""
+        others = [
+            beat.callers_address for beat in self.members.live() if beat.is_ready
+        ]
+        own = [self.settings.callers_address] if self.is_ready() else []
+        return own + others
+
+    def leave(self) -> None:
+        """Take no new callers, finish what runs, and return when nothing is left."""
+        began_at = _clock.now()
+        give_up_at = began_at + self.settings.bounds.grace_s - _STOP_MARGIN_S
+        self.is_leaving.set()
+        self.callers.is_leaving = True
+        self.members.send_now()
+        self.homes.leave()
+        self.members.send_now()
+        while _clock.now() < give_up_at:
+            is_quiet = not len(self.watch) and self.callers.is_idle()
+            if is_quiet and _clock.now() > began_at + _CALLERS_LEAVE_S:
+                break
+            threading.Event().wait(_POLL_S)
+
+    def metrics(self) -> Iterator[str]:
+        """Yield metrics as text."""
+        yield from self.path.measures.lines()
+        yield f'pimentohoist_log_lines_dropped_total {self.logs.dropped}'
+        yield f'pimentohoist_connections_opened_total {self.dispatch.connections.opened}'
+        yield f'pimentohoist_requests_running {len(self.watch)}'
+        yield f'pimentohoist_configuration_version {self.declarations.version}'
+
+    def state(self) -> dict[str, Any]:
+        """Return the state of all controllers."""
+        return {
+            'declarations': self.declarations.dump(),
+            'endpoints': self.endpoints.dump(),
+            'members': self.members.dump(),
+            'homes': self.homes.dump(),
+            'places': self.places.dump(),
+            'quotas': self.quotas.dump(),
+            'crashes': self.crashes.dump(),
+            'dispatch': self.dispatch.dump(),
+        }
+
+    def _beat(self) -> Beat:
+        running = self.dispatch.running.snapshot()
+        self.places.note_own_use(running)
+        declaration = self.declarations.current
+        if declaration is not None:
+            self.callers.limit_idle(declaration.idle_timeout_s)
+        return Beat(
+            self.settings.control_address,
+            self.members.incarnation,
+            self.settings.failure_domain,
+            self.settings.callers_address,
+            self.is_ready(),
+            self.declarations.version,
+            sum(self.declarations.versions.values()),
+            self.homes.own.generation,
+            sorted(self.homes.own.partitions),
+            dict(self.quotas.used),
+            running,
+            self.places.statuses(),
+            self.crashes.told(),
+        )
+
+    def _side_servers(self) -> tuple[HttpServer, ...]:
+        settings = self.settings
+        directory = DirectoryApp(self.addresses, settings.bounds.most_directory_age_s)
+        metrics = MetricsApp(self.metrics, self.state)
+        metrics_address = f'{settings.host}:{settings.metrics_port}'
+        apps = (
+            (directory, settings.directory_address),
+            (ReadyApp(self.is_ready), settings.ready_address),
+            (metrics, metrics_address),
+        )
+        return tuple(
+            HttpServer(app, address, threads=_SIDE_THREADS) for app, address in apps
+        )
+
+
+def serve(settings_path: str) -> None:
+    """Run a daemon until SIGTERM."""
+    try:
+        settings = read_entry_settings(settings_path)
+    except SettingsError as error:
+        sys.stderr.write(f'pimentohoist: {error}\n')
+        sys.exit(_EXIT_SETTINGS)
+    threading.stack_size(_STACK_BYTES)
+    stopped = threading.Event()
+    reloaded = threading.Event()
+    signal.signal(signal.SIGTERM, lambda number, frame: stopped.set())
+    signal.signal(signal.SIGHUP, lambda number, frame: reloaded.set())
+    with BoundedLogs('INFO', instance=settings.name, stream=sys.stdout) as logs:
+        with EntryDaemon(settings, logs) as daemon:
+            _logger.info('started', extra={'step': 'start'})
+            while not stopped.wait(_POLL_S):
+                if reloaded.is_set():
+                    reloaded.clear()
+                    _reload(daemon, settings_path)
+            _logger.info('stopping', extra={'step': 'stop'})
+            daemon.leave()
+            _logger.info('stopped', extra={'step': 'stop', 'running': len(daemon.watch)})
+            sys.stdout.flush()
+    sys.stdout.flush()
+    # Threads that wait for peers would hold the process until their time is over.
+    os._exit(0)
+
+
+def _reload(daemon: EntryDaemon, settings_path: str) -> None:
+    """Take over settings that may change while a daemon runs."""
+    try:
+        settings = read_entry_settings(settings_path)
+    except SettingsError as error:
+        _logger.error('settings rejected: %s', error, extra={'step': 'reload'})
+        return
+    daemon.settings = settings
+    daemon.members.settings = settings
+    daemon.homes.settings = settings
+    _logger.info('settings reloaded', extra={'step': 'reload'})
+
+
+def main() -> None:
+    """Run the daemon with the settings that the environment names."""
+    serve(os.environ[_SETTINGS_VARIABLE])
--- a/src/pimentohoist/exceptions.py
+++ b/src/pimentohoist/exceptions.py
@@ -75,6 +75,12 @@
         self.faults = faults
 
 
+class DocumentError(PimentohoistError):
+    """A record or a report of the platform can't be decoded."""
+
+    code = 'broken_document'
+
+
 class PublishConflictError(PimentohoistError):
     """A section changed since the publish read it; ``sections`` names them."""
 
--- /dev/null
+++ b/src/pimentohoist/platform/__init__.py
@@ -0,0 +1,59 @@
+"""Everything that translates between the users' platform and the product.
+
+Names of the platform's messages appear only below this package; what it returns are the
+types of `pimentohoist.entry_models`.
+"""
+
+from pimentohoist.platform._documents import (
+    decode_adapter_version,
+    decode_declaration,
+    decode_endpoint,
+    decode_report,
+)
+from pimentohoist.platform._orders import EngineOrders, OrderReply
+from pimentohoist.platform._requests import (
+    RawRequest,
+    answer_headers,
+    is_certainly_not_run,
+    names_request,
+    onward_headers,
+    read_request,
+)
+from pimentohoist.platform._settings import EntrySettings, read_entry_settings
+from pimentohoist.platform._store import (
+    ADAPTER_VERSION_KEYS,
+    DECLARATION_KEY,
+    ENDPOINT_RECORDS,
+    MEMBER_RECORDS,
+    OPERATOR_RECORDS,
+    KeyedRecord,
+    Membership,
+    RecordsExpiredError,
+    Store,
+)
+
+__all__ = (
+    'ADAPTER_VERSION_KEYS',
+    'DECLARATION_KEY',
+    'ENDPOINT_RECORDS',
+    'MEMBER_RECORDS',
+    'OPERATOR_RECORDS',
+    'EngineOrders',
+    'EntrySettings',
+    'KeyedRecord',
+    'Membership',
+    'OrderReply',
+    'RawRequest',
+    'RecordsExpiredError',
+    'Store',
+    'answer_headers',
+    'decode_adapter_version',
+    'decode_declaration',
+    'decode_endpoint',
+    'decode_report',
+    'is_certainly_not_run',
+    'names_request',
+    'onward_headers',
+    'read_entry_settings',
+    'read_request',
+)
--- /dev/null
+++ b/src/pimentohoist/platform/_documents.py
@@ -0,0 +1,204 @@
+"""Decoding of the operators' and the endpoints' records.
+
+Records of endpoints may come from another writer. A record that doesn't hold what it
+should names no endpoint: decoding raises `DocumentError`, which callers log.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from pimentohoist.entry_models import (
+    AdapterKey,
+    Declaration,
+    Endpoint,
+    EndpointGroup,
+    EngineLimits,
+    EngineReport,
+    GroupShare,
+    ModelSize,
+    RequestKind,
+    Route,
+    Workspace,
+)
+from pimentohoist.exceptions import DocumentError
+
+_STEP = 'decode'
+_MS_PER_S = 1000
+_KINDS: Mapping[str, RequestKind] = {
+    'safe': RequestKind.REPEATABLE,
+    'unsafe': RequestKind.ONCE,
+    'stream': RequestKind.STREAM,
+}
+_STATES = frozenset(('ready', 'draining'))
+
+
+def decode_declaration(text: bytes) -> Declaration:
+    """Return the operators' configuration; raises DocumentError."""
+    document = _document(text)
+    try:
+        return Declaration(
+            int(document['version']),
+            tuple(_route(entry) for entry in document['routes']),
+            {entry['name']: _group(entry) for entry in document['services']},
+            tuple(_workspace(entry) for entry in document.get('tenants') or ()),
+            document['limits']['idle-timeout-ms'] / _MS_PER_S,
+            text,
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise DocumentError(f'configuration: {error!r}', step=_STEP) from error
+
+
+def decode_adapter_version(text: bytes) -> tuple[AdapterKey, int]:
+    """Return the adapter of which a new version is declared, and that version."""
+    document = _document(text)
+    adapter = document.get('adapter')
+    if adapter is not None and not isinstance(adapter, str):
+        raise DocumentError('adapter is no name', step=_STEP)
+    key = AdapterKey(_text(document, 'model'), adapter or '')
+    return key, _integer(document, 'version')
+
+
+def decode_endpoint(endpoint_id: str, text: bytes) -> Endpoint:
+    """Return what an endpoint says of itself; raises DocumentError."""
+    document = _document(text)
+    state = document.get('state')
+    if state not in _STATES:
+        raise DocumentError(f'unknown state {state!r}', step=_STEP)
+    models = document.get('models', [])
+    if not isinstance(models, list):
+        raise DocumentError('models is no list', step=_STEP)
+    try:
+        held_models, adapters = _holdings(models)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise DocumentError(f'models: {error!r}', step=_STEP) from error
+    return Endpoint(
+        endpoint_id,
+        _text(document, 'service'),
+        _address(_text(document, 'address')),
+        _text(document, 'zone'),
+        _integer(document, 'slots'),
+        state == 'draining',
+        _integer(document, 'born'),
+        _integer(document, 'seq'),
+        held_models,
+        adapters,
+    )
+
+
+def decode_report(text: bytes) -> EngineReport:
+    """Return what an engine answers when it is asked; raises DocumentError."""
+    document = _document(text)
+    try:
+        models, adapters = _holdings(document['models'])
+        coming = [_coming(name) for name in document.get('coming', ())]
+        return EngineReport(
+            int(document['born']),
+            int(document['seq']),
+            models,
+            adapters,
+            frozenset(coming),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise DocumentError(f'report: {error!r}', step=_STEP) from error
+
+
+def _holdings(
+    entries: Iterable[Mapping[str, Any]],
+) -> tuple[tuple[str, ...], dict[AdapterKey, int]]:
+    models = []
+    adapters: dict[AdapterKey, int] = {}
+    for entry in entries:
+        models.append(str(entry['name']))
+        for listed in entry.get('adapters', ()):
+            name, _, version = listed.partition('@')
+            adapters[AdapterKey(models[-1], name)] = int(version or 0)
+    return tuple(models), adapters
+
+
+def _coming(listed: str) -> AdapterKey:
+    model, _, name = listed.partition('/')
+    return AdapterKey(model, name.partition('@')[0])
+
+
+def _route(entry: Mapping[str, Any]) -> Route:
+    shares = entry.get('backends') or [{'service': entry.get('service'), 'weight': 1}]
+    return Route(
+        entry['name'],
+        entry['host'].lower(),
+        entry['path-prefix'],
+        _KINDS[entry['kind']],
+        entry['timeout-ms'] / _MS_PER_S,
+        entry['goal-ms'] / _MS_PER_S,
+        int(entry.get('priority') or 0),
+        tuple(GroupShare(share['service'], share['weight']) for share in shares),
+        int(entry.get('attempts') or 1),
+        bool(entry.get('public')),
+        bool(entry.get('can-resume')),
+    )
+
+
+def _group(entry: Mapping[str, Any]) -> EndpointGroup:
+    engine = entry.get('engine')
+    limits = None if engine is None else _engine_limits(engine)
+    return EndpointGroup(entry['name'], int(entry['max-conns']), limits)
+
+
+def _engine_limits(entry: Mapping[str, Any]) -> EngineLimits:
+    sizes = (
+        ModelSize(model['name'], model['weights-mb'], model.get('adapter-mb') or 0)
+        for model in entry.get('models', ())
+    )
+    return EngineLimits(
+        int(entry['slots']),
+        entry.get('weights-mb') or 0,
+        int(entry.get('adapter-slots') or 0),
+        tuple(sizes),
+    )
+
+
+def _workspace(entry: Mapping[str, Any]) -> Workspace:
+    plain = entry.get('plain-tokens') or 0
+    return Workspace(
+        entry['name'],
+        frozenset(entry.get('api-keys') or ()),
+        entry.get('priority'),
+        entry.get('rate-per-s') or 0,
+        entry.get('burst') or 0,
+        int(plain) if entry.get('unit') == 'tokens' else 1,
+    )
+
+
+def _document(text: bytes) -> dict[str, Any]:
+    try:
+        document = json.loads(text)
+    except ValueError as error:
+        raise DocumentError(f'unreadable: {error}', step=_STEP) from error
+    if not isinstance(document, dict):
+        raise DocumentError('no table', step=_STEP)
+    return document
+
+
+def _text(document: Mapping[str, Any], field: str) -> str:
+    text = document.get(field)
+    if not isinstance(text, str) or not text:
+        raise DocumentError(f'{field} is no text', step=_STEP)
+    return text
+
+
+def _integer(document: Mapping[str, Any], field: str) -> int:
+    number = document.get(field)
+    if not isinstance(number, int) or isinstance(number, bool) or number < 0:
+        raise DocumentError(f'{field} is no whole number', step=_STEP)
+    return number
+
+
+def _address(text: str) -> str:
+    host, _, port = text.rpartition(':')
+    parts = host.split('.')
+    is_ip = len(parts) == 4 and all(part.isdecimal() for part in parts)
+    if not (is_ip and port.isdecimal()):
+        raise DocumentError(f'{text!r} is no address', step=_STEP)
+    return text
--- /dev/null
+++ b/src/pimentohoist/platform/_headers.py
@@ -0,0 +1,58 @@
+"""Headers of the platform's requests and answers."""
+
+ATTEMPT_ID = 'Pimentohoist-Attempt-Id'
+"""Id of one attempt of a caller; a caller's repeat has another one."""
+
+DEADLINE_MS = 'Pimentohoist-Deadline-Ms'
+"""Time left, not a point in time."""
+
+ADAPTER = 'Pimentohoist-Model'
+"""Model, and an adapter of it after a slash."""
+
+TOKENS = 'Pimentohoist-Token-Count'
+"""Prompt tokens and the most output tokens, by a comma."""
+
+KEY = 'Api-Key'
+WORKSPACE = 'Pimentohoist-Tenant'
+EXPECTED_ENDPOINT = 'Pimentohoist-Expect-Instance'
+ENDPOINT = 'Pimentohoist-Instance-Id'
+EXPECTED_VERSION = 'Pimentohoist-Expect-Version'
+RANK = 'Pimentohoist-Request-Priority'
+NOT_RUN = 'Pimentohoist-Not-Executed'
+LAST_EVENT_ID = 'Last-Event-Id'
+
+SET_BY_US = frozenset(
+    name.lower()
+    for name in (
+        DEADLINE_MS,
+        KEY,
+        WORKSPACE,
+        EXPECTED_ENDPOINT,
+        EXPECTED_VERSION,
+        RANK,
+        'Pimentohoist-Hold',
+        'Pimentohoist-Pin-Ms',
+        'Pimentohoist-Kv-Backup',
+        'Kv-From',
+        'Kv-Fetch',
+    )
+)
+"""Headers of a caller that are not passed on as they came."""
+
+OF_ONE_CONNECTION = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'trailers',
+        'transfer-encoding',
+        'upgrade',
+        'content-length',
+        'expect',
+    )
+)
+"""Headers that end with a connection, and those that the HTTP library writes itself."""
--- /dev/null
+++ b/src/pimentohoist/platform/_orders.py
@@ -0,0 +1,127 @@
+"""Orders to engines: load and unload adapters."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from enum import StrEnum
+from http import HTTPStatus
+
+from pimentohoist._http_client import HttpClient, HttpReply, HttpRequest
+from pimentohoist.entry_models import AdapterKey, EngineReport
+from pimentohoist.exceptions import PeerRefusedError
+from pimentohoist.platform import _headers as names
+from pimentohoist.platform._documents import decode_report
+
+_STEP = 'order'
+_TIMEOUT_S = 0.5
+_JSON = 'application/json'
+
+
+class OrderReply(StrEnum):
+    """What an engine answers to an order.
+
+    Attributes
+    ----------
+    BEGUN : str
+        It is being carried out and counts.
+    HOLDS : str
+        What was ordered is the case.
+    CONFLICT : str
+        Another order is under way, or the number of orders differs.
+    FENCED : str
+        Somebody has ordered with a higher fencing number.
+    OTHER_ENDPOINT : str
+        Another incarnation or endpoint has the address.
+    REFUSED : str
+        Anything else.
+    """
+
+    BEGUN = 'begun'
+    HOLDS = 'holds'
+    CONFLICT = 'conflict'
+    FENCED = 'fenced'
+    OTHER_ENDPOINT = 'other_endpoint'
+    REFUSED = 'refused'
+
+
+_REPLIES = {
+    HTTPStatus.ACCEPTED: OrderReply.BEGUN,
+    HTTPStatus.OK: OrderReply.HOLDS,
+    HTTPStatus.CONFLICT: OrderReply.CONFLICT,
+    HTTPStatus.PRECONDITION_FAILED: OrderReply.FENCED,
+    HTTPStatus.MISDIRECTED_REQUEST: OrderReply.OTHER_ENDPOINT,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class _Authority:
+    holder: str
+    fencing_number: int
+
+
+class EngineOrders:
+    """Client of one incarnation of an engine for its orders and reports."""
+
+    def __init__(self, address: str, endpoint_id: str) -> None:
+        self.client = HttpClient(address, timeout_s=_TIMEOUT_S, step=_STEP)
+        self.endpoint_id = endpoint_id
+        self.authority = _Authority('', 0)
+
+    def authorise(self, holder: str, fencing_number: int) -> None:
+        """Order from now on in the name of a holder with its fencing number."""
+        self.authority = _Authority(holder, fencing_number)
+
+    def load(
+        self, adapter: AdapterKey, orders_taken: int, version: int | None
+    ) -> OrderReply:
+        """Load an adapter, or replace it by a version."""
+        return self._order('load', adapter, orders_taken, version)
+
+    def unload(self, adapter: AdapterKey, orders_taken: int) -> OrderReply:
+        """Unload an adapter; it leaves when no request uses it."""
+        return self._order('unload', adapter, orders_taken, None)
+
+    def report(self) -> EngineReport:
+        """Return what the engine holds, a few hundred milliseconds ago."""
+        request = HttpRequest('GET', '/v1/report', headers=self._headers())
+        reply = self.client.ask(request)
+        if reply.status != HTTPStatus.OK:
+            raise PeerRefusedError(
+                f'report: status {reply.status}',
+                step=_STEP,
+                peer=self.client.address,
+                peer_status=reply.status,
+            )
+        return decode_report(reply.body)
+
+    def close(self) -> None:
+        """Close the connections."""
+        self.client.close()
+
+    def _order(
+        self, opcode: str, adapter: AdapterKey, orders_taken: int, version: int | None
+    ) -> OrderReply:
+        document: dict[str, object] = {
+            'opcode': opcode,
+            'model': adapter.model,
+            'adapter': adapter.name,
+            # The engine refuses the order if it has taken another one meanwhile.
+            'expect': orders_taken,
+            'holder': self.authority.holder,
+            'fence': self.authority.fencing_number,
+        }
+        if version is not None:
+            document['version'] = version
+        body = json.dumps(document).encode()
+        headers = {**self._headers(), 'Content-Type': _JSON}
+        # An order that got no answer may still be carried out: it isn't sent again.
+        request = HttpRequest('POST', '/v1/order', body, headers, is_repeatable=False)
+        return _meaning(self.client.ask(request))
+
+    def _headers(self) -> dict[str, str]:
+        return {names.EXPECTED_ENDPOINT: self.endpoint_id}
+
+
+def _meaning(reply: HttpReply) -> OrderReply:
+    return _REPLIES.get(HTTPStatus(reply.status), OrderReply.REFUSED)
--- /dev/null
+++ b/src/pimentohoist/platform/_settings.py
@@ -0,0 +1,147 @@
+"""Settings of a daemon on the platform, rendered as TOML and checked."""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from pimentohoist.exceptions import SettingsError
+
+_STEP = 'settings'
+
+
+@dataclass(frozen=True, slots=True)
+class EntryBounds:
+    """Limits that the platform states for the whole fleet.
+
+    Attributes
+    ----------
+    retry_ratio, retry_slack, retry_window_s : float
+        Arrivals beyond the first of each request in a window are at most the ratio of
+        the requests plus the slack.
+    quota_slack : float
+        Tokens that a workspace may get beyond its rate and burst in a window.
+    lease_s : float
+        Time within which two holders may not take turns in ordering an engine.
+    grace_s : float
+        Time between a request to stop and the kill.
+    most_directory_age_s : float
+        Longest time for which a caller keeps an answer of the directory.
+    """
+
+    retry_ratio: float
+    retry_slack: float
+    retry_window_s: float
+    quota_slack: float
+    lease_s: float
+    version_s: float
+    grace_s: float
+    most_directory_age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Who the daemon is, where it listens and where the store is."""
+
+    name: str
+    failure_domain: str
+    host: str
+    callers_address: str
+    ready_address: str
+    control_address: str
+    directory_address: str
+    peer_port: int
+    metrics_port: int
+    partitions: int
+    engines_check_fences: bool
+    seeds: tuple[str, ...]
+    store_address: str
+    bounds: EntryBounds
+
+    @property
+    def peer_address(self) -> str:
+        """Return where the daemon answers other daemons."""
+        return f'{self.host}:{self.peer_port}'
+
+
+def read_entry_settings(path: str) -> EntrySettings:
+    """Read and check the settings; raises SettingsError that names the field."""
+    try:
+        document = tomllib.loads(Path(path).read_text(encoding='utf-8'))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise SettingsError(f'{path}: {error}', step=_STEP) from error
+    reader = _Reader(path, document)
+    first_port, _ = reader.ports('daemon.port_range')
+    return EntrySettings(
+        reader.text('daemon.name'),
+        reader.text('daemon.failure_domain'),
+        reader.text('daemon.host'),
+        reader.text('listen.callers'),
+        reader.text('listen.ready'),
+        reader.text('listen.control'),
+        reader.text('listen.directory'),
+        first_port,
+        first_port + 1,
+        int(reader.number('store.partitions')),
+        reader.flag('bounds.engines_check_fences'),
+        tuple(filter(None, reader.text('daemon.seeds', '').split(','))),
+        reader.text('store.address'),
+        EntryBounds(
+            reader.number('bounds.retry_ratio'),
+            reader.number('bounds.retry_slack'),
+            reader.number('bounds.retry_window_s'),
+            reader.number('bounds.quota_slack'),
+            reader.number('bounds.lease_ms') / 1000,
+            reader.number('bounds.version_ms') / 1000,
+            reader.number('bounds.grace_s'),
+            reader.number('bounds.most_directory_age_s'),
+        ),
+    )
+
+
+class _Reader:
+    """Takes fields out of a document and names the one that has a fault."""
+
+    def __init__(self, path: str, document: Mapping[str, Any]) -> None:
+        self.path = path
+        self.document = document
+
+    def text(self, field: str, default: str | None = None) -> str:
+        found = self._find(field, default)
+        if not isinstance(found, str) or (not found and default is None):
+            raise self._fault(field, 'is no text')
+        return found
+
+    def number(self, field: str) -> float:
+        found = self._find(field, None)
+        if not isinstance(found, (int, float)) or isinstance(found, bool) or found < 0:
+            raise self._fault(field, 'is no positive number')
+        return found
+
+    def flag(self, field: str) -> bool:
+        found = self._find(field, None)
+        if not isinstance(found, bool):
+            raise self._fault(field, 'is neither true nor false')
+        return found
+
+    def ports(self, field: str) -> tuple[int, int]:
+        first, _, last = self.text(field).partition(',')
+        if not (first.isdecimal() and last.isdecimal() and int(first) < int(last)):
+            raise self._fault(field, 'is no range of ports')
+        return int(first), int(last)
+
+    def _find(self, field: str, default: object) -> object:
+        table: Any = self.document
+        for part in field.split('.'):
+            if not isinstance(table, Mapping) or part not in table:
+                if default is None:
+                    raise self._fault(field, 'is missing')
+                return default
+            table = table[part]
+        return table
+
+    def _fault(self, field: str, text: str) -> SettingsError:
+        return SettingsError(f'{self.path}: {field} {text}', step=_STEP)
--- /dev/null
+++ b/src/pimentohoist/platform/_store.py
@@ -0,0 +1,187 @@
+"""Client of the platform's store: a log with partitions, keyed topics and groups."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import json
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import urlencode
+
+from pimentohoist._http_client import HttpClient, HttpReply, HttpRequest
+from pimentohoist.exceptions import OffsetExpiredError, PeerError, PeerRefusedError
+
+OPERATOR_RECORDS = 'keyed.op'
+ENDPOINT_RECORDS = 'keyed.servers'
+MEMBER_RECORDS = 'keyed.members'
+DECLARATION_KEY = 'config'
+ADAPTER_VERSION_KEYS = 'version/'
+
+_STEP = 'store'
+_TIMEOUT_S = 1.5
+_MS_PER_S = 1000
+_LENGTH_BYTES = 4
+_OFFSET_BYTES = 8
+_MOST_KB = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class KeyedRecord:
+    """The newest value of a key; None if the key was dropped."""
+
+    key: str
+    body: bytes | None = field(repr=False)
+
+
+@dataclass(frozen=True, slots=True)
+class Membership:
+    """A member's part of a group.
+
+    Attributes
+    ----------
+    generation : int
+        Rises with each change of the group; it serves as a fencing number.
+    partitions : frozenset of int
+        Partitions that belong to the member alone.
+    """
+
+    generation: int
+    partitions: frozenset[int]
+
+
+class RecordsExpiredError(OffsetExpiredError):
+    """The records asked for are no longer kept: read the newest of each key."""
+
+
+class Store:
+    """Client of the store, for many threads."""
+
+    def __init__(self, address: str, *, timeout_s: float = _TIMEOUT_S) -> None:
+        self.client = HttpClient(address, timeout_s=timeout_s, step=_STEP)
+
+    def newest(self, topic: str) -> tuple[list[KeyedRecord], int]:
+        """Return the newest record of each key, and the offset to read on from."""
+        records: list[KeyedRecord] = []
+        end: int | None = None
+        query: dict[str, object] = {'topic': topic, 'part': 0}
+        has_more = True
+        while has_more:
+            page = self._json('GET', '/v1/log-newest', query)
+            # Pages are no snapshot: reading on from the first end repeats what changed.
+            end = page['end'] if end is None else end
+            items = page['items']
+            records.extend(_keyed(item) for item in items)
+            has_more = bool(page.get('has-more')) and bool(items)
+            query['after'] = items[-1]['key'] if items else ''
+        return records, end or 0
+
+    def changes(
+        self, topic: str, offset: int, *, wait_s: float
+    ) -> tuple[list[KeyedRecord], int]:
+        """Return the keyed records from an offset on, and the offset after them.
+
+        Raises
+        ------
+        RecordsExpiredError
+            Records from `offset` on are gone.
+        """
+        query = {
+            'topic': topic,
+            'part': 0,
+            'from': offset,
+            'max-kb': _MOST_KB,
+            'wait-ms': int(wait_s * _MS_PER_S),
+        }
+        reply = self._ask('GET', '/v1/log-read', query, wait_s=wait_s)
+        bodies = list(_split_records(reply.body[2 * _OFFSET_BYTES :]))
+        return [_keyed_of(body) for body in bodies], offset + len(bodies)
+
+    def put(self, topic: str, key: str, document: Any) -> None:
+        """Set the newest value of a key of one of our topics."""
+        name = key.encode()
+        record = bytes((len(name),)) + name + json.dumps(document).encode()
+        body = len(record).to_bytes(_LENGTH_BYTES, 'big') + record
+        self._ask('POST', '/v1/log-append', {'topic': topic, 'part': 0}, body=body)
+
+    def join(
+        self, group: str, member: str, generation: int, lease_s: float
+    ) -> Membership:
+        """Join a group or stay in it, and return what the member holds."""
+        document = {
+            'group': group,
+            'member': member,
+            'topics': [group],
+            'ttl-ms': int(lease_s * _MS_PER_S),
+            'generation': generation,
+        }
+        reply = self._json('POST', '/v1/log-join', {}, json.dumps(document).encode())
+        rows = reply['parts']
+        return Membership(reply['generation'], frozenset(row[1] for row in rows))
+
+    def leave(self, group: str, member: str) -> None:
+        """Leave a group, so that others take over at once."""
+        body = json.dumps({'group': group, 'member': member}).encode()
+        self._ask('POST', '/v1/log-leave', {}, body=body)
+
+    def _json(
+        self, method: str, path: str, query: Mapping[str, object], body: bytes = b''
+    ) -> Any:
+        reply = self._ask(method, path, query, body=body)
+        try:
+            return reply.document()
+        except ValueError as error:
+            raise self._broken(path, error) from error
+
+    def _broken(self, path: str, error: Exception) -> PeerError:
+        return PeerError(f'{path}: {error}', step=_STEP, peer=self.client.address)
+
+    def _ask(
+        self,
+        method: str,
+        path: str,
+        query: Mapping[str, object],
+        *,
+        body: bytes = b'',
+        wait_s: float = 0,
+    ) -> HttpReply:
+        target = f'{path}?{urlencode(query)}' if query else path
+        headers = {'Content-Type': 'application/json'} if body else {}
+        request = HttpRequest(method, target, body, headers, wait_s=wait_s)
+        timeout_s = self.client.timeout_s + wait_s
+        reply = self.client.ask(request, timeout_s=timeout_s)
+        if reply.status == HTTPStatus.GONE:
+            raise RecordsExpiredError(f'{target}: records expired', step=_STEP)
+        if reply.status >= HTTPStatus.BAD_REQUEST:
+            raise PeerRefusedError(
+                f'{path}: status {reply.status}',
+                step=_STEP,
+                peer=self.client.address,
+                peer_status=reply.status,
+            )
+        return reply
+
+
+def _keyed(item: Mapping[str, Any]) -> KeyedRecord:
+    try:
+        body = base64.b64decode(item['value'])
+    except (binascii.Error, TypeError, ValueError):
+        # Unreadable bytes of another writer are judged where records are decoded.
+        body = b''
+    return KeyedRecord(item['key'], body)
+
+
+def _split_records(stream: bytes) -> Iterator[bytes]:
+    start = 0
+    while start + _LENGTH_BYTES <= len(stream):
+        body_at = start + _LENGTH_BYTES
+        start = body_at + int.from_bytes(stream[start:body_at], 'big')
+        yield stream[body_at:start]
+
+
+def _keyed_of(body: bytes) -> KeyedRecord:
+    key_end = 1 + (body[0] if body else 0)
+    key = body[1:key_end].decode(errors='replace')
+    return KeyedRecord(key, body[key_end:] or None)
--- a/src/pimentohoist/sessions.py
+++ b/src/pimentohoist/sessions.py
@@ -20,7 +20,7 @@
 
 from pimentohoist._decisions.entry_choice import EntryChoice, Entries
 from pimentohoist._http_client import HttpClient, HttpReply, HttpRequest
-from pimentohoist._view_fold import rank_names
+from pimentohoist._rendezvous import rank_names
 from pimentohoist.exceptions import (
     PeerConnectError,
     PeerError,
--- a/src/pimentohoist_standins/_serving_runs.py
+++ b/src/pimentohoist_standins/_serving_runs.py
@@ -10,7 +10,7 @@
 from pimentohoist._decisions.loads import LoadBudget, StoreLimits
 from pimentohoist._decisions.placement import CopyTable, order_endpoints
 from pimentohoist._decisions.queue import Waiting
-from pimentohoist._view_fold import rank_names
+from pimentohoist._rendezvous import rank_names
 from pimentohoist.models import AdapterVersion
 from pimentohoist_standins._serving_workload import (
     FAULT_AT_S,
