Loads are planned when they are ordered; engines that restart get their model

Engines that restart hold no base model, and orders for adapters were refused for good. Ruled out: the capacity (16 places were right).

--- a/src/pimentohoist/_decisions/adapter_places.py
+++ b/src/pimentohoist/_decisions/adapter_places.py
@@ -14,6 +14,9 @@
 MOST_ON_THEIR_WAY = 4
 """Adapters that an engine fetches at once, as the platform states."""
 
+_LEAVING_S = 12.0
+"""Longer than the longest request that may still use a leaving adapter."""
+
 _HALF_LIFE_S = 10.0
 """Demand for an adapter changes within seconds to minutes."""
 
@@ -94,9 +97,17 @@
         place = self.places.get(adapter)
         return place is not None and place.state is PlaceState.LOADING
 
-    def plan_load(self, adapter: AdapterKey, now: float) -> LoadPlan | None:
-        """Return how to load an adapter now; None if it must wait."""
-        if adapter in self.places or self._on_their_way() >= MOST_ON_THEIR_WAY:
+    def can_load(self, adapter: AdapterKey, now: float) -> bool:
+        """Return whether there is room for an adapter that isn't there yet."""
+        return self.plan(adapter, 0, now) is not None
+
+    def plan(self, adapter: AdapterKey, version: int, now: float) -> LoadPlan | None:
+        """Return how to bring an adapter to a version now; None if it must wait."""
+        place = self.places.get(adapter)
+        if place is not None:
+            is_here = self.is_outdated(adapter, version) or self.is_coming(adapter)
+            return LoadPlan(adapter, None) if is_here else None
+        if self._on_their_way() >= MOST_ON_THEIR_WAY:
             return None
         if len(self.places) < self.capacity:
             return LoadPlan(adapter, None)
@@ -107,11 +118,14 @@
         )
         return None if victim is None else LoadPlan(adapter, victim)
 
-    def begin(self, plan: LoadPlan) -> None:
-        """Note that a plan is being carried out."""
-        if plan.victim is not None:
-            self.places[plan.victim].state = PlaceState.LEAVING
-        self.places[plan.adapter] = AdapterPlace(0, PlaceState.LOADING)
+    def begin(self, adapter: AdapterKey) -> None:
+        """Note that an adapter is on its way."""
+        self.places[adapter] = AdapterPlace(0, PlaceState.LOADING)
+
+    def leave(self, adapter: AdapterKey, now: float) -> None:
+        """Note that an adapter leaves when the requests that use it have ended."""
+        gone_at = now + _LEAVING_S
+        self.places[adapter] = AdapterPlace(0, PlaceState.LEAVING, gone_at)
 
     def finish(self, adapter: AdapterKey, version: int, now: float) -> None:
         """Note that a load has ended well."""
@@ -129,21 +143,24 @@
         now: float,
     ) -> None:
         """Take over what the engine reports instead of what was believed."""
-        known = self.places
+        leaving = {
+            adapter: place
+            for adapter, place in self.places.items()
+            if place.state is PlaceState.LEAVING and place.kept_until > now
+        }
         self.places = {
-            adapter: AdapterPlace(
-                version,
-                PlaceState.READY,
-                known[adapter].kept_until if adapter in known else 0,
-            )
+            adapter: AdapterPlace(version, PlaceState.READY, now + GRANT_KEPT_S)
             for adapter, version in held.items()
         }
+        # One that leaves takes its place until the last request has ended.
+        self.places.update(leaving)
         for adapter in coming:
             self.places[adapter] = AdapterPlace(0, PlaceState.LOADING)
         self._forget_demand(now)
 
     def free_places(self, now: float) -> int:
         """Return how many adapters could be loaded without waiting for a request."""
+        self._forget_gone(now)
         free = self.capacity - len(self.places)
         return max(0, free) + sum(1 for _ in self._evictable(now))
 
@@ -162,6 +179,11 @@
             place.state is PlaceState.LOADING for place in self.places.values()
         )
 
+    def _forget_gone(self, now: float) -> None:
+        for adapter, place in tuple(self.places.items()):
+            if place.state is PlaceState.LEAVING and place.kept_until <= now:
+                self.places.pop(adapter)
+
     def _forget_demand(self, now: float) -> None:
         self._demand = {
             adapter: entry
--- a/src/pimentohoist/_entry/dispatch.py
+++ b/src/pimentohoist/_entry/dispatch.py
@@ -171,6 +171,8 @@
                 retry_after_s=spread(_BUSY_RETURN_S),
             )
         adapter = passage.request.adapter
+        if adapter is not None and passage.group.engine is not None:
+            usable = _with_model(usable, adapter.model)
         if passage.group.engine is None or adapter is None or not adapter.name:
             names = choose_plain(self._candidates(usable, adapter), random.random())
             return Target(usable[names[0]])
@@ -498,6 +500,16 @@
         return self.exchange.parts()
 
 
+def _with_model(usable: dict[str, Endpoint], model: str) -> dict[str, Endpoint]:
+    """Return the engines that hold a model, or all if none says that it does."""
+    holders = {
+        endpoint_id: endpoint
+        for endpoint_id, endpoint in usable.items()
+        if model in endpoint.models
+    }
+    return holders or usable
+
+
 def _first_events(parts: Iterator[bytes], splitter: EventSplitter) -> bytes:
     for part in parts:
         events = splitter.feed(part)
--- a/src/pimentohoist/_entry/engine_home.py
+++ b/src/pimentohoist/_entry/engine_home.py
@@ -6,11 +6,12 @@
 import threading
 from collections.abc import Callable, Mapping
 from concurrent.futures import Executor
+from contextlib import AbstractContextManager, nullcontext
 from dataclasses import dataclass
 from typing import Any
 
 from pimentohoist import _clock
-from pimentohoist._decisions.adapter_places import AdapterPlaces, LoadPlan
+from pimentohoist._decisions.adapter_places import AdapterPlaces
 from pimentohoist.entry_models import AdapterKey, Endpoint
 from pimentohoist.exceptions import (
     DocumentError,
@@ -24,13 +25,34 @@
 _POLL_S = 0.03
 """Between two questions whether a load has ended; a tenth of a load from the store."""
 
+_FIRST_VERSION = 1
+"""Of an adapter for which no newer one was declared."""
+
 _LONGEST_LOAD_S = 3.0
+_LONGEST_MODEL_LOAD_S = 20.0
+_MODEL_POLL_S = 0.1
 _REPORT_LAG_S = 0.25
 """Reports are as of a few hundred milliseconds ago."""
 
 _logger = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class _Outcome:
+    """How a load ended.
+
+    Attributes
+    ----------
+    failure : str
+        Empty if the adapter is there.
+    is_known : bool
+        Whether this daemon still knows what the engine holds.
+    """
+
+    failure: str = ''
+    is_known: bool = True
+
+
 @dataclass(frozen=True, slots=True)
 class Authority:
     """This daemon's right to order one engine.
@@ -56,6 +78,8 @@
 
     Parameters
     ----------
+    first_model : str
+        Loaded if the engine has none.
     loaders : Executor
         Runs loads, which wait for the engine.
     """
@@ -64,10 +88,12 @@
         self,
         endpoint: Endpoint,
         capacity: int,
+        first_model: str,
         authority: Authority,
         loaders: Executor,
     ) -> None:
         self.endpoint = endpoint
+        self.first_model = first_model
         self.authority = authority
         self.loaders = loaders
         self.places = AdapterPlaces(capacity)
@@ -75,16 +101,22 @@
         self.is_over = False
         self.fenced_by = -1
         self.loads = 0
-        self._orders_taken = -1
+        self._orders_taken = 0
+        self._is_known = False
+        self._models: tuple[str, ...] = ()
         self._loading: set[AdapterKey] = set()
         self._changed = threading.Condition()
         self._order_lock = threading.Lock()
 
     def start(self) -> None:
-        """Learn from the engine what it holds."""
-        self._resync()
-        with self._changed:
-            self._changed.notify_all()
+        """Learn from the engine what it holds, until it answers."""
+        while not (self.is_over or self._is_known):
+            self._resync()
+            with self._changed:
+                self._changed.notify_all()
+        if not (self.is_over or self._models):
+            with self._order_lock:
+                self._bring_model(self.first_model)
 
     def hold(self, adapter: AdapterKey, version: int, wait_until: float) -> int:
         """Wait until an adapter is there and return its version; it stays for a while.
@@ -156,93 +188,127 @@
             raise NotHomeError(
                 'no right to order', step=_STEP, peer=self.endpoint.endpoint_id
             )
-        if adapter in self._loading:
+        if adapter in self._loading or not self._is_known:
             return
-        if self.places.is_outdated(adapter, version) or self.places.is_coming(adapter):
-            plan: LoadPlan | None = LoadPlan(adapter, None)
-        else:
-            plan = self.places.plan_load(adapter, now)
-        if plan is not None:
-            self.places.begin(plan)
+        if self._needs_order(adapter, version) or self.places.can_load(adapter, now):
             self._loading.add(adapter)
-            self.loaders.submit(self._load, plan, version, now)
+            self.loaders.submit(self._load, adapter, version, now)
+
+    def _needs_order(self, adapter: AdapterKey, version: int) -> bool:
+        """Return whether an adapter that has a place must be asked for again."""
+        is_outdated = self.places.is_outdated(adapter, version)
+        return is_outdated or self.places.is_coming(adapter)
 
     def _may_order(self) -> bool:
         is_fenced = self.authority.fencing_number() <= self.fenced_by
         return self.authority.may_order() and not is_fenced
 
-    def _load(self, plan: LoadPlan, version: int, asked_at: float) -> None:
+    def _load(self, adapter: AdapterKey, version: int, asked_at: float) -> None:
+        number = version or _FIRST_VERSION
         try:
-            outcome = self._carry_out(plan, version)
+            outcome = self._carry_out(adapter, number)
         except (PeerError, DocumentError) as error:
-            outcome = str(error)
+            outcome = _Outcome(str(error), is_known=False)
         except Exception as error:
             _logger.exception('load failed', extra={'step': _STEP})
-            outcome = repr(error)
-        is_loaded = not outcome
-        if not is_loaded:
+            outcome = _Outcome(repr(error), is_known=False)
+        if not outcome.is_known:
             self._resync()
         with self._changed:
-            self._loading.discard(plan.adapter)
-            if is_loaded:
-                self.places.finish(plan.adapter, version, _clock.now())
+            self._loading.discard(adapter)
+            if not outcome.failure:
+                self.places.finish(adapter, number, _clock.now())
             self._changed.notify_all()
         extra = {
-            'step': _STEP,
-            'endpoint': self.endpoint.endpoint_id,
-            'adapter': str(plan.adapter),
-            'version': version,
-            'victim': str(plan.victim or ''),
-            'orders_taken': self._orders_taken,
-            'fence': self.authority.fencing_number(),
+            **self._extra(),
+            'adapter': str(adapter),
+            'version': number,
             'took_ms': round((_clock.now() - asked_at) * 1000),
-            'outcome': outcome or 'loaded',
+            'outcome': outcome.failure or 'loaded',
         }
         _logger.info('load ended', extra=extra)
 
-    def _carry_out(self, plan: LoadPlan, version: int) -> str:
-        """Evict and load; return why it failed, nothing if it did not."""
+    def _carry_out(self, adapter: AdapterKey, version: int) -> _Outcome:
+        """Make room and load."""
         with self._order_lock:
-            if self._orders_taken < 0:
-                return 'home begins'
+            if adapter.model not in self._models:
+                return self._bring_model(adapter.model)
+            with self._changed:
+                # What is there may have changed since the load was asked for.
+                is_replacement = self.places.is_outdated(adapter, version)
+                plan = self.places.plan(adapter, version, _clock.now())
+            if plan is None:
+                return _Outcome('no room')
             if plan.victim is not None and not self._evict(plan.victim):
-                return 'not evicted'
-            reply = self._order(lambda: self._order_load(plan.adapter, version))
+                return _Outcome('not evicted', is_known=False)
+            reply = self._order_load(adapter, version)
             if reply is OrderReply.BEGUN:
                 self._orders_taken += 1
                 self.loads += 1
-        if reply is OrderReply.HOLDS:
-            return ''
-        if reply is not OrderReply.BEGUN:
-            return f'load: {reply}'
-        return self._wait_until_loaded(plan.adapter, version)
-
-    def _wait_until_loaded(self, adapter: AdapterKey, version: int) -> str:
+                with self._changed:
+                    self.places.begin(adapter)
+            if is_replacement and reply is OrderReply.BEGUN:
+                # The engine takes no other order until a replacement is over.
+                return self._wait_until_loaded(adapter, version, nullcontext())
+        if reply is OrderReply.BEGUN:
+            return self._wait_until_loaded(adapter, version, self._order_lock)
+        return _outcome_of(reply, f'load: {reply}')
+
+    def _wait_until_loaded(
+        self, adapter: AdapterKey, version: int, lock: AbstractContextManager[object]
+    ) -> _Outcome:
         give_up_at = _clock.now() + _LONGEST_LOAD_S
         reply = OrderReply.BEGUN
-        while _clock.now() < give_up_at:
+        while reply is OrderReply.BEGUN and _clock.now() < give_up_at:
             _sleep(_POLL_S)
-            with self._order_lock:
-                reply = self._order(lambda: self._order_load(adapter, version))
-            if reply is OrderReply.HOLDS:
-                return ''
-        return f'never loaded: {reply}'
-
-    def _order_load(self, adapter: AdapterKey, version: int) -> OrderReply:
-        return self.orders.load(adapter, self._orders_taken, version or None)
+            with lock:
+                reply = self._order_load(adapter, version, is_poll=True)
+        return _outcome_of(reply, f'not loaded: {reply}')
+
+    def _bring_model(self, model: str) -> _Outcome:
+        """Load the base model of adapters; an engine starts again without any."""
+        key = AdapterKey(model)
+        give_up_at = _clock.now() + _LONGEST_MODEL_LOAD_S
+        reply = self._order_load(key, None)
+        if reply is OrderReply.BEGUN:
+            self._orders_taken += 1
+        while reply is OrderReply.BEGUN and _clock.now() < give_up_at:
+            _sleep(_MODEL_POLL_S)
+            reply = self._order_load(key, None, is_poll=True)
+        if reply is OrderReply.HOLDS:
+            self._models = (*self._models, model)
+            _logger.info('model loaded: %s', model, extra=self._extra())
+            return _Outcome('model had to be loaded')
+        return _Outcome(f'model not loaded: {reply}', is_known=False)
+
+    def _order_load(
+        self, adapter: AdapterKey, version: int | None, *, is_poll: bool = False
+    ) -> OrderReply:
+        # Without a version, asking again for one that is on its way could start another.
+        return self._order(
+            'poll' if is_poll else 'load',
+            adapter,
+            lambda: self.orders.load(adapter, self._orders_taken, version),
+        )
 
     def _evict(self, victim: AdapterKey) -> bool:
-        """Evict an adapter; it leaves only when no request uses it."""
-        reply = self._order(lambda: self.orders.unload(victim, self._orders_taken))
+        """Evict an adapter; return whether its place is free."""
+        reply = self._order(
+            'unload', victim, lambda: self.orders.unload(victim, self._orders_taken)
+        )
         if reply in {OrderReply.HOLDS, OrderReply.BEGUN}:
             self._orders_taken += 1
-        if reply is not OrderReply.HOLDS:
-            return False
         with self._changed:
-            self.places.drop(victim)
-        return True
+            if reply is OrderReply.HOLDS:
+                self.places.drop(victim)
+            if reply is OrderReply.BEGUN:
+                # A request uses it after all: it leaves when that has ended.
+                self.places.leave(victim, _clock.now())
+        return reply is OrderReply.HOLDS
 
-    def _order(self, order: Callable[[], OrderReply]) -> OrderReply:
+    def _order(
+        self, what: str, adapter: AdapterKey, order: Callable[[], OrderReply]
+    ) -> OrderReply:
         """Give an order if this daemon still may."""
         number = self.authority.fencing_number()
         if self.is_over or not self._may_order():
@@ -254,31 +320,53 @@
             self.fenced_by = number
         if reply is OrderReply.OTHER_ENDPOINT:
             self.is_over = True
-        if reply not in {OrderReply.BEGUN, OrderReply.HOLDS}:
-            extra = {'step': _STEP, 'endpoint': self.endpoint.endpoint_id}
-            _logger.info('order refused: %s', reply, extra=extra)
+        if what != 'poll' or reply not in {OrderReply.BEGUN, OrderReply.HOLDS}:
+            extra = {
+                **self._extra(),
+                'adapter': str(adapter),
+                'orders_taken': self._orders_taken,
+                'fence': number,
+            }
+            _logger.info('%s: %s', what, reply, extra=extra)
         return reply
 
+    def _extra(self) -> dict[str, object]:
+        return {'step': _STEP, 'endpoint': self.endpoint.endpoint_id}
+
     def _resync(self) -> None:
         """Believe the engine's report after an order whose effect isn't known."""
-        if self._orders_taken >= 0:
+        with self._order_lock:
+            # No order may be accepted between the report and what it shows.
             _sleep(_REPORT_LAG_S)
-        try:
-            with self._order_lock:
+            try:
                 self._read_report()
-        except (PeerError, DocumentError) as error:
-            extra = {'step': _STEP, 'endpoint': self.endpoint.endpoint_id}
-            _logger.info('report not read: %s', error, extra=extra)
-            self._orders_taken = -1
-            with self._changed:
-                self.places.reconcile({}, (), _clock.now())
+            except (PeerError, DocumentError) as error:
+                _logger.info('report not read: %s', error, extra=self._extra())
+                self._is_known = False
 
     def _read_report(self) -> None:
         report = self.orders.report()
+        extra = {
+            **self._extra(),
+            'before': self._orders_taken,
+            'orders_taken': report.orders_taken,
+            'models': report.models,
+            'held': len(report.adapters),
+            'coming': len(report.loading),
+        }
+        _logger.info('report read', extra=extra)
         self._orders_taken = report.orders_taken
+        self._models = report.models
+        self._is_known = True
         with self._changed:
             self.places.reconcile(report.adapters, report.loading, _clock.now())
 
 
+def _outcome_of(reply: OrderReply, failure: str) -> _Outcome:
+    if reply is OrderReply.HOLDS:
+        return _Outcome()
+    return _Outcome(failure, is_known=reply is OrderReply.FENCED)
+
+
 def _sleep(seconds: float) -> None:
     threading.Event().wait(seconds)
--- a/src/pimentohoist/_entry/places.py
+++ b/src/pimentohoist/_entry/places.py
@@ -176,8 +176,11 @@
             lambda: self.homes.own.generation,
             lambda: self.homes.note_order(endpoint_id),
         )
-        capacity = group.engine.adapter_places(endpoint.models)
-        engine = EngineHome(endpoint, capacity, authority, self.loaders)
+        held = endpoint.models or tuple(size.model for size in group.engine.models[:1])
+        capacity = group.engine.adapter_places(held)
+        models = group.engine.models
+        first_model = models[0].model if models else ''
+        engine = EngineHome(endpoint, capacity, first_model, authority, self.loaders)
         self.engines[endpoint_id] = engine
         self.loaders.submit(engine.start)
         extra = {
--- a/src/pimentohoist/platform/_orders.py
+++ b/src/pimentohoist/platform/_orders.py
@@ -106,7 +106,8 @@
             'opcode': opcode,
             'model': adapter.model,
             'adapter': adapter.name,
-            # The engine refuses the order if it has taken another one meanwhile.
+            # The engine refuses the order if it has taken another one meanwhile, so
+            # that the same order sent again, or carried out late, does no harm.
             'expect': orders_taken,
             'holder': self.authority.holder,
             'fence': self.authority.fencing_number,
@@ -115,8 +116,7 @@
             document['version'] = version
         body = json.dumps(document).encode()
         headers = {**self._headers(), 'Content-Type': _JSON}
-        # An order that got no answer may still be carried out: it isn't sent again.
-        request = HttpRequest('POST', '/v1/order', body, headers, is_repeatable=False)
+        request = HttpRequest('POST', '/v1/order', body, headers)
         return _meaning(self.client.ask(request))
 
     def _headers(self) -> dict[str, str]:
