--- a/src/pimentohoist/platform/_orders.py
+++ b/src/pimentohoist/platform/_orders.py
@@ -105,13 +105,14 @@
         document: dict[str, object] = {
             'opcode': opcode,
             'model': adapter.model,
-            'adapter': adapter.name,
             # The engine refuses the order if it has taken another one meanwhile, so
             # that the same order sent again, or carried out late, does no harm.
             'expect': orders_taken,
             'holder': self.authority.holder,
             'fence': self.authority.fencing_number,
         }
+        if adapter.name:
+            document['adapter'] = adapter.name
         if version is not None:
             document['version'] = version
         body = json.dumps(document).encode()
