Lost orders are sent again soon; engines are asked in turn before one is waited for

'expect' makes a repeat harmless. A timed out call closed the channel to a home under all other calls (901 times 'Channel closed!').

--- a/src/pimentohoist/_decisions/adapter_places.py
+++ b/src/pimentohoist/_decisions/adapter_places.py
@@ -97,9 +97,18 @@
         place = self.places.get(adapter)
         return place is not None and place.state is PlaceState.LOADING
 
-    def can_load(self, adapter: AdapterKey, now: float) -> bool:
-        """Return whether there is room for an adapter that isn't there yet."""
-        return self.plan(adapter, 0, now) is not None
+    def can_load(self, adapter: AdapterKey, now: float, begun: int) -> bool:
+        """Return whether there is room for an adapter that isn't there yet.
+
+        Parameters
+        ----------
+        begun : int
+            Loads that were asked for and have no place yet.
+        """
+        if adapter in self.places:
+            return False
+        is_calm = self._on_their_way() + begun < MOST_ON_THEIR_WAY
+        return is_calm and self.free_places(now) > begun
 
     def plan(self, adapter: AdapterKey, version: int, now: float) -> LoadPlan | None:
         """Return how to bring an adapter to a version now; None if it must wait."""
--- a/src/pimentohoist/_entry/dispatch.py
+++ b/src/pimentohoist/_entry/dispatch.py
@@ -43,6 +43,10 @@
 _MOST_SENDS = 3
 """Endpoints that are tried while it is certain that none has run the request."""
 
+_MOST_ASKED = 3
+"""Engines that are asked whether they can load an adapter at once."""
+
+_MOST_WAITED_FOR = 2
 _MOST_RANK = 9
 _LEAST_SEND_S = 0.01
 _BUSY_RETURN_S = 0.5
@@ -183,18 +187,22 @@
     ) -> Target:
         """Have the adapter held by one of the engines."""
         ordered = choose_engines(str(adapter), self._candidates(usable, adapter))
-        hold_until = passage.request.arrived_at + passage.route.goal_s
+        # All engines are asked for a place at once before one of them is waited for.
+        turns = [(name, True) for name in ordered[:_MOST_ASKED]]
+        turns += [(name, False) for name in ordered[:_MOST_WAITED_FOR]]
         failure: PimentohoistError | None = None
-        for place, name in enumerate(ordered[:_MOST_SENDS]):
+        for name, is_impatient in turns:
             now = _clock.now()
-            wait_s = min(hold_until - now, passage.left_s(now))
+            wait_s = min(passage.left_s(now), self._hold_until(passage) - now)
             if wait_s <= 0 or passage.watched.is_over:
                 break
             try:
-                version = self.places.hold(name, adapter, wait_s)
+                version = self.places.hold(
+                    name, adapter, wait_s, is_impatient=is_impatient
+                )
             except PimentohoistError as error:
                 failure = error
-                extra = {**_extra(passage), 'endpoint': name, 'place': place}
+                extra = {**_extra(passage), 'endpoint': name}
                 _logger.info('adapter not held: %s', error, extra=extra)
                 continue
             return Target(usable[name], version or None)
@@ -206,6 +214,9 @@
             retry_after_s=spread(_BUSY_RETURN_S),
         )
 
+    def _hold_until(self, passage: Passage) -> float:
+        return passage.request.arrived_at + passage.route.goal_s
+
     def _candidates(
         self, usable: dict[str, Endpoint], adapter: AdapterKey | None
     ) -> list[Candidate]:
--- a/src/pimentohoist/_entry/engine_home.py
+++ b/src/pimentohoist/_entry/engine_home.py
@@ -118,9 +118,21 @@
             with self._order_lock:
                 self._bring_model(self.first_model)
 
-    def hold(self, adapter: AdapterKey, version: int, wait_until: float) -> int:
+    def hold(
+        self,
+        adapter: AdapterKey,
+        version: int,
+        wait_until: float,
+        *,
+        is_impatient: bool = False,
+    ) -> int:
         """Wait until an adapter is there and return its version; it stays for a while.
 
+        Parameters
+        ----------
+        is_impatient : bool
+            Refuse at once if a load can't begin now.
+
         Raises
         ------
         NotHomeError
@@ -136,6 +148,11 @@
                 if found is not None:
                     return found
                 self._begin_load(adapter, version, now)
+                is_begun = adapter in self._loading or adapter in self.places.places
+                if is_impatient and not is_begun:
+                    raise UnavailableError(
+                        'no room now', step=_STEP, peer=self.endpoint.endpoint_id
+                    )
                 if not self._changed.wait(max(0, wait_until - now)):
                     raise UnavailableError(
                         'adapter not there in time',
@@ -190,7 +207,9 @@
             )
         if adapter in self._loading or not self._is_known:
             return
-        if self._needs_order(adapter, version) or self.places.can_load(adapter, now):
+        begun = sum(asked not in self.places.places for asked in self._loading)
+        can_load = self.places.can_load(adapter, now, begun)
+        if can_load or self._needs_order(adapter, version):
             self._loading.add(adapter)
             self.loaders.submit(self._load, adapter, version, now)
 
--- a/src/pimentohoist/_entry/places.py
+++ b/src/pimentohoist/_entry/places.py
@@ -22,7 +22,7 @@
 _STEP = 'hold_adapter'
 _LOADERS = 24
 _TICK_S = 0.25
-_CALL_SLACK_S = 0.15
+_CALL_SLACK_S = 0.25
 """On top of the wait that a home is asked for, for the way there and back."""
 
 _MS_PER_S = 1000
@@ -70,7 +70,14 @@
         """Return the calls that other daemons make."""
         return {'HoldAdapter': self._answer_hold}
 
-    def hold(self, endpoint_id: str, adapter: AdapterKey, wait_s: float) -> int:
+    def hold(
+        self,
+        endpoint_id: str,
+        adapter: AdapterKey,
+        wait_s: float,
+        *,
+        is_impatient: bool = False,
+    ) -> int:
         """Have an adapter held on an engine by its home; return the version there.
 
         Raises
@@ -83,7 +90,9 @@
         if address is None:
             raise UnavailableError('no home is known', step=_STEP, peer=endpoint_id)
         if address == self.members.member:
-            return self._hold_here(endpoint_id, adapter, version, wait_s)
+            return self._hold_here(
+                endpoint_id, adapter, version, wait_s, is_impatient
+            )
         request = peer_pb2.HoldRequest(
             endpoint=endpoint_id,
             model=adapter.model,
@@ -91,6 +100,7 @@
             member=self.members.member,
             version=version,
             wait_ms=int(wait_s * _MS_PER_S),
+            is_impatient=is_impatient,
         )
         timeout_s = wait_s + _CALL_SLACK_S
         reply = self.peers.call(address, 'HoldAdapter', request, timeout_s=timeout_s)
@@ -118,20 +128,30 @@
         adapter = AdapterKey(request.model, request.adapter)
         try:
             version = self._hold_here(
-                request.endpoint, adapter, request.version, request.wait_ms / _MS_PER_S
+                request.endpoint,
+                adapter,
+                request.version,
+                request.wait_ms / _MS_PER_S,
+                request.is_impatient,
             )
         except PimentohoistError as error:
             return peer_pb2.HoldReply(refusal=error.message)
         return peer_pb2.HoldReply(version=version)
 
     def _hold_here(
-        self, endpoint_id: str, adapter: AdapterKey, version: int, wait_s: float
+        self,
+        endpoint_id: str,
+        adapter: AdapterKey,
+        version: int,
+        wait_s: float,
+        is_impatient: bool,
     ) -> int:
         engine = self.engines.get(endpoint_id)
         if engine is None:
             raise NotHomeError('not the home', step=_STEP, peer=endpoint_id)
         newest = max(version, self.declarations.version_of(adapter))
-        return engine.hold(adapter, newest, _clock.now() + wait_s)
+        wait_until = _clock.now() + wait_s
+        return engine.hold(adapter, newest, wait_until, is_impatient=is_impatient)
 
     def _engines(self) -> list[EngineHome]:
         return list(self.engines.values())
--- a/src/pimentohoist/_peers.py
+++ b/src/pimentohoist/_peers.py
@@ -109,11 +109,12 @@
             raise self._error(address, method, error) from error
 
     def forget(self, address: str) -> None:
-        """Close the connection to `address`; the next call opens a new one."""
+        """Use the connection to `address` no more; the next call opens a new one.
+
+        Calls under way keep the old one until they end.
+        """
         with self._lock:
-            channel = self._channels.pop(address, None)
-        if channel is not None:
-            channel.close()
+            self._channels.pop(address, None)
 
     def _channel(self, address: str) -> grpc.Channel:
         with self._lock:
--- a/src/pimentohoist/platform/_orders.py
+++ b/src/pimentohoist/platform/_orders.py
@@ -3,18 +3,23 @@
 from __future__ import annotations
 
 import json
+from contextlib import suppress
 from dataclasses import dataclass
 from enum import StrEnum
 from http import HTTPStatus
 
 from pimentohoist._http_client import HttpClient, HttpReply, HttpRequest
 from pimentohoist.entry_models import AdapterKey, EngineReport
-from pimentohoist.exceptions import PeerRefusedError
+from pimentohoist.exceptions import PeerRefusedError, PeerTimeoutError
 from pimentohoist.platform import _headers as names
 from pimentohoist.platform._documents import decode_report
 
 _STEP = 'order'
-_TIMEOUT_S = 0.5
+_TIMEOUT_S = 0.2
+"""Orders are answered in milliseconds; half of this goes to a kept connection."""
+
+_REPORT_TIMEOUT_S = 0.6
+_MOST_SENDS = 3
 _JSON = 'application/json'
 
 
@@ -85,7 +90,7 @@
     def report(self) -> EngineReport:
         """Return what the engine holds, a few hundred milliseconds ago."""
         request = HttpRequest('GET', '/v1/report', headers=self._headers())
-        reply = self.client.ask(request)
+        reply = self.client.ask(request, timeout_s=_REPORT_TIMEOUT_S)
         if reply.status != HTTPStatus.OK:
             raise PeerRefusedError(
                 f'report: status {reply.status}',
@@ -118,7 +123,14 @@
         body = json.dumps(document).encode()
         headers = {**self._headers(), 'Content-Type': _JSON}
         request = HttpRequest('POST', '/v1/order', body, headers)
-        return _meaning(self.client.ask(request))
+        return _meaning(self._ask_again(request))
+
+    def _ask_again(self, request: HttpRequest) -> HttpReply:
+        """Send an order until it is answered, a few times."""
+        for _ in range(_MOST_SENDS - 1):
+            with suppress(PeerTimeoutError):
+                return self.client.ask(request)
+        return self.client.ask(request)
 
     def _headers(self) -> dict[str, str]:
         return {names.EXPECTED_ENDPOINT: self.endpoint_id}
--- a/src/pimentohoist/platform/_store.py
+++ b/src/pimentohoist/platform/_store.py
@@ -12,7 +12,7 @@
 from urllib.parse import urlencode
 
 from pimentohoist._http_client import HttpClient, HttpReply, HttpRequest
-from pimentohoist.exceptions import OffsetExpiredError, PeerError, PeerRefusedError
+from pimentohoist.exceptions import PeerError, PeerRefusedError, PimentohoistError
 
 OPERATOR_RECORDS = 'keyed.op'
 ENDPOINT_RECORDS = 'keyed.servers'
@@ -52,7 +52,7 @@
     partitions: frozenset[int]
 
 
-class RecordsExpiredError(OffsetExpiredError):
+class RecordsExpiredError(PimentohoistError):
     """The records asked for are no longer kept: read the newest of each key."""
 
 
