--- a/src/pimentohoist/_decisions/adapter_places.py
+++ b/src/pimentohoist/_decisions/adapter_places.py
@@ -184,9 +184,7 @@
         )
 
     def _on_their_way(self) -> int:
-        return sum(
-            place.state is PlaceState.LOADING for place in self.places.values()
-        )
+        return sum(place.state is PlaceState.LOADING for place in self.places.values())
 
     def _forget_gone(self, now: float) -> None:
         for adapter, place in tuple(self.places.items()):
--- /dev/null
+++ b/src/pimentohoist/_entry/choosing.py
@@ -0,0 +1,167 @@
+"""Chooses the endpoint of an attempt and has the request's adapter held there."""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from pimentohoist import _clock
+from pimentohoist._decisions.endpoint_choice import (
+    Candidate,
+    choose_engines,
+    choose_plain,
+)
+from pimentohoist._entry.endpoints import EndpointsController
+from pimentohoist._entry.filters import spread
+from pimentohoist._entry.members import Beat, MembersController
+from pimentohoist._entry.passage import Passage, log_fields
+from pimentohoist._entry.places import PlacesController
+from pimentohoist._entry.running import Running
+from pimentohoist.entry_models import AdapterKey, Endpoint
+from pimentohoist.exceptions import PimentohoistError, UnavailableError
+
+RETURN_S = 0.5
+"""A load and the run that it waits for have ended by then, as a rule."""
+
+_STEP = 'choose'
+_MOST_ASKED = 3
+"""Engines that are asked whether they can load an adapter at once."""
+
+_MOST_WAITED_FOR = 2
+
+_logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """An endpoint chosen for one attempt, and the version it must have."""
+
+    endpoint: Endpoint
+    adapter_version: int | None = None
+
+
+class EndpointChooser:
+    """Chooses among the endpoints that may get work."""
+
+    def __init__(
+        self,
+        endpoints: EndpointsController,
+        members: MembersController,
+        places: PlacesController,
+        running: Running,
+    ) -> None:
+        self.endpoints = endpoints
+        self.members = members
+        self.places = places
+        self.running = running
+
+    def choose(self, passage: Passage) -> Target:
+        """Return where to send a request next; raises UnavailableError."""
+        adapter = passage.request.adapter
+        usable = {
+            endpoint.endpoint_id: endpoint
+            for endpoint in self.endpoints.usable(passage.group.name)
+            if endpoint.endpoint_id not in passage.endpoints
+        }
+        if adapter is not None and passage.group.engine is not None:
+            usable = _with_model(usable, adapter.model)
+        if not usable:
+            raise passage.failure or UnavailableError(
+                f'no endpoint of {passage.group.name}',
+                step=_STEP,
+                retry_after_s=spread(RETURN_S),
+            )
+        if passage.group.engine is None or adapter is None or not adapter.name:
+            names = choose_plain(self._candidates(usable, adapter), random.random())
+            return Target(usable[names[0]])
+        return self._choose_engine(passage, adapter, usable)
+
+    def _choose_engine(
+        self, passage: Passage, adapter: AdapterKey, usable: dict[str, Endpoint]
+    ) -> Target:
+        """Have the adapter held by one of the engines."""
+        ordered = choose_engines(str(adapter), self._candidates(usable, adapter))
+        failure: PimentohoistError | None = None
+        for name, is_impatient in _turns(ordered):
+            wait_s = _wait_s(passage)
+            if wait_s <= 0:
+                break
+            try:
+                version = self.places.hold(
+                    name, adapter, wait_s, is_impatient=is_impatient
+                )
+            except PimentohoistError as error:
+                failure = error
+                extra = {**log_fields(passage), 'endpoint': name}
+                _logger.info('adapter not held: %s', error, extra=extra)
+            else:
+                return Target(usable[name], version or None)
+        raise UnavailableError(
+            f'no engine could hold {adapter}: {failure}',
+            step=_STEP,
+            retry_after_s=spread(RETURN_S),
+        )
+
+    def _candidates(
+        self, usable: dict[str, Endpoint], adapter: AdapterKey | None
+    ) -> list[Candidate]:
+        beats = self.members.live()
+        homed = self.places.statuses()
+        for beat in beats:
+            homed.update(beat.engines)
+        name = str(adapter or '')
+        return [
+            self._candidate(endpoint, beats, homed.get(endpoint_id, (0, [])), name)
+            for endpoint_id, endpoint in usable.items()
+        ]
+
+    def _candidate(
+        self,
+        endpoint: Endpoint,
+        beats: list[Beat],
+        status: tuple[int, list[str]],
+        adapter: str,
+    ) -> Candidate:
+        endpoint_id = endpoint.endpoint_id
+        health = self.endpoints.health_of(endpoint_id)
+        others = sum(beat.running_on(endpoint_id) for beat in beats)
+        free, held = status
+        return Candidate(
+            endpoint_id,
+            endpoint.slots,
+            self.running.on_endpoint(endpoint_id) + others,
+            health.latency_s,
+            health.cost_factor(),
+            endpoint.failure_domain == self.members.settings.failure_domain,
+            adapter in held,
+            free,
+        )
+
+
+def _turns(ordered: list[str]) -> Iterator[tuple[str, bool]]:
+    """Yield the engines to ask, and whether only for a place that is free at once."""
+    for asked in ordered[:_MOST_ASKED]:
+        yield asked, True
+    for waited_for in ordered[:_MOST_WAITED_FOR]:
+        yield waited_for, False
+
+
+def _wait_s(passage: Passage) -> float:
+    """Return how long an adapter may be waited for: an answer in time needs it then."""
+    if passage.watched.is_over:
+        return 0
+    now = _clock.now()
+    on_time_s = passage.request.arrived_at + passage.route.goal_s - now
+    return min(passage.left_s(now), on_time_s)
+
+
+def _with_model(usable: dict[str, Endpoint], model: str) -> dict[str, Endpoint]:
+    """Return the engines that hold a model, or all if none says that it does."""
+    holders = {
+        endpoint_id: endpoint
+        for endpoint_id, endpoint in usable.items()
+        if model in endpoint.models
+    }
+    return holders or usable
--- a/src/pimentohoist/_entry/edge.py
+++ b/src/pimentohoist/_entry/edge.py
@@ -125,9 +125,7 @@
     return answer.parts
 
 
-def _refuse(
-    error: PimentohoistError, start_response: StartResponse
-) -> Iterable[bytes]:
+def _refuse(error: PimentohoistError, start_response: StartResponse) -> Iterable[bytes]:
     document = {'error': {'code': error.code, 'message': error.message}}
     headers = []
     if error.retry_after_s is not None:
--- a/src/pimentohoist/_entry/endpoints.py
+++ b/src/pimentohoist/_entry/endpoints.py
@@ -4,7 +4,6 @@
 
 import logging
 import threading
-from collections import Counter
 from collections.abc import Mapping, Sequence
 from typing import Any, Self
 
@@ -20,7 +19,8 @@
     decode_endpoint,
 )
 
-_PACE = Pace(wait_s=0.5, pause_s=0.4)
+_READ_PAUSE_S = 0.4
+_PACE = Pace(wait_s=0.5, pause_s=_READ_PAUSE_S)
 """Heartbeats come all the time; a leaving endpoint has 2 s until it gets no new work."""
 
 _RETURN_S = 2.5
@@ -32,18 +32,11 @@
 
 
 class EndpointsController:
-    """Implements `Controller`: endpoints that may get work, and their health.
-
-    Attributes
-    ----------
-    in_flight : Counter
-        This daemon's requests by endpoint id.
-    """
+    """Implements `Controller`: endpoints that may get work, and their health."""
 
     def __init__(self, store: Store) -> None:
         self.endpoints: dict[str, Endpoint] = {}
         self.health: dict[str, EndpointHealth] = {}
-        self.in_flight: Counter[str] = Counter()
         self.follower = Follower(store, ENDPOINT_RECORDS, _PACE, self._take)
         self._removed: dict[str, float] = {}
         self._refused_incarnations: set[str] = set()
@@ -100,7 +93,6 @@
             endpoint.endpoint_id: {
                 'group': endpoint.group,
                 'is_leaving': endpoint.is_leaving,
-                'in_flight': self.in_flight[endpoint.endpoint_id],
                 'failure_share': self.health_of(endpoint.endpoint_id).failure_share,
             }
             for endpoint in self.alive()
--- /dev/null
+++ b/src/pimentohoist/_entry/judging.py
@@ -0,0 +1,152 @@
+"""Judges what an attempt tells of its request and of its endpoint."""
+
+from __future__ import annotations
+
+import logging
+from http import HTTPStatus
+
+from pimentohoist import _clock
+from pimentohoist._entry.choosing import RETURN_S
+from pimentohoist._entry.connections import Connections, Exchange, Head
+from pimentohoist._entry.crashes import CrashesController, fingerprint
+from pimentohoist._entry.endpoints import EndpointsController
+from pimentohoist._entry.filters import spread
+from pimentohoist._entry.passage import RESERVED_STATUSES, Passage, log_fields
+from pimentohoist._entry.retries import Retries
+from pimentohoist.entry_models import Endpoint
+from pimentohoist.exceptions import (
+    CallerDisconnectedError,
+    DeadlineError,
+    PeerConnectError,
+    PeerError,
+    PeerTimeoutError,
+    PimentohoistError,
+    UnavailableError,
+)
+from pimentohoist.platform import is_certainly_not_run
+
+_STEP = 'dispatch'
+_MOST_SENDS = 3
+"""Endpoints that are tried while it is certain that none has run the request."""
+
+_logger = logging.getLogger(__name__)
+
+
+class TryAgainError(PimentohoistError):
+    """An attempt failed in a way that allows another one."""
+
+
+class Judge:
+    """Decides after each attempt whether another one may follow."""
+
+    def __init__(
+        self,
+        endpoints: EndpointsController,
+        crashes: CrashesController,
+        connections: Connections,
+        retries: Retries,
+    ) -> None:
+        self.endpoints = endpoints
+        self.crashes = crashes
+        self.connections = connections
+        self.retries = retries
+
+    def judge_answer(self, passage: Passage, exchange: Exchange, head: Head) -> None:
+        """Raise if the answer isn't the caller's; count what it tells of the endpoint."""
+        endpoint = exchange.endpoint
+        health = self.endpoints.health_of(endpoint.endpoint_id)
+        if is_certainly_not_run(head.status, head.headers):
+            raise self._not_run(passage, endpoint, head)
+        passage.runs += 1
+        if head.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            health.note_answer(_clock.now() - exchange.sent_at)
+        else:
+            health.note_failure()
+            if self.may_repeat(passage):
+                raise _again(_status_error(head, endpoint))
+        if head.status in RESERVED_STATUSES:
+            # The caller would take it for a promise that nothing ran.
+            raise _status_error(head, endpoint)
+
+    def judge_failure(
+        self, passage: Passage, endpoint: Endpoint, error: PimentohoistError
+    ) -> PimentohoistError:
+        """Return what to raise after an attempt that got no answer."""
+        health = self.endpoints.health_of(endpoint.endpoint_id)
+        if isinstance(error, PeerConnectError):
+            health.note_unreached(_clock.now())
+            return self._not_sent(passage, error)
+        passage.runs += 1
+        if passage.watched.is_over:
+            if not passage.watched.has_left:
+                health.note_failure()
+            return given_up(passage)
+        health.note_failure()
+        self._look_for_crash(passage, endpoint)
+        return _again(error) if self.may_repeat(passage) else error
+
+    def may_repeat(self, passage: Passage) -> bool:
+        """Return whether a request that may have run may be sent once more."""
+        return passage.route.may_repeat and self._has_attempt(passage)
+
+    def may_resume(self, passage: Passage) -> bool:
+        """Return whether a stream that broke may go on at another engine."""
+        return passage.route.can_resume and self._has_attempt(passage)
+
+    def _has_attempt(self, passage: Passage) -> bool:
+        has_attempt = passage.runs < passage.route.most_endpoints
+        is_allowed = has_attempt and not passage.watched.is_over
+        return is_allowed and self.retries.take(passage.group.name)
+
+    def _not_run(
+        self, passage: Passage, endpoint: Endpoint, head: Head
+    ) -> PimentohoistError:
+        has_adapter = passage.request.adapter is not None
+        if head.status == HTTPStatus.MISDIRECTED_REQUEST and not has_adapter:
+            self.endpoints.note_other_incarnation(endpoint)
+        failure = UnavailableError(
+            f'endpoint refused with {head.status}',
+            step=_STEP,
+            peer=endpoint.endpoint_id,
+            retry_after_s=spread(RETURN_S),
+        )
+        passage.failure = failure
+        is_more = len(passage.endpoints) < _MOST_SENDS
+        if is_more and self.retries.take(passage.group.name):
+            return _again(failure)
+        return failure
+
+    def _not_sent(self, passage: Passage, error: PeerConnectError) -> PimentohoistError:
+        failure = UnavailableError(
+            str(error), step=_STEP, retry_after_s=spread(RETURN_S)
+        )
+        passage.failure = failure
+        is_more = len(passage.endpoints) < _MOST_SENDS
+        return _again(error) if is_more else failure
+
+    def _look_for_crash(self, passage: Passage, endpoint: Endpoint) -> None:
+        """Note a crash if an endpoint that broke off can't be reached any more."""
+        if self.connections.can_reach(endpoint.address):
+            return
+        self.endpoints.health_of(endpoint.endpoint_id).note_unreached(_clock.now())
+        name = fingerprint(passage.request)
+        count = self.crashes.note_crash(name, endpoint.endpoint_id)
+        extra = {**log_fields(passage), 'fingerprint': name, 'crashes': count}
+        _logger.warning('endpoint crashed under a request', extra=extra)
+
+
+def given_up(passage: Passage) -> PimentohoistError:
+    """Return why a request has ended whose caller left or whose time is over."""
+    if passage.watched.has_left:
+        return CallerDisconnectedError('the caller has left', step=_STEP)
+    if passage.runs:
+        return PeerTimeoutError('no answer in time', step=_STEP)
+    return DeadlineError('not sent in time', step=_STEP)
+
+
+def _status_error(head: Head, endpoint: Endpoint) -> PeerError:
+    return PeerError(f'status {head.status}', step=_STEP, peer=endpoint.endpoint_id)
+
+
+def _again(error: PimentohoistError) -> TryAgainError:
+    return TryAgainError(error.message, step=error.step, peer=error.peer)
--- a/src/pimentohoist/_entry/passage.py
+++ b/src/pimentohoist/_entry/passage.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import Protocol
 
 from pimentohoist._entry.watch import Watched
@@ -17,6 +18,17 @@
 from pimentohoist.exceptions import PimentohoistError
 
 
+RESERVED_STATUSES = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
+"""Statuses that promise the caller that its request has not run."""
+
+
 @dataclass(frozen=True, slots=True)
 class EntryAnswer:
     """What is sent to the caller.
@@ -71,11 +83,18 @@
             self.cleanups.pop()()
 
 
+def log_fields(passage: Passage) -> dict[str, object]:
+    """Return what each log line on a request tells of it."""
+    return {
+        'step': 'dispatch',
+        'id': passage.request.request_id,
+        'route': passage.route.name,
+        'tried': passage.endpoints,
+    }
+
+
 class Filter(Protocol):
     """One step of a request; raises PimentohoistError to refuse it."""
 
     def __call__(self, passage: Passage) -> None:
         """Check or change the passage."""
-
-
-Parts = Iterator[bytes]
--- a/src/pimentohoist/_entry/places.py
+++ b/src/pimentohoist/_entry/places.py
@@ -90,9 +90,7 @@
         if address is None:
             raise UnavailableError('no home is known', step=_STEP, peer=endpoint_id)
         if address == self.members.member:
-            return self._hold_here(
-                endpoint_id, adapter, version, wait_s, is_impatient
-            )
+            return self._hold_here(endpoint_id, adapter, version, wait_s, is_impatient)
         request = peer_pb2.HoldRequest(
             endpoint=endpoint_id,
             model=adapter.model,
--- a/src/pimentohoist/_entry/request_path.py
+++ b/src/pimentohoist/_entry/request_path.py
@@ -9,10 +9,15 @@
 
 from pimentohoist import _clock
 from pimentohoist._entry.declarations import DeclarationsController
-from pimentohoist._entry.dispatch import Dispatch, StreamBrokenError
+from pimentohoist._entry.dispatch import Dispatch
 from pimentohoist._entry.filters import find_route
 from pimentohoist._entry.measures import Measures
-from pimentohoist._entry.passage import EntryAnswer, Filter, Passage
+from pimentohoist._entry.passage import (
+    RESERVED_STATUSES,
+    EntryAnswer,
+    Filter,
+    Passage,
+)
 from pimentohoist._entry.quotas import QuotasController
 from pimentohoist._entry.watch import Watch, Watched
 from pimentohoist.entry_models import CallerRequest
@@ -23,9 +28,6 @@
 )
 
 _MS_PER_S = 1000
-_RESERVED = frozenset(
-    (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
-)
 _SAMPLED_ABOVE = 20
 """Requests under way above which only some successes are logged."""
 
@@ -62,7 +64,9 @@
         except BaseException as error:
             self._end(passage, error)
             raise
-        parts = _Following(answer.parts, lambda error: self._end(passage, error, answer))
+        parts = _Following(
+            answer.parts, lambda error: self._end(passage, error, answer)
+        )
         return EntryAnswer(
             answer.status, answer.reason, answer.headers, parts, answer.length
         )
@@ -86,7 +90,7 @@
         try:
             return self.dispatch(passage)
         except PimentohoistError as error:
-            if passage.runs and error.status in _RESERVED:
+            if passage.runs and error.status in RESERVED_STATUSES:
                 # These statuses promise that nothing ran.
                 raise PeerError(error.message, step=error.step) from error
             raise
@@ -171,6 +175,3 @@
     if isinstance(error, PimentohoistError):
         return int(error.status)
     return int(HTTPStatus.INTERNAL_SERVER_ERROR)
-
-
-__all__ = ('RequestPath', 'StreamBrokenError')
--- a/src/pimentohoist/_entry/server.py
+++ b/src/pimentohoist/_entry/server.py
@@ -50,7 +50,8 @@
             return super().build_response_header()
 
         def set_close_on_finish(self) -> None:
-            asked = self.request.headers.get('CONNECTION', '').lower()
+            request: Any = self.request
+            asked = request.headers.get('CONNECTION', '').lower()
             if self.chunked_response and asked != 'close' and not self.wrote_header:
                 return
             super().set_close_on_finish()
--- a/src/pimentohoist/_entry/watch.py
+++ b/src/pimentohoist/_entry/watch.py
@@ -4,8 +4,7 @@
 
 import logging
 import threading
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Self
 
@@ -36,6 +35,12 @@
     is_over: bool = False
     has_left: bool = False
 
+    def watch(self, exchange: Exchange) -> None:
+        """End this exchange too when the request's time is over."""
+        self.exchange = exchange
+        if self.is_over:
+            exchange.abort()
+
     def end(self, *, has_left: bool) -> None:
         """End what is under way and let nothing more begin."""
         self.has_left = has_left
@@ -65,15 +70,6 @@
         """Return the number of requests under way."""
         return len(self._entries)
 
-    @contextmanager
-    def over(self, watched: Watched) -> Iterator[Watched]:
-        """Look after a request for the time of a context."""
-        self.begin(watched)
-        try:
-            yield watched
-        finally:
-            self.finish(watched)
-
     def begin(self, watched: Watched) -> None:
         """Look after a request until `finish`."""
         self._entries[id(watched)] = watched
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -12,6 +12,8 @@
 from typing import Any, Self
 
 from pimentohoist import _clock
+from pimentohoist._entry.choosing import EndpointChooser
+from pimentohoist._entry.connections import Connections
 from pimentohoist._entry.crashes import CrashesController
 from pimentohoist._entry.declarations import DeclarationsController
 from pimentohoist._entry.declaration_peers import DeclarationPeers
@@ -20,10 +22,13 @@
 from pimentohoist._entry.endpoints import EndpointsController
 from pimentohoist._entry.filters import Authenticate, ChargeQuota, Quarantine
 from pimentohoist._entry.homes import HomesController
+from pimentohoist._entry.judging import Judge
 from pimentohoist._entry.members import Beat, MembersController
 from pimentohoist._entry.places import PlacesController
 from pimentohoist._entry.quotas import QuotasController
 from pimentohoist._entry.request_path import RequestPath
+from pimentohoist._entry.retries import Retries
+from pimentohoist._entry.running import Running
 from pimentohoist._entry.server import CallersServer
 from pimentohoist._entry.watch import Watch
 from pimentohoist._http_server import HttpServer
@@ -60,7 +65,9 @@
         self.members = MembersController(settings, self.store, self._beat)
         self.declarations = DeclarationsController(self.store)
         self.endpoints = EndpointsController(self.store)
-        self.homes = HomesController(settings, Store(settings.store_address), self.members)
+        self.homes = HomesController(
+            settings, Store(settings.store_address), self.members
+        )
         self.places = PlacesController(
             self.declarations, self.endpoints, self.members, self.homes, self.peers
         )
@@ -70,9 +77,7 @@
             self.declarations, self.members, self.peers
         )
         self.watch = Watch()
-        self.dispatch = Dispatch(
-            self.endpoints, self.members, self.places, self.crashes
-        )
+        self.dispatch = self._dispatch()
         filters = (Authenticate(), ChargeQuota(self.quotas), Quarantine(self.crashes))
         self.path = RequestPath(
             self.declarations, self.quotas, filters, self.dispatch, self.watch
@@ -115,9 +120,7 @@
 
     def addresses(self) -> list[str]:
         """Return where callers may connect."""
-        others = [
-            beat.callers_address for beat in self.members.live() if beat.is_ready
-        ]
+        others = [beat.callers_address for beat in self.members.live() if beat.is_ready]
         own = [self.settings.callers_address] if self.is_ready() else []
         return own + others
 
@@ -157,6 +160,14 @@
             'dispatch': self.dispatch.dump(),
         }
 
+    def _dispatch(self) -> Dispatch:
+        running = Running()
+        connections = Connections()
+        retries = Retries(self.members)
+        chooser = EndpointChooser(self.endpoints, self.members, self.places, running)
+        judge = Judge(self.endpoints, self.crashes, connections, retries)
+        return Dispatch(chooser, judge, connections, retries, running)
+
     def _beat(self) -> Beat:
         running = self.dispatch.running.snapshot()
         self.places.note_own_use(running)
@@ -215,7 +226,9 @@
                     _reload(daemon, settings_path)
             _logger.info('stopping', extra={'step': 'stop'})
             daemon.leave()
-            _logger.info('stopped', extra={'step': 'stop', 'running': len(daemon.watch)})
+            _logger.info(
+                'stopped', extra={'step': 'stop', 'running': len(daemon.watch)}
+            )
             sys.stdout.flush()
     sys.stdout.flush()
     # Threads that wait for peers would hold the process until their time is over.
--- a/src/pimentohoist/platform/_requests.py
+++ b/src/pimentohoist/platform/_requests.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from email.message import Message
 
 from pimentohoist.entry_models import AdapterKey, CallerRequest, Onward
 from pimentohoist.exceptions import InvalidRequestError
@@ -69,13 +70,13 @@
     return [pair for pair in headers if pair[0].lower() not in names.OF_ONE_CONNECTION]
 
 
-def names_request(headers: Mapping[str, str], request_id: str) -> bool:
+def names_request(headers: Message, request_id: str) -> bool:
     """Return whether an answer belongs to a request."""
     echoed = headers.get(names.ATTEMPT_ID)
     return echoed is None or echoed == request_id
 
 
-def is_certainly_not_run(status: int, headers: Mapping[str, str]) -> bool:
+def is_certainly_not_run(status: int, headers: Message) -> bool:
     """Return whether an endpoint's answer proves that it ran nothing."""
     return status == _MISDIRECTED or names.NOT_RUN in headers
 
