--- a/src/pimentohoist/__init__.py
+++ b/src/pimentohoist/__init__.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 from importlib import import_module
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
@@ -46,11 +47,9 @@
     'create_key',
 )
 
-_MODULES = {
-    'PimentohoistError': 'exceptions',
-    'Session': 'sessions',
-    'create_key': 'keys',
-}
+_MODULES = MappingProxyType(
+    {'PimentohoistError': 'exceptions', 'Session': 'sessions', 'create_key': 'keys'}
+)
 _MOST = 'configuration'
 
 
--- a/src/pimentohoist/_decisions/endpoint_choice.py
+++ b/src/pimentohoist/_decisions/endpoint_choice.py
@@ -10,6 +10,9 @@
 _REMOTE_COST = 1.05
 """Breaks ties in favour of the own failure domain, whose bytes are cheaper."""
 
+_UNKNOWN_LATENCY_S = 0.001
+"""An endpoint that has not answered yet is tried soon."""
+
 _CROWDED_SHARE = 0.75
 """Share of an engine's slots above which another engine gets a copy of the adapter."""
 
@@ -110,5 +113,5 @@
 def _expected_cost(candidate: Candidate) -> float:
     queue = 1 + candidate.in_flight / max(1, candidate.slots)
     distance = 1 if candidate.is_near else _REMOTE_COST
-    latency_s = candidate.latency_s or 0.001
+    latency_s = candidate.latency_s or _UNKNOWN_LATENCY_S
     return queue**2 * latency_s * candidate.cost_factor * distance
--- a/src/pimentohoist/_decisions/endpoint_health.py
+++ b/src/pimentohoist/_decisions/endpoint_health.py
@@ -38,7 +38,8 @@
         """Note an answer that is no failure of the endpoint."""
         self.failure_share -= _WEIGHT * self.failure_share
         change_s = latency_s - self.latency_s
-        self.latency_s += change_s * (_WEIGHT if self.latency_s else 1)
+        weight = _WEIGHT if self.latency_s else 1
+        self.latency_s += change_s * weight
         self._unreached = 0
 
     def note_failure(self) -> None:
--- a/src/pimentohoist/_entry/declarations.py
+++ b/src/pimentohoist/_entry/declarations.py
@@ -60,7 +60,7 @@
     @property
     def version(self) -> int:
         """Return the version in force; -1 if there is none."""
-        return self.current.version if self.current is not None else -1
+        return -1 if self.current is None else self.current.version
 
     def version_of(self, adapter: AdapterKey | None) -> int:
         """Return the newest version declared of an adapter; 0 if none was."""
--- /dev/null
+++ b/src/pimentohoist/_entry/engine_ledger.py
@@ -0,0 +1,193 @@
+"""What one engine holds by the count of its orders, and the orders themselves.
+
+Every order names how many the engine has taken so far, so that an order that is carried
+out late, after newer ones, is refused by the engine itself.
+"""
+
+from __future__ import annotations
+
+import logging
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from pimentohoist import _clock
+from pimentohoist.entry_models import AdapterKey, Endpoint, EngineReport
+from pimentohoist.exceptions import DocumentError, PeerError
+from pimentohoist.platform import EngineOrders, OrderReply
+
+_STEP = 'order'
+_REPORT_LAG_S = 0.25
+"""Reports are as of a few hundred milliseconds ago."""
+
+_MODEL_POLL_S = 0.1
+_LONGEST_MODEL_LOAD_S = 20.0
+
+_ACCEPTED = frozenset((OrderReply.BEGUN, OrderReply.HOLDS))
+_logger = logging.getLogger(__name__)
+
+
+class Authority(Protocol):
+    """A daemon's right to order one engine."""
+
+    holder: str
+
+    def may_order(self) -> bool:
+        """Return whether it may order now."""
+
+    def fencing_number(self) -> int:
+        """Return the number that its orders carry."""
+
+    def note_order(self) -> None:
+        """Note that it has given an order."""
+
+
+@dataclass(frozen=True, slots=True)
+class LoadOutcome:
+    """How a load ended.
+
+    Attributes
+    ----------
+    failure : str
+        Empty if the adapter is there.
+    is_known : bool
+        Whether it is still known what the engine holds.
+    """
+
+    failure: str = ''
+    is_known: bool = True
+
+    @classmethod
+    def of(cls, reply: OrderReply, step: str) -> LoadOutcome:
+        """Return how a load ended whose last order got this reply."""
+        if reply is OrderReply.HOLDS:
+            return cls()
+        return cls(f'{step}: {reply}', is_known=reply is OrderReply.FENCED)
+
+
+class EngineLedger:
+    """Orders to one incarnation of an engine.
+
+    Attributes
+    ----------
+    lock : Lock
+        Held around orders that belong together.
+    is_known : bool
+        Whether the engine's orders and models are known.
+    is_over : bool
+        Whether something else answers at its address, or the home has ended.
+    fenced_by : int
+        Fencing number that was refused; a higher one is needed.
+    """
+
+    def __init__(self, endpoint: Endpoint, authority: Authority) -> None:
+        self.endpoint = endpoint
+        self.authority = authority
+        self.orders = EngineOrders(endpoint.address, endpoint.endpoint_id)
+        self.lock = threading.Lock()
+        self.is_known = False
+        self.is_over = False
+        self.fenced_by = -1
+        self.models: tuple[str, ...] = ()
+        self.orders_taken = 0
+
+    def may_order(self) -> bool:
+        """Return whether orders may be given now."""
+        is_fenced = self.authority.fencing_number() <= self.fenced_by
+        return self.authority.may_order() and not (is_fenced or self.is_over)
+
+    def load(
+        self, adapter: AdapterKey, version: int | None, *, is_poll: bool = False
+    ) -> OrderReply:
+        """Load an adapter, or ask whether a load has ended."""
+        # Without a version, asking again for one that is on its way could start another.
+        reply = self._order(
+            'poll' if is_poll else 'load',
+            adapter,
+            lambda: self.orders.load(adapter, self.orders_taken, version),
+        )
+        if reply is OrderReply.BEGUN and not is_poll:
+            self.orders_taken += 1
+        return reply
+
+    def unload(self, adapter: AdapterKey) -> OrderReply:
+        """Unload an adapter that the engine holds."""
+        reply = self._order(
+            'unload', adapter, lambda: self.orders.unload(adapter, self.orders_taken)
+        )
+        if reply in _ACCEPTED:
+            self.orders_taken += 1
+        return reply
+
+    def bring_model(self, model: str) -> LoadOutcome:
+        """Load a base model and wait for it: an engine starts again without any."""
+        key = AdapterKey(model)
+        give_up_at = _clock.now() + _LONGEST_MODEL_LOAD_S
+        reply = self.load(key, None)
+        while reply is OrderReply.BEGUN and _clock.now() < give_up_at:
+            sleep(_MODEL_POLL_S)
+            reply = self.load(key, None, is_poll=True)
+        if reply is not OrderReply.HOLDS:
+            return LoadOutcome(f'model not loaded: {reply}', is_known=False)
+        self.models = (*self.models, model)
+        _logger.info('model loaded: %s', model, extra=self.fields())
+        return LoadOutcome('the model had to be loaded')
+
+    def resync(self, take: Callable[[EngineReport], None]) -> None:
+        """Believe the engine's report after an order whose effect isn't known."""
+        with self.lock:
+            # No order may be accepted between the report and what it shows.
+            sleep(_REPORT_LAG_S)
+            try:
+                report = self.orders.report()
+            except (PeerError, DocumentError) as error:
+                self.is_known = False
+                _logger.info('report not read: %s', error, extra=self.fields())
+                return
+            extra = {
+                **self.fields(),
+                'orders_taken': report.orders_taken,
+                'believed': self.orders_taken,
+                'models': report.models,
+                'held': len(report.adapters),
+                'coming': len(report.loading),
+            }
+            _logger.info('report read', extra=extra)
+            self.orders_taken = report.orders_taken
+            self.models = report.models
+            take(report)
+            self.is_known = True
+
+    def fields(self) -> dict[str, object]:
+        """Return what each log line tells of the engine."""
+        return {'step': _STEP, 'endpoint': self.endpoint.endpoint_id}
+
+    def _order(
+        self, what: str, adapter: AdapterKey, order: Callable[[], OrderReply]
+    ) -> OrderReply:
+        """Give an order if this daemon still may."""
+        number = self.authority.fencing_number()
+        if not self.may_order():
+            return OrderReply.FENCED
+        self.orders.authorise(self.authority.holder, number)
+        self.authority.note_order()
+        reply = order()
+        if reply is OrderReply.FENCED:
+            self.fenced_by = number
+        if reply is OrderReply.OTHER_ENDPOINT:
+            self.is_over = True
+        if what != 'poll' or reply not in _ACCEPTED:
+            extra = {
+                **self.fields(),
+                'adapter': str(adapter),
+                'orders_taken': self.orders_taken,
+                'fence': number,
+            }
+            _logger.info('%s: %s', what, reply, extra=extra)
+        return reply
+
+
+def sleep(seconds: float) -> None:
+    """Wait."""
+    threading.Event().wait(seconds)
--- a/src/pimentohoist/_entry/event_stream.py
+++ b/src/pimentohoist/_entry/event_stream.py
@@ -28,7 +28,9 @@
         if not ends:
             self._rest = text
             return b''
-        whole, self._rest = text[: ends[-1]], text[ends[-1] :]
+        end = ends[-1]
+        whole = text[:end]
+        self._rest = text[end:]
         ids = _ID.findall(whole)
         if ids:
             self.last_id = ids[-1].decode(errors='replace')
--- a/src/pimentohoist/_entry/homes.py
+++ b/src/pimentohoist/_entry/homes.py
@@ -70,7 +70,7 @@
         partition = partition_of(endpoint_id, self.settings.partitions)
         claims = [beat.ownership() for beat in self.members.live()]
         home = home_of(partition, (self.own, *claims))
-        return home.member if home is not None else None
+        return None if home is None else home.member
 
     def is_home(self, endpoint_id: str) -> bool:
         """Return whether this daemon is an engine's home."""
--- a/src/pimentohoist/_entry/members.py
+++ b/src/pimentohoist/_entry/members.py
@@ -211,7 +211,7 @@
         self.heard[beat.member] = Heard(beat, now)
         self.addresses[beat.member] = now
         for listener in self.on_beat:
-            listener(beat, before.beat if before is not None else None)
+            listener(beat, None if before is None else before.beat)
 
     def _find_members(self) -> None:
         """Publish where this daemon answers, and read where the others do."""
--- a/src/pimentohoist/_entry/places.py
+++ b/src/pimentohoist/_entry/places.py
@@ -11,7 +11,7 @@
 from pimentohoist import _clock
 from pimentohoist._entry.declarations import DeclarationsController
 from pimentohoist._entry.endpoints import EndpointsController
-from pimentohoist._entry.engine_home import Authority, EngineHome
+from pimentohoist._entry.engine_home import EngineHome
 from pimentohoist._entry.homes import HomesController
 from pimentohoist._entry.members import Beat, MembersController
 from pimentohoist._generated import peer_pb2
@@ -30,6 +30,27 @@
 _logger = logging.getLogger(__name__)
 
 
+class _HomeAuthority:
+    """Implements `Authority` by the partitions that this daemon holds."""
+
+    def __init__(self, homes: HomesController, endpoint_id: str) -> None:
+        self.homes = homes
+        self.endpoint_id = endpoint_id
+        self.holder = homes.own.member
+
+    def may_order(self) -> bool:
+        """Return whether this daemon is the engine's home."""
+        return self.homes.may_order(self.endpoint_id)
+
+    def fencing_number(self) -> int:
+        """Return the group's generation."""
+        return self.homes.own.generation
+
+    def note_order(self) -> None:
+        """Note that an order was given."""
+        self.homes.note_order(self.endpoint_id)
+
+
 class PlacesController:
     """Implements `Controller` and answers other daemons that ask for an adapter."""
 
@@ -188,12 +209,7 @@
         if group is None or group.engine is None:
             return
         endpoint_id = endpoint.endpoint_id
-        authority = Authority(
-            self.members.member,
-            lambda: self.homes.may_order(endpoint_id),
-            lambda: self.homes.own.generation,
-            lambda: self.homes.note_order(endpoint_id),
-        )
+        authority = _HomeAuthority(self.homes, endpoint_id)
         held = endpoint.models or tuple(size.model for size in group.engine.models[:1])
         capacity = group.engine.adapter_places(held)
         models = group.engine.models
@@ -212,7 +228,11 @@
     def _end(self, endpoint_id: str, engine: EngineHome) -> None:
         self.engines.pop(endpoint_id, None)
         engine.close()
-        extra = {'step': 'home', 'endpoint': endpoint_id, 'fenced_by': engine.fenced_by}
+        extra = {
+            'step': 'home',
+            'endpoint': endpoint_id,
+            'fenced_by': engine.ledger.fenced_by,
+        }
         _logger.info('home ends', extra=extra)
 
     def _replace(self, adapter: AdapterKey, version: int) -> None:
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -142,10 +142,14 @@
     def metrics(self) -> Iterator[str]:
         """Yield metrics as text."""
         yield from self.path.measures.lines()
-        yield f'pimentohoist_log_lines_dropped_total {self.logs.dropped}'
-        yield f'pimentohoist_connections_opened_total {self.dispatch.connections.opened}'
-        yield f'pimentohoist_requests_running {len(self.watch)}'
-        yield f'pimentohoist_configuration_version {self.declarations.version}'
+        gauges = {
+            'log_lines_dropped_total': self.logs.dropped,
+            'connections_opened_total': self.dispatch.connections.opened,
+            'requests_running': len(self.watch),
+            'configuration_version': self.declarations.version,
+        }
+        for name, count in gauges.items():
+            yield f'pimentohoist_{name} {count}'
 
     def state(self) -> dict[str, Any]:
         """Return the state of all controllers."""
--- a/src/pimentohoist/platform/_documents.py
+++ b/src/pimentohoist/platform/_documents.py
@@ -8,6 +8,7 @@
 
 import json
 from collections.abc import Iterable, Mapping
+from types import MappingProxyType
 from typing import Any
 
 from pimentohoist.entry_models import (
@@ -27,11 +28,14 @@
 
 _STEP = 'decode'
 _MS_PER_S = 1000
-_KINDS: Mapping[str, RequestKind] = {
-    'safe': RequestKind.REPEATABLE,
-    'unsafe': RequestKind.ONCE,
-    'stream': RequestKind.STREAM,
-}
+_KINDS: Mapping[str, RequestKind] = MappingProxyType(
+    {
+        'safe': RequestKind.REPEATABLE,
+        'unsafe': RequestKind.ONCE,
+        'stream': RequestKind.STREAM,
+    }
+)
+_WRONG_TYPES = (KeyError, TypeError, ValueError, AttributeError)
 _STATES = frozenset(('ready', 'draining'))
 
 
@@ -72,7 +76,7 @@
         raise DocumentError('models is no list', step=_STEP)
     try:
         held_models, adapters = _holdings(models)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except _WRONG_TYPES as error:
         raise DocumentError(f'models: {error!r}', step=_STEP) from error
     return Endpoint(
         endpoint_id,
@@ -101,7 +105,7 @@
             adapters,
             frozenset(coming),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except _WRONG_TYPES as error:
         raise DocumentError(f'report: {error!r}', step=_STEP) from error
 
 
--- a/src/pimentohoist/platform/_orders.py
+++ b/src/pimentohoist/platform/_orders.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 from http import HTTPStatus
+from types import MappingProxyType
 
 from pimentohoist._http_client import HttpClient, HttpReply, HttpRequest
 from pimentohoist.entry_models import AdapterKey, EngineReport
@@ -50,13 +51,15 @@
     REFUSED = 'refused'
 
 
-_REPLIES = {
-    HTTPStatus.ACCEPTED: OrderReply.BEGUN,
-    HTTPStatus.OK: OrderReply.HOLDS,
-    HTTPStatus.CONFLICT: OrderReply.CONFLICT,
-    HTTPStatus.PRECONDITION_FAILED: OrderReply.FENCED,
-    HTTPStatus.MISDIRECTED_REQUEST: OrderReply.OTHER_ENDPOINT,
-}
+_REPLIES = MappingProxyType(
+    {
+        HTTPStatus.ACCEPTED: OrderReply.BEGUN,
+        HTTPStatus.OK: OrderReply.HOLDS,
+        HTTPStatus.CONFLICT: OrderReply.CONFLICT,
+        HTTPStatus.PRECONDITION_FAILED: OrderReply.FENCED,
+        HTTPStatus.MISDIRECTED_REQUEST: OrderReply.OTHER_ENDPOINT,
+    }
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,4 +140,4 @@
 
 
 def _meaning(reply: HttpReply) -> OrderReply:
-    return _REPLIES.get(HTTPStatus(reply.status), OrderReply.REFUSED)
+    return _REPLIES.get(reply.status, OrderReply.REFUSED)
--- a/src/pimentohoist/platform/_store.py
+++ b/src/pimentohoist/platform/_store.py
@@ -72,10 +72,10 @@
             page = self._json('GET', '/v1/log-newest', query)
             # Pages are no snapshot: reading on from the first end repeats what changed.
             end = page['end'] if end is None else end
-            items = page['items']
-            records.extend(_keyed(item) for item in items)
-            has_more = bool(page.get('has-more')) and bool(items)
-            query['after'] = items[-1]['key'] if items else ''
+            rows = page['items']
+            records.extend(_keyed(row) for row in rows)
+            has_more = bool(page.get('has-more')) and bool(rows)
+            query['after'] = rows[-1]['key'] if rows else ''
         return records, end or 0
 
     def changes(
@@ -182,6 +182,6 @@
 
 
 def _keyed_of(body: bytes) -> KeyedRecord:
-    key_end = 1 + (body[0] if body else 0)
+    key_end = body[0] + 1 if body else 1
     key = body[1:key_end].decode(errors='replace')
     return KeyedRecord(key, body[key_end:] or None)
