--- a/src/pimentohoist/_entry/choosing.py
+++ b/src/pimentohoist/_entry/choosing.py
@@ -20,7 +20,12 @@
 from pimentohoist._entry.places import PlacesController
 from pimentohoist._entry.running import Running
 from pimentohoist.entry_models import AdapterKey, Endpoint
-from pimentohoist.exceptions import PimentohoistError, UnavailableError
+from pimentohoist.exceptions import (
+    NotHomeError,
+    PeerError,
+    PimentohoistError,
+    UnavailableError,
+)
 
 RETURN_S = 0.5
 """A load and the run that it waits for have ended by then, as a rule."""
@@ -31,6 +36,8 @@
 
 _MOST_WAITED_FOR = 2
 
+_NO_HOME = (NotHomeError, PeerError)
+
 _logger = logging.getLogger(__name__)
 
 
@@ -82,8 +89,9 @@
         self, passage: Passage, adapter: AdapterKey, usable: dict[str, Endpoint]
     ) -> Target:
         """Have the adapter held by one of the engines."""
-        ordered = choose_engines(str(adapter), self._candidates(usable, adapter))
-        failure: PimentohoistError | None = None
+        candidates = self._candidates(usable, adapter)
+        ordered = choose_engines(str(adapter), candidates)
+        holders = {entry.endpoint_id for entry in candidates if entry.holds_adapter}
         for name, is_impatient in _turns(ordered):
             wait_s = _wait_s(passage)
             if wait_s <= 0:
@@ -93,13 +101,17 @@
                     name, adapter, wait_s, is_impatient=is_impatient
                 )
             except PimentohoistError as error:
-                failure = error
+                passage.failure = error
                 extra = {**log_fields(passage), 'endpoint': name}
                 _logger.info('adapter not held: %s', error, extra=extra)
+                # Without its home an engine keeps what it has, and says so if not.
+                if name in holders and isinstance(error, _NO_HOME):
+                    newest = self.places.declarations.version_of(adapter)
+                    return Target(usable[name], newest or None)
             else:
-                return Target(usable[name], version or None)
+                return Target(usable[name], version)
         raise UnavailableError(
-            f'no engine could hold {adapter}: {failure}',
+            f'no engine could hold {adapter}: {passage.failure}',
             step=_STEP,
             retry_after_s=spread(RETURN_S),
         )
@@ -113,7 +125,9 @@
             homed.update(beat.engines)
         name = str(adapter or '')
         return [
-            self._candidate(endpoint, beats, homed.get(endpoint_id, (0, [])), name)
+            self._candidate(
+                endpoint, beats, homed.get(endpoint_id) or _own_word(endpoint), name
+            )
             for endpoint_id, endpoint in usable.items()
         ]
 
@@ -140,6 +154,11 @@
         )
 
 
+def _own_word(endpoint: Endpoint) -> tuple[int, list[str]]:
+    """Return what an engine without a home says of itself."""
+    return 0, [str(adapter) for adapter in endpoint.adapters]
+
+
 def _turns(ordered: list[str]) -> Iterator[tuple[str, bool]]:
     """Yield the engines to ask, and whether only for a place that is free at once."""
     for asked in ordered[:_MOST_ASKED]:
--- a/src/pimentohoist/_entry/engine_home.py
+++ b/src/pimentohoist/_entry/engine_home.py
@@ -4,10 +4,8 @@
 
 import logging
 import threading
-from collections.abc import Mapping
 from concurrent.futures import Executor
 from contextlib import AbstractContextManager, nullcontext
-from typing import Any
 
 from pimentohoist import _clock
 from pimentohoist._decisions.adapter_places import AdapterPlaces, LoadPlan
@@ -68,11 +66,6 @@
         self._loading: set[AdapterKey] = set()
         self._changed = threading.Condition()
 
-    @property
-    def is_over(self) -> bool:
-        """Return whether the engine can't be ordered any more."""
-        return self.ledger.is_over
-
     def start(self) -> None:
         """Learn from the engine what it holds, until it answers."""
         ledger = self.ledger
@@ -110,10 +103,10 @@
         with self._changed:
             self.places.note_demand(adapter, _clock.now())
             found = self._grant_or_load(adapter, version)
+            if found is None and is_impatient and not self._is_expected(adapter):
+                raise self._unavailable('no room now')
             while found is None:
                 left_s = wait_until - _clock.now()
-                if is_impatient and not self._is_expected(adapter):
-                    raise self._unavailable('no room now')
                 if left_s <= 0 or not self._changed.wait(left_s):
                     raise self._unavailable('adapter not there in time')
                 found = self._grant_or_load(adapter, version)
@@ -153,11 +146,6 @@
             self._changed.notify_all()
         self.ledger.orders.close()
 
-    def dump(self) -> Mapping[str, Any]:
-        """Return what is there."""
-        free, adapters = self.status()
-        return {'free': free, 'adapters': adapters, 'loads': self.loads}
-
     def _grant_or_load(self, adapter: AdapterKey, version: int) -> int | None:
         found = self.places.grant(adapter, version, _clock.now())
         if found is None:
@@ -177,9 +165,8 @@
             return
         now = _clock.now()
         begun = sum(asked not in self.places.places for asked in self._loading)
-        needs_order = self.places.is_outdated(adapter, version)
-        needs_order = needs_order or self.places.is_coming(adapter)
-        if needs_order or self.places.can_load(adapter, now, begun):
+        can_load = self.places.can_load(adapter, now, begun)
+        if can_load or _needs_order(self.places, adapter, version):
             self._loading.add(adapter)
             self.loaders.submit(self._load, adapter, version or _FIRST_VERSION, now)
 
@@ -268,3 +255,8 @@
 
     def _unavailable(self, text: str) -> UnavailableError:
         return UnavailableError(text, step=_STEP, peer=self.endpoint.endpoint_id)
+
+
+def _needs_order(places: AdapterPlaces, adapter: AdapterKey, version: int) -> bool:
+    """Return whether an adapter that has a place must be asked for again."""
+    return places.is_outdated(adapter, version) or places.is_coming(adapter)
--- a/src/pimentohoist/_entry/places.py
+++ b/src/pimentohoist/_entry/places.py
@@ -16,7 +16,7 @@
 from pimentohoist._entry.members import Beat, MembersController
 from pimentohoist._generated import peer_pb2
 from pimentohoist._peers import PeerClients
-from pimentohoist.entry_models import AdapterKey, Endpoint
+from pimentohoist.entry_models import AdapterKey, Endpoint, EngineLimits
 from pimentohoist.exceptions import NotHomeError, PimentohoistError, UnavailableError
 
 _STEP = 'hold_adapter'
@@ -103,13 +103,15 @@
 
         Raises
         ------
-        PimentohoistError
-            It is not held; nothing was sent to the engine for the request.
+        NotHomeError, PeerError
+            No home could be asked.
+        UnavailableError
+            It is not there in time.
         """
         version = self.declarations.version_of(adapter)
         address = self.homes.home_address(endpoint_id)
         if address is None:
-            raise UnavailableError('no home is known', step=_STEP, peer=endpoint_id)
+            raise NotHomeError('no home is known', step=_STEP, peer=endpoint_id)
         if address == self.members.member:
             return self._hold_here(endpoint_id, adapter, version, wait_s, is_impatient)
         request = peer_pb2.HoldRequest(
@@ -123,6 +125,8 @@
         )
         timeout_s = wait_s + _CALL_SLACK_S
         reply = self.peers.call(address, 'HoldAdapter', request, timeout_s=timeout_s)
+        if reply.is_no_home:
+            raise NotHomeError(reply.refusal, step=_STEP, peer=address)
         if reply.refusal:
             raise UnavailableError(reply.refusal, step=_STEP, peer=address)
         return int(reply.version)
@@ -140,7 +144,11 @@
     def dump(self) -> Mapping[str, Any]:
         """Return the engines that are homed here."""
         return {
-            engine.endpoint.endpoint_id: engine.dump() for engine in self._engines()
+            engine.endpoint.endpoint_id: {
+                'status': engine.status(),
+                'loads': engine.loads,
+            }
+            for engine in self._engines()
         }
 
     def _answer_hold(self, request: peer_pb2.HoldRequest) -> peer_pb2.HoldReply:
@@ -154,7 +162,8 @@
                 request.is_impatient,
             )
         except PimentohoistError as error:
-            return peer_pb2.HoldReply(refusal=error.message)
+            is_no_home = isinstance(error, NotHomeError)
+            return peer_pb2.HoldReply(refusal=error.message, is_no_home=is_no_home)
         return peer_pb2.HoldReply(version=version)
 
     def _hold_here(
@@ -191,7 +200,11 @@
                 endpoint is not None
                 and endpoint.incarnation == engine.endpoint.incarnation
             )
-            if engine.is_over or not is_same or not self.homes.is_home(endpoint_id):
+            if (
+                engine.ledger.is_over
+                or not is_same
+                or not self.homes.is_home(endpoint_id)
+            ):
                 self._end(endpoint_id, engine)
         for endpoint in alive.values():
             is_new = endpoint.endpoint_id not in self.engines
@@ -200,31 +213,33 @@
         live = frozenset(
             (self.members.member, *(beat.member for beat in self.members.live()))
         )
-        for engine in self._engines():
-            engine.forget_members(live)
+        for homed in self._engines():
+            homed.forget_members(live)
 
     def _begin(self, endpoint: Endpoint) -> None:
         declaration = self.declarations.current
         group = declaration.groups.get(endpoint.group) if declaration else None
         if group is None or group.engine is None:
             return
-        endpoint_id = endpoint.endpoint_id
-        authority = _HomeAuthority(self.homes, endpoint_id)
-        held = endpoint.models or tuple(size.model for size in group.engine.models[:1])
-        capacity = group.engine.adapter_places(held)
-        models = group.engine.models
-        first_model = models[0].model if models else ''
-        engine = EngineHome(endpoint, capacity, first_model, authority, self.loaders)
-        self.engines[endpoint_id] = engine
+        engine = self._new_home(endpoint, group.engine)
+        self.engines[endpoint.endpoint_id] = engine
         self.loaders.submit(engine.start)
         extra = {
             'step': 'home',
-            'endpoint': endpoint_id,
-            'capacity': capacity,
+            'endpoint': endpoint.endpoint_id,
+            'capacity': engine.places.capacity,
             'fence': self.homes.own.generation,
         }
         _logger.info('home begins', extra=extra)
 
+    def _new_home(self, endpoint: Endpoint, limits: EngineLimits) -> EngineHome:
+        models = tuple(size.model for size in limits.models)
+        capacity = limits.adapter_places(endpoint.models or models[:1])
+        authority = _HomeAuthority(self.homes, endpoint.endpoint_id)
+        return EngineHome(
+            endpoint, capacity, models[0] if models else '', authority, self.loaders
+        )
+
     def _end(self, endpoint_id: str, engine: EngineHome) -> None:
         self.engines.pop(endpoint_id, None)
         engine.close()
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -217,28 +217,29 @@
         sys.stderr.write(f'pimentohoist: {error}\n')
         sys.exit(_EXIT_SETTINGS)
     threading.stack_size(_STACK_BYTES)
-    stopped = threading.Event()
-    reloaded = threading.Event()
-    signal.signal(signal.SIGTERM, lambda number, frame: stopped.set())
-    signal.signal(signal.SIGHUP, lambda number, frame: reloaded.set())
     with BoundedLogs('INFO', instance=settings.name, stream=sys.stdout) as logs:
         with EntryDaemon(settings, logs) as daemon:
-            _logger.info('started', extra={'step': 'start'})
-            while not stopped.wait(_POLL_S):
-                if reloaded.is_set():
-                    reloaded.clear()
-                    _reload(daemon, settings_path)
-            _logger.info('stopping', extra={'step': 'stop'})
-            daemon.leave()
-            _logger.info(
-                'stopped', extra={'step': 'stop', 'running': len(daemon.watch)}
-            )
-            sys.stdout.flush()
+            _run_until_stopped(daemon, settings_path)
     sys.stdout.flush()
     # Threads that wait for peers would hold the process until their time is over.
     os._exit(0)
 
 
+def _run_until_stopped(daemon: EntryDaemon, settings_path: str) -> None:
+    stopped = threading.Event()
+    reloaded = threading.Event()
+    signal.signal(signal.SIGTERM, lambda number, frame: stopped.set())
+    signal.signal(signal.SIGHUP, lambda number, frame: reloaded.set())
+    _logger.info('started', extra={'step': 'start'})
+    while not stopped.wait(_POLL_S):
+        if reloaded.is_set():
+            reloaded.clear()
+            _reload(daemon, settings_path)
+    _logger.info('stopping', extra={'step': 'stop'})
+    daemon.leave()
+    _logger.info('stopped', extra={'step': 'stop', 'running': len(daemon.watch)})
+
+
 def _reload(daemon: EntryDaemon, settings_path: str) -> None:
     """Take over settings that may change while a daemon runs."""
     try:
--- a/src/pimentohoist/platform/_orders.py
+++ b/src/pimentohoist/platform/_orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Mapping
 from contextlib import suppress
 from dataclasses import dataclass
 from enum import StrEnum
@@ -51,7 +52,7 @@
     REFUSED = 'refused'
 
 
-_REPLIES = MappingProxyType(
+_REPLIES: Mapping[int, OrderReply] = MappingProxyType(
     {
         HTTPStatus.ACCEPTED: OrderReply.BEGUN,
         HTTPStatus.OK: OrderReply.HOLDS,
