--- a/src/pimentohoist/_decisions/adapter_places.py
+++ b/src/pimentohoist/_decisions/adapter_places.py
@@ -8,14 +8,14 @@
 
 from pimentohoist.entry_models import AdapterKey
 
-GRANT_KEPT_S = 0.6
-"""An adapter that was granted stays for two beats, until its use has been heard of."""
+GRANT_KEPT_S = 0.35
+"""An adapter that was granted stays for one beat and its way, until its use is heard of."""
 
 MOST_ON_THEIR_WAY = 4
 """Adapters that an engine fetches at once, as the platform states."""
 
-_LEAVING_S = 12.0
-"""Longer than the longest request that may still use a leaving adapter."""
+_LEAVING_S = 3.0
+"""A leaving adapter keeps its place so long, and while a request is known to use it."""
 
 _HALF_LIFE_S = 10.0
 """Demand for an adapter changes within seconds to minutes."""
@@ -174,7 +174,7 @@
         return max(0, free) + sum(1 for _ in self._evictable(now))
 
     def _evictable(self, now: float) -> Iterable[AdapterKey]:
-        used = frozenset().union(*self.in_use.values())
+        used = self._used()
         return (
             adapter
             for adapter, place in self.places.items()
@@ -183,12 +183,17 @@
             and adapter not in used
         )
 
+    def _used(self) -> frozenset[AdapterKey]:
+        return frozenset().union(*self.in_use.values())
+
     def _on_their_way(self) -> int:
         return sum(place.state is PlaceState.LOADING for place in self.places.values())
 
     def _forget_gone(self, now: float) -> None:
+        used = self._used()
         for adapter, place in tuple(self.places.items()):
-            if place.state is PlaceState.LEAVING and place.kept_until <= now:
+            is_over = place.kept_until <= now and adapter not in used
+            if is_over and place.state is PlaceState.LEAVING:
                 self.places.pop(adapter)
 
     def _forget_demand(self, now: float) -> None:
--- a/src/pimentohoist/_entry/members.py
+++ b/src/pimentohoist/_entry/members.py
@@ -130,6 +130,17 @@
         since = _clock.now() - HEARD_S
         return [entry.beat for entry in self._entries() if entry.heard_at >= since]
 
+    def reachable(self) -> list[Beat]:
+        """Return the daemons that callers can probably reach.
+
+        A daemon that hears few of the others is probably cut off from them itself; its
+        callers, who aren't, still learn of those that it has heard before.
+        """
+        live = self.live()
+        since = _clock.now() - KNOWN_S
+        known = [entry.beat for entry in self._entries() if entry.heard_at >= since]
+        return known if len(live) < len(known) / 2 else live
+
     def known_count(self) -> int:
         """Return how many other daemons have not been silent for long."""
         since = _clock.now() - KNOWN_S
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -40,7 +40,9 @@
 _SETTINGS_VARIABLE = 'PIMENTOHOIST_BOOT'
 _EXIT_SETTINGS = 2
 _SIDE_THREADS = 2
-_PEER_THREADS = 32
+_PEER_THREADS = 96
+"""Calls that wait for adapters, with some to spare under the heaviest load."""
+
 _STACK_BYTES = 262_144
 _STOP_MARGIN_S = 1.2
 """Time before the kill at which the daemon ends whatever still runs."""
@@ -120,7 +122,9 @@
 
     def addresses(self) -> list[str]:
         """Return where callers may connect."""
-        others = [beat.callers_address for beat in self.members.live() if beat.is_ready]
+        others = [
+            beat.callers_address for beat in self.members.reachable() if beat.is_ready
+        ]
         own = [self.settings.callers_address] if self.is_ready() else []
         return own + others
 
