--- a/src/pimentohoist/_entry/connections.py
+++ b/src/pimentohoist/_entry/connections.py
@@ -22,7 +22,7 @@
 from pimentohoist._addresses import split_address
 from pimentohoist.entry_models import CallerRequest, Endpoint
 from pimentohoist.exceptions import PeerConnectError, PeerError, PeerTimeoutError
-from pimentohoist.platform import names_request
+from pimentohoist.platform import belongs_to
 
 _STEP = 'endpoint'
 _CONNECT_TIMEOUT_S = 0.6
@@ -141,7 +141,7 @@
         for _ in range(_MOST_EXTRA_ANSWERS):
             with _errors(self.endpoint.address):
                 response = self._next_response()
-            if names_request(response.headers, request_id):
+            if belongs_to(request_id, response.status, response.headers):
                 self._response = response
                 return Head(response.status, response.reason, response.headers)
             # A second answer to an earlier request came in its place.
--- a/src/pimentohoist/platform/_headers.py
+++ b/src/pimentohoist/platform/_headers.py
@@ -18,6 +18,9 @@
 ENDPOINT = 'Pimentohoist-Instance-Id'
 EXPECTED_VERSION = 'Pimentohoist-Expect-Version'
 RANK = 'Pimentohoist-Request-Priority'
+SEAL = 'Pimentohoist-Response-Seal'
+"""On every answer that an endpoint made to a request."""
+
 NOT_RUN = 'Pimentohoist-Not-Executed'
 LAST_EVENT_ID = 'Last-Event-Id'
 
--- a/src/pimentohoist/platform/_requests.py
+++ b/src/pimentohoist/platform/_requests.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from email.message import Message
+from http import HTTPStatus
 
 from pimentohoist.entry_models import AdapterKey, CallerRequest, Onward
 from pimentohoist.exceptions import InvalidRequestError
@@ -12,7 +13,6 @@
 
 _STEP = 'decode_request'
 _MS_PER_S = 1000
-_MISDIRECTED = 421
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -70,15 +70,21 @@
     return [pair for pair in headers if pair[0].lower() not in names.OF_ONE_CONNECTION]
 
 
-def names_request(headers: Message, request_id: str) -> bool:
-    """Return whether an answer belongs to a request."""
+def belongs_to(request_id: str, status: int, headers: Message) -> bool:
+    """Return whether an answer belongs to a request.
+
+    A success must name the request and be sealed. Refusals that were made before the
+    request was read name none.
+    """
     echoed = headers.get(names.ATTEMPT_ID)
+    if status < HTTPStatus.BAD_REQUEST:
+        return echoed == request_id and names.SEAL in headers
     return echoed is None or echoed == request_id
 
 
 def is_certainly_not_run(status: int, headers: Message) -> bool:
     """Return whether an endpoint's answer proves that it ran nothing."""
-    return status == _MISDIRECTED or names.NOT_RUN in headers
+    return status == HTTPStatus.MISDIRECTED_REQUEST or names.NOT_RUN in headers
 
 
 def _left_ms(onward: Onward) -> int | None:
