Tests of the entry daemon: decisions by pattern, the whole path on stand-ins

Two faults found by them, each failing first: an endpoint that had failed and recovered got no work again (0 of 500 requests; failures are now forgotten with a half-life of 4 s), and a daemon that stopped left its engines without a home until the next one had joined (a new stream got 503).

--- /dev/null
+++ b/features/entry_decisions.feature
@@ -0,0 +1,86 @@
+Feature: Decisions of the entry daemon, without network
+
+  Scenario: Plans made before a report would overload an engine
+    Given an engine with 4 places that are all taken
+    When two adapters are asked for and the engine reports another one on its way
+    Then no plan loads beyond the places
+
+  Scenario: An adapter that was granted stays until its use has been heard of
+    Given an engine with 4 places that are all taken
+    When one of them is granted
+    Then it is not evicted before the next beat tells of its request
+
+  Scenario: An adapter in use is never evicted
+    Given an engine with 4 places that are all taken
+    When requests use all of them
+    Then a fifth adapter has to wait
+
+  Scenario: A leaving adapter keeps its place until its requests have ended
+    Given an engine with 4 places that are all taken
+    When one leaves that a request still uses
+    Then its place is free only after the request has ended
+
+  Scenario: Rare models at once: no more loads begin than an engine fetches at a time
+    Given an engine with 16 places that are all free
+    When 10 adapters are asked for at once
+    Then 4 loads begin and the others wait
+
+  Scenario: Demand moves on: the adapter that nobody asks for any more leaves first
+    Given an engine with 4 places that are all taken
+    When the favourite of a minute ago is asked for no more and the others are
+    Then the former favourite is evicted
+
+  Scenario: Generated histories of places never exceed the engine
+    Then in generated histories no engine has more adapters than places
+
+  Scenario: One tenant sends many times its rate
+    Given a workspace with a rate of 1000 and a burst of 4000 before 7 daemons
+    When it sends 8 times its rate for 20 s
+    Then no window of 8 s gets more than rate, burst and the stated slack
+    And it gets what its rate and burst allow
+
+  Scenario: A daemon that is cut off gives only its own part
+    Given a workspace with a rate of 1000 and a burst of 4000 before 7 daemons
+    When one daemon hears nobody for 8 s while all are asked for 8 times the rate
+    Then no window of 8 s gets more than rate, burst and the stated slack
+
+  Scenario: A failing endpoint with good health gets little work
+    Given 3 alike endpoints of which one fails half of its answers
+    When 600 requests are sent
+    Then the failing one gets less than a fifth of its even part
+
+  Scenario: A failing endpoint that recovers gets work again
+    Given 3 alike endpoints of which one fails half of its answers
+    When 600 requests are sent
+    And it fails no more and 2000 requests are sent
+    Then it gets at least half of its even part of the last 500
+
+  Scenario: A popular adapter spreads when its engine is crowded
+    Given 5 engines of which one holds an adapter
+    Then its requests go there while it is calm
+    And to another engine when it is crowded
+
+  Scenario: An adapter that nobody holds goes to an engine with room
+    Given 5 engines of which one holds an adapter
+    Then a cold adapter goes to the first of its engines that has room
+
+  Scenario: The retry budget holds for the whole fleet
+    Then in generated histories 7 daemons stay within the stated budget of repeats
+
+  Scenario: A home that lost an engine and got it back waits a lease before it orders
+    Given a daemon that has ordered an engine
+    When it loses the engine and gets it back after 1 s
+    Then it orders nothing for the rest of the lease
+
+  Scenario: Two daemons claim an engine
+    Then the claim of the higher generation counts
+
+  Scenario: Events are passed on whole
+    Then a stream in generated pieces gives the same bytes and only whole events
+
+  Scenario: Records of another writer name no endpoint
+    Then each broken entry of an endpoint is rejected with a reason
+    And a sound one is decoded
+
+  Scenario: An operator's configuration is decoded
+    Then routes, shares, quotas and the longest prefix are as declared
--- /dev/null
+++ b/features/entry_fleet.py
@@ -0,0 +1,241 @@
+"""Entry daemons as processes, before stand-ins of the users' platform."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import random
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from contextlib import ExitStack
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Self
+
+from pimentohoist_standins.keyed_store import KeyedStore
+from pimentohoist_standins.opaque_engine import OpaqueEngine
+
+MODEL = 'm1'
+KEY = 'key-of-house'
+_ENTRY = Path(__file__).resolve().parent.parent / 'src' / 'pimentohoist_entry.py'
+_TEMPLATE = """
+[daemon]
+name = "{name}"
+failure_domain = "a"
+host = "{host}"
+port_range = "7600,7615"
+seeds = "{seeds}"
+[listen]
+callers = "{host}:8000"
+ready = "{host}:8001"
+control = "{host}:8002"
+directory = "{host}:8003"
+[store]
+address = "{store}"
+partitions = 12
+[bounds]
+engines_check_fences = true
+retry_ratio = 0.2
+retry_slack = 54
+retry_window_s = 10
+quota_slack = 110000
+lease_ms = 3000
+version_ms = 5000
+grace_s = 8
+most_directory_age_s = 5
+"""
+
+
+@dataclass(frozen=True)
+class Answer:
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class EntryProcess:
+    """One daemon."""
+
+    def __init__(self, host: str, settings: Path, folder: Path) -> None:
+        self.host = host
+        self.log = folder / f'{host}.log'
+        environment = {**os.environ, 'PIMENTOHOIST_BOOT': str(settings)}
+        with self.log.open('ab') as output:
+            self.popen = subprocess.Popen(
+                [sys.executable, str(_ENTRY)],
+                env=environment,
+                stdout=output,
+                stderr=output,
+            )
+
+    def get(self, port: int, path: str) -> Answer:
+        return exchange(self.host, port, 'GET', path, {})
+
+    def is_ready(self) -> bool:
+        try:
+            return self.get(8001, '/v1/ready').status == 200
+        except OSError:
+            return False
+
+    def state(self) -> dict[str, Any]:
+        return json.loads(self.get(7601, '/state').body)
+
+    def lines(self) -> list[dict[str, Any]]:
+        return [json.loads(line) for line in self.log.read_text().splitlines()]
+
+
+class EntryFleet:
+    """A store, engines, a plain service and daemons, until the end of the context."""
+
+    def __init__(self) -> None:
+        self.stack = ExitStack()
+        network = f'127.{random.randint(130, 250)}.{random.randint(1, 250)}'
+        self.network = network
+        self.daemons: list[EntryProcess] = []
+        self.engines: list[OpaqueEngine] = []
+        self.requests = 0
+
+    def __enter__(self) -> Self:
+        self.folder = Path(self.stack.enter_context(tempfile.TemporaryDirectory()))
+        self.store = self.stack.enter_context(KeyedStore((f'{self.network}.1', 9000)))
+        self.ledger = self._engine(2, 'ledger-1', '')
+        self.store.put('keyed.servers', 'ledger-1', self.ledger.entry('ledger'))
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        for daemon in self.daemons:
+            daemon.popen.kill()
+            daemon.popen.wait()
+        self.stack.close()
+
+    def add_engine(self, name: str) -> OpaqueEngine:
+        engine = self._engine(10 + len(self.engines), name, MODEL)
+        self.engines.append(engine)
+        self.store.put('keyed.servers', name, engine.entry('models'))
+        return engine
+
+    def start(self, count: int = 1) -> None:
+        for _ in range(count):
+            host = f'{self.network}.{100 + len(self.daemons)}'
+            settings = self.folder / f'{host}.toml'
+            seeds = ','.join(f'{daemon.host}:8002' for daemon in self.daemons)
+            text = _TEMPLATE.format(
+                name=host, host=host, seeds=seeds, store=self.store.address
+            )
+            settings.write_text(text)
+            self.daemons.append(EntryProcess(host, settings, self.folder))
+
+    def start_ready(self, count: int = 1) -> None:
+        self.start(count)
+        wait_for(lambda: all(daemon.is_ready() for daemon in self.daemons), 15)
+        wait_for(lambda: self.homed() == len(self.engines), 15)
+
+    def homed(self) -> int:
+        return sum(len(daemon.state()['places']) for daemon in self.daemons)
+
+    def declare(self, version: int, **changes: Any) -> None:
+        self.store.put('keyed.op', 'config', declaration(version, **changes))
+
+    def ask(
+        self,
+        path: str = '/models/x',
+        adapter: str = 'a1',
+        daemon: int = 0,
+        **headers: str,
+    ) -> Answer:
+        self.requests += 1
+        sent = {
+            'Host': 'house.example',
+            'Pimentohoist-Attempt-Id': f'request-{self.requests}',
+            'Pimentohoist-Deadline-Ms': '4000',
+            'Api-Key': KEY,
+            **{name.replace('_', '-'): text for name, text in headers.items()},
+        }
+        if path.startswith(('/models', '/resumed')):
+            sent['Pimentohoist-Model'] = f'{MODEL}/{adapter}' if adapter else MODEL
+            sent['Pimentohoist-Token-Count'] = '10,20'
+        host = self.daemons[daemon].host
+        return exchange(host, 8000, 'POST', path, sent, b'{"a": 1}')
+
+    def _engine(self, host: int, name: str, model: str) -> OpaqueEngine:
+        address = (f'{self.network}.{host}', 9000)
+        return self.stack.enter_context(OpaqueEngine(address, name, model))
+
+
+def declaration(version: int, rate: float = 0, keys: tuple[str, ...] = (KEY,)) -> Any:
+    engine = {
+        'slots': 8,
+        'weights-mb': 1100,
+        'adapter-slots': 4,
+        'models': [{'name': MODEL, 'weights-mb': 1000, 'adapter-mb': 10}],
+    }
+    route = {
+        'host': 'house.example',
+        'timeout-ms': 4000,
+        'goal-ms': 1000,
+        'priority': 0,
+        'attempts': 2,
+        'public': False,
+    }
+    routes = [
+        {'name': 'models', 'path-prefix': '/models/', 'kind': 'stream'},
+        {
+            'name': 'resumed',
+            'path-prefix': '/resumed/',
+            'kind': 'stream',
+            'can-resume': True,
+        },
+        {'name': 'pay', 'path-prefix': '/pay/', 'kind': 'unsafe'},
+        {'name': 'look', 'path-prefix': '/look/', 'kind': 'safe'},
+    ]
+    groups = ('models', 'models', 'ledger', 'ledger')
+    return {
+        'version': version,
+        'routes': [
+            {**route, **own, 'service': group}
+            for own, group in zip(routes, groups, strict=True)
+        ],
+        'services': [
+            {'name': 'models', 'max-conns': 100, 'engine': engine},
+            {'name': 'ledger', 'max-conns': 100},
+        ],
+        'limits': {'idle-timeout-ms': 15000},
+        'tenants': [
+            {
+                'name': 'house',
+                'api-keys': list(keys),
+                'unit': 'tokens',
+                'plain-tokens': 20,
+                'rate-per-s': rate,
+                'burst': rate,
+            }
+        ],
+    }
+
+
+def exchange(
+    host: str,
+    port: int,
+    method: str,
+    path: str,
+    headers: dict[str, str],
+    body: bytes | None = None,
+) -> Answer:
+    connection = http.client.HTTPConnection(host, port, timeout=10)
+    try:
+        connection.request(method, path, body, headers)
+        response = connection.getresponse()
+        return Answer(response.status, dict(response.headers), response.read())
+    finally:
+        connection.close()
+
+
+def wait_for(condition: Callable[[], bool], limit_s: float) -> None:
+    give_up_at = time.monotonic() + limit_s
+    while not condition():
+        assert time.monotonic() < give_up_at, 'condition never held'
+        time.sleep(0.02)
--- a/src/pimentohoist/_decisions/adapter_places.py
+++ b/src/pimentohoist/_decisions/adapter_places.py
@@ -21,6 +21,9 @@
 """Demand for an adapter changes within seconds to minutes."""
 
 
+_DEMAND_KEPT_S = 60.0
+
+
 class PlaceState(StrEnum):
     """What happens at a place."""
 
@@ -163,9 +166,13 @@
         }
         # One that leaves takes its place until the last request has ended.
         self.places.update(leaving)
-        for adapter in coming:
-            self.places[adapter] = AdapterPlace(0, PlaceState.LOADING)
-        self._forget_demand(now)
+        for fetched in coming:
+            self.places[fetched] = AdapterPlace(0, PlaceState.LOADING)
+        self._demand = {
+            adapter: entry
+            for adapter, entry in self._demand.items()
+            if now - entry[1] < _DEMAND_KEPT_S
+        }
 
     def free_places(self, now: float) -> int:
         """Return how many adapters could be loaded without waiting for a request."""
@@ -195,10 +202,3 @@
             is_over = place.kept_until <= now and adapter not in used
             if is_over and place.state is PlaceState.LEAVING:
                 self.places.pop(adapter)
-
-    def _forget_demand(self, now: float) -> None:
-        self._demand = {
-            adapter: entry
-            for adapter, entry in self._demand.items()
-            if now - entry[1] < 6 * _HALF_LIFE_S
-        }
--- a/src/pimentohoist/_decisions/endpoint_health.py
+++ b/src/pimentohoist/_decisions/endpoint_health.py
@@ -7,6 +7,9 @@
 _WEIGHT = 0.1
 """Weight of the newest answer in the averages: the last twenty or so count."""
 
+_HALF_LIFE_S = 4.0
+"""A few seconds without work, then an endpoint that failed is tried again."""
+
 _FIRST_PAUSE_S = 0.5
 _LONGEST_PAUSE_S = 4.0
 _FAILURE_POWER = 4
@@ -19,41 +22,51 @@
 class EndpointHealth:
     """Averages over an endpoint's answers.
 
+    Failures are forgotten with time as well: an endpoint that gets no work because it
+    failed must be tried again.
+
     Attributes
     ----------
-    failure_share : float
-        Of its answers, the newest weighing most.
     latency_s : float
         Until the first byte of an answer; 0 before there was one.
     paused_until : float
         It gets no new work before, since it could not be reached.
     """
 
-    failure_share: float = 0
     latency_s: float = 0
     paused_until: float = 0
+    _failures: float = 0
+    _noted_at: float = 0
     _unreached: int = 0
 
-    def note_answer(self, latency_s: float) -> None:
+    def failure_share(self, now: float) -> float:
+        """Return the share of failures, the newest answers weighing most."""
+        return float(self._failures * 0.5 ** ((now - self._noted_at) / _HALF_LIFE_S))
+
+    def note_answer(self, latency_s: float, now: float) -> None:
         """Note an answer that is no failure of the endpoint."""
-        self.failure_share -= _WEIGHT * self.failure_share
-        change_s = latency_s - self.latency_s
+        self._note(0, now)
         weight = _WEIGHT if self.latency_s else 1
-        self.latency_s += change_s * weight
+        self.latency_s += (latency_s - self.latency_s) * weight
         self._unreached = 0
 
-    def note_failure(self) -> None:
+    def note_failure(self, now: float) -> None:
         """Note an answer that failed, was cut off or didn't come."""
-        self.failure_share += _WEIGHT * (1 - self.failure_share)
+        self._note(1, now)
 
     def note_unreached(self, now: float) -> None:
         """Note that no connection could be made; try it less and less often."""
         pause_s = min(_LONGEST_PAUSE_S, _FIRST_PAUSE_S * 2**self._unreached)
         self._unreached += 1
         self.paused_until = now + pause_s
-        self.note_failure()
+        self._note(1, now)
 
-    def cost_factor(self) -> float:
+    def cost_factor(self, now: float) -> float:
         """Return by how much its work counts more than that of a sound endpoint."""
-        success = max(_LEAST_SUCCESS, 1 - self.failure_share)
+        success = max(_LEAST_SUCCESS, 1 - self.failure_share(now))
         return float(success**-_FAILURE_POWER)
+
+    def _note(self, failed: int, now: float) -> None:
+        share = self.failure_share(now)
+        self._failures = share + _WEIGHT * (failed - share)
+        self._noted_at = now
--- a/src/pimentohoist/_entry/choosing.py
+++ b/src/pimentohoist/_entry/choosing.py
@@ -96,26 +96,39 @@
             wait_s = _wait_s(passage)
             if wait_s <= 0:
                 break
-            try:
-                version = self.places.hold(
-                    name, adapter, wait_s, is_impatient=is_impatient
-                )
-            except PimentohoistError as error:
-                passage.failure = error
-                extra = {**log_fields(passage), 'endpoint': name}
-                _logger.info('adapter not held: %s', error, extra=extra)
-                # Without its home an engine keeps what it has, and says so if not.
-                if name in holders and isinstance(error, _NO_HOME):
-                    newest = self.places.declarations.version_of(adapter)
-                    return Target(usable[name], newest or None)
-            else:
-                return Target(usable[name], version)
+            is_holder = name in holders
+            version = self._hold(passage, name, wait_s, is_impatient, is_holder)
+            if version is not None:
+                return Target(usable[name], version or None)
         raise UnavailableError(
             f'no engine could hold {adapter}: {passage.failure}',
             step=_STEP,
             retry_after_s=spread(RETURN_S),
         )
 
+    def _hold(
+        self,
+        passage: Passage,
+        endpoint_id: str,
+        wait_s: float,
+        is_impatient: bool,
+        is_holder: bool,
+    ) -> int | None:
+        """Return the version that is held for the request; None if none is."""
+        adapter = passage.request.adapter or AdapterKey('')
+        try:
+            return self.places.hold(
+                endpoint_id, adapter, wait_s, is_impatient=is_impatient
+            )
+        except PimentohoistError as error:
+            passage.failure = error
+            extra = {**log_fields(passage), 'endpoint': endpoint_id}
+            _logger.info('adapter not held: %s', error, extra=extra)
+            # Without its home an engine keeps what it has, and says so if not.
+            if is_holder and isinstance(error, _NO_HOME):
+                return self.places.declarations.version_of(adapter)
+            return None
+
     def _candidates(
         self, usable: dict[str, Endpoint], adapter: AdapterKey | None
     ) -> list[Candidate]:
@@ -147,7 +160,7 @@
             endpoint.slots,
             self.running.on_endpoint(endpoint_id) + others,
             health.latency_s,
-            health.cost_factor(),
+            health.cost_factor(_clock.now()),
             endpoint.failure_domain == self.members.settings.failure_domain,
             adapter in held,
             free,
--- a/src/pimentohoist/_entry/dispatch.py
+++ b/src/pimentohoist/_entry/dispatch.py
@@ -141,7 +141,7 @@
         passage.failure = error
         if not passage.watched.is_over:
             endpoint_id = relay.exchange.endpoint.endpoint_id
-            self.judge.endpoints.health_of(endpoint_id).note_failure()
+            self.judge.endpoints.health_of(endpoint_id).note_failure(_clock.now())
         if not self.judge.may_resume(passage):
             raise StreamBrokenError(str(error))
         try:
--- a/src/pimentohoist/_entry/endpoints.py
+++ b/src/pimentohoist/_entry/endpoints.py
@@ -89,11 +89,14 @@
 
     def dump(self) -> Mapping[str, Any]:
         """Return the endpoints with their load and health."""
+        now = _clock.now()
         return {
             endpoint.endpoint_id: {
                 'group': endpoint.group,
                 'is_leaving': endpoint.is_leaving,
-                'failure_share': self.health_of(endpoint.endpoint_id).failure_share,
+                'failure_share': self.health_of(endpoint.endpoint_id).failure_share(
+                    now
+                ),
             }
             for endpoint in self.alive()
         }
--- a/src/pimentohoist/_entry/homes.py
+++ b/src/pimentohoist/_entry/homes.py
@@ -57,9 +57,14 @@
         self._closed.set()
 
     def leave(self) -> None:
-        """Hand the partitions over and hold none from now on."""
+        """Let others take the partitions over.
+
+        Where engines refuse an older fencing number, this daemon goes on until it hears
+        of the next home.
+        """
         self._closed.set()
-        self._hold(Ownership(self.own.member, self.own.generation, frozenset()))
+        if not self.settings.engines_check_fences:
+            self._hold(Ownership(self.own.member, self.own.generation, frozenset()))
         try:
             self.store.leave(_GROUP, self.own.member)
         except PimentohoistError as error:
--- a/src/pimentohoist/_entry/judging.py
+++ b/src/pimentohoist/_entry/judging.py
@@ -59,9 +59,10 @@
             raise self._not_run(passage, endpoint, head)
         passage.runs += 1
         if head.status < HTTPStatus.INTERNAL_SERVER_ERROR:
-            health.note_answer(_clock.now() - exchange.sent_at)
+            now = _clock.now()
+            health.note_answer(now - exchange.sent_at, now)
         else:
-            health.note_failure()
+            health.note_failure(_clock.now())
             if self.may_repeat(passage):
                 raise _again(_status_error(head, endpoint))
         if head.status in RESERVED_STATUSES:
@@ -79,9 +80,9 @@
         passage.runs += 1
         if passage.watched.is_over:
             if not passage.watched.has_left:
-                health.note_failure()
+                health.note_failure(_clock.now())
             return given_up(passage)
-        health.note_failure()
+        health.note_failure(_clock.now())
         self._look_for_crash(passage, endpoint)
         return _again(error) if self.may_repeat(passage) else error
 
--- a/src/pimentohoist/_entry/places.py
+++ b/src/pimentohoist/_entry/places.py
@@ -83,7 +83,7 @@
     def __exit__(self, *exc_info: object) -> None:
         """End all homes."""
         self._closed.set()
-        for engine in self._engines():
+        for engine in tuple(self.engines.values()):
             engine.close()
         self.loaders.shutdown(wait=False, cancel_futures=True)
 
@@ -134,7 +134,8 @@
     def statuses(self) -> dict[str, tuple[int, list[str]]]:
         """Return free places and adapters of the engines that are homed here."""
         return {
-            engine.endpoint.endpoint_id: engine.status() for engine in self._engines()
+            endpoint_id: engine.status()
+            for endpoint_id, engine in tuple(self.engines.items())
         }
 
     def note_own_use(self, running: Mapping[str, Mapping[str, int]]) -> None:
@@ -144,11 +145,8 @@
     def dump(self) -> Mapping[str, Any]:
         """Return the engines that are homed here."""
         return {
-            engine.endpoint.endpoint_id: {
-                'status': engine.status(),
-                'loads': engine.loads,
-            }
-            for engine in self._engines()
+            endpoint_id: {'status': engine.status(), 'loads': engine.loads}
+            for endpoint_id, engine in tuple(self.engines.items())
         }
 
     def _answer_hold(self, request: peer_pb2.HoldRequest) -> peer_pb2.HoldReply:
@@ -181,9 +179,6 @@
         wait_until = _clock.now() + wait_s
         return engine.hold(adapter, newest, wait_until, is_impatient=is_impatient)
 
-    def _engines(self) -> list[EngineHome]:
-        return list(self.engines.values())
-
     def _run(self) -> None:
         while not self._closed.wait(_TICK_S):
             try:
@@ -213,7 +208,7 @@
         live = frozenset(
             (self.members.member, *(beat.member for beat in self.members.live()))
         )
-        for homed in self._engines():
+        for homed in tuple(self.engines.values()):
             homed.forget_members(live)
 
     def _begin(self, endpoint: Endpoint) -> None:
@@ -251,7 +246,7 @@
         _logger.info('home ends', extra=extra)
 
     def _replace(self, adapter: AdapterKey, version: int) -> None:
-        for engine in self._engines():
+        for engine in tuple(self.engines.values()):
             try:
                 engine.replace(adapter, version)
             except NotHomeError as error:
--- /dev/null
+++ b/src/pimentohoist_standins/keyed_store.py
@@ -0,0 +1,188 @@
+"""Stand-in of the users' platform's store, for tests: a page, no simulator."""
+
+from __future__ import annotations
+
+import base64
+import json
+import threading
+from collections import defaultdict
+from http import HTTPStatus
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any, Self
+from urllib.parse import parse_qsl, urlsplit
+
+_PARTITIONS = 12
+_WAIT_SLICE_S = 0.02
+
+
+class KeyedStore:
+    """A log with keyed topics and one group, kept in memory.
+
+    Attributes
+    ----------
+    is_down : bool
+        Answers 503 to every call.
+    owner : dict of int to str
+        Member by partition; all belong to the first that joins.
+    """
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.is_down = False
+        self.generation = 0
+        self.owner: dict[int, str] = {}
+        self.calls = 0
+        self.members: set[str] = set()
+        self._records: defaultdict[str, list[tuple[str, bytes]]] = defaultdict(list)
+        self._first: defaultdict[str, int] = defaultdict(int)
+        self._changed = threading.Condition()
+        self._server = _Server(address, _handler(self))
+
+    def __enter__(self) -> Self:
+        """Start answering."""
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Stop answering."""
+        self._server.shutdown()
+        self._server.server_close()
+
+    @property
+    def address(self) -> str:
+        """Return where the store answers."""
+        host, port = self._server.server_address[:2]
+        return f'{host!s}:{port}'
+
+    def put(self, topic: str, key: str, document: Any) -> None:
+        """Append a record; None drops the key, bytes are stored as they are."""
+        body = b'' if document is None else document
+        if not isinstance(body, bytes):
+            body = json.dumps(document).encode()
+        with self._changed:
+            self._records[topic].append((key, body))
+            self._changed.notify_all()
+
+    def expire(self, topic: str) -> None:
+        """Forget the records of a topic but for the newest of each key."""
+        with self._changed:
+            self._first[topic] = len(self._records[topic])
+
+    def deal(self, member: str) -> None:
+        """Give all partitions to a member."""
+        with self._changed:
+            self.generation += 1
+            self.owner = dict.fromkeys(range(_PARTITIONS), member)
+
+    def answer(self, path: str, query: dict[str, str], body: bytes) -> _Reply:
+        """Answer a call."""
+        self.calls += 1
+        if self.is_down:
+            return _Reply(HTTPStatus.SERVICE_UNAVAILABLE, b'')
+        match path:
+            case '/v1/log-newest':
+                reply = self._newest(query['topic'])
+            case '/v1/log-read':
+                reply = self._read(query)
+            case '/v1/log-append':
+                reply = self._append(query['topic'], body)
+            case '/v1/log-join':
+                reply = self._join(json.loads(body))
+            case '/v1/log-leave':
+                reply = self._leave(json.loads(body)['member'])
+            case _:
+                reply = _Reply(HTTPStatus.NOT_FOUND, b'')
+        return reply
+
+    def _newest(self, topic: str) -> _Reply:
+        with self._changed:
+            newest = {key: body for key, body in self._records[topic] if body}
+            dropped = {
+                key for key, body in dict(self._records[topic]).items() if not body
+            }
+            end = len(self._records[topic])
+        rows = [
+            {'key': key, 'value': base64.b64encode(body).decode(), 'offset': 0}
+            for key, body in newest.items()
+            if key not in dropped
+        ]
+        return _json({'items': rows, 'has-more': False, 'end': end})
+
+    def _read(self, query: dict[str, str]) -> _Reply:
+        topic, offset = query['topic'], int(query['from'])
+        with self._changed:
+            if offset < self._first[topic]:
+                first = json.dumps({'first': self._first[topic]}).encode()
+                return _Reply(HTTPStatus.GONE, first)
+            if len(self._records[topic]) <= offset:
+                self._changed.wait(int(query.get('wait-ms', 0)) / 1000)
+            records = self._records[topic][offset:]
+            end = len(self._records[topic])
+        head = end.to_bytes(8, 'big') + self._first[topic].to_bytes(8, 'big')
+        return _Reply(HTTPStatus.OK, head + b''.join(map(_record, records)))
+
+    def _append(self, topic: str, body: bytes) -> _Reply:
+        key_end = 5 + body[4]
+        self.put(topic, body[5:key_end].decode(), body[key_end:])
+        return _json({'offset': 0, 'end': len(self._records[topic])})
+
+    def _leave(self, member: str) -> _Reply:
+        self.members.discard(member)
+        if member in self.owner.values() and self.members:
+            self.deal(min(self.members))
+        return _json({})
+
+    def _join(self, document: dict[str, Any]) -> _Reply:
+        member = document['member']
+        self.members.add(member)
+        if not self.owner:
+            self.deal(member)
+        group = document['group']
+        rows = [
+            [group, part, 0] for part, owner in self.owner.items() if owner == member
+        ]
+        return _json({'generation': self.generation, 'ttl-ms': 3000, 'parts': rows})
+
+
+class _Reply:
+    def __init__(self, status: HTTPStatus, body: bytes) -> None:
+        self.status = status
+        self.body = body
+
+
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+
+
+def _json(document: Any) -> _Reply:
+    return _Reply(HTTPStatus.OK, json.dumps(document).encode())
+
+
+def _record(record: tuple[str, bytes]) -> bytes:
+    key = record[0].encode()
+    body = bytes((len(key),)) + key + record[1]
+    return len(body).to_bytes(4, 'big') + body
+
+
+def _handler(store: KeyedStore) -> type[BaseHTTPRequestHandler]:
+    class _Handler(BaseHTTPRequestHandler):  # noqa: WPS431
+        protocol_version = 'HTTP/1.1'
+
+        def do_GET(self) -> None:  # noqa: N802
+            self.give()
+
+        def do_POST(self) -> None:  # noqa: N802
+            self.give()
+
+        def give(self) -> None:
+            body = self.rfile.read(int(self.headers.get('Content-Length') or 0))
+            parts = urlsplit(self.path)
+            reply = store.answer(parts.path, dict(parse_qsl(parts.query)), body)
+            self.send_response(reply.status)
+            self.send_header('Content-Length', str(len(reply.body)))
+            self.end_headers()
+            self.wfile.write(reply.body)
+
+        def log_message(self, format: str, *arguments: object) -> None:  # noqa: A002
+            """Write nothing: the tests look at answers."""
+
+    return _Handler
