--- a/src/pimentohoist/_entry/declarations.py
+++ b/src/pimentohoist/_entry/declarations.py
@@ -20,8 +20,9 @@
     decode_declaration,
 )
 
-_PACE = Pace(wait_s=1.0, pause_s=0)
-"""A read that hangs is noticed well within the bound of a configuration."""
+_WAIT_S = 4.0
+_PACE = Pace(wait_s=_WAIT_S, pause_s=0)
+"""The store answers at a change. If the read hangs, beats tell of a newer version."""
 
 _logger = logging.getLogger(__name__)
 
@@ -44,7 +45,7 @@
         self.current: Declaration | None = None
         self.versions: dict[AdapterKey, int] = {}
         self.on_version: Callable[[AdapterKey, int], None] = _ignore
-        self.follower = Follower(store, OPERATOR_RECORDS, _PACE, self._take)
+        self.follower = Follower(store, OPERATOR_RECORDS, lambda: _PACE, self._take)
         self._lock = threading.Lock()
         self._version_texts: dict[AdapterKey, bytes] = {}
 
--- a/src/pimentohoist/_entry/endpoints.py
+++ b/src/pimentohoist/_entry/endpoints.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import random
 import threading
 from collections.abc import Mapping, Sequence
 from typing import Any, Self
@@ -10,6 +11,7 @@
 from pimentohoist import _clock
 from pimentohoist._decisions.endpoint_health import EndpointHealth
 from pimentohoist._entry.followers import Follower, Pace
+from pimentohoist._entry.members import Beat, MembersController
 from pimentohoist.entry_models import Endpoint
 from pimentohoist.exceptions import DocumentError
 from pimentohoist.platform import (
@@ -19,9 +21,17 @@
     decode_endpoint,
 )
 
-_READ_PAUSE_S = 0.4
-_PACE = Pace(wait_s=0.5, pause_s=_READ_PAUSE_S)
-"""Heartbeats come all the time; a leaving endpoint has 2 s until it gets no new work."""
+_READ_S = 0.25
+_LONGEST_READ_S = 1.5
+"""Together the daemons read so often: a leaving endpoint has 2 s until it gets no work.
+
+What one has read of leaving endpoints, its beats tell the others.
+"""
+
+_LEAST_PART = 0.75
+"""Pauses differ, so that the daemons don't all read at the same time."""
+
+_LEAVING_TOLD_S = 4.0
 
 _RETURN_S = 2.5
 """Entries that lapsed during an outage of the store are back within about 2 s of it."""
@@ -34,14 +44,17 @@
 class EndpointsController:
     """Implements `Controller`: endpoints that may get work, and their health."""
 
-    def __init__(self, store: Store) -> None:
+    def __init__(self, store: Store, members: MembersController) -> None:
+        self.members = members
         self.endpoints: dict[str, Endpoint] = {}
         self.health: dict[str, EndpointHealth] = {}
-        self.follower = Follower(store, ENDPOINT_RECORDS, _PACE, self._take)
+        self.follower = Follower(store, ENDPOINT_RECORDS, self._pace, self._take)
         self._removed: dict[str, float] = {}
         self._refused_incarnations: set[str] = set()
         self._rejected: set[str] = set()
+        self._leaving: dict[str, float] = {}
         self._lock = threading.Lock()
+        members.on_beat.append(self._note_beat)
 
     def __enter__(self) -> Self:
         """Start following the store."""
@@ -60,6 +73,7 @@
             for endpoint in self.alive()
             if endpoint.group == group
             and not endpoint.is_leaving
+            and endpoint.incarnation not in self._leaving
             and self.health_of(endpoint.endpoint_id).paused_until <= now
         ]
 
@@ -87,6 +101,12 @@
             extra={'step': 'endpoints', 'endpoint': endpoint.endpoint_id},
         )
 
+    def leaving(self) -> list[str]:
+        """Return the incarnations that were seen to leave of late."""
+        since = _clock.now() - _LEAVING_TOLD_S
+        seen = tuple(self._leaving.items())
+        return [incarnation for incarnation, at in seen if at >= since]
+
     def dump(self) -> Mapping[str, Any]:
         """Return the endpoints with their load and health."""
         now = _clock.now()
@@ -101,6 +121,18 @@
             for endpoint in self.alive()
         }
 
+    def _pace(self) -> Pace:
+        daemons = 1 + len(self.members.live())
+        pause_s = min(_LONGEST_READ_S, _READ_S * daemons)
+        return Pace(wait_s=0, pause_s=pause_s * random.uniform(_LEAST_PART, 1))
+
+    def _note_beat(self, beat: Beat, before: Beat | None) -> None:
+        for incarnation in beat.leaving:
+            if incarnation not in self._leaving:
+                self._leaving[incarnation] = _clock.now()
+                extra = {'step': 'endpoints', 'peer': beat.member}
+                _logger.info('endpoint leaves: %s', incarnation, extra=extra)
+
     def _take(self, records: Sequence[KeyedRecord], is_whole: bool) -> None:
         if is_whole:
             listed = {record.key for record in records}
@@ -125,6 +157,8 @@
             return
         if known is None or known.is_leaving != endpoint.is_leaving:
             _logger.info('endpoint seen', extra=_extra(endpoint))
+        if endpoint.is_leaving:
+            self._leaving.setdefault(endpoint.incarnation, _clock.now())
         with self._lock:
             self._removed.pop(endpoint_id, None)
             self.endpoints[endpoint_id] = endpoint
@@ -152,8 +186,10 @@
         with self._lock:
             removed, self._removed = self._removed, {}
             for endpoint_id in removed:
-                self.endpoints.pop(endpoint_id, None)
+                endpoint = self.endpoints.pop(endpoint_id, None)
                 self.health.pop(endpoint_id, None)
+                if endpoint is not None:
+                    self._leaving.setdefault(endpoint.incarnation, now)
         for endpoint_id in removed:
             extra = {'step': 'endpoints', 'endpoint': endpoint_id}
             _logger.info('endpoint removed', extra=extra)
--- a/src/pimentohoist/_entry/engine_ledger.py
+++ b/src/pimentohoist/_entry/engine_ledger.py
@@ -79,6 +79,8 @@
         Whether something else answers at its address, or the home has ended.
     fenced_by : int
         Fencing number that was refused; a higher one is needed.
+    has_ordered : bool
+        Whether an order was given here, which a report may not show yet.
     """
 
     def __init__(self, endpoint: Endpoint, authority: Authority) -> None:
@@ -91,6 +93,7 @@
         self.fenced_by = -1
         self.models: tuple[str, ...] = ()
         self.orders_taken = 0
+        self.has_ordered = False
 
     def may_order(self) -> bool:
         """Return whether orders may be given now."""
@@ -137,12 +140,14 @@
     def resync(self, take: Callable[[EngineReport], None]) -> None:
         """Believe the engine's report after an order whose effect isn't known."""
         with self.lock:
-            # No order may be accepted between the report and what it shows.
-            sleep(_REPORT_LAG_S)
+            if self.has_ordered:
+                # No order may be accepted between the report and what it shows.
+                sleep(_REPORT_LAG_S)
             try:
                 report = self.orders.report()
             except (PeerError, DocumentError) as error:
                 self.is_known = False
+                sleep(_REPORT_LAG_S)
                 _logger.info('report not read: %s', error, extra=self.fields())
                 return
             extra = {
@@ -172,6 +177,7 @@
             return OrderReply.FENCED
         self.orders.authorise(self.authority.holder, number)
         self.authority.note_order()
+        self.has_ordered = True
         reply = order()
         if reply is OrderReply.FENCED:
             self.fenced_by = number
--- a/src/pimentohoist/_entry/followers.py
+++ b/src/pimentohoist/_entry/followers.py
@@ -50,7 +50,9 @@
         When it answered again after it had failed.
     """
 
-    def __init__(self, store: Store, topic: str, pace: Pace, sink: Sink) -> None:
+    def __init__(
+        self, store: Store, topic: str, pace: Callable[[], Pace], sink: Sink
+    ) -> None:
         self.store = store
         self.topic = topic
         self.pace = pace
@@ -77,9 +79,10 @@
 
     def _run(self) -> None:
         while not self._closed.is_set():
-            pause_s = self.pace.pause_s
+            pace = self.pace()
+            pause_s = pace.pause_s
             try:
-                self._read()
+                self._read(pace)
             except RecordsExpiredError as error:
                 self._offset = None
                 _logger.info('%s', error, extra={'step': 'follow', 'topic': self.topic})
@@ -91,14 +94,14 @@
                 self._offset = None
             self._closed.wait(pause_s)
 
-    def _read(self) -> None:
+    def _read(self, pace: Pace) -> None:
         if self._offset is None:
             records, self._offset = self.store.newest(self.topic)
             self._note_success()
             self.sink(records, True)
             return
         records, self._offset = self.store.changes(
-            self.topic, self._offset, wait_s=self.pace.wait_s
+            self.topic, self._offset, wait_s=pace.wait_s
         )
         self._note_success()
         if records:
--- a/src/pimentohoist/_entry/homes.py
+++ b/src/pimentohoist/_entry/homes.py
@@ -8,7 +8,7 @@
 
 import logging
 import threading
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, Self
 
 from pimentohoist import _clock
@@ -42,6 +42,7 @@
         self.members = members
         self.own = Ownership(settings.control_address, 0, frozenset())
         self.joined_at = float('-inf')
+        self.on_change: list[Callable[[], None]] = [members.send_now]
         self._tenures: dict[int, Tenure] = {}
         self._lock = threading.Lock()
         self._closed = threading.Event()
@@ -148,6 +149,8 @@
             'before': sorted(before.partitions),
         }
         _logger.info('partitions held', extra=extra)
+        for listener in self.on_change:
+            listener()
 
 
 def _extra(cause: str = '') -> dict[str, object]:
--- a/src/pimentohoist/_entry/members.py
+++ b/src/pimentohoist/_entry/members.py
@@ -24,6 +24,7 @@
 BEAT_S = 0.25
 """Four beats in the second within which a daemon counts as heard of."""
 
+_FIRST_BEAT_S = 0.05
 HEARD_S = 1.2
 KNOWN_S = 10.0
 """A daemon that is silent for so long has gone and leaves its part to the others."""
@@ -49,6 +50,8 @@
         Of each engine that it is the home of: free places, and the adapters there.
     crashes : list of str
         Fingerprints of requests that crash endpoints.
+    leaving : list of str
+        Incarnations of endpoints that it saw leave of late.
     """
 
     member: str
@@ -64,6 +67,7 @@
     running: Mapping[str, Mapping[str, int]] = field(default_factory=dict)
     engines: Mapping[str, tuple[int, list[str]]] = field(default_factory=dict)
     crashes: list[str] = field(default_factory=list)
+    leaving: list[str] = field(default_factory=list)
 
     def ownership(self) -> Ownership:
         """Return which partitions the daemon claims."""
@@ -186,7 +190,10 @@
                 _logger.debug('beat not sent', extra=extra)
 
     def _send_beats(self) -> None:
-        while not self._closed.wait(BEAT_S):
+        pause_s = _FIRST_BEAT_S
+        while not self._closed.wait(pause_s):
+            # A daemon that has just started tells the others soon that it is there.
+            pause_s = BEAT_S if self.heard else _FIRST_BEAT_S
             try:
                 self.send_now()
             except Exception:
--- a/src/pimentohoist/_entry/places.py
+++ b/src/pimentohoist/_entry/places.py
@@ -71,9 +71,11 @@
         self.loaders = ThreadPoolExecutor(_LOADERS, thread_name_prefix='loader')
         self._lock = threading.Lock()
         self._closed = threading.Event()
+        self._woken = threading.Event()
         self._thread = threading.Thread(target=self._run, name='places', daemon=True)
         declarations.on_version = self._replace
         members.on_beat.append(self._note_beat)
+        homes.on_change.append(self._woken.set)
 
     def __enter__(self) -> Self:
         """Start taking over engines."""
@@ -180,7 +182,9 @@
         return engine.hold(adapter, newest, wait_until, is_impatient=is_impatient)
 
     def _run(self) -> None:
-        while not self._closed.wait(_TICK_S):
+        while not self._closed.is_set():
+            self._woken.wait(_TICK_S)
+            self._woken.clear()
             try:
                 self._take_over()
             except Exception:
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -66,7 +66,7 @@
         self.peers = PeerClients()
         self.members = MembersController(settings, self.store, self._beat)
         self.declarations = DeclarationsController(self.store)
-        self.endpoints = EndpointsController(self.store)
+        self.endpoints = EndpointsController(self.store, self.members)
         self.homes = HomesController(
             settings, Store(settings.store_address), self.members
         )
@@ -196,6 +196,7 @@
             running,
             self.places.statuses(),
             self.crashes.told(),
+            self.endpoints.leaving(),
         )
 
     def _side_servers(self) -> tuple[HttpServer, ...]:
