Silent endpoints get no new work; a daemon is ready when it knows the homes

Silence of 0.7 s under requests now turns new work away, and keep-alive probes end the connections after 2.5 s. A daemon that had just started refused the first requests, since it had heard of no home yet.

--- a/features/entry_daemon.feature
+++ b/features/entry_daemon.feature
@@ -80,6 +80,11 @@
     When a caller leaves a slow stream
     Then the engine stops its work within half a second
 
+  Scenario: An engine that goes silent gets no new work within a second
+    Given a fleet of 1 daemon before 2 engines
+    When an engine goes silent under its requests
+    Then all requests that come a second later are answered by the other
+
   Scenario: A request is explained by its id
     Given a fleet of 1 daemon before 1 engine
     When a request with an unknown adapter of no engine is refused
--- a/features/steps/entry_daemon.py
+++ b/features/steps/entry_daemon.py
@@ -333,6 +333,33 @@
     wait_for(lambda: context.fleet.engines[0].state.stopped > 0, 0.5 + 0.3)
 
 
+@when('an engine goes silent under its requests')
+def go_silent(context: Context) -> None:
+    for number in range(4):
+        assert context.fleet.ask(adapter=f'a{number}').status == 200
+    context.silent = context.fleet.engines[0]
+    context.silent.faults.is_silent = True
+    context.stack.callback(setattr, context.silent.faults, 'is_silent', False)
+    pool = context.stack.enter_context(ThreadPoolExecutor(8))
+    for number in range(8):
+        pool.submit(context.fleet.ask, adapter=f'a{number % 4}')
+    wait_for(lambda: _stuck(context) > 0, 3)
+
+
+def _stuck(context: Context) -> int:
+    running = context.fleet.daemons[0].state()['dispatch']['running']
+    return sum(running.get(context.silent.engine_id, {}).values())
+
+
+@then('all requests that come a second later are answered by the other')
+def check_other(context: Context) -> None:
+    time.sleep(1.1)
+    before = len(context.silent.state.runs)
+    for number in range(6):
+        assert context.fleet.ask(adapter=f'a{number % 4}').status == 200
+    assert len(context.silent.state.runs) == before
+
+
 @when('a request with an unknown adapter of no engine is refused')
 def refuse(context: Context) -> None:
     engine = context.fleet.engines[0]
--- a/src/pimentohoist/_decisions/endpoint_health.py
+++ b/src/pimentohoist/_decisions/endpoint_health.py
@@ -15,6 +15,7 @@
 _FAILURE_POWER = 4
 """An endpoint that fails half of its requests gets a sixteenth of the work."""
 
+_SILENCE_S = 0.4
 _LEAST_SUCCESS = 0.05
 
 
@@ -31,10 +32,13 @@
         Until the first byte of an answer; 0 before there was one.
     paused_until : float
         It gets no new work before, since it could not be reached.
+    silent_until : float
+        It gets no new work before, since it answers nothing, unless all are silent.
     """
 
     latency_s: float = 0
     paused_until: float = 0
+    silent_until: float = 0
     _failures: float = 0
     _noted_at: float = 0
     _unreached: int = 0
@@ -61,6 +65,10 @@
         self.paused_until = now + pause_s
         self._note(1, now)
 
+    def note_silence(self, now: float) -> None:
+        """Note that it has requests and sends nothing; told again while that lasts."""
+        self.silent_until = now + _SILENCE_S
+
     def cost_factor(self, now: float) -> float:
         """Return by how much its work counts more than that of a sound endpoint."""
         success = max(_LEAST_SUCCESS, 1 - self.failure_share(now))
--- a/src/pimentohoist/_entry/connections.py
+++ b/src/pimentohoist/_entry/connections.py
@@ -29,6 +29,15 @@
 _UNACKNOWLEDGED_MS = 1500
 """After this time without an acknowledgement a connection counts as lost."""
 
+_KEEPALIVE = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS),
+)
+"""Only probes show that an endpoint has gone without a word while it is waited for."""
+
 _LONGEST_IDLE_S = 4.0
 _IDLE_MARGIN_S = 0.5
 _MOST_KEPT = 64
@@ -70,10 +79,8 @@
         self.idle_limit_s = _LONGEST_IDLE_S
         self.raw = socket.create_connection(split_address(address), _CONNECT_TIMEOUT_S)
         self.raw.settimeout(None)
-        self.raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.raw.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS
-        )
+        for level, option, setting in _KEEPALIVE:
+            self.raw.setsockopt(level, option, setting)
         self.shared = _SharedSocket(self.raw)
 
     def abort(self) -> None:
@@ -141,6 +148,7 @@
         for _ in range(_MOST_EXTRA_ANSWERS):
             with _errors(self.endpoint.address):
                 response = self._next_response()
+            self._note_heard()
             if belongs_to(request_id, response.status, response.headers):
                 self._response = response
                 return Head(response.status, response.reason, response.headers)
@@ -163,6 +171,7 @@
                 part = response.read1(_PART_BYTES)
             if not part:
                 break
+            self._note_heard()
             yield part
         if response.length:
             raise self._failure(f'{response.length} bytes are missing')
@@ -177,6 +186,14 @@
         self.connection.idle_limit_s = _idle_limit_s(response.headers)
         self.connections.put_back(self.connection)
 
+    def silent_since(self) -> float:
+        """Return when the endpoint was last heard of, or was sent this request."""
+        heard_at = self.connections.heard_at.get(self.endpoint.address, self.sent_at)
+        return max(self.sent_at, heard_at)
+
+    def _note_heard(self) -> None:
+        self.connections.heard_at[self.endpoint.address] = _clock.now()
+
     def _next_response(self) -> http.client.HTTPResponse:
         response = http.client.HTTPResponse(
             cast('socket.socket', self.connection.shared), method=self.method
@@ -189,10 +206,17 @@
 
 
 class Connections:
-    """Kept connections, by endpoint address."""
+    """Kept connections, by endpoint address.
+
+    Attributes
+    ----------
+    heard_at : dict of str to float
+        When bytes last came from an address.
+    """
 
     def __init__(self) -> None:
         self.opened = 0
+        self.heard_at: dict[str, float] = {}
         self._kept: defaultdict[str, list[_Connection]] = defaultdict(list)
         self._lock = threading.Lock()
 
--- a/src/pimentohoist/_entry/endpoints.py
+++ b/src/pimentohoist/_entry/endpoints.py
@@ -68,7 +68,7 @@
     def usable(self, group: str) -> list[Endpoint]:
         """Return the endpoints of a group that may get new work."""
         now = _clock.now()
-        return [
+        usable = [
             endpoint
             for endpoint in self.alive()
             if endpoint.group == group
@@ -76,6 +76,12 @@
             and endpoint.incarnation not in self._leaving
             and self.health_of(endpoint.endpoint_id).paused_until <= now
         ]
+        heard = [
+            endpoint
+            for endpoint in usable
+            if self.health_of(endpoint.endpoint_id).silent_until <= now
+        ]
+        return heard or usable
 
     def alive(self) -> list[Endpoint]:
         """Return all endpoints that have not gone, leaving ones included."""
@@ -93,6 +99,15 @@
             health = self.health.setdefault(endpoint_id, EndpointHealth())
         return health
 
+    def note_silence(self, endpoint_id: str) -> None:
+        """Note that an endpoint has requests and sends nothing."""
+        health = self.health_of(endpoint_id)
+        now = _clock.now()
+        if health.silent_until < now:
+            extra = {'step': 'endpoints', 'endpoint': endpoint_id}
+            _logger.warning('endpoint is silent', extra=extra)
+        health.note_silence(now)
+
     def note_other_incarnation(self, endpoint: Endpoint) -> None:
         """Note that something else answers at an endpoint's address."""
         self._refused_incarnations.add(endpoint.incarnation)
--- a/src/pimentohoist/_entry/places.py
+++ b/src/pimentohoist/_entry/places.py
@@ -133,6 +133,15 @@
             raise UnavailableError(reply.refusal, step=_STEP, peer=address)
         return int(reply.version)
 
+    def has_all_homes(self) -> bool:
+        """Return whether the endpoints are known and the home of each engine."""
+        alive = self.endpoints.alive()
+        return bool(alive) and all(
+            self.homes.home_address(endpoint.endpoint_id) is not None
+            for endpoint in alive
+            if endpoint.models
+        )
+
     def statuses(self) -> dict[str, tuple[int, list[str]]]:
         """Return free places and adapters of the engines that are homed here."""
         return {
@@ -140,10 +149,6 @@
             for endpoint_id, engine in tuple(self.engines.items())
         }
 
-    def note_own_use(self, running: Mapping[str, Mapping[str, int]]) -> None:
-        """Note which adapters this daemon's own requests use."""
-        self._note_running(self.members.member, running)
-
     def dump(self) -> Mapping[str, Any]:
         """Return the engines that are homed here."""
         return {
@@ -257,11 +262,12 @@
                 _logger.info('not replaced: %s', error, extra={'step': _STEP})
 
     def _note_beat(self, beat: Beat, before: Beat | None) -> None:
-        self._note_running(beat.member, beat.running)
+        self.note_running(beat.member, beat.running)
 
-    def _note_running(
+    def note_running(
         self, member: str, running: Mapping[str, Mapping[str, int]]
     ) -> None:
+        """Note which adapters a daemon's requests use."""
         for endpoint_id, engine in tuple(self.engines.items()):
             names = running.get(endpoint_id, {})
             engine.note_use(member, frozenset(_adapter(name) for name in names))
--- a/src/pimentohoist/_entry/watch.py
+++ b/src/pimentohoist/_entry/watch.py
@@ -14,6 +14,9 @@
 _TICK_S = 0.1
 """An engine must stop within half a second of its caller's leaving."""
 
+_SILENT_S = 0.7
+"""Nothing from an endpoint for so long, though it has requests: many times its usual."""
+
 _logger = logging.getLogger(__name__)
 
 
@@ -50,9 +53,16 @@
 
 
 class Watch:
-    """Implements `Controller`: looks at all requests several times a second."""
+    """Implements `Controller`: looks at all requests several times a second.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    note_silence : callable
+        Called with the id of an endpoint that has requests and sends nothing.
+    """
+
+    def __init__(self, note_silence: Callable[[str], None]) -> None:
+        self.note_silence = note_silence
         self._entries: dict[int, Watched] = {}
         self._closed = threading.Event()
         self._thread = threading.Thread(target=self._run, name='watch', daemon=True)
@@ -94,3 +104,9 @@
             watched.end(has_left=True)
         elif now >= watched.give_up_at:
             watched.end(has_left=False)
+        elif watched.exchange is not None:
+            self._look_for_silence(watched.exchange, now)
+
+    def _look_for_silence(self, exchange: Exchange, now: float) -> None:
+        if now - exchange.silent_since() > _SILENT_S:
+            self.note_silence(exchange.endpoint.endpoint_id)
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -51,6 +51,8 @@
 """Callers keep an answer of the directory for two seconds, and look now and then."""
 
 _POLL_S = 0.1
+_SETTLE_S = 2.0
+"""A daemon that can't hear of all homes serves nevertheless after this time."""
 
 _logger = logging.getLogger(__name__)
 
@@ -78,7 +80,7 @@
         self.declaration_peers = DeclarationPeers(
             self.declarations, self.members, self.peers
         )
-        self.watch = Watch()
+        self.watch = Watch(self.endpoints.note_silence)
         self.dispatch = self._dispatch()
         filters = (Authenticate(), ChargeQuota(self.quotas), Quarantine(self.crashes))
         self.path = RequestPath(
@@ -86,6 +88,8 @@
         )
         self.callers = CallersServer(RequestsApp(self.path), settings.callers_address)
         self._stack = ExitStack()
+        self._created_at = _clock.now()
+        self._is_settled = False
 
     def __enter__(self) -> Self:
         """Start the controllers, then the servers."""
@@ -118,7 +122,12 @@
 
     def is_ready(self) -> bool:
         """Return whether callers can be served."""
-        return self.declarations.current is not None and not self.is_leaving.is_set()
+        if self.is_leaving.is_set() or self.declarations.current is None:
+            return False
+        if not self._is_settled:
+            is_late = _clock.now() > self._created_at + _SETTLE_S
+            self._is_settled = is_late or self.places.has_all_homes()
+        return self._is_settled
 
     def addresses(self) -> list[str]:
         """Return where callers may connect."""
@@ -178,7 +187,7 @@
 
     def _beat(self) -> Beat:
         running = self.dispatch.running.snapshot()
-        self.places.note_own_use(running)
+        self.places.note_running(self.members.member, running)
         declaration = self.declarations.current
         if declaration is not None:
             self.callers.limit_idle(declaration.idle_timeout_s)
--- a/src/pimentohoist_standins/opaque_engine.py
+++ b/src/pimentohoist_standins/opaque_engine.py
@@ -13,6 +13,7 @@
 
 _EVENTS = 6
 _SEAL = '1.2.3'
+_SILENT_POLL_S = 0.05
 
 
 @dataclass(slots=True)
@@ -29,11 +30,14 @@
         Answers, from now on, that are followed by one without an id.
     failures : int
         Requests, from now on, that run and end with 500.
+    is_silent : bool
+        Requests get no answer until it is no more.
     load_s : float
         Time that an adapter takes.
     """
 
     lost_orders: int = 0
+    is_silent: bool = False
     breaks_after: int | None = None
     extra_answers: int = 0
     failures: int = 0
@@ -231,6 +235,8 @@
             'Pimentohoist-Attempt-Id': request_id,
             'Pimentohoist-Response-Seal': _SEAL,
         }
+        while self.engine.faults.is_silent:
+            time.sleep(_SILENT_POLL_S)
         if self.engine.faults.failures > 0:
             self.engine.faults.failures -= 1
             self.give(HTTPStatus.INTERNAL_SERVER_ERROR, b'failed', own)
