--- a/features/entry_decisions.feature
+++ b/features/entry_decisions.feature
@@ -84,3 +84,8 @@
 
   Scenario: An operator's configuration is decoded
     Then routes, shares, quotas and the longest prefix are as declared
+
+  Scenario: A request that has ended can't break the next one on its connection
+    Given an endpoint that keeps its connections
+    When a request's end is noticed after its connection carries the next one
+    Then the next one is answered
--- a/features/entry_fleet.py
+++ b/features/entry_fleet.py
@@ -42,9 +42,7 @@
 retry_ratio = 0.2
 retry_slack = 54
 retry_window_s = 10
-quota_slack = 110000
 lease_ms = 3000
-version_ms = 5000
 grace_s = 8
 most_directory_age_s = 5
 """
--- a/features/steps/entry_decisions.py
+++ b/features/steps/entry_decisions.py
@@ -37,10 +37,16 @@
 )
 from pimentohoist._decisions.retry_window import RetryWindow  # noqa: E402
 from pimentohoist._decisions.usage import UsageBucket  # noqa: E402
+from pimentohoist._entry.connections import Connections  # noqa: E402
 from pimentohoist._entry.event_stream import EventSplitter  # noqa: E402
-from pimentohoist.entry_models import AdapterKey  # noqa: E402
+from pimentohoist.entry_models import (  # noqa: E402
+    AdapterKey,
+    CallerRequest,
+    Endpoint,
+)
 from pimentohoist.exceptions import DocumentError  # noqa: E402
 from pimentohoist.platform import decode_declaration, decode_endpoint  # noqa: E402
+from pimentohoist_standins.opaque_engine import OpaqueEngine  # noqa: E402
 
 _WINDOW_S = 8
 _SLACK = 110_000
@@ -488,3 +494,42 @@
     assert declared.find_route('elsewhere.example', '/models/x') is None
     shares = declared.find_route('house.example', '/models/deep/').shares
     assert [share.weight for share in shares] == [90, 10]
+
+
+def request(name: str) -> CallerRequest:
+    return CallerRequest(name, 'GET', 'h', '/x', (), b'', '', None, None, None, 0)
+
+
+@given('an endpoint that keeps its connections')
+def keep_connections(context: Context) -> None:
+    service = OpaqueEngine(('127.0.0.1', 0), 'e', '')
+    context.service = context.stack.enter_context(service)
+    context.endpoint = Endpoint('e', 's', service.address, 'a', 4, False, 1, 0)
+    context.connections = Connections()
+
+
+def send(context: Context, name: str):
+    headers = [
+        ('Host', 'h'),
+        ('Pimentohoist-Attempt-Id', name),
+        ('Pimentohoist-Expect-Instance', 'e'),
+    ]
+    return context.connections.send(context.endpoint, request(name), headers)
+
+
+@when("a request's end is noticed after its connection carries the next one")
+def end_late(context: Context) -> None:
+    first = send(context, 'first')
+    first.read_head('first')
+    first.read_whole()
+    first.close()
+    context.next = send(context, 'next')
+    first.abort()
+    first.close()
+
+
+@then('the next one is answered')
+def check_next(context: Context) -> None:
+    context.next.read_head('next')
+    assert context.next.read_whole() == b'answer to next'
+    assert context.connections.opened == 1
--- a/src/pimentohoist/_entry/connections.py
+++ b/src/pimentohoist/_entry/connections.py
@@ -136,12 +136,17 @@
         self.is_kept = connection.kept_at is not None
         self.sent_at = _clock.now()
         self.is_aborted = False
+        self._is_closed = False
+        self._lock = threading.Lock()
         self._response: http.client.HTTPResponse | None = None
 
     def abort(self) -> None:
         """Stop waiting for the answer; the endpoint stops its work."""
-        self.is_aborted = True
-        self.connection.abort()
+        with self._lock:
+            # A connection that was given back may carry another request by now.
+            if not self._is_closed:
+                self.is_aborted = True
+                self.connection.abort()
 
     def read_head(self, request_id: str) -> Head:
         """Wait for the head of the answer to a request."""
@@ -175,9 +180,16 @@
             yield part
         if response.length:
             raise self._failure(f'{response.length} bytes are missing')
+        with _errors(self.endpoint.address):
+            # A body of known length is over now, but only this closes it.
+            response.read()
 
     def close(self) -> None:
         """Keep the connection if the answer was read to its end."""
+        with self._lock:
+            if self._is_closed:
+                return
+            self._is_closed = True
         response = self._response
         is_over = response is not None and response.isclosed()
         if response is None or not is_over or self.is_aborted or response.will_close:
--- a/src/pimentohoist/_entry/places.py
+++ b/src/pimentohoist/_entry/places.py
@@ -149,6 +149,14 @@
             for endpoint_id, engine in tuple(self.engines.items())
         }
 
+    def note_running(
+        self, member: str, running: Mapping[str, Mapping[str, int]]
+    ) -> None:
+        """Note which adapters a daemon's requests use."""
+        for endpoint_id, engine in tuple(self.engines.items()):
+            names = running.get(endpoint_id, {})
+            engine.note_use(member, frozenset(_adapter(name) for name in names))
+
     def dump(self) -> Mapping[str, Any]:
         """Return the engines that are homed here."""
         return {
@@ -264,14 +272,6 @@
     def _note_beat(self, beat: Beat, before: Beat | None) -> None:
         self.note_running(beat.member, beat.running)
 
-    def note_running(
-        self, member: str, running: Mapping[str, Mapping[str, int]]
-    ) -> None:
-        """Note which adapters a daemon's requests use."""
-        for endpoint_id, engine in tuple(self.engines.items()):
-            names = running.get(endpoint_id, {})
-            engine.note_use(member, frozenset(_adapter(name) for name in names))
-
 
 def _adapter(name: str) -> AdapterKey:
     model, _, adapter = name.partition('/')
--- a/src/pimentohoist/platform/_settings.py
+++ b/src/pimentohoist/platform/_settings.py
@@ -11,6 +11,7 @@
 from pimentohoist.exceptions import SettingsError
 
 _STEP = 'settings'
+_MS_PER_S = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,8 +23,6 @@
     retry_ratio, retry_slack, retry_window_s : float
         Arrivals beyond the first of each request in a window are at most the ratio of
         the requests plus the slack.
-    quota_slack : float
-        Tokens that a workspace may get beyond its rate and burst in a window.
     lease_s : float
         Time within which two holders may not take turns in ordering an engine.
     grace_s : float
@@ -35,9 +34,7 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
-    quota_slack: float
     lease_s: float
-    version_s: float
     grace_s: float
     most_directory_age_s: float
 
@@ -93,9 +90,7 @@
             reader.number('bounds.retry_ratio'),
             reader.number('bounds.retry_slack'),
             reader.number('bounds.retry_window_s'),
-            reader.number('bounds.quota_slack'),
-            reader.number('bounds.lease_ms') / 1000,
-            reader.number('bounds.version_ms') / 1000,
+            reader.number('bounds.lease_ms') / _MS_PER_S,
             reader.number('bounds.grace_s'),
             reader.number('bounds.most_directory_age_s'),
         ),
