Adapters have no copies while their engine is calm and answers well

Cause of 'no room now' in heavy seconds: an adapter spread as soon as its engine had half as much work again as the mean, though slots were never short; copies took the places of rare adapters (35 loads/s at 5 engines, capacity 64 to 96).

--- a/features/entry_decisions.feature
+++ b/features/entry_decisions.feature
@@ -60,6 +60,14 @@
     Then its requests go there while it is calm
     And to another engine when it is crowded
 
+  Scenario: Rare models at once: copies that nobody needs don't take places
+    Given 5 engines that all hold an adapter
+    Then all its requests go to one of them while that is calm
+
+  Scenario: Engines fail with good health: their adapters are loaded elsewhere
+    Given 5 engines of which one holds an adapter
+    Then its requests go to another engine while that one fails
+
   Scenario: An adapter that nobody holds goes to an engine with room
     Given 5 engines of which one holds an adapter
     Then a cold adapter goes to the first of its engines that has room
--- a/features/steps/entry_decisions.py
+++ b/features/steps/entry_decisions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 import random
 import sys
@@ -337,6 +338,33 @@
     assert choose_engines('m/a', engines(40))[0] != 'e0'
 
 
+@given('5 engines that all hold an adapter')
+def have_copies(context: Context) -> None:
+    context.copies = [
+        [
+            Candidate(f'e{number}', 64, in_flight, 0.1, 1, is_near, True, 1)
+            for number, is_near in enumerate((False, True, True, False, True))
+        ]
+        for in_flight in (0, 10, 30)
+    ]
+
+
+@then('all its requests go to one of them while that is calm')
+def check_copies(context: Context) -> None:
+    chosen = {choose_engines('m/a', copies)[0] for copies in context.copies}
+    assert len(chosen) == 1, chosen
+
+
+@then('its requests go to another engine while that one fails')
+def check_failing(context: Context) -> None:
+    candidates = engines(1)
+    health = EndpointHealth()
+    for _ in range(3):
+        health.note_failure(0)
+    failing = dataclasses.replace(candidates[0], cost_factor=health.cost_factor(0))
+    assert choose_engines('m/a', [failing, *candidates[1:]])[0] != 'e0'
+
+
 @then('a cold adapter goes to the first of its engines that has room')
 def check_cold(context: Context) -> None:
     cold = [
--- a/src/pimentohoist/_decisions/endpoint_choice.py
+++ b/src/pimentohoist/_decisions/endpoint_choice.py
@@ -13,13 +13,11 @@
 _UNKNOWN_LATENCY_S = 0.001
 """An endpoint that has not answered yet is tried soon."""
 
-_CROWDED_SHARE = 0.75
-"""Share of an engine's slots above which another engine gets a copy of the adapter."""
+_CROWDED_LOAD = 0.6
+"""Load above which another engine gets a copy: batches slow down little before."""
 
-_SPREAD = 1.5
-"""How much more work than its even part an engine takes before an adapter spreads."""
-
-_LEAST_SPREAD = 6
+_FAILING_COST = 2.5
+"""About one in five of its last answers has failed."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,42 +70,24 @@
 def choose_engines(adapter: str, candidates: Sequence[Candidate]) -> list[str]:
     """Return the engines to ask for an adapter, the best first.
 
-    The adapter's engines come from rendezvous hashing, so that an engine sees the same
-    adapters again and finds them in its host memory. Engines that hold it come first, the
-    least loaded of them before the others, unless all are crowded.
+    The order comes from rendezvous hashing, so that an engine sees the same adapters
+    again and finds them in its host memory. Of the engines that hold the adapter the
+    first that isn't crowded is used: further copies are left alone until their places
+    are needed, since places are scarcer than slots.
     """
     by_id = {candidate.endpoint_id: candidate for candidate in candidates}
     ranked = [by_id[name] for name in rank_names(adapter, by_id)]
-    limit = _crowded_above(candidates)
-    holders = sorted(
-        (candidate for candidate in ranked if candidate.holds_adapter),
-        key=lambda holder: (holder.load, not holder.is_near),
-    )
-    others = [candidate for candidate in ranked if not candidate.holds_adapter]
-    # A home without room would have to wait for a request to end.
-    others.sort(key=lambda other: (other.free_places <= 0, other.load > limit))
-    calm = [holder for holder in holders if holder.load <= limit]
-    crowded = [holder for holder in holders if holder.load > limit]
-    ordered = [*calm, *_spread(crowded, others)]
+    ordered = sorted(ranked, key=_preference)
     return [candidate.endpoint_id for candidate in ordered]
 
 
-def _spread(crowded: list[Candidate], others: list[Candidate]) -> list[Candidate]:
-    if not crowded:
-        return others
-    lightest = min((other.load for other in others), default=float('inf'))
-    if others and lightest < crowded[0].load:
-        return [*others, *crowded]
-    return [*crowded, *others]
-
-
-def _crowded_above(candidates: Sequence[Candidate]) -> float:
-    if not candidates:
-        return 0
-    mean = sum(candidate.in_flight for candidate in candidates) / len(candidates)
-    slots = min(candidate.slots for candidate in candidates)
-    even = max(_LEAST_SPREAD, mean * _SPREAD) / max(1, slots)
-    return min(_CROWDED_SHARE, even)
+def _preference(candidate: Candidate) -> tuple[bool, bool, bool, bool]:
+    """Return what puts an engine behind others, the gravest first."""
+    is_failing = candidate.cost_factor > _FAILING_COST
+    is_crowded = candidate.load > _CROWDED_LOAD
+    # A home without room would have to wait for a request to end.
+    has_no_room = not candidate.holds_adapter and candidate.free_places <= 0
+    return (is_failing, is_crowded, not candidate.holds_adapter, has_no_room)
 
 
 def _expected_cost(candidate: Candidate) -> float:
