--- a/features/entry_daemon.feature
+++ b/features/entry_daemon.feature
@@ -70,7 +70,7 @@
     And the other daemon's directory doesn't name it
     And it has ended within 8 s
 
-  Scenario: While the store is down, requests go on and a configuration comes from a peer
+  Scenario: While the store is down, requests on adapters that are there go on
     Given a fleet of 2 daemons before 2 engines
     When the store is down
     Then streams on adapters that are there are served by both
