--- a/features/steps/entry_decisions.py
+++ b/features/steps/entry_decisions.py
@@ -43,6 +43,7 @@
 from pimentohoist.entry_models import (  # noqa: E402
     AdapterKey,
     CallerRequest,
+    Declaration,
     Endpoint,
 )
 from pimentohoist.exceptions import DocumentError  # noqa: E402
@@ -460,6 +461,12 @@
 )
 
 
+def without(field: str) -> dict[str, object]:
+    entry = dict(_ENTRY)
+    entry.pop(field)
+    return entry
+
+
 @then('each broken entry of an endpoint is rejected with a reason')
 def check_rejected(context: Context) -> None:
     broken = [
@@ -483,6 +490,10 @@
             json.dumps({**_ENTRY, field: None}).encode()
             for field in ('service', 'address', 'zone', 'slots', 'state')
         ),
+        *(
+            json.dumps(without(field)).encode()
+            for field in ('service', 'address', 'zone', 'slots', 'state')
+        ),
     ]
     for text in broken:
         try:
@@ -522,6 +533,11 @@
     assert declared.find_route('elsewhere.example', '/models/x') is None
     shares = declared.find_route('house.example', '/models/deep/').shares
     assert [share.weight for share in shares] == [90, 10]
+    check_quota(declared)
+
+
+def check_quota(declared: Declaration) -> None:
+    assert declared.workspaces[0].rate == 50
 
 
 def request(name: str) -> CallerRequest:
