Wire names of the directory and the settings stay in platform/; one piece for each job

What a read of the whole change found: /v1/resolve, its fields and the settings' variable stood outside platform/; two stand-ins had the same server and context; which adapters must be asked for again was decided twice; homes' states were gathered for plain services that have none; a flag, a counter and the times of removed endpoints were never read.

--- a/src/pimentohoist/_decisions/adapter_places.py
+++ b/src/pimentohoist/_decisions/adapter_places.py
@@ -20,8 +20,8 @@
 _HALF_LIFE_S = 10.0
 """Demand for an adapter changes within seconds to minutes."""
 
-
 _DEMAND_KEPT_S = 60.0
+"""Six half-lives: what is left of a request then is under a fiftieth."""
 
 
 class PlaceState(StrEnum):
@@ -100,6 +100,10 @@
         place = self.places.get(adapter)
         return place is not None and place.state is PlaceState.LOADING
 
+    def needs_order(self, adapter: AdapterKey, version: int) -> bool:
+        """Return whether an adapter that has a place must be asked for again."""
+        return self.is_outdated(adapter, version) or self.is_coming(adapter)
+
     def can_load(self, adapter: AdapterKey, now: float, begun: int) -> bool:
         """Return whether there is room for an adapter that isn't there yet.
 
@@ -117,8 +121,8 @@
         """Return how to bring an adapter to a version now; None if it must wait."""
         place = self.places.get(adapter)
         if place is not None:
-            is_here = self.is_outdated(adapter, version) or self.is_coming(adapter)
-            return LoadPlan(adapter, None) if is_here else None
+            needs_order = self.needs_order(adapter, version)
+            return LoadPlan(adapter, None) if needs_order else None
         if self._on_their_way() >= MOST_ON_THEIR_WAY:
             return None
         if len(self.places) < self.capacity:
@@ -176,7 +180,11 @@
 
     def free_places(self, now: float) -> int:
         """Return how many adapters could be loaded without waiting for a request."""
-        self._forget_gone(now)
+        used = self._used()
+        for adapter, place in tuple(self.places.items()):
+            is_over = place.kept_until <= now and adapter not in used
+            if is_over and place.state is PlaceState.LEAVING:
+                self.places.pop(adapter)
         free = self.capacity - len(self.places)
         return max(0, free) + sum(1 for _ in self._evictable(now))
 
@@ -195,10 +203,3 @@
 
     def _on_their_way(self) -> int:
         return sum(place.state is PlaceState.LOADING for place in self.places.values())
-
-    def _forget_gone(self, now: float) -> None:
-        used = self._used()
-        for adapter, place in tuple(self.places.items()):
-            is_over = place.kept_until <= now and adapter not in used
-            if is_over and place.state is PlaceState.LEAVING:
-                self.places.pop(adapter)
--- a/src/pimentohoist/_entry/choosing.py
+++ b/src/pimentohoist/_entry/choosing.py
@@ -133,9 +133,11 @@
         self, usable: dict[str, Endpoint], adapter: AdapterKey | None
     ) -> list[Candidate]:
         beats = self.members.live()
-        homed = self.places.statuses()
-        for beat in beats:
-            homed.update(beat.engines)
+        homed: dict[str, tuple[int, list[str]]] = {}
+        if adapter is not None:
+            homed.update(self.places.statuses())
+            for beat in beats:
+                homed.update(beat.engines)
         name = str(adapter or '')
         return [
             self._candidate(
--- a/src/pimentohoist/_entry/connections.py
+++ b/src/pimentohoist/_entry/connections.py
@@ -133,7 +133,6 @@
         self.connection = connection
         self.method = method
         self.endpoint = endpoint
-        self.is_kept = connection.kept_at is not None
         self.sent_at = _clock.now()
         self.is_aborted = False
         self._is_closed = False
--- a/src/pimentohoist/_entry/edge.py
+++ b/src/pimentohoist/_entry/edge.py
@@ -11,7 +11,12 @@
 from pimentohoist._entry.passage import EntryAnswer
 from pimentohoist._entry.request_path import RequestPath
 from pimentohoist.exceptions import PimentohoistError
-from pimentohoist.platform import RawRequest, read_request
+from pimentohoist.platform import (
+    DIRECTORY_PATH,
+    RawRequest,
+    encode_directory,
+    read_request,
+)
 
 Environ = Mapping[str, Any]
 StartResponse = Callable[..., object]
@@ -21,8 +26,6 @@
 _DIRECTORY_AGE_S = 2.0
 """Callers learn of a lost or leaving daemon after this time."""
 
-_MOST_ADDRESSES = 64
-
 
 class RequestsApp:
     """Answers callers' requests."""
@@ -54,12 +57,12 @@
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Return the addresses of the daemons that are ready."""
-        if environ['PATH_INFO'] != '/v1/resolve':
+        if environ['PATH_INFO'] != DIRECTORY_PATH:
             return _give_json(HTTPStatus.NOT_FOUND, {}, start_response)
-        addresses = self.addresses()[:_MOST_ADDRESSES]
+        addresses = self.addresses()
         if not addresses:
             return _give_json(HTTPStatus.SERVICE_UNAVAILABLE, {}, start_response)
-        document = {'addresses': addresses, 'ttl-s': self.age_s}
+        document = encode_directory(addresses, self.age_s)
         return _give_json(HTTPStatus.OK, document, start_response)
 
 
--- a/src/pimentohoist/_entry/endpoints.py
+++ b/src/pimentohoist/_entry/endpoints.py
@@ -49,7 +49,7 @@
         self.endpoints: dict[str, Endpoint] = {}
         self.health: dict[str, EndpointHealth] = {}
         self.follower = Follower(store, ENDPOINT_RECORDS, self._pace, self._take)
-        self._removed: dict[str, float] = {}
+        self._removed: set[str] = set()
         self._refused_incarnations: set[str] = set()
         self._rejected: set[str] = set()
         self._leaving: dict[str, float] = {}
@@ -175,7 +175,7 @@
         if endpoint.is_leaving:
             self._leaving.setdefault(endpoint.incarnation, _clock.now())
         with self._lock:
-            self._removed.pop(endpoint_id, None)
+            self._removed.discard(endpoint_id)
             self.endpoints[endpoint_id] = endpoint
 
     def _note_rejected(self, endpoint_id: str, error: DocumentError) -> None:
@@ -188,7 +188,7 @@
     def _note_removed(self, endpoint_id: str) -> None:
         if endpoint_id in self.endpoints:
             with self._lock:
-                self._removed.setdefault(endpoint_id, _clock.now())
+                self._removed.add(endpoint_id)
 
     def _drop_removed(self) -> None:
         """Drop removed endpoints; after an outage only if they stay away."""
@@ -199,7 +199,7 @@
         if self.follower.is_failing() or now < patient_until:
             return
         with self._lock:
-            removed, self._removed = self._removed, {}
+            removed, self._removed = self._removed, set()
             for endpoint_id in removed:
                 endpoint = self.endpoints.pop(endpoint_id, None)
                 self.health.pop(endpoint_id, None)
--- a/src/pimentohoist/_entry/engine_home.py
+++ b/src/pimentohoist/_entry/engine_home.py
@@ -30,6 +30,7 @@
 """Between two questions whether a load has ended; a tenth of a load from the store."""
 
 _LONGEST_LOAD_S = 3.0
+_MS_PER_S = 1000
 _FIRST_VERSION = 1
 """Of an adapter for which no newer one was declared."""
 
@@ -166,7 +167,7 @@
         now = _clock.now()
         begun = sum(asked not in self.places.places for asked in self._loading)
         can_load = self.places.can_load(adapter, now, begun)
-        if can_load or _needs_order(self.places, adapter, version):
+        if can_load or self.places.needs_order(adapter, version):
             self._loading.add(adapter)
             self.loaders.submit(self._load, adapter, version or _FIRST_VERSION, now)
 
@@ -189,7 +190,7 @@
             **self.ledger.fields(),
             'adapter': str(adapter),
             'version': version,
-            'took_ms': round((_clock.now() - asked_at) * 1000),
+            'took_ms': round((_clock.now() - asked_at) * _MS_PER_S),
             'outcome': outcome.failure or 'loaded',
         }
         _logger.info('load ended', extra=extra)
@@ -255,8 +256,3 @@
 
     def _unavailable(self, text: str) -> UnavailableError:
         return UnavailableError(text, step=_STEP, peer=self.endpoint.endpoint_id)
-
-
-def _needs_order(places: AdapterPlaces, adapter: AdapterKey, version: int) -> bool:
-    """Return whether an adapter that has a place must be asked for again."""
-    return places.is_outdated(adapter, version) or places.is_coming(adapter)
--- a/src/pimentohoist/_entry/passage.py
+++ b/src/pimentohoist/_entry/passage.py
@@ -69,7 +69,6 @@
     charged: float = 0
     endpoints: list[str] = field(default_factory=list)
     runs: int = 0
-    held_ms: int = 0
     failure: PimentohoistError | None = None
     cleanups: list[Callable[[], None]] = field(default_factory=list)
 
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -35,9 +35,13 @@
 from pimentohoist._logs import BoundedLogs
 from pimentohoist._peers import PeerClients, PeerServer
 from pimentohoist.exceptions import SettingsError
-from pimentohoist.platform import EntrySettings, Store, read_entry_settings
+from pimentohoist.platform import (
+    SETTINGS_VARIABLE,
+    EntrySettings,
+    Store,
+    read_entry_settings,
+)
 
-_SETTINGS_VARIABLE = 'PIMENTOHOIST_BOOT'
 _EXIT_SETTINGS = 2
 _SIDE_THREADS = 2
 _PEER_THREADS = 96
@@ -269,4 +273,4 @@
 
 def main() -> None:
     """Run the daemon with the settings that the environment names."""
-    serve(os.environ[_SETTINGS_VARIABLE])
+    serve(os.environ[SETTINGS_VARIABLE])
--- a/src/pimentohoist/platform/__init__.py
+++ b/src/pimentohoist/platform/__init__.py
@@ -4,6 +4,7 @@
 types of `pimentohoist.entry_models`.
 """
 
+from pimentohoist.platform._directory import DIRECTORY_PATH, encode_directory
 from pimentohoist.platform._documents import (
     decode_adapter_version,
     decode_declaration,
@@ -19,7 +20,11 @@
     onward_headers,
     read_request,
 )
-from pimentohoist.platform._settings import EntrySettings, read_entry_settings
+from pimentohoist.platform._settings import (
+    SETTINGS_VARIABLE,
+    EntrySettings,
+    read_entry_settings,
+)
 from pimentohoist.platform._store import (
     ADAPTER_VERSION_KEYS,
     DECLARATION_KEY,
@@ -35,9 +40,11 @@
 __all__ = (
     'ADAPTER_VERSION_KEYS',
     'DECLARATION_KEY',
+    'DIRECTORY_PATH',
     'ENDPOINT_RECORDS',
     'MEMBER_RECORDS',
     'OPERATOR_RECORDS',
+    'SETTINGS_VARIABLE',
     'EngineOrders',
     'EntrySettings',
     'KeyedRecord',
@@ -52,6 +59,7 @@
     'decode_declaration',
     'decode_endpoint',
     'decode_report',
+    'encode_directory',
     'is_certainly_not_run',
     'onward_headers',
     'read_entry_settings',
--- a/src/pimentohoist/platform/_settings.py
+++ b/src/pimentohoist/platform/_settings.py
@@ -10,6 +10,9 @@
 
 from pimentohoist.exceptions import SettingsError
 
+SETTINGS_VARIABLE = 'PIMENTOHOIST_BOOT'
+"""Environment variable that holds the path of the settings."""
+
 _STEP = 'settings'
 _MS_PER_S = 1000
 
--- a/src/pimentohoist_standins/keyed_store.py
+++ b/src/pimentohoist_standins/keyed_store.py
@@ -7,15 +7,16 @@
 import threading
 from collections import defaultdict
 from http import HTTPStatus
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
-from typing import Any, Self
+from typing import Any
 from urllib.parse import parse_qsl, urlsplit
 
+from pimentohoist_standins._threaded import SilentHandler, ThreadedStandIn
+
 _PARTITIONS = 12
 _WAIT_SLICE_S = 0.02
 
 
-class KeyedStore:
+class KeyedStore(ThreadedStandIn):
     """A log with keyed topics and one group, kept in memory.
 
     Attributes
@@ -27,6 +28,7 @@
     """
 
     def __init__(self, address: tuple[str, int]) -> None:
+        super().__init__(address, _handler(self))
         self.is_down = False
         self.generation = 0
         self.owner: dict[int, str] = {}
@@ -35,23 +37,6 @@
         self._records: defaultdict[str, list[tuple[str, bytes]]] = defaultdict(list)
         self._first: defaultdict[str, int] = defaultdict(int)
         self._changed = threading.Condition()
-        self._server = _Server(address, _handler(self))
-
-    def __enter__(self) -> Self:
-        """Start answering."""
-        threading.Thread(target=self._server.serve_forever, daemon=True).start()
-        return self
-
-    def __exit__(self, *exc_info: object) -> None:
-        """Stop answering."""
-        self._server.shutdown()
-        self._server.server_close()
-
-    @property
-    def address(self) -> str:
-        """Return where the store answers."""
-        host, port = self._server.server_address[:2]
-        return f'{host!s}:{port}'
 
     def put(self, topic: str, key: str, document: Any) -> None:
         """Append a record; None drops the key, bytes are stored as they are."""
@@ -149,10 +134,6 @@
         self.body = body
 
 
-class _Server(ThreadingHTTPServer):
-    daemon_threads = True
-
-
 def _json(document: Any) -> _Reply:
     return _Reply(HTTPStatus.OK, json.dumps(document).encode())
 
@@ -163,10 +144,8 @@
     return len(body).to_bytes(4, 'big') + body
 
 
-def _handler(store: KeyedStore) -> type[BaseHTTPRequestHandler]:
-    class _Handler(BaseHTTPRequestHandler):  # noqa: WPS431
-        protocol_version = 'HTTP/1.1'
-
+def _handler(store: KeyedStore) -> type[SilentHandler]:
+    class _Handler(SilentHandler):  # noqa: WPS431
         def do_GET(self) -> None:  # noqa: N802
             self.give()
 
@@ -182,7 +161,4 @@
             self.end_headers()
             self.wfile.write(reply.body)
 
-        def log_message(self, format: str, *arguments: object) -> None:  # noqa: A002
-            """Write nothing: the tests look at answers."""
-
     return _Handler
--- a/src/pimentohoist_standins/opaque_engine.py
+++ b/src/pimentohoist_standins/opaque_engine.py
@@ -8,8 +8,9 @@
 from collections import Counter
 from dataclasses import dataclass, field
 from http import HTTPStatus
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
-from typing import Any, Self
+from typing import Any
+
+from pimentohoist_standins._threaded import SilentHandler, ThreadedStandIn
 
 _EVENTS = 6
 _SEAL = '1.2.3'
@@ -76,32 +77,16 @@
     stopped: int = 0
 
 
-class OpaqueEngine:
+class OpaqueEngine(ThreadedStandIn):
     """An engine of one model, or a plain service if it has no model."""
 
     def __init__(self, address: tuple[str, int], engine_id: str, model: str) -> None:
+        super().__init__(address, _handler(self))
         self.engine_id = engine_id
         self.model = model
         self.faults = EngineFaults()
         self.state = EngineState()
         self.lock = threading.Lock()
-        self._server = _Server(address, _handler(self))
-
-    def __enter__(self) -> Self:
-        """Start answering."""
-        threading.Thread(target=self._server.serve_forever, daemon=True).start()
-        return self
-
-    def __exit__(self, *exc_info: object) -> None:
-        """Stop answering."""
-        self._server.shutdown()
-        self._server.server_close()
-
-    @property
-    def address(self) -> str:
-        """Return where the engine answers."""
-        host, port = self._server.server_address[:2]
-        return f'{host!s}:{port}'
 
     def entry(self, group: str, state: str = 'ready') -> dict[str, Any]:
         """Return what the engine writes to the store."""
@@ -194,12 +179,7 @@
         state.is_overloaded |= len(state.adapters) > state.capacity
 
 
-class _Server(ThreadingHTTPServer):
-    daemon_threads = True
-
-
-class _EngineHandler(BaseHTTPRequestHandler):
-    protocol_version = 'HTTP/1.1'
+class _EngineHandler(SilentHandler):
     engine: OpaqueEngine
 
     def do_GET(self) -> None:  # noqa: N802
@@ -288,9 +268,6 @@
         self.end_headers()
         self.wfile.write(body)
 
-    def log_message(self, format: str, *arguments: object) -> None:  # noqa: A002
-        """Write nothing: the tests look at answers."""
-
 
 def _handler(engine: OpaqueEngine) -> type[_EngineHandler]:
     return type('_Handler', (_EngineHandler,), {'engine': engine})
