--- /dev/null
+++ b/features/steps/entry_choice.py
@@ -0,0 +1,133 @@
+"""Steps on the health and the choice of endpoints."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import sys
+from collections import Counter
+from pathlib import Path
+
+from behave import given, then, when
+from behave.runner import Context
+
+sys.path.append(str(Path(__file__).resolve().parent.parent))
+
+from pimentohoist._decisions.endpoint_choice import (  # noqa: E402
+    Candidate,
+    choose_engines,
+    choose_plain,
+)
+from pimentohoist._decisions.endpoint_health import EndpointHealth  # noqa: E402
+
+
+@given('3 alike endpoints of which one fails half of its answers')
+def make_endpoints(context: Context) -> None:
+    context.health = {f'e{number}': EndpointHealth() for number in range(3)}
+    context.failing = 0.5
+    context.now = 0
+    context.sent = []
+
+
+@when('{count:d} requests are sent')
+def send_requests(context: Context, count: int) -> None:
+    chooser = random.Random(3)
+    for _ in range(count):
+        context.now += 0.02
+        candidates = [
+            Candidate(
+                name, 6, 0, health.latency_s, health.cost_factor(context.now), True
+            )
+            for name, health in context.health.items()
+        ]
+        name = choose_plain(candidates, chooser.random())[0]
+        context.sent.append(name)
+        if name == 'e0' and chooser.random() < context.failing:
+            context.health[name].note_failure(context.now)
+        else:
+            context.health[name].note_answer(
+                0.045 + chooser.uniform(-0.01, 0.01), context.now
+            )
+
+
+@when('it fails no more and {count:d} requests are sent')
+def recover(context: Context, count: int) -> None:
+    context.failing = 0
+    send_requests(context, count)
+
+
+@then('the failing one gets less than a fifth of its even part')
+def check_grey(context: Context) -> None:
+    assert Counter(context.sent)['e0'] < len(context.sent) / 3 / 5
+
+
+@then('it gets at least half of its even part of the last {count:d}')
+def check_recovered(context: Context, count: int) -> None:
+    assert Counter(context.sent[-count:])['e0'] >= count / 3 / 2
+
+
+def engines(in_flight: int, free: int = 3) -> list[Candidate]:
+    return [
+        Candidate(
+            f'e{number}',
+            64,
+            in_flight if number == 0 else 5,
+            0.1,
+            1.0,
+            True,
+            number == 0,
+            free if number else 0,
+        )
+        for number in range(5)
+    ]
+
+
+@given('5 engines of which one holds an adapter')
+def have_engines(context: Context) -> None:
+    """Engines are made by `engines`."""
+
+
+@then('its requests go there while it is calm')
+def check_calm(context: Context) -> None:
+    assert choose_engines('m/a', engines(4))[0] == 'e0'
+
+
+@then('to another engine when it is crowded')
+def check_crowded(context: Context) -> None:
+    assert choose_engines('m/a', engines(40))[0] != 'e0'
+
+
+@given('5 engines that all hold an adapter')
+def have_copies(context: Context) -> None:
+    context.copies = [
+        [
+            Candidate(f'e{number}', 64, in_flight, 0.1, 1, is_near, True, 1)
+            for number, is_near in enumerate((False, True, True, False, True))
+        ]
+        for in_flight in (0, 10, 30)
+    ]
+
+
+@then('all its requests go to one of them while that is calm')
+def check_copies(context: Context) -> None:
+    chosen = {choose_engines('m/a', copies)[0] for copies in context.copies}
+    assert len(chosen) == 1, chosen
+
+
+@then('its requests go to another engine while that one fails')
+def check_failing(context: Context) -> None:
+    candidates = engines(1)
+    health = EndpointHealth()
+    for _ in range(3):
+        health.note_failure(0)
+    failing = dataclasses.replace(candidates[0], cost_factor=health.cost_factor(0))
+    assert choose_engines('m/a', [failing, *candidates[1:]])[0] != 'e0'
+
+
+@then('a cold adapter goes to the first of its engines that has room')
+def check_cold(context: Context) -> None:
+    cold = [
+        Candidate(f'e{number}', 64, 5, 0.1, 1.0, True, False, int(number == 3))
+        for number in range(5)
+    ]
+    assert choose_engines('m/cold', cold)[0] == 'e3'
