Limits: a restored view knows former homes, never-begun is repeatable

Cause of the flaky "A whole failure domain is lost at once" (wrongful 429 soon after a start). Where a home further back wasn't ready, the second round met "given away". - A silent home and a lost reply counted as an empty share, which refuses at once; they are asked again like a share that has not begun.

The new checks failed on the old code, all but the bound on waiting.

--- a/features/limit_guards.feature
+++ b/features/limit_guards.feature
@@ -47,6 +47,13 @@
   Scenario: Ends of tenures
     Then a tenure that was closed does not begin again, nor give its state twice
     And a tenure that never began does not pass on the state of one before
+    And a tenure that never began says so as often as it is asked
+    And a daemon that took the view from a snapshot knows the same former homes as one that read every record
+
+  Scenario: Homes of shares that don't answer for a moment
+    Then a request waits for a home that is silent instead of being refused as over its rate
+    And a request waits for a home whose reply was lost
+    And a workspace that was refused a moment ago doesn't wait for a silent home
 
   Scenario: A burst that was lowered while grants are open
     Then tokens given back to a share never fill it above its new burst, nor are they granted again
--- /dev/null
+++ b/features/limit_takers.py
@@ -0,0 +1,64 @@
+"""Homes of shares that answer again after a while, as a daemon's limits see them."""
+
+from __future__ import annotations
+
+import itertools
+import time
+from types import SimpleNamespace
+from typing import Any
+
+from pimentohoist._controllers.limits import LimitsController
+from pimentohoist._decisions.grants import Charge, ShareHome
+from pimentohoist._decisions.shares import GRANT_S, Grant, GrantOrder
+from pimentohoist._decisions.tenures import ShareName
+from pimentohoist.configuration import Workspace
+
+_MS = 1000
+_WORKSPACE = Workspace('house', rate_tokens_per_s=1000, burst_tokens=3000)
+
+
+class RecoveringTaker:
+    """Stands for `ShareTaker`; its homes are silent, then lose replies, then grant.
+
+    Attributes
+    ----------
+    asks : int
+        How often a home was looked for.
+    waited_ms : int
+        Time that charges have taken, in all.
+    """
+
+    def __init__(self, silent_asks: int = 0, lost_replies: int = 0) -> None:
+        self.silent_asks = silent_asks
+        self.lost_replies = lost_replies
+        self.asks = 0
+        self.waited_ms = 0
+        self._ids = itertools.count()
+        nothing: Any = SimpleNamespace()
+        self.limits = LimitsController(nothing, nothing, nothing, nothing)
+        self.limits.taker = self  # type: ignore[assignment]
+
+    def charge(self, tokens: int) -> tuple[Charge, ...]:
+        """Charge a request of the workspace."""
+        began_at = time.monotonic()
+        try:
+            return self.limits.charge(_WORKSPACE, tokens)
+        finally:
+            self.waited_ms += int((time.monotonic() - began_at) * _MS)
+
+    def home(self, name: ShareName) -> ShareHome | None:
+        """Return the home of a share; None if it is silent."""
+        self.asks += 1
+        return (
+            None
+            if self.asks <= self.silent_asks
+            else ShareHome(name.share, f'home-{name.share}')
+        )
+
+    def take(
+        self, name: ShareName, home: ShareHome, order: GrantOrder, uses: Any
+    ) -> Grant | None:
+        """Return the grant; None if its reply was lost."""
+        if next(self._ids) < self.lost_replies:
+            return None
+        return Grant(order.grant_id, order.need_tokens, GRANT_S)
--- a/features/steps/limit_guards.py
+++ b/features/steps/limit_guards.py
@@ -12,9 +12,14 @@
 
 from limit_shares import find_overshoot  # noqa: E402
 from limit_daemons import SimulatedDaemon  # noqa: E402
+from limit_takers import RecoveringTaker  # noqa: E402
 from limit_world import LimitWorld  # noqa: E402
 
 from pimentohoist._decisions.grants import GrantPool, ShareHome  # noqa: E402
+from pimentohoist._decisions.share_places import (  # noqa: E402
+    share_home,
+    share_thing,
+)
 from pimentohoist._decisions.shares import (  # noqa: E402
     DRIFT,
     GRANT_S,
@@ -28,11 +33,16 @@
 )
 from pimentohoist._decisions.tenures import (  # noqa: E402
     TAKEOVER_S,
+    PulledState,
     ShareKeeper,
     ShareName,
     Surroundings,
     Tenure,
+    TenureBook,
 )
+from pimentohoist._view_fold import Join, Leave, ViewFold  # noqa: E402
+from pimentohoist.exceptions import LimitExceededError  # noqa: E402
+from pimentohoist.models import LogRecord  # noqa: E402
 
 _NAME = ShareName('house', 0)
 _LIMIT = ShareLimit(1, 30)
@@ -170,6 +180,85 @@
     assert (last.state, last.has_never_begun) == (None, True)
 
 
+@then('a tenure that never began says so as often as it is asked')
+def check_never_begun_again(context: Context) -> None:
+    keeper = ShareKeeper()
+    # The home before it may not have answered yet, so its successor asks the chain again.
+    for before_epoch in (4, 4, 6):
+        last = keeper.close(_NAME, 3, before_epoch, _AROUND)
+        assert (last.state, last.has_never_begun) == (None, True), before_epoch
+    later = Tenure('me', 7, Tenure('other', 4, Tenure('me', 3)))
+    begun = PulledState(ShareState(30), 0)
+    keeper.adopt(_NAME, later, _LIMIT, begun)
+    assert keeper.close(_NAME, 7, 8, _AROUND).state == ShareState(30)
+
+
+@then(
+    'a daemon that took the view from a snapshot knows the same former homes as one that '
+    'read every record'
+)
+def check_snapshot_of_view(context: Context) -> None:
+    fold = ViewFold()
+    joins = [
+        Join(
+            incarnation=f'entry-{number}',
+            peer_address='peer',
+            callers_address='callers',
+            failure_domain='abc'[number % 3],
+        )
+        for number in range(6)
+    ]
+    for offset, record in enumerate((*joins, Leave(incarnation='entry-2'))):
+        fold.apply(LogRecord(offset, record.model_dump_json().encode()))
+    restored = ViewFold()
+    restored.restore(fold.snapshot())
+    things = [
+        share_thing(f'house-{number}', share)
+        for number in range(9)
+        for share in (0, 1, 2)
+    ]
+    assert tenures(restored, things) == tenures(fold, things)
+    assert restored.snapshot() == fold.snapshot()
+
+
+def tenures(fold: ViewFold, things: list[str]) -> list[list[tuple[str, int]]]:
+    book = TenureBook(is_complete=fold.is_from_start, home_of=share_home)
+    for view in fold.recent:
+        book.add(view)
+    return [
+        [(tenure.home, tenure.epoch) for tenure in book.tenure(thing).chain()]
+        for thing in things
+    ]
+
+
+@then(
+    'a request waits for a home that is silent instead of being refused as over its rate'
+)
+def check_silent_home(context: Context) -> None:
+    taker = RecoveringTaker(silent_asks=3 * SHARES)
+    assert taker.charge(tokens=3), 'refused'
+    assert taker.asks > 3 * SHARES
+
+
+@then('a request waits for a home whose reply was lost')
+def check_lost_reply(context: Context) -> None:
+    assert RecoveringTaker(lost_replies=3 * SHARES).charge(tokens=3), 'refused'
+
+
+@then("a workspace that was refused a moment ago doesn't wait for a silent home")
+def check_flood(context: Context) -> None:
+    taker = RecoveringTaker(silent_asks=1000)
+    for _ in range(2):
+        try:
+            taker.charge(tokens=3)
+        except LimitExceededError as error:
+            assert error.retry_after_s
+        else:
+            raise AssertionError('admitted without a grant')
+    # One wait of the longest length for both.
+    assert taker.waited_ms < 1500, taker.waited_ms
+
+
 @then(
     'tokens given back to a share never fill it above its new burst, nor are they '
     'granted again'
--- a/src/pimentohoist/_controllers/limits.py
+++ b/src/pimentohoist/_controllers/limits.py
@@ -57,7 +57,8 @@
         Time up to which requests of `refused_tokens` or more are refused without asking
         the homes, which had not enough a moment ago.
     has_missed_share : bool
-        Whether a share had not begun at its home when the shares were last asked.
+        Whether a share gave no answer when the shares were last asked: it had not begun at
+        its home, the home was silent, or the reply was lost.
     refused_at : float
         Time of the last refusal.
     places_to_wait : Semaphore
@@ -135,8 +136,8 @@
         Raises
         ------
         LimitExceededError
-            The shares refuse it, which is said at once, or one that was between two homes
-            had no answer after a short wait.
+            The shares refuse it, which is said at once, or one of them still has no answer
+            after a short wait.
         """
         if tokens > workspace.burst_tokens:
             self.refusals += 1
@@ -231,7 +232,7 @@
     def _wait_for_shares(
         self, workspace: str, account: _Account, tokens: int
     ) -> tuple[Charge, ...] | None:
-        """Ask again for a short time, since a share between two homes may have tokens."""
+        """Ask again for a short time, since the share without an answer may have tokens."""
         if not account.places_to_wait.acquire(blocking=False):
             return None
         try:
@@ -266,6 +267,7 @@
         pool = account.pool
         home = self.taker.home(name)
         if home is None:
+            account.has_missed_share = True
             return 0
         with self._lock:
             uses = pool.take_uses(home)
@@ -278,6 +280,7 @@
         with self._lock:
             now = self.clock()
             if grant is None:
+                account.has_missed_share = True
                 pool.add_lost(order.grant_id, home, now)
                 return 0
             pool.confirm(uses, now)
--- a/src/pimentohoist/_decisions/tenures.py
+++ b/src/pimentohoist/_decisions/tenures.py
@@ -234,10 +234,18 @@
 
 
 class ShareKeeper:
-    """The shares of which one daemon is the home."""
+    """The shares of which one daemon is the home.
+
+    Attributes
+    ----------
+    unused_before : dict of ShareName to int
+        Epochs before which this daemon's last tenure was closed without having begun. A
+        successor may ask for it again, as a home further back didn't answer at first.
+    """
 
     def __init__(self) -> None:
         self.held: dict[ShareName, _Held] = {}
+        self.unused_before: dict[ShareName, int] = {}
         self.handed: dict[tuple[ShareName, str], ShareState] = {}
 
     def bucket(
@@ -282,9 +290,11 @@
         held = self.held.get(name)
         if held is not None and held.epoch >= before_epoch:
             return LastState(None)
+        is_unused = held is not None and held.epoch < own_epoch
         # From here on no older tenure can begin either.
         self.held[name] = _Held(before_epoch - 1, None)
-        if held is None or held.epoch < own_epoch:
+        if held is None or is_unused or own_epoch < self.unused_before.get(name, 0):
+            self.unused_before[name] = before_epoch
             return LastState(None, has_never_begun=True)
         if held.bucket is None or held.epoch > own_epoch:
             return LastState(None)
--- a/src/pimentohoist/_view_fold.py
+++ b/src/pimentohoist/_view_fold.py
@@ -6,7 +6,7 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import asdict, dataclass, replace
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 from pydantic import BaseModel, Field, TypeAdapter, ValidationError
 
@@ -123,6 +123,8 @@
                 'members': [asdict(member) for member in self.members.values()],
                 'departed': sorted(self.departed),
                 'skipped_records': self.skipped_records,
+                'is_from_start': self.is_from_start,
+                'recent': _write_views(self.recent),
             }
         ).encode()
 
@@ -137,9 +139,11 @@
         self.epoch = document['epoch']
         self.skipped_records = document['skipped_records']
         self._next_offset = document['next_offset']
+        # Snapshots of earlier versions hold the present view alone.
+        present = View(self.epoch, tuple(self.members.values()))
         self.recent.clear()
-        self.recent.append(View(self.epoch, tuple(self.members.values())))
-        self.is_from_start = False
+        self.recent.extend(_read_views(document.get('recent', ())) or (present,))
+        self.is_from_start = document.get('is_from_start', False)
 
     def _join(self, event: Join, epoch: int) -> None:
         if event.incarnation in self.members or event.incarnation in self.departed:
@@ -160,6 +164,34 @@
             self.members[event.incarnation] = replace(member, is_leaving=True)
 
 
+def _write_views(views: Iterable[View]) -> list[dict[str, Any]]:
+    """Return each view as what has changed since the one before."""
+    changes = []
+    before: set[str] = set()
+    for view in views:
+        joined = [
+            asdict(member)
+            for member in view.members
+            if member.incarnation not in before
+        ]
+        left = sorted(before.difference(view.incarnations))
+        changes.append({'epoch': view.epoch, 'joined': joined, 'left': left})
+        before = set(view.incarnations)
+    return changes
+
+
+def _read_views(changes: Iterable[dict[str, Any]]) -> list[View]:
+    members: dict[str, Member] = {}
+    views = []
+    for change in changes:
+        for incarnation in change['left']:
+            members.pop(incarnation)
+        joined = (Member(**fields) for fields in change['joined'])
+        members.update((member.incarnation, member) for member in joined)
+        views.append(View(change['epoch'], tuple(members.values())))
+    return views
+
+
 def rank(thing: str, members: Iterable[Member]) -> list[Member]:
     """Return the members by rendezvous weight for `thing`, the home first."""
     by_name = {member.incarnation: member for member in members}
