--- a/src/pimentohoist/_entry/filters.py
+++ b/src/pimentohoist/_entry/filters.py
@@ -50,7 +50,8 @@
         wait_s = self.quotas.charge(workspace, cost)
         if wait_s is not None:
             raise LimitExceededError(
-                f'{workspace.name} is beyond its rate and burst',
+                f'{workspace.name} is beyond its rate of {workspace.rate:g} and burst of '
+                f'{workspace.burst:g}: {cost:g} tokens asked for, credit in {wait_s:.2f} s',
                 step='quota',
                 retry_after_s=spread(wait_s),
             )
--- a/src/pimentohoist/_entry/request_path.py
+++ b/src/pimentohoist/_entry/request_path.py
@@ -119,6 +119,7 @@
             'route': passage.route.name,
             'workspace': workspace.name if workspace else '',
             'adapter': str(passage.request.adapter or ''),
+            'tokens': passage.charged,
             'version': passage.declaration.version,
             'endpoints': passage.endpoints,
             'runs': passage.runs,
