Engine home: a late question no longer loads an evicted adapter anew

Traced in the log of the engine i-d89696d5c5: the answer of an order was lost, the report after it showed a1305 as held while its load was still being asked for; at 8.406 s a1305 was evicted, at 8.407 s another one took its place, and the question "load a1305", which to an engine is the order, began a load beyond the places. Ruled out: the lost order itself, whose expected count was used by a newer one. A question is now asked only while the load is under way, checked under the lock of the engine's orders. The test failed on the code before.

--- a/features/entry_decisions.feature
+++ b/features/entry_decisions.feature
@@ -20,6 +20,11 @@
     When one leaves that a request still uses
     Then its place is free only after the request has ended
 
+  Scenario: Rare models while answers are lost: an evicted adapter is not loaded by a late question
+    Given an engine of 2 places that has loaded an adapter, of which its home asks again
+    When a report shows the adapter and it is evicted before the question is sent
+    Then the engine is not asked to load it again
+
   Scenario: Rare models at once: no more loads begin than an engine fetches at a time
     Given an engine with 16 places that are all free
     When 10 adapters are asked for at once
--- /dev/null
+++ b/features/entry_engine.py
@@ -0,0 +1,76 @@
+"""An engine as its home orders it, without a network."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any
+
+from pimentohoist._entry.engine_home import EngineHome
+from pimentohoist.entry_models import AdapterKey
+from pimentohoist.platform import OrderReply
+
+
+class OrderedEngine:
+    """Stands for `EngineLedger`; carries orders out at once, but says so a question later.
+
+    Attributes
+    ----------
+    held : dict of AdapterKey to int
+        Versions of the adapters that the engine has or fetches.
+    most_held : int
+        Most that it ever had at a time.
+    """
+
+    def __init__(self, held: dict[AdapterKey, int]) -> None:
+        self.held = dict(held)
+        self.most_held = len(held)
+        self.lock = threading.Lock()
+        self.is_known = True
+        self.is_over = False
+        self.models = ('m',)
+        self.orders_taken = 0
+        self._told: set[AdapterKey] = set(held)
+
+    def may_order(self) -> bool:
+        """Return whether orders may be given now."""
+        return True
+
+    def load(
+        self, adapter: AdapterKey, version: int | None, *, is_poll: bool = False
+    ) -> OrderReply:
+        """Load an adapter; an engine can't tell a question from an order."""
+        if adapter in self._told:
+            return OrderReply.HOLDS
+        self._told.add(adapter)
+        self.held[adapter] = version or 1
+        self.most_held = max(self.most_held, len(self.held))
+        return OrderReply.BEGUN
+
+    def unload(self, adapter: AdapterKey) -> OrderReply:
+        """Unload an adapter."""
+        self.held.pop(adapter, None)
+        self._told.discard(adapter)
+        return OrderReply.HOLDS
+
+    def resync(self, take: Callable[[Any], None]) -> None:
+        """Report what the engine holds."""
+        take(SimpleNamespace(adapters=dict(self.held), loading=()))
+
+    def fields(self) -> dict[str, object]:
+        """Return what each log line tells of the engine."""
+        return {'endpoint': 'engine'}
+
+
+def home_of(engine: OrderedEngine, capacity: int, loaders: Any) -> EngineHome:
+    """Return the home of an engine."""
+    endpoint: Any = SimpleNamespace(
+        endpoint_id='engine', address='127.0.0.1:1', models=('m',)
+    )
+    authority: Any = SimpleNamespace(may_order=lambda: True)
+    home = EngineHome(endpoint, capacity, 'm', authority, loaders)
+    home.ledger = engine  # type: ignore[assignment]
+    home.start()
+    engine.resync(home.take_report)
+    return home
--- a/src/pimentohoist/_entry/engine_home.py
+++ b/src/pimentohoist/_entry/engine_home.py
@@ -71,7 +71,7 @@
         """Learn from the engine what it holds, until it answers."""
         ledger = self.ledger
         while not (ledger.is_over or ledger.is_known):
-            ledger.resync(self._take_report)
+            ledger.resync(self.take_report)
         if not (ledger.is_over or ledger.models):
             with ledger.lock:
                 outcome = ledger.bring_model(self.first_model)
@@ -180,7 +180,7 @@
             _logger.exception('load failed', extra=self.ledger.fields())
             outcome = LoadOutcome(repr(error), is_known=False)
         if not outcome.is_known:
-            self.ledger.resync(self._take_report)
+            self.ledger.resync(self.take_report)
         with self._changed:
             self._loading.discard(adapter)
             if not outcome.failure:
@@ -232,6 +232,11 @@
             sleep(_POLL_S)
             try:
                 with lock:
+                    # The question is the order itself and would load the adapter anew.
+                    with self._changed:
+                        is_under_way = self.places.needs_order(adapter, version)
+                    if not is_under_way:
+                        return LoadOutcome('settled by a report')
                     reply = self.ledger.load(adapter, version, is_poll=True)
             except PeerTimeoutError as error:
                 _logger.info('poll not answered: %s', error, extra=self.ledger.fields())
@@ -250,7 +255,8 @@
                 self.places.leave(plan.victim, _clock.now())
         return reply is OrderReply.HOLDS
 
-    def _take_report(self, report: EngineReport) -> None:
+    def take_report(self, report: EngineReport) -> None:
+        """Believe what the engine reports."""
         with self._changed:
             self.places.reconcile(report.adapters, report.loading, _clock.now())
 
