--- a/src/pimentohoist/_entry/engine_home.py
+++ b/src/pimentohoist/_entry/engine_home.py
@@ -230,18 +230,24 @@
         reply = OrderReply.BEGUN
         while reply is OrderReply.BEGUN and _clock.now() < give_up_at:
             sleep(_POLL_S)
-            try:
-                with lock:
-                    # The question is the order itself and would load the adapter anew.
-                    with self._changed:
-                        is_under_way = self.places.needs_order(adapter, version)
-                    if not is_under_way:
-                        return LoadOutcome('settled by a report')
-                    reply = self.ledger.load(adapter, version, is_poll=True)
-            except PeerTimeoutError as error:
-                _logger.info('poll not answered: %s', error, extra=self.ledger.fields())
+            with lock:
+                # The question is the order itself and would load the adapter anew.
+                if not self._is_under_way(adapter, version):
+                    return LoadOutcome('settled by a report')
+                reply = self._poll(adapter, version)
         return LoadOutcome.of(reply, 'poll')
 
+    def _is_under_way(self, adapter: AdapterKey, version: int) -> bool:
+        with self._changed:
+            return self.places.needs_order(adapter, version)
+
+    def _poll(self, adapter: AdapterKey, version: int) -> OrderReply:
+        try:
+            return self.ledger.load(adapter, version, is_poll=True)
+        except PeerTimeoutError as error:
+            _logger.info('poll not answered: %s', error, extra=self.ledger.fields())
+            return OrderReply.BEGUN
+
     def _make_room(self, plan: LoadPlan) -> bool:
         """Evict the victim of a plan; return whether there is room."""
         if plan.victim is None:
