Engine home: polls of a load don't hold the lock of the engine's orders

About 8,600 of 10,725 orders were polls; a third of the orders went unanswered there, and a poll without an answer held the lock for 0.1 to 0.2 s. A poll needs no lock: it names the orders taken before the check that its load is under way, so that the engine refuses it if an eviction came first. The loads are a class of their own now, AdapterLoader.

--- a/features/entry_decisions.feature
+++ b/features/entry_decisions.feature
@@ -25,6 +25,11 @@
     When a report shows the adapter and it is evicted before the question is sent
     Then the engine is not asked to load it again
 
+  Scenario: Rare models while answers are lost: a slow question holds up no other load
+    Given an engine of 16 places that answers questions on loads after 0.5 s
+    When requests for 4 adapters come one after the other
+    Then all loads have begun
+
   Scenario: Rare models at once: no more loads begin than an engine fetches at a time
     Given an engine with 16 places that are all free
     When 10 adapters are asked for at once
--- a/features/entry_engine.py
+++ b/features/entry_engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
@@ -21,9 +22,11 @@
         Versions of the adapters that the engine has or fetches.
     most_held : int
         Most that it ever had at a time.
+    polls : int
+        Questions whether a load has ended.
     """
 
-    def __init__(self, held: dict[AdapterKey, int]) -> None:
+    def __init__(self, held: dict[AdapterKey, int], poll_s: float = 0) -> None:
         self.held = dict(held)
         self.most_held = len(held)
         self.lock = threading.Lock()
@@ -31,26 +34,38 @@
         self.is_over = False
         self.models = ('m',)
         self.orders_taken = 0
+        self.polls = 0
+        self.poll_s = poll_s
         self._told: set[AdapterKey] = set(held)
 
     def may_order(self) -> bool:
         """Return whether orders may be given now."""
         return True
 
-    def load(
-        self, adapter: AdapterKey, version: int | None, *, is_poll: bool = False
-    ) -> OrderReply:
-        """Load an adapter; an engine can't tell a question from an order."""
+    def load(self, adapter: AdapterKey, version: int | None) -> OrderReply:
+        """Load an adapter."""
         if adapter in self._told:
             return OrderReply.HOLDS
         self._told.add(adapter)
         self.held[adapter] = version or 1
         self.most_held = max(self.most_held, len(self.held))
+        self.orders_taken += 1
         return OrderReply.BEGUN
 
+    def poll(
+        self, adapter: AdapterKey, version: int | None, orders_taken: int
+    ) -> OrderReply:
+        """Load an adapter: an engine can't tell a question from an order."""
+        self.polls += 1
+        time.sleep(self.poll_s)
+        if orders_taken != self.orders_taken and adapter not in self._told:
+            return OrderReply.BEGUN
+        return self.load(adapter, version)
+
     def unload(self, adapter: AdapterKey) -> OrderReply:
         """Unload an adapter."""
         self.held.pop(adapter, None)
+        self.orders_taken += 1
         self._told.discard(adapter)
         return OrderReply.HOLDS
 
@@ -71,6 +86,7 @@
     authority: Any = SimpleNamespace(may_order=lambda: True)
     home = EngineHome(endpoint, capacity, 'm', authority, loaders)
     home.ledger = engine  # type: ignore[assignment]
+    home.loader.ledger = engine  # type: ignore[assignment]
     home.start()
     engine.resync(home.take_report)
     return home
--- a/features/steps/entry_places.py
+++ b/features/steps/entry_places.py
@@ -232,3 +232,26 @@
     time.sleep(0.2)
     assert key(1) not in context.engine.held, context.engine.held
     assert context.engine.most_held == 2
+
+
+@given(
+    'an engine of {count:d} places that answers questions on loads after {poll_s:f} s'
+)
+def slow_engine(context: Context, count: int, poll_s: float) -> None:
+    context.engine = OrderedEngine({}, poll_s)
+    loaders = context.stack.enter_context(ThreadPoolExecutor(8))
+    context.home = home_of(context.engine, count, loaders)
+
+
+@when('requests for {count:d} adapters come one after the other')
+def ask_in_turn(context: Context, count: int) -> None:
+    callers = context.stack.enter_context(ThreadPoolExecutor(count))
+    for number in range(count):
+        callers.submit(context.home.hold, key(number), 1, time.monotonic() + 5)
+        time.sleep(0.05)
+
+
+@then('all loads have begun')
+def check_all_begun(context: Context) -> None:
+    held = sorted(str(adapter) for adapter in context.engine.held)
+    assert len(held) == MOST_ON_THEIR_WAY, held
--- a/src/pimentohoist/_entry/engine_home.py
+++ b/src/pimentohoist/_entry/engine_home.py
@@ -5,31 +5,20 @@
 import logging
 import threading
 from concurrent.futures import Executor
-from contextlib import AbstractContextManager, nullcontext
 
 from pimentohoist import _clock
-from pimentohoist._decisions.adapter_places import AdapterPlaces, LoadPlan
-from pimentohoist._entry.engine_ledger import (
-    Authority,
-    EngineLedger,
-    LoadOutcome,
-    sleep,
-)
+from pimentohoist._decisions.adapter_places import AdapterPlaces
+from pimentohoist._entry.adapter_loader import AdapterLoader
+from pimentohoist._entry.engine_ledger import Authority, EngineLedger, LoadOutcome
 from pimentohoist.entry_models import AdapterKey, Endpoint, EngineReport
 from pimentohoist.exceptions import (
     DocumentError,
     NotHomeError,
     PeerError,
-    PeerTimeoutError,
     UnavailableError,
 )
-from pimentohoist.platform import OrderReply
 
 _STEP = 'hold_adapter'
-_POLL_S = 0.03
-"""Between two questions whether a load has ended; a tenth of a load from the store."""
-
-_LONGEST_LOAD_S = 3.0
 _MS_PER_S = 1000
 _FIRST_VERSION = 1
 """Of an adapter for which no newer one was declared."""
@@ -63,9 +52,9 @@
         self.loaders = loaders
         self.ledger = EngineLedger(endpoint, authority)
         self.places = AdapterPlaces(capacity)
-        self.loads = 0
         self._loading: set[AdapterKey] = set()
         self._changed = threading.Condition()
+        self.loader = AdapterLoader(self.ledger, self.places, self._changed)
 
     def start(self) -> None:
         """Learn from the engine what it holds, until it answers."""
@@ -140,6 +129,11 @@
             free = self.places.free_places(_clock.now())
             return free, [str(adapter) for adapter in self.places.places]
 
+    def take_report(self, report: EngineReport) -> None:
+        """Believe what the engine reports."""
+        with self._changed:
+            self.places.reconcile(report.adapters, report.loading, _clock.now())
+
     def close(self) -> None:
         """End the home; requests that wait are refused."""
         self.ledger.is_over = True
@@ -173,7 +167,7 @@
 
     def _load(self, adapter: AdapterKey, version: int, asked_at: float) -> None:
         try:
-            outcome = self._carry_out(adapter, version)
+            outcome = self.loader.carry_out(adapter, version)
         except (PeerError, DocumentError) as error:
             outcome = LoadOutcome(str(error), is_known=False)
         except Exception as error:
@@ -183,7 +177,10 @@
             self.ledger.resync(self.take_report)
         with self._changed:
             self._loading.discard(adapter)
-            if not outcome.failure:
+            is_settled = outcome.is_awaited and not self.loader.is_under_way(
+                adapter, version
+            )
+            if not outcome.failure and not is_settled:
                 self.places.finish(adapter, version, _clock.now())
             self._changed.notify_all()
         extra = {
@@ -195,76 +192,5 @@
         }
         _logger.info('load ended', extra=extra)
 
-    def _carry_out(self, adapter: AdapterKey, version: int) -> LoadOutcome:
-        """Make room and load."""
-        ledger = self.ledger
-        with ledger.lock:
-            if adapter.model not in ledger.models:
-                return ledger.bring_model(adapter.model)
-            with self._changed:
-                # What is there may have changed since the load was asked for.
-                is_replacement = self.places.is_outdated(adapter, version)
-                plan = self.places.plan(adapter, version, _clock.now())
-            if plan is None or not self._make_room(plan):
-                return LoadOutcome('no room', is_known=plan is None)
-            reply = self._order_load(adapter, version)
-            if is_replacement and reply is OrderReply.BEGUN:
-                # The engine takes no other order until a replacement is over.
-                return self._wait_until_loaded(adapter, version, nullcontext())
-        if reply is OrderReply.BEGUN:
-            return self._wait_until_loaded(adapter, version, ledger.lock)
-        return LoadOutcome.of(reply, 'load')
-
-    def _order_load(self, adapter: AdapterKey, version: int) -> OrderReply:
-        reply = self.ledger.load(adapter, version)
-        if reply is OrderReply.BEGUN:
-            self.loads += 1
-            with self._changed:
-                self.places.begin(adapter)
-        return reply
-
-    def _wait_until_loaded(
-        self, adapter: AdapterKey, version: int, lock: AbstractContextManager[object]
-    ) -> LoadOutcome:
-        give_up_at = _clock.now() + _LONGEST_LOAD_S
-        reply = OrderReply.BEGUN
-        while reply is OrderReply.BEGUN and _clock.now() < give_up_at:
-            sleep(_POLL_S)
-            with lock:
-                # The question is the order itself and would load the adapter anew.
-                if not self._is_under_way(adapter, version):
-                    return LoadOutcome('settled by a report')
-                reply = self._poll(adapter, version)
-        return LoadOutcome.of(reply, 'poll')
-
-    def _is_under_way(self, adapter: AdapterKey, version: int) -> bool:
-        with self._changed:
-            return self.places.needs_order(adapter, version)
-
-    def _poll(self, adapter: AdapterKey, version: int) -> OrderReply:
-        try:
-            return self.ledger.load(adapter, version, is_poll=True)
-        except PeerTimeoutError as error:
-            _logger.info('poll not answered: %s', error, extra=self.ledger.fields())
-            return OrderReply.BEGUN
-
-    def _make_room(self, plan: LoadPlan) -> bool:
-        """Evict the victim of a plan; return whether there is room."""
-        if plan.victim is None:
-            return True
-        reply = self.ledger.unload(plan.victim)
-        with self._changed:
-            if reply is OrderReply.HOLDS:
-                self.places.drop(plan.victim)
-            if reply is OrderReply.BEGUN:
-                # A request uses it after all: it leaves when that has ended.
-                self.places.leave(plan.victim, _clock.now())
-        return reply is OrderReply.HOLDS
-
-    def take_report(self, report: EngineReport) -> None:
-        """Believe what the engine reports."""
-        with self._changed:
-            self.places.reconcile(report.adapters, report.loading, _clock.now())
-
     def _unavailable(self, text: str) -> UnavailableError:
         return UnavailableError(text, step=_STEP, peer=self.endpoint.endpoint_id)
--- a/src/pimentohoist/_entry/engine_ledger.py
+++ b/src/pimentohoist/_entry/engine_ledger.py
@@ -25,6 +25,9 @@
 _LONGEST_MODEL_LOAD_S = 20.0
 
 _ACCEPTED = frozenset((OrderReply.BEGUN, OrderReply.HOLDS))
+_SETTLING = _ACCEPTED | {OrderReply.CONFLICT}
+"""Replies to a poll that need no log line: the load's end has one."""
+
 _logger = logging.getLogger(__name__)
 
 
@@ -53,16 +56,19 @@
         Empty if the adapter is there.
     is_known : bool
         Whether it is still known what the engine holds.
+    is_awaited : bool
+        Whether the load took a while, in which a report may have settled it.
     """
 
     failure: str = ''
     is_known: bool = True
+    is_awaited: bool = False
 
     @classmethod
-    def of(cls, reply: OrderReply, step: str) -> LoadOutcome:
+    def of(cls, reply: OrderReply, step: str, *, is_awaited: bool) -> LoadOutcome:
         """Return how a load ended whose last order got this reply."""
         if reply is OrderReply.HOLDS:
-            return cls()
+            return cls(is_awaited=is_awaited)
         return cls(f'{step}: {reply}', is_known=reply is OrderReply.FENCED)
 
 
@@ -100,20 +106,31 @@
         is_fenced = self.authority.fencing_number() <= self.fenced_by
         return self.authority.may_order() and not (is_fenced or self.is_over)
 
-    def load(
-        self, adapter: AdapterKey, version: int | None, *, is_poll: bool = False
-    ) -> OrderReply:
-        """Load an adapter, or ask whether a load has ended."""
+    def load(self, adapter: AdapterKey, version: int | None) -> OrderReply:
+        """Load an adapter."""
         # Without a version, asking again for one that is on its way could start another.
         reply = self._order(
-            'poll' if is_poll else 'load',
+            'load',
             adapter,
             lambda: self.orders.load(adapter, self.orders_taken, version),
         )
-        if reply is OrderReply.BEGUN and not is_poll:
+        if reply is OrderReply.BEGUN:
             self.orders_taken += 1
         return reply
 
+    def poll(
+        self, adapter: AdapterKey, version: int | None, orders_taken: int
+    ) -> OrderReply:
+        """Ask whether a load has ended; needs no lock.
+
+        To the engine it is the order itself, refused if another was taken since
+        `orders_taken`, which may then just be asked again.
+        """
+        reply = self._order(
+            'poll', adapter, lambda: self.orders.load(adapter, orders_taken, version)
+        )
+        return OrderReply.BEGUN if reply is OrderReply.CONFLICT else reply
+
     def unload(self, adapter: AdapterKey) -> OrderReply:
         """Unload an adapter that the engine holds."""
         reply = self._order(
@@ -130,7 +147,7 @@
         reply = self.load(key, None)
         while reply is OrderReply.BEGUN and _clock.now() < give_up_at:
             sleep(_MODEL_POLL_S)
-            reply = self.load(key, None, is_poll=True)
+            reply = self.poll(key, None, self.orders_taken)
         if reply is not OrderReply.HOLDS:
             return LoadOutcome(f'model not loaded: {reply}', is_known=False)
         self.models = (*self.models, model)
@@ -183,7 +200,7 @@
             self.fenced_by = number
         if reply is OrderReply.OTHER_ENDPOINT:
             self.is_over = True
-        if what != 'poll' or reply not in _ACCEPTED:
+        if what != 'poll' or reply not in _SETTLING:
             extra = {
                 **self.fields(),
                 'adapter': str(adapter),
--- a/src/pimentohoist/_entry/places.py
+++ b/src/pimentohoist/_entry/places.py
@@ -160,7 +160,7 @@
     def dump(self) -> Mapping[str, Any]:
         """Return the engines that are homed here."""
         return {
-            endpoint_id: {'status': engine.status(), 'loads': engine.loads}
+            endpoint_id: {'status': engine.status(), 'loads': engine.loader.loads}
             for endpoint_id, engine in tuple(self.engines.items())
         }
 
