Engine home: places go to those that wait, most requests for an adapter first

Requests that waited for a place woke in any order, and one that had just come took a place ahead of them. Now the adapter that most requests wait for is loaded first, among equals the one whose request gives up first, and newcomers don't overtake. Six engines instead of three are asked for a free place before a request waits: homes without room answer at once.

--- a/src/pimentohoist/_entry/choosing.py
+++ b/src/pimentohoist/_entry/choosing.py
@@ -31,7 +31,7 @@
 """A load and the run that it waits for have ended by then, as a rule."""
 
 _STEP = 'choose'
-_MOST_ASKED = 3
+_MOST_ASKED = 6
 """Engines that are asked whether they can load an adapter at once."""
 
 _MOST_WAITED_FOR = 2
--- a/src/pimentohoist/_entry/engine_home.py
+++ b/src/pimentohoist/_entry/engine_home.py
@@ -8,6 +8,7 @@
 
 from pimentohoist import _clock
 from pimentohoist._decisions.adapter_places import AdapterPlaces
+from pimentohoist._decisions.waiting import WaitingRequests
 from pimentohoist._entry.adapter_loader import AdapterLoader
 from pimentohoist._entry.engine_ledger import Authority, EngineLedger, LoadOutcome
 from pimentohoist.entry_models import AdapterKey, Endpoint, EngineReport
@@ -19,6 +20,9 @@
 )
 
 _STEP = 'hold_adapter'
+_LOOK_S = 0.1
+"""A granted adapter's place gets free without an event: a third of the time it is kept."""
+
 _MS_PER_S = 1000
 _FIRST_VERSION = 1
 """Of an adapter for which no newer one was declared."""
@@ -52,6 +56,7 @@
         self.loaders = loaders
         self.ledger = EngineLedger(endpoint, authority)
         self.places = AdapterPlaces(capacity)
+        self.waiting = WaitingRequests()
         self._loading: set[AdapterKey] = set()
         self._changed = threading.Condition()
         self.loader = AdapterLoader(self.ledger, self.places, self._changed)
@@ -95,12 +100,14 @@
             found = self._grant_or_load(adapter, version)
             if found is None and is_impatient and not self._is_expected(adapter):
                 raise self._unavailable('no room now')
-            while found is None:
-                left_s = wait_until - _clock.now()
-                if left_s <= 0 or not self._changed.wait(left_s):
-                    raise self._unavailable('adapter not there in time')
-                found = self._grant_or_load(adapter, version)
-            return found
+            if found is not None:
+                return found
+            self.waiting.join(adapter, wait_until)
+            try:
+                return self._wait_for(adapter, version, wait_until)
+            finally:
+                self.waiting.leave(adapter, wait_until)
+                self._changed.notify_all()
 
     def note_use(self, member: str, adapters: frozenset[AdapterKey]) -> None:
         """Note which adapters the requests of a daemon use."""
@@ -141,6 +148,16 @@
             self._changed.notify_all()
         self.ledger.orders.close()
 
+    def _wait_for(self, adapter: AdapterKey, version: int, wait_until: float) -> int:
+        found = self._grant_or_load(adapter, version)
+        while found is None:
+            left_s = wait_until - _clock.now()
+            if left_s <= 0:
+                raise self._unavailable('adapter not there in time')
+            self._changed.wait(min(left_s, _LOOK_S))
+            found = self._grant_or_load(adapter, version)
+        return found
+
     def _grant_or_load(self, adapter: AdapterKey, version: int) -> int | None:
         found = self.places.grant(adapter, version, _clock.now())
         if found is None:
@@ -160,9 +177,13 @@
             return
         now = _clock.now()
         begun = sum(asked not in self.places.places for asked in self._loading)
-        can_load = self.places.can_load(adapter, now, begun)
+        can_load = self.places.can_load(adapter, now, begun) and self.waiting.is_next(
+            adapter, self._loading | self.places.places.keys()
+        )
         if can_load or self.places.needs_order(adapter, version):
             self._loading.add(adapter)
+            # There may be room for the next one that waits.
+            self._changed.notify_all()
             self.loaders.submit(self._load, adapter, version or _FIRST_VERSION, now)
 
     def _load(self, adapter: AdapterKey, version: int, asked_at: float) -> None:
