Revert the order of waiting requests; a place freed by time is found

Likely cause, not proved: a newcomer is sent on to another engine, which loads a copy, while those that wait have not woken yet.

--- a/features/entry_decisions.feature
+++ b/features/entry_decisions.feature
@@ -20,15 +20,10 @@
     When one leaves that a request still uses
     Then its place is free only after the request has ended
 
-  Scenario: Rare models at once on full engines: a load that serves more requests comes first
-    Given requests that wait for adapters of a full engine, two of them for the same
-    Then the adapter that two wait for is loaded first, then the one that gives up first
-    And a request that has just come for another adapter waits for its turn
-
-  Scenario: Rare models at once on full engines: places go to those that wait
+  Scenario: Rare models at once on full engines: a place that gets free by time is found
     Given an engine of 1 place that a request uses
-    When one request waits for an adapter, then two for another, and the place gets free
-    Then both requests for the other adapter are served before the first
+    When its request has ended and the next one waits for another adapter
+    Then that is loaded as soon as the first one is no longer kept
 
   Scenario: Rare models while answers are lost: an evicted adapter is not loaded by a late question
     Given an engine of 2 places that has loaded an adapter, of which its home asks again
--- a/src/pimentohoist/_entry/engine_home.py
+++ b/src/pimentohoist/_entry/engine_home.py
@@ -8,7 +8,6 @@
 
 from pimentohoist import _clock
 from pimentohoist._decisions.adapter_places import AdapterPlaces
-from pimentohoist._decisions.waiting import WaitingRequests
 from pimentohoist._entry.adapter_loader import AdapterLoader
 from pimentohoist._entry.engine_ledger import Authority, EngineLedger, LoadOutcome
 from pimentohoist.entry_models import AdapterKey, Endpoint, EngineReport
@@ -56,7 +55,6 @@
         self.loaders = loaders
         self.ledger = EngineLedger(endpoint, authority)
         self.places = AdapterPlaces(capacity)
-        self.waiting = WaitingRequests()
         self._loading: set[AdapterKey] = set()
         self._changed = threading.Condition()
         self.loader = AdapterLoader(self.ledger, self.places, self._changed)
@@ -100,14 +98,13 @@
             found = self._grant_or_load(adapter, version)
             if found is None and is_impatient and not self._is_expected(adapter):
                 raise self._unavailable('no room now')
-            if found is not None:
-                return found
-            self.waiting.join(adapter, wait_until)
-            try:
-                return self._wait_for(adapter, version, wait_until)
-            finally:
-                self.waiting.leave(adapter, wait_until)
-                self._changed.notify_all()
+            while found is None:
+                left_s = wait_until - _clock.now()
+                if left_s <= 0:
+                    raise self._unavailable('adapter not there in time')
+                self._changed.wait(min(left_s, _LOOK_S))
+                found = self._grant_or_load(adapter, version)
+            return found
 
     def note_use(self, member: str, adapters: frozenset[AdapterKey]) -> None:
         """Note which adapters the requests of a daemon use."""
@@ -148,16 +145,6 @@
             self._changed.notify_all()
         self.ledger.orders.close()
 
-    def _wait_for(self, adapter: AdapterKey, version: int, wait_until: float) -> int:
-        found = self._grant_or_load(adapter, version)
-        while found is None:
-            left_s = wait_until - _clock.now()
-            if left_s <= 0:
-                raise self._unavailable('adapter not there in time')
-            self._changed.wait(min(left_s, _LOOK_S))
-            found = self._grant_or_load(adapter, version)
-        return found
-
     def _grant_or_load(self, adapter: AdapterKey, version: int) -> int | None:
         found = self.places.grant(adapter, version, _clock.now())
         if found is None:
@@ -177,13 +164,9 @@
             return
         now = _clock.now()
         begun = sum(asked not in self.places.places for asked in self._loading)
-        can_load = self.places.can_load(adapter, now, begun) and self.waiting.is_next(
-            adapter, self._loading | self.places.places.keys()
-        )
+        can_load = self.places.can_load(adapter, now, begun)
         if can_load or self.places.needs_order(adapter, version):
             self._loading.add(adapter)
-            # There may be room for the next one that waits.
-            self._changed.notify_all()
             self.loaders.submit(self._load, adapter, version or _FIRST_VERSION, now)
 
     def _load(self, adapter: AdapterKey, version: int, asked_at: float) -> None:
