ctl: explain tells from collected logs why a request ended as it did

On-call engineers had grep. The command orders the lines of all instances around one request: its end and what that means to the caller, what its daemon went by and how old that was, and what happened to its endpoints. Missing ids, cut and foreign lines, unreadable files and logs of pimentohoistd are told, with exit codes 1 and 2, and the rest is printed.

--- a/features/ctl.feature
+++ b/features/ctl.feature
@@ -138,6 +138,36 @@
       | state        |
       | drain        |
       | entries      |
+      | explain      |
+
+  Scenario Outline: The logs of a played day tell why a request ended as it did
+    Given an operator's folder with the logs of a played day
+    When the operator runs "explain <id> logs/front-derby-1.log logs/front-derby-2.log logs/front-derby-3.log logs/front-leicester-1.log logs/front-leicester-2.log logs/front-nottingham-1.log"
+    Then the command ends with code 0 and says "<verdict>"
+    And it tells "<known>" as known and "<event>" as what happened, in order of time
+
+    Examples:
+      | id               | verdict                                                  | known                                       | event                                              |
+      | 4192ca4c2f7563b4 | refused by a limit; it has not run                       | configuration in force  step=configuration  | status=429                                         |
+      | 068c44d363d15bac | not sent to an endpoint; it has not run                  | partitions held  step=homes generation=6    | front-derby-2      home begins                     |
+      | d43e58f64c69010c | the answer broke off                                     | version=4 before=-1 routes=17               | endpoint is silent                                 |
+      | 00a1a426389b1566 | sent to an endpoint; whether it has run is not known     | store lost  step=follow topic=keyed.op      | endpoint is silent                                 |
+
+  Scenario Outline: What logs don't tell is said, and the rest is told
+    Given an operator's folder with the logs of a played day
+    And a log with a cut line, a foreign line, and lines of "pimentohoistd" on the request "abc-1"
+    When the operator runs "<command>"
+    Then the command ends with code <code>, tells "<told>" and says that "<missing>"
+
+    Examples:
+      | command                                              | code | told                    | missing                             |
+      | explain 0123456789abcdef logs/front-derby-3.log      | 1    |                         | no line names the request           |
+      | explain 12e45678 logs/front-derby-3.log              | 1    |                         | no line names the request 12e45678  |
+      | explain 4192ca4c2f7563b4 logs/front-derby-3.log odd  | 1    | refused by a limit      | odd: 2 lines cut or not of a daemon |
+      | explain 4192ca4c2f7563b4 none logs/front-derby-3.log | 2    | refused by a limit      | none: No such file or directory     |
+      | explain abc-1 odd                                    | 1    | generation retried      | no line tells how it ended          |
+      | explain 4192ca4c2f7563b4                             | 2    |                         | no log was named                    |
+      | explain 4192ca4c2f7563b4 logs/front-derby-3.log odd --json | 1 | "verdict": "refused  | odd: 2 lines cut or not of a daemon |
 
   Scenario: The help lists every command and the exit codes
     Given an operator's folder
--- a/src/pimentohoist/ctl.py
+++ b/src/pimentohoist/ctl.py
@@ -11,13 +11,14 @@
 
 from pimentohoist._commands.changing import ChangingCommands
 from pimentohoist._commands.console import ExitCode, exit_code, fail
+from pimentohoist._commands.explaining import ExplainingCommands
 from pimentohoist._commands.reading import ReadingCommands
 from pimentohoist.exceptions import ConfigurationError, PimentohoistError
 
 _NAME = 'pimentohoistctl'
 
 
-class Commands(ReadingCommands, ChangingCommands):
+class Commands(ReadingCommands, ChangingCommands, ExplainingCommands):
     """Commands of pimentohoistctl; ``pimentohoistctl COMMAND --help`` explains each.
 
     Every command takes ``--json``. Exit codes: 0 done; 1 failed, nothing changed; 2 bad
