Logs: an output that nobody reads doesn't keep a daemon from ending

Found by a test of a reader that has stopped reading: requests went on and lost lines were counted, but after SIGTERM the process stayed, since the end put a mark into a full queue and waited for the thread that writes. It waits for a second now.

--- a/features/entry_daemon.feature
+++ b/features/entry_daemon.feature
@@ -90,6 +90,12 @@
     When a request with an unknown adapter of no engine is refused
     Then one log line names its id, step and cause
 
+  Scenario: A reader of standard output that has stopped reading holds nothing up
+    Given a fleet of 1 daemon before 1 engine whose logs nobody reads
+    When more lines are logged than the output and the queue take
+    Then the next stream is answered within 1 s and the lost lines are counted
+    And the daemon ends within 8 s of SIGTERM, its time of grace
+
   Scenario: Settings with a fault end the start with one line
     When an entry daemon starts with settings that lack the store's address
     Then one line names the field and the exit code is 2
--- a/features/entry_fleet.py
+++ b/features/entry_fleet.py
@@ -58,7 +58,9 @@
 class EntryProcess:
     """One daemon."""
 
-    def __init__(self, host: str, settings: Path, folder: Path) -> None:
+    def __init__(
+        self, host: str, settings: Path, folder: Path, *, is_read: bool = True
+    ) -> None:
         self.host = host
         self.log = folder / f'{host}.log'
         environment = {**os.environ, 'PIMENTOHOIST_BOOT': str(settings)}
@@ -66,7 +68,7 @@
             self.popen = subprocess.Popen(
                 [sys.executable, str(_ENTRY)],
                 env=environment,
-                stdout=output,
+                stdout=output if is_read else subprocess.PIPE,
                 stderr=output,
             )
 
@@ -96,6 +98,7 @@
         self.daemons: list[EntryProcess] = []
         self.engines: list[OpaqueEngine] = []
         self.requests = 0
+        self.are_logs_read = True
 
     def __enter__(self) -> Self:
         self.folder = Path(self.stack.enter_context(tempfile.TemporaryDirectory()))
@@ -125,7 +128,10 @@
                 name=host, host=host, seeds=seeds, store=self.store.address
             )
             settings.write_text(text)
-            self.daemons.append(EntryProcess(host, settings, self.folder))
+            daemon = EntryProcess(
+                host, settings, self.folder, is_read=self.are_logs_read
+            )
+            self.daemons.append(daemon)
 
     def start_ready(self, count: int = 1) -> None:
         self.start(count)
--- a/features/steps/entry_daemon.py
+++ b/features/steps/entry_daemon.py
@@ -405,3 +405,45 @@
     lines = context.run.stderr.splitlines()
     assert len(lines) == 1, lines
     assert re.search(r'daemon\.\w+ is missing', lines[0]), lines
+
+
+@given('a fleet of 1 daemon before 1 engine whose logs nobody reads')
+def start_unread(context: Context) -> None:
+    fleet(context).are_logs_read = False
+    start_fleet(context, 1, 1)
+
+
+@when('more lines are logged than the output and the queue take')
+def log_much(context: Context) -> None:
+    def ask(number: int) -> None:
+        for _ in range(100):
+            context.fleet.ask('/look/x', adapter='', Api_Key='unknown')
+
+    with ThreadPoolExecutor(4) as pool:
+        for _ in range(20):
+            list(pool.map(ask, range(4)))
+            if dropped_lines(context):
+                return
+
+
+def dropped_lines(context: Context) -> int:
+    text = context.fleet.daemons[0].get(7601, '/metrics').body.decode()
+    found = re.search(r'^pimentohoist_log_lines_dropped_total (\d+)$', text, re.M)
+    assert found is not None, text
+    return int(found[1])
+
+
+@then('the next stream is answered within 1 s and the lost lines are counted')
+def check_unread(context: Context) -> None:
+    began_at = time.monotonic()
+    answer = context.fleet.ask()
+    assert answer.status == 200, answer
+    assert time.monotonic() - began_at < 1
+    assert dropped_lines(context)
+
+
+@then('the daemon ends within {limit_s:d} s of SIGTERM, its time of grace')
+def check_unread_stop(context: Context, limit_s: int) -> None:
+    stopped = context.fleet.daemons[0].popen
+    stopped.send_signal(signal.SIGTERM)
+    assert stopped.wait(limit_s) == 0
--- a/src/pimentohoist/_logs.py
+++ b/src/pimentohoist/_logs.py
@@ -5,7 +5,9 @@
 import logging
 import queue
 import sys
-from logging.handlers import QueueHandler, QueueListener
+import threading
+from contextlib import suppress
+from logging.handlers import QueueHandler
 from typing import Self, TextIO
 
 from pythonjsonlogger.json import JsonFormatter
@@ -14,6 +16,9 @@
 _MOST_WAITING = 2000
 """Lines kept while the reader of the output is slow: about half a megabyte."""
 
+_LAST_LINES_S = 1.0
+"""Time to write what waits when the process ends: a reader that reads takes less."""
+
 
 def configure_logs(level: str, *, instance: str) -> None:
     """Write logs of `level` and above as JSON, each with the instance's name."""
@@ -35,27 +40,35 @@
     def __init__(self, level: str, *, instance: str, stream: TextIO) -> None:
         self.dropped = 0
         self._level = level
-        writer = logging.StreamHandler(stream)
-        writer.setFormatter(_formatter(instance))
-        waiting: queue.Queue[logging.LogRecord] = queue.Queue(_MOST_WAITING)
-        self._handler = _DroppingHandler(waiting, self)
-        self._listener = QueueListener(waiting, writer)
+        self._writer = logging.StreamHandler(stream)
+        self._writer.setFormatter(_formatter(instance))
+        self._waiting: queue.Queue[logging.LogRecord | None] = queue.Queue(
+            _MOST_WAITING
+        )
+        self._thread = threading.Thread(target=self._write, name='logs', daemon=True)
 
     def __enter__(self) -> Self:
         """Start writing."""
-        logging.basicConfig(level=self._level, handlers=[self._handler], force=True)
+        handler = _DroppingHandler(self._waiting, self)
+        logging.basicConfig(level=self._level, handlers=[handler], force=True)
         _quiet_libraries()
-        self._listener.start()
+        self._thread.start()
         return self
 
     def __exit__(self, *exc_info: object) -> None:
-        """Write what waits and stop."""
-        self._listener.stop()
+        """Write what waits and stop, without it if nobody reads."""
+        with suppress(queue.Full):
+            self._waiting.put_nowait(None)
+        self._thread.join(_LAST_LINES_S)
+
+    def _write(self) -> None:
+        for record in iter(self._waiting.get, None):
+            self._writer.handle(record)
 
 
 class _DroppingHandler(QueueHandler):
     def __init__(
-        self, waiting: queue.Queue[logging.LogRecord], logs: BoundedLogs
+        self, waiting: queue.Queue[logging.LogRecord | None], logs: BoundedLogs
     ) -> None:
         super().__init__(waiting)
         self.logs = logs
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -238,7 +238,6 @@
     with BoundedLogs('INFO', instance=settings.name, stream=sys.stdout) as logs:
         with EntryDaemon(settings, logs) as daemon:
             _run_until_stopped(daemon, settings_path)
-    sys.stdout.flush()
     # Threads that wait for peers would hold the process until their time is over.
     os._exit(0)
 
