Edge: declared limits of header and body, slow headers, ambiguous lengths

- Headers and bodies are limited as the configuration declares (431, 413); before, the server's own constants held (64 KB, 16 MB).
- A header that takes longer than declared ends its connection; bytes that trickle in don't prolong it.
Tests: three scenarios with sockets; the hidden request ran before.

--- a/features/entry_daemon.feature
+++ b/features/entry_daemon.feature
@@ -90,6 +90,23 @@
     When a request with an unknown adapter of no engine is refused
     Then one log line names its id, step and cause
 
+  Scenario: What a caller may send is limited as declared
+    Given a fleet of 1 daemon before 1 engine
+    Then a header of the declared size is served and a larger one gets 431
+    And a body of the declared size is served and a larger one gets 413, also in chunks
+    And no request that was too large has reached an endpoint
+
+  Scenario: Slow callers hold nobody up
+    Given a fleet of 1 daemon before 1 engine
+    When 40 callers send a byte of a header every tenth of a second
+    Then others are served meanwhile
+    And the slow ones are cut within a second of the declared time
+
+  Scenario: A request inside another one is not run
+    Given a fleet of 1 daemon before 1 engine
+    When requests come with two lengths, or with a length and in chunks
+    Then the endpoint runs none that a caller didn't send as such
+
   Scenario: A reader of standard output that has stopped reading holds nothing up
     Given a fleet of 1 daemon before 1 engine whose logs nobody reads
     When more lines are logged than the output and the queue take
--- a/features/entry_fleet.py
+++ b/features/entry_fleet.py
@@ -207,7 +207,12 @@
             {'name': 'models', 'max-conns': 100, 'engine': engine},
             {'name': 'ledger', 'max-conns': 100},
         ],
-        'limits': {'idle-timeout-ms': 15000},
+        'limits': {
+            'max-header-bytes': 4096,
+            'max-body-bytes': 20_000,
+            'header-timeout-ms': 1000,
+            'idle-timeout-ms': 15_000,
+        },
         'tenants': [
             {
                 'name': 'house',
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -194,7 +194,7 @@
         self.places.note_running(self.members.member, running)
         declaration = self.declarations.current
         if declaration is not None:
-            self.callers.limit_idle(declaration.idle_timeout_s)
+            self.callers.limit(declaration.limits)
         return Beat(
             self.settings.control_address,
             self.members.incarnation,
--- a/src/pimentohoist/entry_models.py
+++ b/src/pimentohoist/entry_models.py
@@ -124,6 +124,26 @@
     plain_tokens: int
 
 
+@dataclass(frozen=True)
+class CallerLimits:
+    """What a caller may send, and for how long it may keep a connection waiting.
+
+    Attributes
+    ----------
+    header_bytes, body_bytes : int
+        Largest header and body of a request.
+    header_s : float
+        Time from a header's first byte to its last.
+    idle_s : float
+        Time without a request after which a connection is closed.
+    """
+
+    header_bytes: int
+    body_bytes: int
+    header_s: float
+    idle_s: float
+
+
 @dataclass(frozen=True)
 class Declaration:
     """The operators' configuration at one version."""
@@ -132,7 +152,7 @@
     routes: tuple[Route, ...]
     groups: Mapping[str, EndpointGroup]
     workspaces: tuple[Workspace, ...]
-    idle_timeout_s: float
+    limits: CallerLimits
     text: bytes = field(default=b'', repr=False)
 
     @cached_property
--- a/src/pimentohoist/platform/_documents.py
+++ b/src/pimentohoist/platform/_documents.py
@@ -13,6 +13,7 @@
 
 from pimentohoist.entry_models import (
     AdapterKey,
+    CallerLimits,
     Declaration,
     Endpoint,
     EndpointGroup,
@@ -48,13 +49,22 @@
             tuple(_route(entry) for entry in document['routes']),
             {entry['name']: _group(entry) for entry in document['services']},
             tuple(_workspace(entry) for entry in document.get('tenants') or ()),
-            document['limits']['idle-timeout-ms'] / _MS_PER_S,
+            _limits(document['limits']),
             text,
         )
     except (KeyError, TypeError, ValueError) as error:
         raise DocumentError(f'configuration: {error!r}', step=_STEP) from error
 
 
+def _limits(entry: Mapping[str, Any]) -> CallerLimits:
+    return CallerLimits(
+        int(entry['max-header-bytes']),
+        int(entry['max-body-bytes']),
+        entry['header-timeout-ms'] / _MS_PER_S,
+        entry['idle-timeout-ms'] / _MS_PER_S,
+    )
+
+
 def decode_adapter_version(text: bytes) -> tuple[AdapterKey, int]:
     """Return the adapter of which a new version is declared, and that version."""
     document = _document(text)
