--- a/features/entry_daemon.feature
+++ b/features/entry_daemon.feature
@@ -94,6 +94,7 @@
     Given a fleet of 1 daemon before 1 engine
     Then a header of the declared size is served and a larger one gets 431
     And a body of the declared size is served and a larger one gets 413, also in chunks
+    And a header that only mentions an encoding is served
     And no request that was too large has reached an endpoint
 
   Scenario: Slow callers hold nobody up
--- a/features/steps/entry_edge.py
+++ b/features/steps/entry_edge.py
@@ -91,9 +91,20 @@
         check_status(fleet, data, status)
 
 
+@then('a header that only mentions an encoding is served')
+def check_mention(context: Context) -> None:
+    fields = ('Content-Length: 0', 'Note: transfer-encoding: chunked')
+    check_status(context.fleet, head('mention', *fields), 200)
+
+
 @then('no request that was too large has reached an endpoint')
 def check_none_too_large(context: Context) -> None:
-    assert sorted(run_ids(context)) == ['body-fits', 'body-fits-chunks', 'header-fits']
+    assert sorted(run_ids(context)) == [
+        'body-fits',
+        'body-fits-chunks',
+        'header-fits',
+        'mention',
+    ]
 
 
 @when('{count:d} callers send a byte of a header every tenth of a second')
--- a/src/pimentohoist/_entry/server.py
+++ b/src/pimentohoist/_entry/server.py
@@ -22,7 +22,7 @@
 _MOST_FRAMING = 6
 """Bytes on the wire for one of a body that comes in chunks of one byte."""
 
-_TRANSFER_ENCODING = b'transfer-encoding'
+_TRANSFER_ENCODING = b'\ntransfer-encoding:'
 _HEADER_S = 10.0
 """Limits until a configuration is known, which holds the operators' own."""
 
@@ -80,16 +80,13 @@
         return consumed
 
     def parse_header(self, header_plus: bytes) -> None:
+        """Refuse a length beside chunks, and chunks before HTTP/1.1."""
         super().parse_header(header_plus)
-        is_chunked = _TRANSFER_ENCODING in header_plus.lower()
-        if is_chunked and (self.content_length_given or not self.chunked):
+        is_encoded = _TRANSFER_ENCODING in header_plus.lower()
+        has_length = 'CONTENT_LENGTH' in self.headers
+        if is_encoded and (has_length or not self.chunked):
             raise ParsingError('the length of the body is ambiguous')
 
-    @property
-    def content_length_given(self) -> bool:
-        """Return whether a header names a length."""
-        return 'CONTENT_LENGTH' in self.headers
-
 
 class _Task(WSGITask):
     """An answer in chunks ends with its last chunk, not with the connection."""
