--- a/src/pimentohoist/_commands/explaining.py
+++ b/src/pimentohoist/_commands/explaining.py
@@ -45,30 +45,40 @@
         """
         if not paths:
             raise SettingsError('no log was named', step='explain')
-        lines: list[LogLine] = []
-        missing: list[str] = []
-        code = ExitCode.DONE
+        logs = _Logs()
         for path in paths:
-            try:
-                texts = Path(str(path)).read_text('utf-8', 'replace').splitlines()
-            except OSError as error:
-                missing.append(f'{path}: {error.strerror} [explain]')
-                code = ExitCode.BAD_INPUT
-                continue
-            found = list(filter(None, map(read_line, texts)))
-            unread = sum(bool(text.strip()) for text in texts) - len(found)
-            if unread:
-                missing.append(
-                    f'{path}: {unread} lines cut or not of a daemon [explain]'
-                )
-            lines += found
-        told = explain(request_id, lines)
-        missing += _gaps(request_id, told)
+            logs.add(str(path))
+        told = explain(request_id, logs.lines)
         if told is not None:
             shown = render(_text(told), _document(told), is_json=json)
             sys.stdout.write(f'{shown}\n')
+        missing = (*logs.missing, *_gaps(request_id, told))
         if missing:
-            fail(tuple(missing), code or ExitCode.FAILED)
+            fail(missing, logs.code)
+
+
+class _Logs:
+    """Lines of several logs, and what could not be read of them."""
+
+    def __init__(self) -> None:
+        self.lines: list[LogLine] = []
+        self.missing: list[str] = []
+        self.code = ExitCode.FAILED
+
+    def add(self, path: str) -> None:
+        """Take in a file, as far as it can be read."""
+        try:
+            texts = Path(path).read_text('utf-8', 'replace').splitlines()
+        except OSError as error:
+            self.missing.append(f'{path}: {error.strerror} [explain]')
+            self.code = ExitCode.BAD_INPUT
+            return
+        found = list(filter(None, map(read_line, texts)))
+        unread = sum(bool(text.strip()) for text in texts) - len(found)
+        if unread:
+            text = f'{path}: {unread} lines cut or not of a daemon [explain]'
+            self.missing.append(text)
+        self.lines += found
 
 
 def _gaps(request_id: str, told: Explanation | None) -> tuple[str, ...]:
