--- a/features/entry_engine.py
+++ b/features/entry_engine.py
@@ -13,6 +13,11 @@
 from pimentohoist.platform import OrderReply
 
 
+def key(number: int) -> AdapterKey:
+    """Return one of the adapters that the steps use."""
+    return AdapterKey('m', f'a{number}')
+
+
 class OrderedEngine:
     """Stands for `EngineLedger`; carries orders out at once, but says so a question later.
 
--- a/features/steps/entry_loads.py
+++ b/features/steps/entry_loads.py
@@ -11,23 +11,18 @@
 from behave.runner import Context
 
 sys.path.append(str(Path(__file__).resolve().parent.parent))
-from entry_engine import OrderedEngine, home_of  # noqa: E402
+from entry_engine import OrderedEngine, home_of, key  # noqa: E402
 
 from pimentohoist._decisions.adapter_places import (  # noqa: E402
     GRANT_KEPT_S,
     MOST_ON_THEIR_WAY,
 )
-from pimentohoist.entry_models import AdapterKey  # noqa: E402
 
 _MS = 1000
 _FIRST_TOKEN_MS = 1100
 """The stated target for a first token; the request would wait 5 s for its adapter."""
 
 
-def key(number: int) -> AdapterKey:
-    return AdapterKey('m', f'a{number}')
-
-
 @given('an engine of 2 places that has loaded an adapter, of which its home asks again')
 def begin_load(context: Context) -> None:
     context.engine = OrderedEngine({key(0): 1})
--- a/features/steps/entry_places.py
+++ b/features/steps/entry_places.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 sys.path.append(str(Path(__file__).resolve().parent.parent))
+from entry_engine import key  # noqa: E402
 from quota_load import BEAT_S  # noqa: E402
 
 from pimentohoist._decisions.adapter_places import (  # noqa: E402
@@ -26,10 +27,6 @@
 _GENERATED = settings(max_examples=150, deadline=None)
 
 
-def key(number: int) -> AdapterKey:
-    return AdapterKey('m', f'a{number}')
-
-
 @given('an engine with {count:d} places that are all taken')
 def fill_places(context: Context, count: int) -> None:
     context.places = AdapterPlaces(count)
--- a/src/pimentohoist/_decisions/explanation.py
+++ b/src/pimentohoist/_decisions/explanation.py
@@ -145,7 +145,6 @@
     """
 
     def __init__(self, own: Sequence[LogLine]) -> None:
-        self.own = own
         self.end = next((line for line in own if line.message == _ENDED), None)
         self.last = self.end or own[-1]
         took_ms = float(self.last.fields.get('took_ms') or 0)
@@ -159,11 +158,10 @@
 
     def is_event(self, line: LogLine) -> bool:
         """Return whether a line tells of the request or of what befell it."""
-        if line in self.own:
-            return True
-        if line.at > self.last.at or line.request_id:
-            return False
-        return self._is_new_belief(line) or self._is_at_endpoint(line)
+        if line.request_id:
+            return line.request_id == self.last.request_id
+        is_before = line.at <= self.last.at
+        return is_before and (self._is_new_belief(line) or self._is_at_endpoint(line))
 
     def _is_belief(self, line: LogLine) -> bool:
         is_here = line.instance == self.last.instance
--- a/src/pimentohoist/_entry/adapter_loader.py
+++ b/src/pimentohoist/_entry/adapter_loader.py
@@ -62,10 +62,6 @@
             return self._wait_until_loaded(adapter, version)
         return LoadOutcome.of(reply, 'load', is_awaited=False)
 
-    def is_under_way(self, adapter: AdapterKey, version: int) -> bool:
-        """Return whether a load that has begun is still to end; call it with the lock."""
-        return self.places.needs_order(adapter, version)
-
     def _order_load(self, adapter: AdapterKey, version: int) -> OrderReply:
         reply = self.ledger.load(adapter, version)
         if reply is OrderReply.BEGUN:
@@ -82,7 +78,7 @@
             # Read first: a poll that an eviction overtakes is refused by its number.
             orders_taken = self.ledger.orders_taken
             with self.changed:
-                if not self.is_under_way(adapter, version):
+                if not self.places.needs_order(adapter, version):
                     return LoadOutcome('settled by a report')
             reply = self._poll(adapter, version, orders_taken)
         return LoadOutcome.of(reply, 'poll', is_awaited=True)
--- a/src/pimentohoist/_entry/engine_home.py
+++ b/src/pimentohoist/_entry/engine_home.py
@@ -181,7 +181,7 @@
             self.ledger.resync(self.take_report)
         with self._changed:
             self._loading.discard(adapter)
-            is_settled = outcome.is_awaited and not self.loader.is_under_way(
+            is_settled = outcome.is_awaited and not self.places.needs_order(
                 adapter, version
             )
             if not outcome.failure and not is_settled:
