Log how long reads of the store took and how old the last answer is

The logs could not tell a poll that hung from one that was answered without the records: a poll left no line when it moved to a new connection, nor how long it took, and nothing told how long ago the store had last answered on a topic.

Now: 'reused connection failed, request sent again' with the time waited, 'store lost' and 'store answers again' with read_s, unread_s and the offset, unread_s in 'configuration in force' and in the state, and the gauge configuration_unread_seconds. No change of logic.

--- a/src/pimentohoist/_entry/declarations.py
+++ b/src/pimentohoist/_entry/declarations.py
@@ -92,6 +92,7 @@
             'version': declaration.version,
             'before': before,
             'routes': len(declaration.routes),
+            'unread_s': self.follower.unread_s(),
         }
         _logger.info('configuration in force', extra=extra)
 
@@ -118,6 +119,7 @@
             'version': self.version,
             'adapter_versions': len(self.versions),
             'store_failures': self.follower.failures,
+            'unread_s': self.follower.unread_s(),
         }
 
     def _apply_records(self, records: Sequence[KeyedRecord], is_whole: bool) -> None:
--- a/src/pimentohoist/_entry/topic_follower.py
+++ b/src/pimentohoist/_entry/topic_follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 import threading
 from collections.abc import Callable, Sequence
@@ -67,6 +68,7 @@
         self.restored_at = float('-inf')
         self.failures = 0
         self._offset: int | None = None
+        self._read_began_at = _clock.now()
         self._closed = threading.Event()
         self._thread = threading.Thread(target=self._run, name=topic, daemon=True)
 
@@ -83,10 +85,20 @@
         """Return whether the last read failed."""
         return self.failures > 0
 
+    def unread_s(self) -> float | None:
+        """Return the seconds since the store last answered; None if it never has."""
+        if math.isinf(self.last_read_at):
+            return None
+        return round(_clock.now() - self.last_read_at, 3)
+
+    def _extra(self) -> dict[str, object]:
+        return {'step': 'follow', 'topic': self.topic, 'offset': self._offset}
+
     def _run(self) -> None:
         while not self._closed.is_set():
             poll_timing = self.poll_timing()
             pause_s = poll_timing.pause_s
+            self._read_began_at = _clock.now()
             try:
                 self._read(poll_timing)
             except RecordsExpiredError as error:
@@ -114,16 +126,25 @@
             self.sink(records, False)
 
     def _record_success(self) -> None:
-        self.last_read_at = _clock.now()
+        unread_s, self.last_read_at = self.unread_s(), _clock.now()
         if self.failures:
             self.restored_at = self.last_read_at
-            extra = {'step': 'follow', 'topic': self.topic, 'failures': self.failures}
+            extra = {
+                **self._extra(),
+                'failures': self.failures,
+                'unread_s': unread_s,
+            }
             _logger.warning('store answers again', extra=extra)
         self.failures = 0
 
     def _record_failure(self, error: PimentohoistError) -> float:
         if not self.failures:
-            extra = {'step': 'follow', 'topic': self.topic, 'cause': str(error)}
+            extra = {
+                **self._extra(),
+                'cause': str(error),
+                'read_s': round(_clock.now() - self._read_began_at, 3),
+                'unread_s': self.unread_s(),
+            }
             _logger.warning('store lost', extra=extra)
         self.failures += 1
         limit_s = min(_MAX_RETRY_DELAY_S, _MIN_RETRY_DELAY_S * 2**self.failures)
--- a/src/pimentohoist/_http_client.py
+++ b/src/pimentohoist/_http_client.py
@@ -10,6 +10,7 @@
 
 import http.client
 import json
+import logging
 import socket
 import threading
 import time
@@ -42,6 +43,9 @@
 )
 
 
+_logger = logging.getLogger(__name__)
+
+
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
     """A request to a peer.
@@ -215,16 +219,30 @@
             return connection, self._send_on(connection, request, timeout_s)
         half_timeout_s = (timeout_s - request.wait_s) / 2
         first_timeout_s = request.wait_s + min(half_timeout_s, _MAX_REUSED_SILENCE_S)
+        sent_at = time.monotonic()
         try:
             return connection, self._send_on(connection, request, first_timeout_s)
         except PeerError as error:
             # The reused connection may have been dead, which isn't the peer's failure.
             if isinstance(error, PeerTimeoutError):
                 self.close()
+            self._log_resend(request, error, time.monotonic() - sent_at)
             connection = self._reopen_after(error)
         second_timeout_s = request.wait_s + timeout_s - first_timeout_s
         return connection, self._send_on(connection, request, second_timeout_s)
 
+    def _log_resend(
+        self, request: HttpRequest, error: PeerError, waited_s: float
+    ) -> None:
+        extra = {
+            'step': self.step,
+            'peer': self.address,
+            'path': request.path,
+            'waited_s': round(waited_s, 3),
+            'cause': error.message,
+        }
+        _logger.info('reused connection failed, request sent again', extra=extra)
+
     def _reopen_after(self, error: PeerError) -> _Connection:
         """Open a connection; if that fails, raise `error`, as the request may have run."""
         try:
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -174,11 +174,13 @@
     def metrics(self) -> Iterator[str]:
         """Yield metrics as text."""
         yield from self.request_handler.metrics.lines()
+        unread_s = self.declarations.follower.unread_s()
         gauges = {
             'log_lines_dropped_total': self.logs.dropped,
             'connections_opened_total': self.dispatch.connections.opened,
             'requests_running': len(self.request_monitor),
             'configuration_version': self.declarations.version,
+            'configuration_unread_seconds': -1 if unread_s is None else unread_s,
         }
         for name, count in gauges.items():
             yield f'pimentohoist_{name} {count}'
