Failing test: a configuration declared after the store's answers were lost is not in force in time

The stand-in of the store can fall silent: calls are accepted and not answered, and connections that were open meanwhile stay silent for good. Bounds are the stated ones: 2 s after the acknowledgement and 3 s after the end of a disruption.

Seen on this code, for 1 and for 3 daemons: after an outage of 5.2 s that begins right after a change, all daemons still have the former version 3 s after the store's return. The same without an outage if the open connections to the store fall silent.

--- a/features/steps/entry_daemon.py
+++ b/features/steps/entry_daemon.py
@@ -37,6 +37,7 @@
 
 @given('a fleet of {daemons:d} daemon with {engines:d} engine')
 @given('a fleet of {daemons:d} daemon with {engines:d} engines')
+@given('a fleet of {daemons:d} daemons with {engines:d} engine')
 @given('a fleet of {daemons:d} daemons with {engines:d} engines')
 def start_fleet(context: Context, daemons: int, engines: int) -> None:
     started = fleet(context)
--- a/src/pimentohoist_standins/keyed_store.py
+++ b/src/pimentohoist_standins/keyed_store.py
@@ -5,7 +5,9 @@
 import base64
 import json
 import threading
+import time
 from collections import defaultdict
+from contextlib import suppress
 from http import HTTPStatus
 from typing import Any
 from urllib.parse import parse_qsl, urlsplit
@@ -23,6 +25,9 @@
     ----------
     is_down : bool
         Whether every call is answered with status 503.
+    is_silent : bool
+        Whether calls are neither executed nor answered. Connections that were open
+        meanwhile stay silent for good.
     owner : dict of int to str
         Member by partition; the first member that joins gets all partitions.
     """
@@ -30,6 +35,8 @@
     def __init__(self, address: tuple[str, int]) -> None:
         super().__init__(address, _handler(self))
         self.is_down = False
+        self.is_silent = False
+        self._silent_before = float('-inf')
         self.generation = 0
         self.owner: dict[int, str] = {}
         self.calls = 0
@@ -52,6 +59,19 @@
         with self._changed:
             self._first_offsets[topic] = len(self._records[topic])
 
+    def silence_connections(self) -> None:
+        """Send nothing more on the connections that are open now."""
+        self._silent_before = time.monotonic()
+
+    def end_silence(self) -> None:
+        """Answer calls on new connections again."""
+        self.silence_connections()
+        self.is_silent = False
+
+    def is_connection_silent(self, opened_at: float) -> bool:
+        """Return whether a connection opened at a monotonic time gets no answers."""
+        return self.is_silent or opened_at < self._silent_before
+
     def assign_all(self, member: str) -> None:
         """Assign all partitions to a member in a new generation."""
         with self._changed:
@@ -148,6 +168,10 @@
 
 def _handler(store: KeyedStore) -> type[SilentHandler]:
     class _Handler(SilentHandler):  # noqa: WPS431
+        def setup(self) -> None:
+            self.opened_at = time.monotonic()
+            super().setup()
+
         def do_GET(self) -> None:  # noqa: N802
             self.send_answer()
 
@@ -156,11 +180,24 @@
 
         def send_answer(self) -> None:
             body = self.rfile.read(int(self.headers.get('Content-Length') or 0))
+            if store.is_connection_silent(self.opened_at):
+                self.discard_input()
+                return
             parts = urlsplit(self.path)
             reply = store.answer(parts.path, dict(parse_qsl(parts.query)), body)
+            if store.is_connection_silent(self.opened_at):
+                self.discard_input()
+                return
             self.send_response(reply.status)
             self.send_header('Content-Length', str(len(reply.body)))
             self.end_headers()
             self.wfile.write(reply.body)
 
+        def discard_input(self) -> None:
+            """Read until the caller closes the connection."""
+            self.close_connection = True
+            with suppress(OSError):
+                while self.rfile.read(1):
+                    pass
+
     return _Handler
