Read the operators' records again when the last answer is too old

Cause: each daemon waited for one long poll. A poll whose connection is dead looks like one that has nothing to report, and its time limit (4.75 s, and as much again on a new connection that was opened during the outage: 9.5 s) was longer than the time in which a configuration must be in force. The exchange between daemons assumed that at least one of them is current, but a change puts all polls in step, so one outage loses them all.

Change: the age of the last answer decides, not the state of a connection. Heartbeats carry it; a daemon reads once more on a new connection when neither its own reads nor those of a daemon that has read as much were answered for 0.75 s (1.2 s and 1.65 s for those that rank behind it). Reads under way go on, so that a slow store is still read. An unanswered read or a configuration fetched from a daemon makes pending polls suspect; only an own answer clears that, and replaces them. Polls wait 20 s instead of 4 s.

Heartbeats get a field; from now on a heartbeat with more or fewer fields is read as far as it goes.

--- a/src/pimentohoist/_entry/declaration_sync.py
+++ b/src/pimentohoist/_entry/declaration_sync.py
@@ -87,6 +87,7 @@
             extra = {'step': 'configuration', 'peer': address, 'cause': str(error)}
             _logger.info('configuration not fetched', extra=extra)
             return
+        self.declarations.follower.freshness.record_missed()
         if response.declaration:
             self.declarations.apply_newer(response.declaration, address)
         for text in response.adapter_versions:
--- a/src/pimentohoist/_entry/declarations.py
+++ b/src/pimentohoist/_entry/declarations.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import logging
+import math
 import threading
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Self
 
-from pimentohoist._entry.topic_follower import TopicFollower, PollTiming
+from pimentohoist import _clock
+from pimentohoist._decisions.read_freshness import max_confirmation_age_s
+from pimentohoist._entry.hedged_follower import HedgedFollower
+from pimentohoist._entry.members import Heartbeat, MembersController
 from pimentohoist.entry_models import AdapterKey, Declaration
 from pimentohoist.exceptions import DocumentError
 from pimentohoist.platform import (
@@ -20,11 +24,6 @@
     decode_declaration,
 )
 
-_LONG_POLL_S = 4.0
-_POLL_TIMING = PollTiming(wait_s=_LONG_POLL_S, pause_s=0)
-"""The store answers as soon as something changes. If a read hangs, heartbeats of other
-daemons announce a newer version."""
-
 _logger = logging.getLogger(__name__)
 
 
@@ -42,15 +41,17 @@
         Called with an adapter and its version when a newer one was declared.
     """
 
-    def __init__(self, store: Store) -> None:
+    def __init__(self, store: Store, members: MembersController) -> None:
+        self.members = members
         self.current: Declaration | None = None
         self.versions: dict[AdapterKey, int] = {}
         self.on_version: Callable[[AdapterKey, int], None] = _ignore
-        self.follower = TopicFollower(
-            store, OPERATOR_RECORDS, lambda: _POLL_TIMING, self._apply_records
+        self.follower = HedgedFollower(
+            store, OPERATOR_RECORDS, self._max_confirmation_age_s, self._apply_records
         )
         self._lock = threading.Lock()
         self._version_texts: dict[AdapterKey, bytes] = {}
+        members.on_heartbeat.append(self._record_heartbeat)
 
     def __enter__(self) -> Self:
         """Start following the store."""
@@ -92,7 +93,7 @@
             'version': declaration.version,
             'before': before,
             'routes': len(declaration.routes),
-            'unread_s': self.follower.unread_s(),
+            'unread_s': self.follower.status.unread_s(),
         }
         _logger.info('configuration in force', extra=extra)
 
@@ -118,10 +119,33 @@
         return {
             'version': self.version,
             'adapter_versions': len(self.versions),
-            'store_failures': self.follower.failures,
-            'unread_s': self.follower.unread_s(),
+            'store_failures': self.follower.status.failures,
+            'unread_s': self.follower.status.unread_s(),
+            'unconfirmed_s': self.unconfirmed_s(),
         }
 
+    def unconfirmed_s(self) -> float | None:
+        """Return the age of the last confirmation that nothing newer was declared.
+
+        None if there hasn't been one, or if newer records have been missed since.
+        """
+        confirmed_at = self.follower.freshness.confirmed_at
+        if math.isinf(confirmed_at):
+            return None
+        return round(_clock.now() - confirmed_at, 3)
+
+    def _max_confirmation_age_s(self) -> float:
+        """Return the age by this daemon's rank among the live ones, by address."""
+        peers = [heartbeat.member for heartbeat in self.members.live()]
+        return max_confirmation_age_s(sum(peer < self.members.member for peer in peers))
+
+    def _record_heartbeat(self, heartbeat: Heartbeat, before: Heartbeat | None) -> None:
+        age_s = heartbeat.declarations_read_age_s
+        known = (self.version, sum(self.versions.values()))
+        if age_s is None or (heartbeat.version, heartbeat.adapter_versions) != known:
+            return
+        self.follower.freshness.record_peer_answer(_clock.now() - age_s)
+
     def _apply_records(self, records: Sequence[KeyedRecord], is_whole: bool) -> None:
         for record in records:
             if record.body is None:
--- a/src/pimentohoist/_entry/endpoints.py
+++ b/src/pimentohoist/_entry/endpoints.py
@@ -200,7 +200,7 @@
         if not self._removed:
             return
         now = _clock.now()
-        keep_until = self.follower.restored_at + _REAPPEAR_S
+        keep_until = self.follower.status.restored_at + _REAPPEAR_S
         if self.follower.is_failing() or now < keep_until:
             return
         with self._lock:
--- a/src/pimentohoist/_entry/members.py
+++ b/src/pimentohoist/_entry/members.py
@@ -53,6 +53,8 @@
         Fingerprints of requests that crash endpoints.
     draining_endpoints : list of str
         Incarnations of endpoints that it recently read as draining.
+    declarations_read_age_s : float or None
+        Time since the store last answered its reads of the operators' records.
     """
 
     member: str
@@ -69,6 +71,7 @@
     engines: Mapping[str, tuple[int, list[str]]] = field(default_factory=dict)
     crash_reports: list[str] = field(default_factory=list)
     draining_endpoints: list[str] = field(default_factory=list)
+    declarations_read_age_s: float | None = None
 
     def ownership(self) -> Ownership:
         """Return which partitions the daemon claims."""
@@ -295,7 +298,8 @@
 
 
 def _decode(data: bytes) -> Heartbeat:
+    """Return a heartbeat; an earlier build sends fewer fields, a later one more."""
     fields = json.loads(data)
-    if not isinstance(fields, list) or len(fields) != len(Heartbeat.__slots__):
-        raise ValueError('heartbeat: expected a list with one item for each field')
-    return Heartbeat(*fields)
+    if not isinstance(fields, list):
+        raise ValueError('heartbeat: expected a list of its fields')
+    return Heartbeat(*fields[: len(Heartbeat.__slots__)])
--- a/src/pimentohoist/_entry/topic_follower.py
+++ b/src/pimentohoist/_entry/topic_follower.py
@@ -40,8 +40,8 @@
     pause_s: float
 
 
-class TopicFollower:
-    """Implements `Controller`: reads a topic's changes in a thread of its own.
+class ReadStatus:
+    """Records and logs whether the store answers the reads of a topic.
 
     Attributes
     ----------
@@ -53,6 +53,57 @@
         Reads that have failed since the store last answered.
     """
 
+    def __init__(self, topic: str) -> None:
+        self.topic = topic
+        self.last_read_at = float('-inf')
+        self.restored_at = float('-inf')
+        self.failures = 0
+
+    def unread_s(self) -> float | None:
+        """Return the seconds since the store last answered; None if it never has."""
+        if math.isinf(self.last_read_at):
+            return None
+        return round(_clock.now() - self.last_read_at, 3)
+
+    def record_success(self) -> None:
+        """Record an answer."""
+        unread_s, self.last_read_at = self.unread_s(), _clock.now()
+        if self.failures:
+            self.restored_at = self.last_read_at
+            extra = {
+                'step': 'follow',
+                'topic': self.topic,
+                'failures': self.failures,
+                'unread_s': unread_s,
+            }
+            _logger.warning('store answers again', extra=extra)
+        self.failures = 0
+
+    def record_failure(self, error: Exception, sent_at: float) -> float:
+        """Record a failed read; return the seconds until the next one."""
+        if not self.failures:
+            extra = {
+                'step': 'follow',
+                'topic': self.topic,
+                'cause': str(error),
+                'read_s': round(_clock.now() - sent_at, 3),
+                'unread_s': self.unread_s(),
+            }
+            _logger.warning('store lost', extra=extra)
+        self.failures += 1
+        limit_s = min(_MAX_RETRY_DELAY_S, _MIN_RETRY_DELAY_S * 2**self.failures)
+        return random.uniform(_MIN_RETRY_DELAY_S, limit_s)
+
+
+class TopicFollower:
+    """Implements `Controller`: reads a topic's changes in a thread of its own.
+
+    Attributes
+    ----------
+    status : ReadStatus
+        Whether the store answers.
+    """
+
     def __init__(
         self,
         store: Store,
@@ -64,11 +115,8 @@
         self.topic = topic
         self.poll_timing = poll_timing
         self.sink = sink
-        self.last_read_at = float('-inf')
-        self.restored_at = float('-inf')
-        self.failures = 0
+        self.status = ReadStatus(topic)
         self._offset: int | None = None
-        self._read_began_at = _clock.now()
         self._closed = threading.Event()
         self._thread = threading.Thread(target=self._run, name=topic, daemon=True)
 
@@ -83,29 +131,20 @@
 
     def is_failing(self) -> bool:
         """Return whether the last read failed."""
-        return self.failures > 0
-
-    def unread_s(self) -> float | None:
-        """Return the seconds since the store last answered; None if it never has."""
-        if math.isinf(self.last_read_at):
-            return None
-        return round(_clock.now() - self.last_read_at, 3)
-
-    def _extra(self) -> dict[str, object]:
-        return {'step': 'follow', 'topic': self.topic, 'offset': self._offset}
+        return self.status.failures > 0
 
     def _run(self) -> None:
         while not self._closed.is_set():
             poll_timing = self.poll_timing()
             pause_s = poll_timing.pause_s
-            self._read_began_at = _clock.now()
+            sent_at = _clock.now()
             try:
                 self._read(poll_timing)
             except RecordsExpiredError as error:
                 self._offset = None
                 _logger.info('%s', error, extra={'step': 'follow', 'topic': self.topic})
             except PimentohoistError as error:
-                pause_s = self._record_failure(error)
+                pause_s = self.status.record_failure(error, sent_at)
             except Exception:
                 _logger.exception('topic follower failed', extra={'topic': self.topic})
                 pause_s = _MAX_RETRY_DELAY_S
@@ -115,37 +154,12 @@
     def _read(self, poll_timing: PollTiming) -> None:
         if self._offset is None:
             records, self._offset = self.store.read_newest(self.topic)
-            self._record_success()
+            self.status.record_success()
             self.sink(records, True)
             return
         records, self._offset = self.store.read_changes(
             self.topic, self._offset, wait_s=poll_timing.wait_s
         )
-        self._record_success()
+        self.status.record_success()
         if records:
             self.sink(records, False)
-
-    def _record_success(self) -> None:
-        unread_s, self.last_read_at = self.unread_s(), _clock.now()
-        if self.failures:
-            self.restored_at = self.last_read_at
-            extra = {
-                **self._extra(),
-                'failures': self.failures,
-                'unread_s': unread_s,
-            }
-            _logger.warning('store answers again', extra=extra)
-        self.failures = 0
-
-    def _record_failure(self, error: PimentohoistError) -> float:
-        if not self.failures:
-            extra = {
-                **self._extra(),
-                'cause': str(error),
-                'read_s': round(_clock.now() - self._read_began_at, 3),
-                'unread_s': self.unread_s(),
-            }
-            _logger.warning('store lost', extra=extra)
-        self.failures += 1
-        limit_s = min(_MAX_RETRY_DELAY_S, _MIN_RETRY_DELAY_S * 2**self.failures)
-        return random.uniform(_MIN_RETRY_DELAY_S, limit_s)
--- a/src/pimentohoist/_http_client.py
+++ b/src/pimentohoist/_http_client.py
@@ -193,6 +193,22 @@
             with PendingResponse(self, connection) as pending:
                 yield pending
 
+    def send(self, request: HttpRequest) -> SentRequest:
+        """Send a request on a new connection; its response is read later.
+
+        Raises
+        ------
+        PeerConnectError
+            Nothing was sent.
+        PeerError
+            The request may have taken effect.
+        """
+        connection = self._open()
+        with _peer_errors(self.address, self.step, connection.http):
+            connection.start_response_timeout(self.timeout_s)
+            connection.send(request)
+        return SentRequest(self, connection)
+
     def close(self) -> None:
         """Close the idle connections."""
         with self._lock:
@@ -297,6 +313,39 @@
         connection.http.close()
 
 
+class SentRequest:
+    """A request that was sent on a connection of its own.
+
+    Attributes
+    ----------
+    socket : socket
+        Readable when the response has begun to arrive or the connection has failed.
+    """
+
+    def __init__(self, client: HttpClient, connection: _Connection) -> None:
+        self.client = client
+        self.socket: socket.socket = connection.http.sock
+        self._connection = connection
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._connection.http.close()
+
+    def read_response(self) -> HttpResponse:
+        """Return the complete response; the client's timeout starts now.
+
+        Raises
+        ------
+        PeerTimeoutError, PeerError
+            The request may have taken effect.
+        """
+        with translate_errors(self.client):
+            self._connection.start_response_timeout(self.client.timeout_s)
+            response = self._connection.http.getresponse()
+            body = _read_body(self._connection, response)
+        return HttpResponse(response.status, dict(response.headers), body)
+
+
 class PendingResponse:
     """A request that was sent, and its response as it arrives.
 
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -78,7 +78,7 @@
         self.store = Store(settings.store_address)
         self.peers = PeerClients()
         self.members = MembersController(settings, self.store, self._make_heartbeat)
-        self.declarations = DeclarationsController(self.store)
+        self.declarations = DeclarationsController(self.store, self.members)
         self.endpoints = EndpointsController(self.store, self.members)
         self.ownership = OwnershipController(
             settings, Store(settings.store_address), self.members
@@ -174,13 +174,15 @@
     def metrics(self) -> Iterator[str]:
         """Yield metrics as text."""
         yield from self.request_handler.metrics.lines()
-        unread_s = self.declarations.follower.unread_s()
+        unconfirmed_s = self.declarations.unconfirmed_s()
         gauges = {
             'log_lines_dropped_total': self.logs.dropped,
             'connections_opened_total': self.dispatch.connections.opened,
             'requests_running': len(self.request_monitor),
             'configuration_version': self.declarations.version,
-            'configuration_unread_seconds': -1 if unread_s is None else unread_s,
+            'configuration_unconfirmed_seconds': (
+                -1 if unconfirmed_s is None else unconfirmed_s
+            ),
         }
         for name, count in gauges.items():
             yield f'pimentohoist_{name} {count}'
@@ -231,6 +233,7 @@
             self.owned_engines.statuses(),
             self.crash_reports.recent_reports(),
             self.endpoints.draining_endpoints(),
+            self.declarations.follower.status.unread_s(),
         )
 
     def _auxiliary_servers(self) -> tuple[HttpServer, ...]:
--- a/src/pimentohoist/platform/__init__.py
+++ b/src/pimentohoist/platform/__init__.py
@@ -34,6 +34,7 @@
     KeyedRecord,
     Membership,
     RecordsExpiredError,
+    SentRead,
     Store,
 )
 
@@ -52,6 +53,7 @@
     'OrderReply',
     'RawRequest',
     'RecordsExpiredError',
+    'SentRead',
     'Store',
     'response_headers',
     'is_response_to',
--- a/src/pimentohoist/platform/_store.py
+++ b/src/pimentohoist/platform/_store.py
@@ -11,7 +11,12 @@
 from typing import Any
 from urllib.parse import urlencode
 
-from pimentohoist._http_client import HttpClient, HttpResponse, HttpRequest
+from pimentohoist._http_client import (
+    HttpClient,
+    HttpRequest,
+    HttpResponse,
+    SentRequest,
+)
 from pimentohoist.exceptions import PeerError, PeerRefusedError, PimentohoistError
 
 OPERATOR_RECORDS = 'keyed.op'
@@ -21,6 +26,7 @@
 ADAPTER_VERSION_KEYS = 'version/'
 
 _STEP = 'store'
+_READ_PATH = '/v1/log-read'
 _TIMEOUT_S = 1.5
 _MS_PER_S = 1000
 _LENGTH_BYTES = 4
@@ -89,16 +95,14 @@
         RecordsExpiredError
             The records from `offset` on have expired.
         """
-        query = {
-            'topic': topic,
-            'part': 0,
-            'from': offset,
-            'max-kb': _MAX_KB,
-            'wait-ms': int(wait_s * _MS_PER_S),
-        }
-        response = self._request('GET', '/v1/log-read', query, wait_s=wait_s)
-        bodies = list(_split_records(response.body[2 * _OFFSET_BYTES :]))
-        return [_decode_record(body) for body in bodies], offset + len(bodies)
+        query = _changes_query(topic, offset, wait_s)
+        response = self._request('GET', _READ_PATH, query, wait_s=wait_s)
+        return _decode_changes(response, offset)
+
+    def send_read(self, topic: str, offset: int, *, wait_s: float) -> SentRead:
+        """Send a read of keyed records on a new connection, to be answered later."""
+        target = f'{_READ_PATH}?{urlencode(_changes_query(topic, offset, wait_s))}'
+        return SentRead(self.client.send(HttpRequest('GET', target)), target, offset)
 
     def put(self, topic: str, key: str, document: Any) -> None:
         """Set the newest value of a key of a topic that the daemons write."""
@@ -155,18 +159,63 @@
         request = HttpRequest(method, target, body, headers, wait_s=wait_s)
         timeout_s = self.client.timeout_s + wait_s
         response = self.client.request(request, timeout_s=timeout_s)
-        if response.status == HTTPStatus.GONE:
-            raise RecordsExpiredError(f'{target}: records expired', step=_STEP)
-        if response.status >= HTTPStatus.BAD_REQUEST:
-            raise PeerRefusedError(
-                f'{path}: status {response.status}',
-                step=_STEP,
-                peer=self.client.address,
-                peer_status=response.status,
-            )
+        _check_status(response, target, self.client.address)
         return response
 
 
+class SentRead:
+    """A read that was sent on a connection of its own."""
+
+    def __init__(self, request: SentRequest, target: str, offset: int) -> None:
+        self.request = request
+        self.target = target
+        self.offset = offset
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.request.close()
+
+    def fileno(self) -> int:
+        """Return the descriptor that is readable when the response arrives."""
+        return self.request.socket.fileno()
+
+    def result(self) -> tuple[list[KeyedRecord], int]:
+        """Return the records and the offset after them, as `Store.read_changes` does."""
+        response = self.request.read_response()
+        _check_status(response, self.target, self.request.client.address)
+        return _decode_changes(response, self.offset)
+
+
+def _check_status(response: HttpResponse, target: str, peer: str) -> None:
+    if response.status == HTTPStatus.GONE:
+        raise RecordsExpiredError(f'{target}: records expired', step=_STEP)
+    if response.status >= HTTPStatus.BAD_REQUEST:
+        path = target.partition('?')[0]
+        raise PeerRefusedError(
+            f'{path}: status {response.status}',
+            step=_STEP,
+            peer=peer,
+            peer_status=response.status,
+        )
+
+
+def _changes_query(topic: str, offset: int, wait_s: float) -> dict[str, object]:
+    return {
+        'topic': topic,
+        'part': 0,
+        'from': offset,
+        'max-kb': _MAX_KB,
+        'wait-ms': int(wait_s * _MS_PER_S),
+    }
+
+
+def _decode_changes(
+    response: HttpResponse, offset: int
+) -> tuple[list[KeyedRecord], int]:
+    bodies = list(_split_records(response.body[2 * _OFFSET_BYTES :]))
+    return [_decode_record(body) for body in bodies], offset + len(bodies)
+
+
 def _decode_row(item: Mapping[str, Any]) -> KeyedRecord:
     try:
         body = base64.b64decode(item['value'])
