Compare adapter versions by a digest instead of their sum

Read beside the incident, not seen in it: two daemons of which each knew a newer version of another adapter, with equal sums, never exchanged them. Where the store turns both away, each goes on with an older version of one adapter.

Heartbeats carry a digest of all versions, combined by XOR so that it is kept up at a constant cost (the sum was formed anew for each heartbeat received). CRC-32 would not do: it is linear to XOR, and the digests of the test's two daemons would be equal (computed).

A daemon now fetches only what it still misses after the store's head start; before, each change was fetched from a daemon too, although the store had given it meanwhile. Fetched declarations mark the pending poll as lost only if something was newer.

Both scenarios of declaration_sync failed before.

--- a/src/pimentohoist/_entry/declaration_sync.py
+++ b/src/pimentohoist/_entry/declaration_sync.py
@@ -32,7 +32,7 @@
     ) -> None:
         self.declarations = declarations
         self.peers = peers
-        self._newer_peer: str | None = None
+        self._newer: Heartbeat | None = None
         self._wake = threading.Event()
         self._closed = threading.Event()
         self._thread = threading.Thread(target=self._run, name='newer', daemon=True)
@@ -60,22 +60,25 @@
 
     def _record_heartbeat(self, heartbeat: Heartbeat, before: Heartbeat | None) -> None:
         if self._is_newer(heartbeat):
-            self._newer_peer = heartbeat.member
+            self._newer = heartbeat
             self._wake.set()
 
     def _is_newer(self, heartbeat: Heartbeat) -> bool:
-        versions = sum(self.declarations.versions.values())
-        is_newer = heartbeat.version > self.declarations.version
-        return is_newer or heartbeat.adapter_versions > versions
+        declarations = self.declarations
+        if heartbeat.version > declarations.version:
+            return True
+        return heartbeat.adapter_versions != declarations.versions_digest
 
     def _run(self) -> None:
         while not self._closed.is_set():
             self._wake.wait()
             self._closed.wait(_STORE_HEAD_START_S)
             self._wake.clear()
-            address, self._newer_peer = self._newer_peer, None
-            if address is not None and not self._closed.is_set():
-                self._fetch(address)
+            announced, self._newer = self._newer, None
+            if announced is None or self._closed.is_set():
+                continue
+            if self._is_newer(announced):
+                self._fetch(announced.member)
 
     def _fetch(self, address: str) -> None:
         request = peer_pb2.DeclarationRequest(known_version=self.declarations.version)
@@ -87,8 +90,16 @@
             extra = {'step': 'configuration', 'peer': address, 'cause': str(error)}
             _logger.info('configuration not fetched', extra=extra)
             return
-        self.declarations.follower.freshness.record_missed()
+        if self._apply(response, address):
+            self.declarations.follower.freshness.record_missed()
+
+    def _apply(self, response: peer_pb2.DeclarationReply, address: str) -> bool:
+        """Apply what is newer of a daemon's declarations; return whether anything was."""
+        declarations = self.declarations
+        applied = [
+            declarations.apply_newer_version(text, address)
+            for text in response.adapter_versions
+        ]
         if response.declaration:
-            self.declarations.apply_newer(response.declaration, address)
-        for text in response.adapter_versions:
-            self.declarations.apply_newer_version(text, address)
+            applied.append(declarations.apply_newer(response.declaration, address))
+        return any(applied)
--- a/src/pimentohoist/_entry/declarations.py
+++ b/src/pimentohoist/_entry/declarations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import logging
 import math
 import threading
@@ -24,6 +25,8 @@
     decode_declaration,
 )
 
+_DIGEST_BYTES = 6
+
 _logger = logging.getLogger(__name__)
 
 
@@ -51,6 +54,7 @@
         )
         self._lock = threading.Lock()
         self._version_texts: dict[AdapterKey, bytes] = {}
+        self._versions_digest = 0
         members.on_heartbeat.append(self._record_heartbeat)
 
     def __enter__(self) -> Self:
@@ -71,22 +75,27 @@
         """Return the newest version declared of an adapter; 0 if none was."""
         return 0 if adapter is None else self.versions.get(adapter, 0)
 
+    @property
+    def versions_digest(self) -> int:
+        """Return a number that two daemons share if they know the same versions."""
+        return self._versions_digest
+
     def texts(self) -> tuple[bytes, list[bytes]]:
         """Return the texts of the configuration and of all adapter versions."""
         current = self.current
         text = b'' if current is None else current.document
         return text, list(self._version_texts.values())
 
-    def apply_newer(self, text: bytes, source: str) -> None:
-        """Put a configuration in force if it is newer than the current one."""
+    def apply_newer(self, text: bytes, source: str) -> bool:
+        """Put a configuration in force if it is newer; return whether it was."""
         try:
             declaration = decode_declaration(text)
         except DocumentError as error:
             _logger.warning('configuration rejected', extra=_extra(source, str(error)))
-            return
+            return False
         with self._lock:
             if declaration.version <= self.version:
-                return
+                return False
             before, self.current = self.version, declaration
         extra = {
             **_extra(source),
@@ -96,23 +105,28 @@
             'unread_s': self.follower.status.unread_s(),
         }
         _logger.info('configuration in force', extra=extra)
+        return True
 
-    def apply_newer_version(self, text: bytes, source: str) -> None:
-        """Put an adapter's version in force if it is newer than the current one."""
+    def apply_newer_version(self, text: bytes, source: str) -> bool:
+        """Put an adapter's version in force if it is newer; return whether it was."""
         try:
             adapter, version = decode_adapter_version(text)
         except DocumentError as error:
             extra = _extra(source, str(error))
             _logger.warning('adapter version rejected', extra=extra)
-            return
+            return False
         with self._lock:
-            if version <= self.versions.get(adapter, 0):
-                return
+            known = self.versions.get(adapter, 0)
+            if version <= known:
+                return False
             self.versions[adapter] = version
+            replaced = _version_digest(adapter, known) if known else 0
+            self._versions_digest ^= replaced ^ _version_digest(adapter, version)
             self._version_texts[adapter] = text
         extra = {**_extra(source), 'adapter': str(adapter), 'version': version}
         _logger.info('adapter version declared', extra=extra)
         self.on_version(adapter, version)
+        return True
 
     def dump(self) -> Mapping[str, Any]:
         """Return the versions in force, without API keys."""
@@ -141,7 +155,7 @@
 
     def _record_heartbeat(self, heartbeat: Heartbeat, before: Heartbeat | None) -> None:
         age_s = heartbeat.declarations_read_age_s
-        known = (self.version, sum(self.versions.values()))
+        known = (self.version, self.versions_digest)
         if age_s is None or (heartbeat.version, heartbeat.adapter_versions) != known:
             return
         self.follower.freshness.record_peer_answer(_clock.now() - age_s)
@@ -156,6 +170,12 @@
                 self.apply_newer_version(record.body, 'store')
 
 
+def _version_digest(adapter: AdapterKey, version: int) -> int:
+    # Digests are combined by XOR, to which a cyclic redundancy check would be linear.
+    text = f'{adapter}@{version}'.encode()
+    return int.from_bytes(hashlib.blake2b(text, digest_size=_DIGEST_BYTES).digest())
+
+
 def _ignore(adapter: AdapterKey, version: int) -> None:
     """Do nothing with a new version."""
 
--- a/src/pimentohoist/_entry/members.py
+++ b/src/pimentohoist/_entry/members.py
@@ -43,6 +43,8 @@
 
     Attributes
     ----------
+    adapter_versions : int
+        Digest of the adapter versions that it knows.
     admitted_tokens : mapping of str to float
         Tokens admitted by workspace since the start of the incarnation.
     in_flight : mapping of str to mapping of str to int
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -225,7 +225,7 @@
             self.settings.callers_address,
             self.is_ready(),
             self.declarations.version,
-            sum(self.declarations.versions.values()),
+            self.declarations.versions_digest,
             self.ownership.own.generation,
             sorted(self.ownership.own.partitions),
             dict(self.quotas.admitted_tokens),
