Follow the store into a new era after it was restored from an older copy

A restored store gives offsets and generations out again: a follower that goes on at its offset misses the records before it, and engines refuse the orders of an owner whose fencing number went back.

Store-Era is read from every answer. A read position belongs to one era, so that each follower reads its topic whole again; an answer of a former era counts as a failed call. The fencing number is era x 10,000,000 + generation. A partition gained within a lease of an era's change is ordered only after a lease, since the store may have forgotten its last holder. Each daemon writes its address again; heartbeats carry the era. Without the header nothing changes.

The list of addresses is a module of its own now (members.py had grown too large).

--- a/features/steps/declaration_sync.py
+++ b/features/steps/declaration_sync.py
@@ -27,7 +27,7 @@
     """The controllers of a daemon that gets no answers from the store."""
 
     def __init__(self, name: str, peers: PeersDouble) -> None:
-        settings: Any = SimpleNamespace(control_address=name)
+        settings: Any = SimpleNamespace(name=name, control_address=name)
         store: Any = None
         self.name = name
         self.members = MembersController(settings, store, self.heartbeat)
--- a/src/pimentohoist/_decisions/ownership.py
+++ b/src/pimentohoist/_decisions/ownership.py
@@ -49,12 +49,19 @@
     may_order_from: float = 0
     last_order_at: float = field(default=float('-inf'))
 
-    def gain(self, now: float) -> None:
-        """Record that the partition is held."""
+    def gain(self, now: float, *, is_released: bool = True) -> None:
+        """Record that the partition is held.
+
+        Parameters
+        ----------
+        is_released : bool
+            Whether the former holder is known to have released it.
+        """
         if not self.is_held:
             # Another daemon may have ordered in between: two owners must not order
             # within one lease.
-            self.may_order_from = max(now, self.last_order_at + self.lease_s)
+            last_order_at = self.last_order_at if is_released else now
+            self.may_order_from = max(now, last_order_at + self.lease_s)
         self.is_held = True
 
     def lose(self) -> None:
--- a/src/pimentohoist/_entry/hedged_follower.py
+++ b/src/pimentohoist/_entry/hedged_follower.py
@@ -14,7 +14,14 @@
 from pimentohoist._decisions.read_freshness import ReadFreshness
 from pimentohoist._entry.topic_follower import ReadStatus, Sink
 from pimentohoist.exceptions import PeerTimeoutError, PimentohoistError
-from pimentohoist.platform import KeyedRecord, RecordsExpiredError, SentRead, Store
+from pimentohoist.platform import (
+    EraChangedError,
+    KeyedRecord,
+    ReadPosition,
+    RecordsExpiredError,
+    SentRead,
+    Store,
+)
 
 _LONG_POLL_S = 20.0
 _MAX_ANSWER_S = 5.0
@@ -72,7 +79,7 @@
         self.sink = sink
         self.status = ReadStatus(topic)
         self.freshness = ReadFreshness()
-        self._offset: int | None = None
+        self._position: ReadPosition | None = None
         self._pending: list[_PendingRead] = []
         self._closed = threading.Event()
         self._thread = threading.Thread(target=self._run, name=topic, daemon=True)
@@ -91,9 +98,9 @@
             began_at = _clock.now()
             try:
                 self._follow()
-            except RecordsExpiredError as error:
+            except (RecordsExpiredError, EraChangedError) as error:
                 self._reset()
-                _logger.info('%s', error, extra={'step': 'follow', 'topic': self.topic})
+                self.status.record_restart(error)
             except PimentohoistError as error:
                 self._record_failure(error, began_at)
             except Exception:
@@ -103,26 +110,27 @@
         self._drop_pending()
 
     def _follow(self) -> None:
-        if self._offset is None:
+        if self._position is None:
             self._wait_until(self.freshness.retry_at)
-            records, self._offset = self.store.read_newest(self.topic)
+            records, self._position = self.store.read_newest(self.topic)
             self._record_answer(records, is_whole=True)
             return
+        self.store.check_position(self._position)
         next_read_at = self.freshness.next_read_at(
             self.max_age_s(), is_poll_pending=bool(self._pending)
         )
         if _clock.now() >= next_read_at:
-            self._send_read(self._offset)
+            self._send_read(self._position)
         self._wait_for_answers(next_read_at)
         self._drop_expired()
 
-    def _send_read(self, offset: int) -> None:
+    def _send_read(self, position: ReadPosition) -> None:
         now = _clock.now()
         is_confirming = bool(self._pending) or self.status.failures > 0
         unanswered = any(pending.is_unanswered(now) for pending in self._pending)
         self.freshness.record_sent(now, are_reads_unanswered=unanswered)
         wait_s = 0 if is_confirming else _LONG_POLL_S
-        read = self.store.send_read(self.topic, offset, wait_s=wait_s)
+        read = self.store.send_read(self.topic, position, wait_s=wait_s)
         self._pending.append(_PendingRead(read, wait_s, now))
 
     def _wait_for_answers(self, next_read_at: float) -> None:
@@ -141,11 +149,11 @@
     def _apply_answer(self, pending: _PendingRead) -> None:
         self._pending.remove(pending)
         with closing(pending.read):
-            records, end = pending.read.result()
-        if self._offset is None or end < self._offset:
+            records, position = pending.read.result()
+        if self._position is None or position.offset < self._position.offset:
             # A read that was sent before others were answered has nothing new.
             return
-        self._offset = end
+        self._position = position
         if records or self.freshness.are_polls_suspect:
             self._drop_pending()
         self._record_answer(records, is_whole=False)
@@ -182,7 +190,7 @@
             dropped.read.close()
 
     def _reset(self) -> None:
-        self._offset = None
+        self._position = None
         self._drop_pending()
 
     def _wait_until(self, at: float) -> None:
--- /dev/null
+++ b/src/pimentohoist/_entry/member_list.py
@@ -0,0 +1,98 @@
+"""The list of daemons' addresses in the store, by which new daemons find the others."""
+
+from __future__ import annotations
+
+import json
+import logging
+import threading
+from collections.abc import Callable
+from typing import Self
+
+from pimentohoist import _clock
+from pimentohoist._addresses import split_address
+from pimentohoist.exceptions import PimentohoistError
+from pimentohoist.platform import MEMBER_RECORDS, KeyedRecord, Store
+
+_READ_INTERVAL_S = 30.0
+_LONELY_READ_INTERVAL_S = 1.0
+_NOT_PUBLISHED = -1
+
+_logger = logging.getLogger(__name__)
+
+
+class MemberList:
+    """Implements `Controller`: publishes this daemon's address and reads the others'.
+
+    Parameters
+    ----------
+    name : str
+        Key of this daemon's record.
+    address : str
+        This daemon's address for other daemons.
+    is_alone : callable
+        Returns whether no heartbeat has been received; then the list is read more often.
+
+    Attributes
+    ----------
+    confirmed_at : dict of str to float
+        When each daemon's address was last confirmed, on this daemon's clock.
+    """
+
+    def __init__(
+        self, store: Store, name: str, address: str, is_alone: Callable[[], bool]
+    ) -> None:
+        self.store = store
+        self.name = name
+        self.address = address
+        self.is_alone = is_alone
+        self.confirmed_at: dict[str, float] = {}
+        self._published_era = _NOT_PUBLISHED
+        self._closed = threading.Event()
+        self._thread = threading.Thread(target=self._run, name='list', daemon=True)
+
+    def __enter__(self) -> Self:
+        """Start publishing and reading."""
+        self._thread.start()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Stop after the current call."""
+        self._closed.set()
+
+    def _run(self) -> None:
+        while not self._closed.is_set():
+            try:
+                self._publish_and_read()
+            except PimentohoistError as error:
+                extra = {'step': 'members', 'cause': str(error)}
+                _logger.info('members not read', extra=extra)
+            self._wait(_clock.now())
+
+    def _publish_and_read(self) -> None:
+        if self._must_publish():
+            entry = {'at': self.address}
+            self._published_era = self.store.put(MEMBER_RECORDS, self.name, entry)
+        records, _ = self.store.read_newest(MEMBER_RECORDS)
+        for record in records:
+            self._record_address(record)
+
+    def _must_publish(self) -> bool:
+        """Return whether the store may lack the record, as it does after a restore."""
+        return self._published_era != self.store.era.current
+
+    def _record_address(self, record: KeyedRecord) -> None:
+        try:
+            address = json.loads(record.body or b'')['at']
+            split_address(address)
+        except (ValueError, TypeError, KeyError) as error:
+            extra = {'step': 'members', 'key': record.key, 'cause': repr(error)}
+            _logger.warning('member record rejected', extra=extra)
+            return
+        self.confirmed_at.setdefault(address, _clock.now())
+
+    def _wait(self, read_at: float) -> None:
+        """Wait until the list is to be read, or the record published, again."""
+        while not self._closed.wait(_LONELY_READ_INTERVAL_S):
+            is_due = _clock.now() - read_at > _READ_INTERVAL_S
+            if is_due or self.is_alone() or self._must_publish():
+                return
--- a/src/pimentohoist/_entry/members.py
+++ b/src/pimentohoist/_entry/members.py
@@ -19,8 +19,8 @@
 from pimentohoist import _clock
 from pimentohoist._addresses import split_address
 from pimentohoist._decisions.ownership import Ownership
-from pimentohoist.exceptions import PimentohoistError
-from pimentohoist.platform import MEMBER_RECORDS, EntrySettings, Store
+from pimentohoist._entry.member_list import MemberList
+from pimentohoist.platform import EntrySettings, Store
 
 HEARTBEAT_INTERVAL_S = 0.25
 """Four heartbeats in the second or so within which a daemon counts as live."""
@@ -31,7 +31,6 @@
 """After this silence a daemon has departed, and its share is split among the others."""
 
 _MAX_DATAGRAM_BYTES = 65_000
-_MEMBER_LIST_INTERVAL_S = 30.0
 _MAX_ADDRESS_AGE_S = 120.0
 
 _logger = logging.getLogger(__name__)
@@ -57,6 +56,8 @@
         Incarnations of endpoints that it recently read as draining.
     declarations_read_age_s : float or None
         Time since the store last answered its reads of the operators' records.
+    store_era : int
+        Newest era of the store that it knows.
     """
 
     member: str
@@ -74,6 +75,7 @@
     crash_reports: list[str] = field(default_factory=list)
     draining_endpoints: list[str] = field(default_factory=list)
     declarations_read_age_s: float | None = None
+    store_era: int = 0
 
     def ownership(self) -> Ownership:
         """Return which partitions the daemon claims."""
@@ -106,8 +108,8 @@
         Called with a heartbeat and the sender's previous one, if there was one.
     received : dict of str to ReceivedHeartbeat
         The newest heartbeat of each daemon, by its address.
-    addresses : dict of str to float
-        When each daemon's address was last confirmed, on this daemon's clock.
+    member_list : MemberList
+        Addresses of the daemons.
     """
 
     def __init__(
@@ -121,13 +123,15 @@
         self.make_heartbeat = make_heartbeat
         self.on_heartbeat: list[Callable[[Heartbeat, Heartbeat | None], None]] = []
         self.received: dict[str, ReceivedHeartbeat] = {}
-        self.addresses: dict[str, float] = {}
+        self.member_list = MemberList(
+            store, settings.name, settings.control_address, lambda: not self.received
+        )
         self.incarnation = os.urandom(6).hex()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._closed = threading.Event()
         self._threads = [
             threading.Thread(target=target, name=target.__name__, daemon=True)
-            for target in (self._send_heartbeats, self._receive, self._find_members)
+            for target in (self._send_heartbeats, self._receive)
         ]
 
     def __enter__(self) -> Self:
@@ -135,11 +139,13 @@
         self._socket.bind((self.settings.host, self.settings.peer_port))
         for thread in self._threads:
             thread.start()
+        self.member_list.__enter__()
         return self
 
     def __exit__(self, *exc_info: object) -> None:
         """Stop; the other daemons detect the missing heartbeats."""
         self._closed.set()
+        self.member_list.__exit__(*exc_info)
         self._socket.close()
 
     @property
@@ -201,7 +207,9 @@
     def _hosts(self) -> set[str]:
         since = _clock.now() - _MAX_ADDRESS_AGE_S
         known = [
-            address for address, at in tuple(self.addresses.items()) if at >= since
+            address
+            for address, at in tuple(self.member_list.confirmed_at.items())
+            if at >= since
         ]
         named = (*known, *self.settings.seeds)
         hosts = {split_address(address)[0] for address in named}
@@ -258,42 +266,12 @@
                 'version': heartbeat.version,
             }
             _logger.info('daemon is live', extra=extra)
+        self.store.era.record_reported(heartbeat.store_era, heartbeat.member)
         self.received[heartbeat.member] = ReceivedHeartbeat(heartbeat, now)
-        self.addresses[heartbeat.member] = now
+        self.member_list.confirmed_at[heartbeat.member] = now
         for listener in self.on_heartbeat:
             listener(heartbeat, None if before is None else before.heartbeat)
 
-    def _find_members(self) -> None:
-        """Publish this daemon's address in the store and read those of the others."""
-        is_published = False
-        while not self._closed.is_set():
-            try:
-                if not is_published:
-                    entry = {'at': self.member}
-                    self.store.put(MEMBER_RECORDS, self.settings.name, entry)
-                    is_published = True
-                self._read_members()
-            except PimentohoistError as error:
-                extra = {'step': 'members', 'cause': str(error)}
-                _logger.info('members not read', extra=extra)
-            # Daemons that receive heartbeats seldom need the list; one that receives none
-            # reads it more often.
-            is_alone = not self.received
-            self._closed.wait(1.0 if is_alone else _MEMBER_LIST_INTERVAL_S)
-
-    def _read_members(self) -> None:
-        records, _ = self.store.read_newest(MEMBER_RECORDS)
-        now = _clock.now()
-        for record in records:
-            try:
-                address = json.loads(record.body or b'')['at']
-                split_address(address)
-            except (ValueError, TypeError, KeyError) as error:
-                extra = {'step': 'members', 'key': record.key, 'cause': repr(error)}
-                _logger.warning('member record rejected', extra=extra)
-                continue
-            self.addresses.setdefault(address, now)
-
 
 def _encode(heartbeat: Heartbeat) -> list[Any]:
     return [getattr(heartbeat, name) for name in Heartbeat.__slots__]
--- a/src/pimentohoist/_entry/ownership.py
+++ b/src/pimentohoist/_entry/ownership.py
@@ -71,6 +71,8 @@
         self._lock = threading.Lock()
         self._prompting_generation = 0
         self._changed_at = float('-inf')
+        self._era = 0
+        self._era_changed_at = float('-inf')
         self._closed = threading.Event()
         self._wake = threading.Event()
         self._thread = threading.Thread(target=self._run, name='homes', daemon=True)
@@ -166,10 +168,15 @@
         if self._closed.is_set():
             return
         self.joined_at = requested_at
-        partitions = membership.partitions
-        self._set_ownership(
-            Ownership(self.own.member, membership.generation, partitions)
+        ownership = Ownership(
+            self.own.member, membership.generation, membership.partitions
         )
+        # A restored store may assign a partition again whose holder it has forgotten.
+        is_same_era = membership.era == self._era or not self.own.generation
+        if not is_same_era:
+            self._era_changed_at = requested_at
+        self._era = membership.era
+        self._set_ownership(ownership)
 
     def _join_delay_s(self, confirmed_generation: int) -> float:
         """Return the seconds until the next join, after one that named a generation."""
@@ -201,8 +208,9 @@
                 self.members.send_now()
             return
         now = _clock.now()
+        is_released = now - self._era_changed_at > self.settings.bounds.lease_s
         for partition in ownership.partitions - before.partitions:
-            self._lease(partition).gain(now)
+            self._lease(partition).gain(now, is_released=is_released)
         for lost in before.partitions - ownership.partitions:
             self._lease(lost).lose()
         extra = {
--- a/src/pimentohoist/_entry/topic_follower.py
+++ b/src/pimentohoist/_entry/topic_follower.py
@@ -12,7 +12,13 @@
 
 from pimentohoist import _clock
 from pimentohoist.exceptions import PimentohoistError
-from pimentohoist.platform import KeyedRecord, RecordsExpiredError, Store
+from pimentohoist.platform import (
+    EraChangedError,
+    KeyedRecord,
+    ReadPosition,
+    RecordsExpiredError,
+    Store,
+)
 
 _MIN_RETRY_DELAY_S = 0.15
 _MAX_RETRY_DELAY_S = 0.6
@@ -79,6 +85,15 @@
             _logger.warning('store answers again', extra=extra)
         self.failures = 0
 
+    def record_restart(self, error: Exception) -> None:
+        """Record that the topic must be read from the newest records on.
+
+        In a new era the store may have been away unnoticed.
+        """
+        if isinstance(error, EraChangedError):
+            self.restored_at = _clock.now()
+        _logger.info('%s', error, extra={'step': 'follow', 'topic': self.topic})
+
     def record_failure(self, error: Exception, sent_at: float) -> float:
         """Record a failed read; return the seconds until the next one."""
         if not self.failures:
@@ -116,7 +131,7 @@
         self.poll_timing = poll_timing
         self.sink = sink
         self.status = ReadStatus(topic)
-        self._offset: int | None = None
+        self._position: ReadPosition | None = None
         self._closed = threading.Event()
         self._thread = threading.Thread(target=self._run, name=topic, daemon=True)
 
@@ -140,25 +155,26 @@
             sent_at = _clock.now()
             try:
                 self._read(poll_timing)
-            except RecordsExpiredError as error:
-                self._offset = None
-                _logger.info('%s', error, extra={'step': 'follow', 'topic': self.topic})
+            except (RecordsExpiredError, EraChangedError) as error:
+                self._position = None
+                self.status.record_restart(error)
+                pause_s = 0
             except PimentohoistError as error:
                 pause_s = self.status.record_failure(error, sent_at)
             except Exception:
                 _logger.exception('topic follower failed', extra={'topic': self.topic})
                 pause_s = _MAX_RETRY_DELAY_S
-                self._offset = None
+                self._position = None
             self._closed.wait(pause_s)
 
     def _read(self, poll_timing: PollTiming) -> None:
-        if self._offset is None:
-            records, self._offset = self.store.read_newest(self.topic)
+        if self._position is None:
+            records, self._position = self.store.read_newest(self.topic)
             self.status.record_success()
             self.sink(records, True)
             return
-        records, self._offset = self.store.read_changes(
-            self.topic, self._offset, wait_s=poll_timing.wait_s
+        records, self._position = self.store.read_changes(
+            self.topic, self._position, wait_s=poll_timing.wait_s
         )
         self.status.record_success()
         if records:
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -81,7 +81,9 @@
         self.declarations = DeclarationsController(self.store, self.members)
         self.endpoints = EndpointsController(self.store, self.members)
         self.ownership = OwnershipController(
-            settings, Store(settings.store_address), self.members
+            settings,
+            Store(settings.store_address, era=self.store.era),
+            self.members,
         )
         self.owned_engines = OwnedEnginesController(
             self.declarations, self.endpoints, self.members, self.ownership, self.peers
@@ -180,6 +182,7 @@
             'connections_opened_total': self.dispatch.connections.opened,
             'requests_running': len(self.request_monitor),
             'configuration_version': self.declarations.version,
+            'store_era': self.store.era.current,
             'configuration_unconfirmed_seconds': (
                 -1 if unconfirmed_s is None else unconfirmed_s
             ),
@@ -234,6 +237,7 @@
             self.crash_reports.recent_reports(),
             self.endpoints.draining_endpoints(),
             self.declarations.follower.status.unread_s(),
+            self.store.era.current,
         )
 
     def _auxiliary_servers(self) -> tuple[HttpServer, ...]:
--- a/src/pimentohoist/platform/__init__.py
+++ b/src/pimentohoist/platform/__init__.py
@@ -11,6 +11,7 @@
     decode_endpoint,
     decode_report,
 )
+from pimentohoist.platform._era import EraChangedError, EraTracker, StaleAnswerError
 from pimentohoist.platform._orders import EngineOrders, OrderReply
 from pimentohoist.platform._requests import (
     RawRequest,
@@ -33,6 +34,7 @@
     OPERATOR_RECORDS,
     KeyedRecord,
     Membership,
+    ReadPosition,
     RecordsExpiredError,
     SentRead,
     Store,
@@ -48,12 +50,16 @@
     'SETTINGS_VARIABLE',
     'EngineOrders',
     'EntrySettings',
+    'EraChangedError',
+    'EraTracker',
     'KeyedRecord',
     'Membership',
     'OrderReply',
     'RawRequest',
+    'ReadPosition',
     'RecordsExpiredError',
     'SentRead',
+    'StaleAnswerError',
     'Store',
     'response_headers',
     'is_response_to',
--- a/src/pimentohoist/platform/_headers.py
+++ b/src/pimentohoist/platform/_headers.py
@@ -23,6 +23,9 @@
 
 NOT_EXECUTED = 'Pimentohoist-Not-Executed'
 LAST_EVENT_ID = 'Last-Event-Id'
+STORE_ERA = 'Store-Era'
+"""Rises by one each time the store comes back from an older copy of itself."""
+
 
 SET_BY_DAEMON = frozenset(
     name.lower()
--- a/src/pimentohoist/platform/_store.py
+++ b/src/pimentohoist/platform/_store.py
@@ -18,6 +18,7 @@
     SentRequest,
 )
 from pimentohoist.exceptions import PeerError, PeerRefusedError, PimentohoistError
+from pimentohoist.platform._era import EraChangedError, EraTracker
 
 OPERATOR_RECORDS = 'keyed.op'
 ENDPOINT_RECORDS = 'keyed.servers'
@@ -32,6 +33,8 @@
 _LENGTH_BYTES = 4
 _OFFSET_BYTES = 8
 _MAX_KB = 1024
+_GENERATIONS_PER_ERA = 10_000_000
+"""Twenty years of changes at 1,260 a day."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,13 +52,25 @@
     Attributes
     ----------
     generation : int
-        Rises with each change of the group; it serves as a fencing number.
+        Rises with each change of the group and with each era of the store, in which the
+        group may have an earlier generation again; it serves as a fencing number.
     partitions : frozenset of int
         Partitions that no other member holds.
+    era : int
+        Era of the store in which they were assigned.
     """
 
     generation: int
     partitions: frozenset[int]
+    era: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ReadPosition:
+    """Where a reader goes on in a topic: an offset, valid in one era of the store."""
+
+    offset: int
+    era: int
 
 
 class RecordsExpiredError(PimentohoistError):
@@ -63,70 +78,105 @@
 
 
 class Store:
-    """Client of the store; may be used by several threads."""
+    """Client of the store; may be used by several threads.
+
+    Attributes
+    ----------
+    era : EraTracker
+        Shared by all clients of the store.
+    """
 
-    def __init__(self, address: str, *, timeout_s: float = _TIMEOUT_S) -> None:
+    def __init__(
+        self,
+        address: str,
+        *,
+        timeout_s: float = _TIMEOUT_S,
+        era: EraTracker | None = None,
+    ) -> None:
         self.client = HttpClient(address, timeout_s=timeout_s, step=_STEP)
+        self.era = EraTracker() if era is None else era
 
-    def read_newest(self, topic: str) -> tuple[list[KeyedRecord], int]:
-        """Return the newest record of each key, and the offset to read on from."""
+    def read_newest(self, topic: str) -> tuple[list[KeyedRecord], ReadPosition]:
+        """Return the newest record of each key, and the position to read on from.
+
+        Raises
+        ------
+        EraChangedError
+            The era changed between two pages.
+        """
         records: list[KeyedRecord] = []
-        end: int | None = None
+        position: ReadPosition | None = None
         query: dict[str, object] = {'topic': topic, 'part': 0}
         has_more = True
         while has_more:
-            page = self._request_json('GET', '/v1/log-newest', query)
+            page, era = self._request_json('GET', '/v1/log-newest', query)
             # Pages are not a snapshot: a reader that goes on from the first page's end
             # gets the changes since then again.
-            end = page['end'] if end is None else end
+            position = ReadPosition(page['end'], era) if position is None else position
+            _check_era(position, era)
             rows = page['items']
             records.extend(_decode_row(row) for row in rows)
             has_more = bool(page.get('has-more')) and bool(rows)
             query['after'] = rows[-1]['key'] if rows else ''
-        return records, end or 0
+        return records, position or ReadPosition(0, 0)
 
     def read_changes(
-        self, topic: str, offset: int, *, wait_s: float
-    ) -> tuple[list[KeyedRecord], int]:
-        """Return the keyed records from an offset on, and the offset after them.
+        self, topic: str, position: ReadPosition, *, wait_s: float
+    ) -> tuple[list[KeyedRecord], ReadPosition]:
+        """Return the keyed records from a position on, and the position after them.
 
         Raises
         ------
         RecordsExpiredError
-            The records from `offset` on have expired.
+            The records from `position` on have expired.
+        EraChangedError
+            The position is of a former era of the store.
         """
-        query = _changes_query(topic, offset, wait_s)
-        response = self._request('GET', _READ_PATH, query, wait_s=wait_s)
-        return _decode_changes(response, offset)
+        query = _changes_query(topic, position.offset, wait_s)
+        response, era = self._request('GET', _READ_PATH, query, wait_s=wait_s)
+        return _decode_changes(response, position, era)
 
-    def send_read(self, topic: str, offset: int, *, wait_s: float) -> SentRead:
+    def send_read(
+        self, topic: str, position: ReadPosition, *, wait_s: float
+    ) -> SentRead:
         """Send a read of keyed records on a new connection, to be answered later."""
-        target = f'{_READ_PATH}?{urlencode(_changes_query(topic, offset, wait_s))}'
-        return SentRead(self.client.send(HttpRequest('GET', target)), target, offset)
+        query = _changes_query(topic, position.offset, wait_s)
+        target = f'{_READ_PATH}?{urlencode(query)}'
+        request = self.client.send(HttpRequest('GET', target))
+        return SentRead(self, request, target, position)
+
+    def check_position(self, position: ReadPosition) -> None:
+        """Raise EraChangedError if a position is of a former era of the store."""
+        _check_era(position, self.era.current)
 
-    def put(self, topic: str, key: str, document: Any) -> None:
-        """Set the newest value of a key of a topic that the daemons write."""
+    def put(self, topic: str, key: str, document: Any) -> int:
+        """Set the newest value of a key of the daemons' topics; return the store's era."""
         name = key.encode()
         record = bytes((len(name),)) + name + json.dumps(document).encode()
         body = len(record).to_bytes(_LENGTH_BYTES, 'big') + record
-        self._request('POST', '/v1/log-append', {'topic': topic, 'part': 0}, body=body)
+        query = {'topic': topic, 'part': 0}
+        _, era = self._request('POST', '/v1/log-append', query, body=body)
+        return era
 
     def join(
         self, group: str, member: str, generation: int, lease_s: float
     ) -> Membership:
         """Join a group or stay in it; return the partitions that the member holds."""
+        era, group_generation = divmod(generation, _GENERATIONS_PER_ERA)
         document = {
             'group': group,
             'member': member,
             'topics': [group],
             'ttl-ms': int(lease_s * _MS_PER_S),
-            'generation': generation,
+            'generation': group_generation if era == self.era.current else 0,
         }
-        response = self._request_json(
+        response, era = self._request_json(
             'POST', '/v1/log-join', {}, json.dumps(document).encode()
         )
-        rows = response['parts']
-        return Membership(response['generation'], frozenset(row[1] for row in rows))
+        partitions = frozenset(row[1] for row in response['parts'])
+        return Membership(
+            era * _GENERATIONS_PER_ERA + response['generation'], partitions, era
+        )
 
     def leave(self, group: str, member: str) -> None:
         """Leave a group, so that others take over at once."""
@@ -135,10 +185,10 @@
 
     def _request_json(
         self, method: str, path: str, query: Mapping[str, object], body: bytes = b''
-    ) -> Any:
-        response = self._request(method, path, query, body=body)
+    ) -> tuple[Any, int]:
+        response, era = self._request(method, path, query, body=body)
         try:
-            return response.document()
+            return response.document(), era
         except ValueError as error:
             raise self._malformed_response_error(path, error) from error
 
@@ -153,23 +203,28 @@
         *,
         body: bytes = b'',
         wait_s: float = 0,
-    ) -> HttpResponse:
+    ) -> tuple[HttpResponse, int]:
+        """Return a successful response and the era of the store that it names."""
         target = f'{path}?{urlencode(query)}' if query else path
         headers = {'Content-Type': 'application/json'} if body else {}
         request = HttpRequest(method, target, body, headers, wait_s=wait_s)
         timeout_s = self.client.timeout_s + wait_s
         response = self.client.request(request, timeout_s=timeout_s)
+        era = self.era.record_answer(response.headers)
         _check_status(response, target, self.client.address)
-        return response
+        return response, era
 
 
 class SentRead:
     """A read that was sent on a connection of its own."""
 
-    def __init__(self, request: SentRequest, target: str, offset: int) -> None:
+    def __init__(
+        self, store: Store, request: SentRequest, target: str, position: ReadPosition
+    ) -> None:
+        self.store = store
         self.request = request
         self.target = target
-        self.offset = offset
+        self.position = position
 
     def close(self) -> None:
         """Close the connection."""
@@ -179,11 +234,12 @@
         """Return the descriptor that is readable when the response arrives."""
         return self.request.socket.fileno()
 
-    def result(self) -> tuple[list[KeyedRecord], int]:
-        """Return the records and the offset after them, as `Store.read_changes` does."""
+    def result(self) -> tuple[list[KeyedRecord], ReadPosition]:
+        """Return the records and the position after them, as `Store.read_changes`."""
         response = self.request.read_response()
+        era = self.store.era.record_answer(response.headers)
         _check_status(response, self.target, self.request.client.address)
-        return _decode_changes(response, self.offset)
+        return _decode_changes(response, self.position, era)
 
 
 def _check_status(response: HttpResponse, target: str, peer: str) -> None:
@@ -209,11 +265,21 @@
     }
 
 
+def _check_era(position: ReadPosition, era: int) -> None:
+    if position.era != era:
+        raise EraChangedError(
+            f'read at offset {position.offset} of era {position.era} in era {era}',
+            step=_STEP,
+        )
+
+
 def _decode_changes(
-    response: HttpResponse, offset: int
-) -> tuple[list[KeyedRecord], int]:
+    response: HttpResponse, position: ReadPosition, era: int
+) -> tuple[list[KeyedRecord], ReadPosition]:
+    _check_era(position, era)
     bodies = list(_split_records(response.body[2 * _OFFSET_BYTES :]))
-    return [_decode_record(body) for body in bodies], offset + len(bodies)
+    records = [_decode_record(body) for body in bodies]
+    return records, ReadPosition(position.offset + len(bodies), era)
 
 
 def _decode_row(item: Mapping[str, Any]) -> KeyedRecord:
--- a/src/pimentohoist_standins/keyed_store.py
+++ b/src/pimentohoist_standins/keyed_store.py
@@ -8,6 +8,7 @@
 import time
 from collections import defaultdict
 from contextlib import suppress
+from copy import deepcopy
 from http import HTTPStatus
 from typing import Any
 from urllib.parse import parse_qsl, urlsplit
@@ -28,6 +29,8 @@
     is_silent : bool
         Whether calls are neither executed nor answered. Connections that were open
         meanwhile stay silent for good.
+    era : int or None
+        Named in all answers; None leaves the header out.
     owner : dict of int to str
         Member by partition; the first member that joins gets all partitions.
     """
@@ -36,6 +39,8 @@
         super().__init__(address, _handler(self))
         self.is_down = False
         self.is_silent = False
+        self.era: int | None = None
+        self._copy: tuple[Any, ...] = ()
         self._silent_before = float('-inf')
         self.generation = 0
         self.owner: dict[int, str] = {}
@@ -59,6 +64,18 @@
         with self._changed:
             self._first_offsets[topic] = len(self._records[topic])
 
+    def save_copy(self) -> None:
+        """Keep a copy of the current content, for `restore_copy`."""
+        with self._changed:
+            self._copy = deepcopy((self._records, self.generation, self.owner))
+
+    def restore_copy(self) -> None:
+        """Lose what was written since the copy, in a new era."""
+        with self._changed:
+            self._records, self.generation, self.owner = deepcopy(self._copy)
+            self.era = (self.era or 0) + 1
+        self.silence_connections()
+
     def silence_connections(self) -> None:
         """Send nothing more on the connections that are open now."""
         self._silent_before = time.monotonic()
@@ -115,7 +132,8 @@
     def _read(self, query: dict[str, str]) -> _Reply:
         topic, offset = query['topic'], int(query['from'])
         with self._changed:
-            if offset < self._first_offsets[topic]:
+            end = len(self._records[topic])
+            if not self._first_offsets[topic] <= offset <= end:
                 first = json.dumps({'first': self._first_offsets[topic]}).encode()
                 return _Reply(HTTPStatus.GONE, first)
             if len(self._records[topic]) <= offset:
@@ -190,6 +208,8 @@
                 return
             self.send_response(reply.status)
             self.send_header('Content-Length', str(len(reply.body)))
+            if store.era is not None:
+                self.send_header('Store-Era', str(store.era))
             self.end_headers()
             self.wfile.write(reply.body)
 
--- a/src/pimentohoist_standins/opaque_engine.py
+++ b/src/pimentohoist_standins/opaque_engine.py
@@ -5,7 +5,7 @@
 import json
 import threading
 import time
-from collections import Counter
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any
@@ -66,6 +66,8 @@
     ----------
     is_overloaded : bool
         Whether it was ordered to load more adapters than `capacity`.
+    holders : dict of int to set of str
+        Holders that named each fencing number.
     disconnected_streams : int
         Streams whose client disconnected before the end.
     """
@@ -73,6 +75,9 @@
     capacity: int = 4
     accepted_orders: int = 0
     fence: int = -1
+    holders: defaultdict[int, set[str]] = field(
+        default_factory=lambda: defaultdict(set)
+    )
     adapters: dict[str, float] = field(default_factory=dict)
     versions: dict[str, int] = field(default_factory=dict)
     is_overloaded: bool = False
@@ -136,6 +141,7 @@
         """Carry out an order."""
         state, name = self.state, document.get('adapter', '')
         with self.lock:
+            state.holders[document['fence']].add(document['holder'])
             if document['fence'] < state.fence:
                 return HTTPStatus.PRECONDITION_FAILED
             state.fence = document['fence']
