Heed what endpoints ask in their responses: no new work, or no requests for a time

An engine that leaves says so in all its answers, sooner than its record in the store, and also to daemons that are out of touch with the store. An engine that turns a request away with 503 and Retry-After wants nothing from that daemon for so long.

One place, EndpointNotices, holds both for each incarnation; choice, retries, resumption and adapter work ask it. A group whose endpoints are all quiet is refused at once, with the earliest return.

Orders to a quiet engine have no test yet.

--- a/features/entry_engine.py
+++ b/features/entry_engine.py
@@ -90,7 +90,7 @@
     endpoint: Any = SimpleNamespace(
         endpoint_id='engine', address='127.0.0.1:1', models=('m',)
     )
-    lease: Any = SimpleNamespace(may_order=lambda: True)
+    lease: Any = SimpleNamespace(may_order=lambda: True, quiet_s=lambda: 0)
     owner = EngineOwner(endpoint, capacity, 'm', lease, loaders)
     owner.session = engine  # type: ignore[assignment]
     owner.loader.session = engine  # type: ignore[assignment]
--- a/src/pimentohoist/_entry/dispatch.py
+++ b/src/pimentohoist/_entry/dispatch.py
@@ -28,7 +28,7 @@
 from pimentohoist._entry.stream_relay import StreamRelay
 from pimentohoist.entry_models import ForwardingMetadata, ExecutionPolicy
 from pimentohoist.exceptions import PeerError, PimentohoistError
-from pimentohoist.platform import response_headers, forwarded_headers
+from pimentohoist.platform import decode_notice, forwarded_headers, response_headers
 
 _STEP = 'dispatch'
 _MAX_PRIORITY = 9
@@ -136,7 +136,7 @@
         self, context: RequestContext, exchange: UpstreamExchange
     ) -> EntryResponse:
         try:
-            head = exchange.read_head(context.request.request_id)
+            head = self._read_head(context, exchange)
             if _is_stream(context, head):
                 return self._stream(context, exchange, head)
             body = exchange.read_body()
@@ -150,6 +150,16 @@
         headers = response_headers(head.headers.items())
         return EntryResponse(head.status, head.reason, headers, [body], len(body))
 
+    def _read_head(
+        self, context: RequestContext, exchange: UpstreamExchange
+    ) -> ResponseHead:
+        head = exchange.read_head(context.request.request_id)
+        endpoint = exchange.endpoint
+        headers = dict(head.headers.items())
+        notice = decode_notice(endpoint.endpoint_id, head.status, headers)
+        self.chooser.endpoints.notices.record(endpoint, notice)
+        return head
+
     def _stream(
         self, context: RequestContext, exchange: UpstreamExchange, head: ResponseHead
     ) -> EntryResponse:
@@ -188,7 +198,7 @@
         self, context: RequestContext, last_event_id: str | None
     ) -> UpstreamExchange:
         exchange = self._send(context, self._choose(context), last_event_id)
-        head = exchange.read_head(context.request.request_id)
+        head = self._read_head(context, exchange)
         if not _is_stream(context, head):
             raise PeerError(
                 f'stream not resumed: expected status 200, got {head.status}',
--- a/src/pimentohoist/_entry/endpoint_chooser.py
+++ b/src/pimentohoist/_entry/endpoint_chooser.py
@@ -76,16 +76,27 @@
         if adapter is not None and context.group.engine is not None:
             usable = _filter_by_model(usable, adapter.model)
         if not usable:
-            raise context.failure or UnavailableError(
-                f'no endpoint available in group {context.group.name}',
-                step=_STEP,
-                retry_after_s=add_jitter(RETRY_AFTER_S),
-            )
+            raise self._unavailable(context)
         if context.group.engine is None or adapter is None or not adapter.name:
             ranked = rank_services(self._candidates(usable, adapter), random.random())
             return ChosenEndpoint(usable[ranked[0]])
         return self._choose_engine(context, adapter, usable)
 
+    def _unavailable(self, context: RequestContext) -> PimentohoistError:
+        group = context.group.name
+        quiet_s = self.endpoints.quiet_s(group)
+        if quiet_s:
+            return UnavailableError(
+                f'all endpoints of group {group} want no requests for {quiet_s:.1f} s',
+                step=_STEP,
+                retry_after_s=quiet_s + add_jitter(RETRY_AFTER_S),
+            )
+        return context.failure or UnavailableError(
+            f'no endpoint available in group {group}',
+            step=_STEP,
+            retry_after_s=add_jitter(RETRY_AFTER_S),
+        )
+
     def _choose_engine(
         self, context: RequestContext, adapter: AdapterKey, usable: dict[str, Endpoint]
     ) -> ChosenEndpoint:
@@ -99,7 +110,8 @@
                 break
             is_holder = endpoint_id in holders
             version = self._hold(context, endpoint_id, wait_s, fail_fast, is_holder)
-            if version is not None:
+            # What the endpoint asks may have changed during the wait.
+            if version is not None and self.endpoints.may_get_work(usable[endpoint_id]):
                 return ChosenEndpoint(usable[endpoint_id], version or None)
         raise UnavailableError(
             f'no engine could provide adapter {adapter}: {context.failure}',
--- a/src/pimentohoist/_entry/endpoints.py
+++ b/src/pimentohoist/_entry/endpoints.py
@@ -10,6 +10,7 @@
 
 from pimentohoist import _clock
 from pimentohoist._decisions.endpoint_health import EndpointHealth
+from pimentohoist._entry.endpoint_notices import EndpointNotices
 from pimentohoist._entry.topic_follower import TopicFollower, PollTiming
 from pimentohoist._entry.members import Heartbeat, MembersController
 from pimentohoist.entry_models import Endpoint
@@ -32,8 +33,6 @@
 _MIN_JITTER_FACTOR = 0.75
 """Intervals are randomized so that the daemons don't all read at the same time."""
 
-_LEAVING_ANNOUNCED_S = 4.0
-
 _REAPPEAR_S = 2.5
 """Records that expired in an outage of the store reappear about 2 s after its end."""
 
@@ -49,13 +48,13 @@
         self.members = members
         self.endpoints: dict[str, Endpoint] = {}
         self.health: dict[str, EndpointHealth] = {}
+        self.notices = EndpointNotices()
         self.follower = TopicFollower(
             store, ENDPOINT_RECORDS, self._poll_timing, self._apply_records
         )
         self._removed: set[str] = set()
         self._replaced_incarnations: set[str] = set()
         self._rejected: set[str] = set()
-        self._leaving: dict[str, float] = {}
         self._lock = threading.Lock()
         members.on_heartbeat.append(self._record_heartbeat)
 
@@ -75,8 +74,7 @@
             endpoint
             for endpoint in self.alive()
             if endpoint.group == group
-            and not endpoint.is_draining
-            and endpoint.incarnation not in self._leaving
+            and self.may_get_work(endpoint)
             and self.health_of(endpoint.endpoint_id).paused_until <= now
         ]
         responding = [
@@ -86,6 +84,23 @@
         ]
         return responding or usable
 
+    def may_get_work(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint doesn't leave and wants requests now."""
+        notices = self.notices
+        return not (notices.is_leaving(endpoint) or notices.quiet_s(endpoint))
+
+    def quiet_s(self, group: str) -> float:
+        """Return the seconds until an endpoint of a group wants requests again.
+
+        0 if one wants requests now, or none will.
+        """
+        staying = [
+            endpoint
+            for endpoint in self.alive()
+            if endpoint.group == group and not self.notices.is_leaving(endpoint)
+        ]
+        return min((self.notices.quiet_s(endpoint) for endpoint in staying), default=0)
+
     def alive(self) -> list[Endpoint]:
         """Return all endpoints that still exist, leaving ones included."""
         self._drop_removed()
@@ -119,19 +134,14 @@
             extra={'step': 'endpoints', 'endpoint': endpoint.endpoint_id},
         )
 
-    def draining_endpoints(self) -> list[str]:
-        """Return the incarnations that were recently read as draining."""
-        since = _clock.now() - _LEAVING_ANNOUNCED_S
-        seen = tuple(self._leaving.items())
-        return [incarnation for incarnation, at in seen if at >= since]
-
     def dump(self) -> Mapping[str, Any]:
         """Return the endpoints with their groups and health."""
         now = _clock.now()
         return {
             endpoint.endpoint_id: {
                 'group': endpoint.group,
-                'is_leaving': endpoint.is_draining,
+                'is_leaving': self.notices.is_leaving(endpoint),
+                'quiet_s': round(self.notices.quiet_s(endpoint), 3),
                 'failure_share': self.health_of(endpoint.endpoint_id).failure_share(
                     now
                 ),
@@ -148,10 +158,7 @@
 
     def _record_heartbeat(self, heartbeat: Heartbeat, before: Heartbeat | None) -> None:
         for incarnation in heartbeat.draining_endpoints:
-            if incarnation not in self._leaving:
-                self._leaving[incarnation] = _clock.now()
-                extra = {'step': 'endpoints', 'peer': heartbeat.member}
-                _logger.info('endpoint is leaving: %s', incarnation, extra=extra)
+            self.notices.record_leaving(incarnation, heartbeat.member)
 
     def _apply_records(self, records: Sequence[KeyedRecord], is_whole: bool) -> None:
         if is_whole:
@@ -178,7 +185,7 @@
         if known is None or known.is_draining != endpoint.is_draining:
             _logger.info('endpoint seen', extra=_extra(endpoint))
         if endpoint.is_draining:
-            self._leaving.setdefault(endpoint.incarnation, _clock.now())
+            self.notices.record_leaving(endpoint.incarnation, 'store')
         with self._lock:
             self._removed.discard(endpoint_id)
             self.endpoints[endpoint_id] = endpoint
@@ -209,7 +216,7 @@
                 endpoint = self.endpoints.pop(endpoint_id, None)
                 self.health.pop(endpoint_id, None)
                 if endpoint is not None:
-                    self._leaving.setdefault(endpoint.incarnation, now)
+                    self.notices.record_leaving(endpoint.incarnation, 'store')
         for endpoint_id in removed:
             extra = {'step': 'endpoints', 'endpoint': endpoint_id}
             _logger.info('endpoint removed', extra=extra)
--- a/src/pimentohoist/_entry/engine_session.py
+++ b/src/pimentohoist/_entry/engine_session.py
@@ -23,6 +23,7 @@
 """A report shows the engine's state of a few hundred milliseconds ago."""
 
 _MODEL_POLL_INTERVAL_S = 0.1
+_MAX_QUIET_SLEEP_S = 0.25
 _MAX_MODEL_LOAD_S = 20.0
 
 _SUCCESSFUL = frozenset((OrderReply.ACCEPTED, OrderReply.DONE))
@@ -43,6 +44,9 @@
     def fencing_number(self) -> int:
         """Return the fencing number that the daemon's orders carry."""
 
+    def quiet_s(self) -> float:
+        """Return the seconds for which the engine wants no requests."""
+
     def record_order(self) -> None:
         """Record that the daemon has sent an order."""
 
@@ -129,6 +133,8 @@
         engine refuses it if it has accepted another order since `accepted_orders`; the
         poll may then be repeated with the newer number.
         """
+        if self.lease.quiet_s():
+            return OrderReply.ACCEPTED
         reply = self._order(
             'poll', adapter, lambda: self.orders.load(adapter, accepted_orders, version)
         )
@@ -160,6 +166,7 @@
     def resync(self, apply: Callable[[EngineReport], None]) -> None:
         """Take over the engine's report after an order whose effect isn't known."""
         with self.lock:
+            self._wait_until_wanted()
             if self.has_ordered:
                 # The report is older than the request for it by this lag: an order that
                 # was accepted within it would be missing from the report.
@@ -189,6 +196,13 @@
         """Return the fields of each log record about the engine."""
         return {'step': _STEP, 'endpoint': self.endpoint.endpoint_id}
 
+    def _wait_until_wanted(self) -> None:
+        """Wait until the engine wants requests again."""
+        quiet_s = self.lease.quiet_s()
+        while quiet_s and not self.is_ended:
+            sleep(min(quiet_s, _MAX_QUIET_SLEEP_S))
+            quiet_s = self.lease.quiet_s()
+
     def _order(
         self, verb: str, adapter: AdapterKey, send_order: Callable[[], OrderReply]
     ) -> OrderReply:
@@ -196,6 +210,8 @@
         number = self.lease.fencing_number()
         if not self.may_order():
             return OrderReply.FENCED
+        if self.lease.quiet_s():
+            return OrderReply.REFUSED
         self.orders.set_holder(self.lease.holder, number)
         self.lease.record_order()
         self.has_ordered = True
--- a/src/pimentohoist/_entry/owned_engines.py
+++ b/src/pimentohoist/_entry/owned_engines.py
@@ -6,10 +6,12 @@
 import threading
 from collections.abc import Mapping
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from typing import Any, Self
 
 from pimentohoist import _clock
 from pimentohoist._entry.declarations import DeclarationsController
+from pimentohoist._entry.endpoint_notices import EndpointNotices
 from pimentohoist._entry.endpoints import EndpointsController
 from pimentohoist._entry.engine_owner import EngineOwner
 from pimentohoist._entry.ownership import OwnershipController
@@ -33,22 +35,32 @@
 class _PartitionEngineLease:
     """Implements `EngineLease` by this daemon's lease on the engine's partition."""
 
-    def __init__(self, ownership: OwnershipController, endpoint_id: str) -> None:
+    def __init__(
+        self,
+        ownership: OwnershipController,
+        endpoint: Endpoint,
+        notices: EndpointNotices,
+    ) -> None:
         self.ownership = ownership
-        self.endpoint_id = endpoint_id
+        self.endpoint = endpoint
+        self.notices = notices
         self.holder = ownership.own.member
 
     def may_order(self) -> bool:
         """Return whether this daemon may order the engine now."""
-        return self.ownership.may_order(self.endpoint_id)
+        return self.ownership.may_order(self.endpoint.endpoint_id)
 
     def fencing_number(self) -> int:
         """Return the generation of the store's group."""
         return self.ownership.own.generation
 
+    def quiet_s(self) -> float:
+        """Return the seconds for which the engine wants no requests."""
+        return self.notices.quiet_s(self.endpoint)
+
     def record_order(self) -> None:
         """Record that an order was sent."""
-        self.ownership.record_order(self.endpoint_id)
+        self.ownership.record_order(self.endpoint.endpoint_id)
 
 
 class OwnedEnginesController:
@@ -200,6 +212,10 @@
         if engine is None:
             raise NotOwnerError('not the owner', step=_STEP, peer=endpoint_id)
         newest_version = max(version, self.declarations.version_of(adapter))
+        if not self.endpoints.may_get_work(engine.endpoint):
+            raise UnavailableError(
+                'engine is leaving or wants no requests', step=_STEP, peer=endpoint_id
+            )
         deadline = _clock.now() + wait_s
         return engine.load_and_pin(
             adapter, newest_version, deadline, fail_fast=fail_fast
@@ -261,10 +277,13 @@
     def _new_owner(self, endpoint: Endpoint, limits: EngineLimits) -> EngineOwner:
         models = tuple(size.model for size in limits.models)
         capacity = limits.adapter_slot_count(endpoint.models or models[:1])
-        lease = _PartitionEngineLease(self.ownership, endpoint.endpoint_id)
-        return EngineOwner(
+        notices = self.endpoints.notices
+        lease = _PartitionEngineLease(self.ownership, endpoint, notices)
+        owner = EngineOwner(
             endpoint, capacity, models[0] if models else '', lease, self.loaders
         )
+        owner.session.orders.on_notice = partial(notices.record, endpoint)
+        return owner
 
     def _stop_owner(self, endpoint_id: str, engine: EngineOwner) -> None:
         self.engines.pop(endpoint_id, None)
@@ -278,6 +297,8 @@
 
     def _replace_outdated(self, adapter: AdapterKey, version: int) -> None:
         for engine in tuple(self.engines.values()):
+            if not self.endpoints.may_get_work(engine.endpoint):
+                continue
             try:
                 engine.replace(adapter, version)
             except NotOwnerError as error:
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -235,7 +235,7 @@
             in_flight,
             self.owned_engines.statuses(),
             self.crash_reports.recent_reports(),
-            self.endpoints.draining_endpoints(),
+            self.endpoints.notices.announced(),
             self.declarations.follower.status.unread_s(),
             self.store.era.current,
         )
--- a/src/pimentohoist/entry_models.py
+++ b/src/pimentohoist/entry_models.py
@@ -324,3 +324,19 @@
     adapter_version: int | None = None
     last_event_id: str | None = None
     priority: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointNotice:
+    """What a response of an endpoint asks of the daemon that got it.
+
+    Attributes
+    ----------
+    is_leaving : bool
+        Whether the endpoint wants no new work, from any daemon.
+    quiet_s : float or None
+        Seconds for which it wants no requests from this daemon.
+    """
+
+    is_leaving: bool = False
+    quiet_s: float | None = None
--- a/src/pimentohoist/platform/__init__.py
+++ b/src/pimentohoist/platform/__init__.py
@@ -12,6 +12,7 @@
     decode_report,
 )
 from pimentohoist.platform._era import EraChangedError, EraTracker, StaleAnswerError
+from pimentohoist.platform._notices import decode_notice
 from pimentohoist.platform._orders import EngineOrders, OrderReply
 from pimentohoist.platform._requests import (
     RawRequest,
@@ -66,6 +67,7 @@
     'decode_adapter_version',
     'decode_declaration',
     'decode_endpoint',
+    'decode_notice',
     'decode_report',
     'encode_directory',
     'is_not_executed',
--- a/src/pimentohoist/platform/_era.py
+++ b/src/pimentohoist/platform/_era.py
@@ -11,7 +11,7 @@
 from collections.abc import Mapping
 
 from pimentohoist.exceptions import PimentohoistError
-from pimentohoist.platform._headers import STORE_ERA
+from pimentohoist.platform._headers import STORE_ERA, find
 
 _MAX_DIGITS = 6
 _MAX_RISE = 1000
@@ -68,8 +68,7 @@
             self._raise_to(era, peer)
 
     def _named_era(self, headers: Mapping[str, str]) -> int | None:
-        name = STORE_ERA.lower()
-        text = next((headers[key] for key in headers if key.lower() == name), None)
+        text = find(headers, STORE_ERA)
         if text is None:
             return None
         is_number = text.isascii() and text.isdigit() and len(text) <= _MAX_DIGITS
--- a/src/pimentohoist/platform/_headers.py
+++ b/src/pimentohoist/platform/_headers.py
@@ -1,5 +1,7 @@
 """Names of the headers of the platform's requests and responses."""
 
+from collections.abc import Mapping
+
 ATTEMPT_ID = 'Pimentohoist-Attempt-Id'
 """Id of one attempt of a caller; a caller's retry has another id."""
 
@@ -23,6 +25,8 @@
 
 NOT_EXECUTED = 'Pimentohoist-Not-Executed'
 LAST_EVENT_ID = 'Last-Event-Id'
+SERVER_LEAVING = 'Server-Leaving'
+RETRY_AFTER = 'Retry-After'
 STORE_ERA = 'Store-Era'
 """Rises by one each time the store comes back from an older copy of itself."""
 
@@ -62,3 +66,9 @@
     )
 )
 """Headers that concern a single connection, and those that the HTTP library sets."""
+
+
+def find(headers: Mapping[str, str], name: str) -> str | None:
+    """Return the value of a header, whatever the case of its name; None without it."""
+    lowered = name.lower()
+    return next((headers[key] for key in headers if key.lower() == lowered), None)
--- /dev/null
+++ b/src/pimentohoist/platform/_notices.py
@@ -0,0 +1,56 @@
+"""What the headers of an endpoint's response ask of the daemon."""
+
+from __future__ import annotations
+
+import logging
+import re
+from collections.abc import Mapping
+from http import HTTPStatus
+
+from pimentohoist.entry_models import EndpointNotice
+from pimentohoist.platform import _headers as header_names
+
+_MAX_QUIET_S = 120.0
+_SECONDS = re.compile(r'[0-9]{1,6}(\.[0-9]{1,6})?')
+_LEAVING = '1'
+
+_logger = logging.getLogger(__name__)
+_logged_endpoints: set[tuple[str, str]] = set()
+_MAX_LOGGED_ENDPOINTS = 1000
+
+
+def decode_notice(
+    endpoint_id: str, status: int, headers: Mapping[str, str]
+) -> EndpointNotice:
+    """Return what a response asks; an invalid value asks nothing and is logged once."""
+    leaving = header_names.find(headers, header_names.SERVER_LEAVING)
+    if leaving not in {None, _LEAVING}:
+        _log_invalid(endpoint_id, header_names.SERVER_LEAVING, leaving)
+    quiet_s = None
+    if status == HTTPStatus.SERVICE_UNAVAILABLE:
+        quiet_s = _decode_quiet_s(endpoint_id, headers)
+    return EndpointNotice(leaving == _LEAVING, quiet_s)
+
+
+def _decode_quiet_s(endpoint_id: str, headers: Mapping[str, str]) -> float | None:
+    text = header_names.find(headers, header_names.RETRY_AFTER)
+    if text is None:
+        return None
+    if _SECONDS.fullmatch(text) and float(text) <= _MAX_QUIET_S:
+        return float(text) or None
+    _log_invalid(endpoint_id, header_names.RETRY_AFTER, text)
+    return None
+
+
+def _log_invalid(endpoint_id: str, header: str, text: str | None) -> None:
+    key = (endpoint_id, header)
+    if key in _logged_endpoints or len(_logged_endpoints) >= _MAX_LOGGED_ENDPOINTS:
+        return
+    _logged_endpoints.add(key)
+    extra = {
+        'step': 'endpoints',
+        'endpoint': endpoint_id,
+        'header': header,
+        'cause': f'{text:.80}',
+    }
+    _logger.warning('invalid header ignored', extra=extra)
--- a/src/pimentohoist/platform/_orders.py
+++ b/src/pimentohoist/platform/_orders.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from contextlib import suppress
 from dataclasses import dataclass
 from enum import StrEnum
@@ -11,10 +11,11 @@
 from types import MappingProxyType
 
 from pimentohoist._http_client import HttpClient, HttpResponse, HttpRequest
-from pimentohoist.entry_models import AdapterKey, EngineReport
+from pimentohoist.entry_models import AdapterKey, EndpointNotice, EngineReport
 from pimentohoist.exceptions import PeerRefusedError, PeerTimeoutError
 from pimentohoist.platform import _headers as header_names
 from pimentohoist.platform._documents import decode_report
+from pimentohoist.platform._notices import decode_notice
 
 _STEP = 'order'
 _TIMEOUT_S = 0.2
@@ -71,12 +72,19 @@
 
 
 class EngineOrders:
-    """Client of one incarnation of an engine: sends orders and reads reports."""
+    """Client of one incarnation of an engine: sends orders and reads reports.
+
+    Attributes
+    ----------
+    on_notice : callable
+        Called with what each response asks.
+    """
 
     def __init__(self, address: str, endpoint_id: str) -> None:
         self.client = HttpClient(address, timeout_s=_TIMEOUT_S, step=_STEP)
         self.endpoint_id = endpoint_id
         self.lease_holder = _LeaseHolder('', 0)
+        self.on_notice: Callable[[EndpointNotice], None] = _ignore
 
     def set_holder(self, member: str, fencing_number: int) -> None:
         """Set the lease holder and the fencing number that later orders name."""
@@ -96,6 +104,7 @@
         """Return the engine's state as it was a few hundred milliseconds ago."""
         request = HttpRequest('GET', '/v1/report', headers=self._headers())
         response = self.client.request(request, timeout_s=_REPORT_TIMEOUT_S)
+        self._record_notice(response)
         if response.status != HTTPStatus.OK:
             raise PeerRefusedError(
                 f'report: status {response.status}',
@@ -132,7 +141,13 @@
         body = json.dumps(document).encode()
         headers = {**self._headers(), 'Content-Type': _JSON}
         request = HttpRequest('POST', '/v1/order', body, headers)
-        return _order_reply(self._send_with_retries(request))
+        response = self._send_with_retries(request)
+        self._record_notice(response)
+        return _order_reply(response)
+
+    def _record_notice(self, response: HttpResponse) -> None:
+        headers = response.headers
+        self.on_notice(decode_notice(self.endpoint_id, response.status, headers))
 
     def _send_with_retries(self, request: HttpRequest) -> HttpResponse:
         """Send an order up to `_MAX_SENDS` times until it is answered."""
@@ -145,5 +160,9 @@
         return {header_names.EXPECTED_ENDPOINT: self.endpoint_id}
 
 
+def _ignore(notice: EndpointNotice) -> None:
+    """Do nothing with a notice."""
+
+
 def _order_reply(response: HttpResponse) -> OrderReply:
     return _REPLIES.get(response.status, OrderReply.REFUSED)
--- a/src/pimentohoist_standins/opaque_engine.py
+++ b/src/pimentohoist_standins/opaque_engine.py
@@ -33,6 +33,10 @@
         Number of next requests that are executed and end with status 500.
     is_silent : bool
         Whether executed requests stay unanswered; they are answered once it is false.
+    is_leaving : bool
+        Whether all responses say that the engine leaves.
+    quiet_s : float or None
+        Requests are refused, and the responses ask for no requests for this time.
     load_s : float
         Time to load an adapter, in seconds.
     event_s : float
@@ -41,6 +45,8 @@
 
     unanswered_orders: int = 0
     is_silent: bool = False
+    is_leaving: bool = False
+    quiet_s: float | None = None
     cut_after_events: int | None = None
     extra_responses: int = 0
     failures: int = 0
@@ -68,6 +74,8 @@
         Whether it was ordered to load more adapters than `capacity`.
     holders : dict of int to set of str
         Holders that named each fencing number.
+    arrivals : list of float
+        When each request arrived, on the monotonic clock, refused ones included.
     disconnected_streams : int
         Streams whose client disconnected before the end.
     """
@@ -83,6 +91,7 @@
     is_overloaded: bool = False
     loads: Counter[str] = field(default_factory=Counter)
     executed_requests: list[ExecutedRequest] = field(default_factory=list)
+    arrivals: list[float] = field(default_factory=list)
     disconnected_streams: int = 0
 
 
@@ -209,12 +218,26 @@
             return
         self.send_answer(status, b'{}')
 
+    def end_headers(self) -> None:
+        if self.engine.faults.is_leaving:
+            self.send_header('Server-Leaving', '1')
+        super().end_headers()
+
     def read_body(self) -> bytes:
         return self.rfile.read(int(self.headers.get('Content-Length') or 0))
 
     def run_request(self) -> None:
         body = self.read_body()
         headers = {name.lower(): text for name, text in self.headers.items()}
+        self.engine.state.arrivals.append(time.monotonic())
+        quiet_s = self.engine.faults.quiet_s
+        if quiet_s is not None:
+            not_executed = {
+                'Pimentohoist-Not-Executed': '1',
+                'Retry-After': f'{quiet_s}',
+            }
+            self.send_answer(HTTPStatus.SERVICE_UNAVAILABLE, b'', not_executed)
+            return
         refusal = self.engine.refusal(headers)
         if refusal is not None:
             self.send_answer(refusal, b'', {'Pimentohoist-Not-Executed': '1'})
