--- a/src/pimentohoist/_entry/ownership.py
+++ b/src/pimentohoist/_entry/ownership.py
@@ -88,6 +88,25 @@
         self._closed.set()
         self._wake.set()
 
+    def join(self) -> None:
+        """Join the group once and take over what it assigns."""
+        requested_at = _clock.now()
+        membership = self.store.join(
+            _GROUP, self.own.member, self.own.generation, _MEMBERSHIP_LEASE_S
+        )
+        if self._closed.is_set():
+            return
+        self.joined_at = requested_at
+        ownership = Ownership(
+            self.own.member, membership.generation, membership.partitions
+        )
+        # A restored store may assign a partition again whose holder it has forgotten.
+        is_same_era = membership.era == self._era or not self.own.generation
+        if not is_same_era:
+            self._era_changed_at = requested_at
+        self._era = membership.era
+        self._set_ownership(ownership)
+
     def leave(self) -> None:
         """Leave the group, so that other daemons take over the partitions.
 
@@ -149,7 +168,7 @@
         while not self._closed.is_set():
             generation = self.own.generation
             try:
-                self._join()
+                self.join()
                 is_failing = False
             except PimentohoistError as error:
                 if not is_failing:
@@ -160,24 +179,6 @@
             self._wake.wait(self._join_delay_s(generation))
             self._wake.clear()
 
-    def _join(self) -> None:
-        requested_at = _clock.now()
-        membership = self.store.join(
-            _GROUP, self.own.member, self.own.generation, _MEMBERSHIP_LEASE_S
-        )
-        if self._closed.is_set():
-            return
-        self.joined_at = requested_at
-        ownership = Ownership(
-            self.own.member, membership.generation, membership.partitions
-        )
-        # A restored store may assign a partition again whose holder it has forgotten.
-        is_same_era = membership.era == self._era or not self.own.generation
-        if not is_same_era:
-            self._era_changed_at = requested_at
-        self._era = membership.era
-        self._set_ownership(ownership)
-
     def _join_delay_s(self, confirmed_generation: int) -> float:
         """Return the seconds until the next join, after one that named a generation."""
         now = _clock.now()
@@ -208,7 +209,11 @@
                 self.members.send_now()
             return
         now = _clock.now()
-        is_released = now - self._era_changed_at > self.settings.bounds.lease_s
+        # Fences keep the former holder's orders out; other engines would obey both.
+        is_released = (
+            self.settings.engines_check_fences
+            or now - self._era_changed_at > self.settings.bounds.lease_s
+        )
         for partition in ownership.partitions - before.partitions:
             self._lease(partition).gain(now, is_released=is_released)
         for lost in before.partitions - ownership.partitions:
