Read through: pause after expired records, fetch only from daemons that aren't behind, log how long a read took

A store whose records expire at each read was read without a pause. A daemon that starts knows no adapter version yet, and all others would have asked it for its versions. read_s of a failed hedged read was the time of the last check, not of the read.

--- a/features/steps/owners_after_restore.py
+++ b/features/steps/owners_after_restore.py
@@ -17,6 +17,8 @@
 _LAST_START_S = 12.0
 _MAX_DURATION_S = 3.0
 _RECOVERY_S = 8.0
+"""Time from the last fault to the end of a history."""
+
 _END_S = _LAST_START_S + _MAX_DURATION_S + _RECOVERY_S
 
 _faults = st.lists(
@@ -50,7 +52,8 @@
 
 @then(
     'in {count:d} generated histories'
-    ' no two daemons share a fencing number or take turns'
+    ' no two daemons share a fencing number or take turns,'
+    ' and the engine has an owner at the end'
 )
 def check_generated(context: Context, count: int) -> None:
     @settings(max_examples=count, deadline=None, derandomize=True)
@@ -64,11 +67,6 @@
     check()
 
 
-@then('in each of them the engine has an owner {limit:d} s after the last fault')
-def check_recovery(context: Context, limit: int) -> None:
-    assert limit == _RECOVERY_S
-
-
 @given(
     '{count:d} daemons whose group is rebalanced 3 times and then restored to before that'
 )
--- a/src/pimentohoist/_entry/declaration_sync.py
+++ b/src/pimentohoist/_entry/declaration_sync.py
@@ -65,8 +65,9 @@
 
     def _is_newer(self, heartbeat: Heartbeat) -> bool:
         declarations = self.declarations
-        if heartbeat.version > declarations.version:
-            return True
+        if heartbeat.version != declarations.version:
+            return heartbeat.version > declarations.version
+        # The digest doesn't tell which of the two misses something.
         return heartbeat.adapter_versions != declarations.versions_digest
 
     def _run(self) -> None:
--- a/src/pimentohoist/_entry/hedged_follower.py
+++ b/src/pimentohoist/_entry/hedged_follower.py
@@ -30,6 +30,9 @@
 _CHECK_INTERVAL_S = 0.25
 """Heartbeats confirm that no newer record exists, and come at this interval."""
 
+_RESTART_DELAY_S = 0.1
+"""Keeps a store that expires all records at once from being read without a pause."""
+
 _MS_PER_S = 1000
 
 _logger = logging.getLogger(__name__)
@@ -95,14 +98,14 @@
 
     def _run(self) -> None:
         while not self._closed.is_set():
-            began_at = _clock.now()
             try:
                 self._follow()
             except (RecordsExpiredError, EraChangedError) as error:
                 self._reset()
                 self.status.record_restart(error)
+                self._closed.wait(_RESTART_DELAY_S)
             except PimentohoistError as error:
-                self._record_failure(error, began_at)
+                self._record_failure(error)
             except Exception:
                 _logger.exception('topic follower failed', extra={'topic': self.topic})
                 self._reset()
@@ -112,6 +115,7 @@
     def _follow(self) -> None:
         if self._position is None:
             self._wait_until(self.freshness.retry_at)
+            self.freshness.record_sent(_clock.now(), are_reads_unanswered=False)
             records, self._position = self.store.read_newest(self.topic)
             self._record_answer(records, is_whole=True)
             return
@@ -164,8 +168,8 @@
         if records or is_whole:
             self.sink(records, is_whole)
 
-    def _record_failure(self, error: PimentohoistError, began_at: float) -> None:
-        delay_s = self.status.record_failure(error, began_at)
+    def _record_failure(self, error: PimentohoistError) -> None:
+        delay_s = self.status.record_failure(error, self.freshness.sent_at)
         self.freshness.record_failure(_clock.now() + delay_s)
 
     def _drop_expired(self) -> None:
--- a/src/pimentohoist/_entry/topic_follower.py
+++ b/src/pimentohoist/_entry/topic_follower.py
@@ -158,7 +158,7 @@
             except (RecordsExpiredError, EraChangedError) as error:
                 self._position = None
                 self.status.record_restart(error)
-                pause_s = 0
+                pause_s = _MIN_RETRY_DELAY_S
             except PimentohoistError as error:
                 pause_s = self.status.record_failure(error, sent_at)
             except Exception:
--- a/src/pimentohoist/platform/_headers.py
+++ b/src/pimentohoist/platform/_headers.py
@@ -1,4 +1,4 @@
-"""Names of the headers of the platform's requests and responses."""
+"""Names of the headers of the platform's requests and responses, and their look-up."""
 
 from collections.abc import Mapping
 
