--- a/features/endpoint_notices.feature
+++ b/features/endpoint_notices.feature
@@ -16,6 +16,13 @@
     Then all callers are served and at most 2 requests reach it until the time is over
     And it gets requests again within 1 s of that time
 
+  # Guards against polls, loads and reports that reach an engine which has asked for quiet.
+  Scenario: An engine asks for no requests while an adapter is being loaded
+    Given a fleet of 1 daemon with 1 engine
+    When a load takes 1.5 s and the engine asks for no requests for 2 s meanwhile
+    Then at most 2 orders reach it until the time is over
+    And a stream with another adapter is served within 4 s of that time
+
   # Guards against callers that wait for endpoints which won't take a request.
   Scenario: All endpoints of a group ask for no requests
     Given a fleet of 1 daemon with 1 engine
--- a/features/steps/endpoint_notices.py
+++ b/features/steps/endpoint_notices.py
@@ -22,7 +22,7 @@
 _REQUEST_INTERVAL_S = 0.05
 _STRAY_S = 0.5
 _MAX_STRAYS = 2
-_MAX_QUIET_S = 120
+_SHORT_LOAD_S = 0.05
 _MAX_JITTERED_RETURN_S = 4
 
 
@@ -105,6 +105,42 @@
     wait_for(is_back, limit)
 
 
+@when(
+    'a load takes {load:f} s and the engine asks for no requests for {duration:d} s'
+    ' meanwhile'
+)
+def ask_for_quiet_while_loading(context: Context, load: float, duration: int) -> None:
+    engine = context.fleet.engines[0]
+    assert context.fleet.send_request(adapter='a1').status == 200
+    engine.faults.load_s = load
+    context.duration = duration
+    with ThreadPoolExecutor(1) as caller:
+        caller.submit(context.fleet.send_request, adapter='a2')
+        wait_for(lambda: engine.state.loads['a2'] > 0, 3)
+        engine.faults.quiet_s = duration
+        context.refused_at = time.monotonic()
+        assert context.fleet.send_request(adapter='a1').status == 503
+        engine.faults.quiet_s = None
+    engine.faults.load_s = _SHORT_LOAD_S
+
+
+@then('at most {count:d} orders reach it until the time is over')
+def check_no_orders(context: Context, count: int) -> None:
+    end = context.refused_at + context.duration
+    time.sleep(max(0, end - time.monotonic()))
+    strays = [
+        arrival
+        for arrival in context.fleet.engines[0].state.order_arrivals
+        if context.refused_at + _STRAY_S < arrival < end
+    ]
+    assert len(strays) <= count, strays
+
+
+@then('a stream with another adapter is served within {limit:d} s of that time')
+def check_load_after_quiet(context: Context, limit: int) -> None:
+    wait_for(lambda: context.fleet.send_request(adapter='a3').status == 200, limit)
+
+
 @when('the only ledger asks for no requests for {duration:d} s')
 def silence_only_ledger(context: Context, duration: int) -> None:
     context.fleet.ledger.faults.quiet_s = duration
--- a/src/pimentohoist_standins/opaque_engine.py
+++ b/src/pimentohoist_standins/opaque_engine.py
@@ -76,6 +76,8 @@
         Holders that named each fencing number.
     arrivals : list of float
         When each request arrived, on the monotonic clock, refused ones included.
+    order_arrivals : list of float
+        When each order and each read of the report arrived.
     disconnected_streams : int
         Streams whose client disconnected before the end.
     """
@@ -92,6 +94,7 @@
     loads: Counter[str] = field(default_factory=Counter)
     executed_requests: list[ExecutedRequest] = field(default_factory=list)
     arrivals: list[float] = field(default_factory=list)
+    order_arrivals: list[float] = field(default_factory=list)
     disconnected_streams: int = 0
 
 
@@ -203,6 +206,7 @@
 
     def do_GET(self) -> None:  # noqa: N802
         if self.path == '/v1/report':
+            self.engine.state.order_arrivals.append(time.monotonic())
             self.send_answer(HTTPStatus.OK, json.dumps(self.engine.report()).encode())
         else:
             self.run_request()
@@ -211,6 +215,7 @@
         if self.path != '/v1/order':
             self.run_request()
             return
+        self.engine.state.order_arrivals.append(time.monotonic())
         status = self.engine.order(json.loads(self.read_body()))
         if self.engine.faults.unanswered_orders > 0:
             self.engine.faults.unanswered_orders -= 1
