--- a/src/pimentohoist/_entry/engine_session.py
+++ b/src/pimentohoist/_entry/engine_session.py
@@ -166,7 +166,7 @@
     def resync(self, apply: Callable[[EngineReport], None]) -> None:
         """Take over the engine's report after an order whose effect isn't known."""
         with self.lock:
-            self._wait_until_wanted()
+            self._wait_for_retry_after()
             if self.has_ordered:
                 # The report is older than the request for it by this lag: an order that
                 # was accepted within it would be missing from the report.
@@ -196,7 +196,7 @@
         """Return the fields of each log record about the engine."""
         return {'step': _STEP, 'endpoint': self.endpoint.endpoint_id}
 
-    def _wait_until_wanted(self) -> None:
+    def _wait_for_retry_after(self) -> None:
         """Wait until the engine wants requests again."""
         quiet_s = self.lease.quiet_s()
         while quiet_s and not self.is_ended:
--- a/src/pimentohoist/_entry/member_list.py
+++ b/src/pimentohoist/_entry/member_list.py
@@ -14,7 +14,7 @@
 from pimentohoist.platform import MEMBER_RECORDS, KeyedRecord, Store
 
 _READ_INTERVAL_S = 30.0
-_LONELY_READ_INTERVAL_S = 1.0
+_MIN_READ_INTERVAL_S = 1.0
 _NOT_PUBLISHED = -1
 
 _logger = logging.getLogger(__name__)
@@ -92,7 +92,7 @@
 
     def _wait(self, read_at: float) -> None:
         """Wait until the list is to be read, or the record published, again."""
-        while not self._closed.wait(_LONELY_READ_INTERVAL_S):
+        while not self._closed.wait(_MIN_READ_INTERVAL_S):
             is_due = _clock.now() - read_at > _READ_INTERVAL_S
             if is_due or self.is_alone() or self._must_publish():
                 return
