--- a/src/pimentohoist/_entry/request_handler.py
+++ b/src/pimentohoist/_entry/request_handler.py
@@ -20,6 +20,7 @@
 )
 from pimentohoist._entry.quotas import QuotasController
 from pimentohoist._entry.request_monitor import RequestMonitor, MonitoredRequest
+from pimentohoist._entry.shutdown import Shutdown
 from pimentohoist.entry_models import EntryRequest
 from pimentohoist.exceptions import (
     CallerDisconnectedError,
@@ -46,12 +47,14 @@
         filters: Sequence[Filter],
         dispatch: Dispatch,
         request_monitor: RequestMonitor,
+        shutdown: Shutdown,
     ) -> None:
         self.declarations = declarations
         self.quotas = quotas
         self.filters = filters
         self.dispatch = dispatch
         self.request_monitor = request_monitor
+        self.shutdown = shutdown
         self.metrics = RequestMetrics()
 
     def handle(
@@ -80,7 +83,13 @@
         timeout_s = route.timeout_s
         if request.timeout_s is not None:
             timeout_s = min(timeout_s, request.timeout_s)
-        monitored = MonitoredRequest(request.arrived_at + timeout_s, poll_disconnected)
+        monitored = MonitoredRequest(
+            request.request_id,
+            request.arrived_at,
+            request.arrived_at + timeout_s,
+            poll_disconnected,
+        )
+        self.shutdown.record_arrival(request.request_id, route.name, timeout_s)
         self.request_monitor.add(monitored)
         return RequestContext(request, monitored, declaration, route, group)
 
--- a/src/pimentohoist/_entry/request_monitor.py
+++ b/src/pimentohoist/_entry/request_monitor.py
@@ -27,8 +27,10 @@
 
     Attributes
     ----------
-    deadline : float
-        Time of `_clock.now` in seconds at which it is cancelled.
+    request_id : str
+        The caller's id of this attempt.
+    arrived_at, deadline : float
+        Times of `_clock.now` in seconds at which it arrived and is cancelled.
     poll_disconnected : callable
         Returns whether the caller has disconnected.
     exchange : UpstreamExchange or None
@@ -39,6 +41,8 @@
         Whether it was cancelled because the caller has disconnected.
     """
 
+    request_id: str
+    arrived_at: float
     deadline: float
     poll_disconnected: Callable[[], bool]
     exchange: UpstreamExchange | None = None
@@ -87,6 +91,10 @@
         """Return the number of requests in flight."""
         return len(self._requests)
 
+    def in_flight(self) -> list[MonitoredRequest]:
+        """Return the requests in flight, the oldest first."""
+        return sorted(self._requests.values(), key=lambda request: request.arrived_at)
+
     def add(self, monitored: MonitoredRequest) -> None:
         """Check a request until it is removed."""
         self._requests[id(monitored)] = monitored
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -9,6 +9,7 @@
 import threading
 from collections.abc import Iterator
 from contextlib import ExitStack
+from types import FrameType
 from typing import Any, Self
 
 from pimentohoist import _clock
@@ -35,6 +36,7 @@
 from pimentohoist._entry.retry_budgets import GroupRetryBudgets
 from pimentohoist._entry.in_flight_requests import InFlightRequests
 from pimentohoist._entry.server import CallersServer
+from pimentohoist._entry.shutdown import Shutdown
 from pimentohoist._entry.request_monitor import RequestMonitor
 from pimentohoist._http_server import HttpServer
 from pimentohoist._logs import BoundedLogs
@@ -75,6 +77,7 @@
         self.settings = settings
         self.logs = logs
         self.is_draining = threading.Event()
+        self.shutdown = Shutdown(settings.bounds.grace_s)
         self.store = Store(settings.store_address)
         self.peers = PeerClients()
         self.members = MembersController(settings, self.store, self._make_heartbeat)
@@ -101,7 +104,12 @@
             RejectQuarantined(self.crash_reports),
         )
         self.request_handler = RequestHandler(
-            self.declarations, self.quotas, filters, self.dispatch, self.request_monitor
+            self.declarations,
+            self.quotas,
+            filters,
+            self.dispatch,
+            self.request_monitor,
+            self.shutdown,
         )
         self.callers = CallersServer(
             RequestsApp(self.request_handler), settings.callers_address
@@ -137,7 +145,9 @@
 
     def __exit__(self, *exc_info: object) -> None:
         """Stop everything."""
-        self._stack.close()
+        with self.shutdown.timed('close servers and controllers'):
+            self._stack.close()
+        self.shutdown.record_cut(self.request_monitor.in_flight())
 
     def is_ready(self) -> bool:
         """Return whether callers can be served."""
@@ -165,11 +175,13 @@
         self.is_draining.set()
         self.callers.is_draining = True
         self.members.send_now()
-        self.ownership.leave()
+        with self.shutdown.timed('leave the group'):
+            self.ownership.leave()
         self.members.send_now()
         while _clock.now() < deadline:
             is_quiet = not len(self.request_monitor) and self.callers.is_idle()
             if is_quiet and _clock.now() > began_at + _MIN_DRAIN_S:
+                self.shutdown.record_progress('no request in flight', 0)
                 break
             threading.Event().wait(_POLL_INTERVAL_S)
 
@@ -274,18 +286,21 @@
 def _run_until_stopped(daemon: EntryDaemon, settings_path: str) -> None:
     stopped = threading.Event()
     reloaded = threading.Event()
-    signal.signal(signal.SIGTERM, lambda number, frame: stopped.set())
+
+    def stop(number: int, frame: FrameType | None) -> None:  # noqa: WPS430
+        daemon.shutdown.begin()
+        stopped.set()
+
+    signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGHUP, lambda number, frame: reloaded.set())
     _logger.info('started', extra={'step': 'start'})
     while not stopped.wait(_POLL_INTERVAL_S):
         if reloaded.is_set():
             reloaded.clear()
             _reload(daemon, settings_path)
-    _logger.info('stopping', extra={'step': 'stop'})
+    daemon.shutdown.record_progress('stopping', len(daemon.request_monitor))
     daemon.leave()
-    _logger.info(
-        'stopped', extra={'step': 'stop', 'running': len(daemon.request_monitor)}
-    )
+    daemon.shutdown.record_progress('stopped', len(daemon.request_monitor))
 
 
 def _reload(daemon: EntryDaemon, settings_path: str) -> None:
@@ -298,6 +313,7 @@
     daemon.settings = settings
     daemon.members.settings = settings
     daemon.ownership.settings = settings
+    daemon.shutdown.grace_s = settings.bounds.grace_s
     _logger.info('settings reloaded', extra={'step': 'reload'})
 
 
