--- a/features/entry_fleet.py
+++ b/features/entry_fleet.py
@@ -171,7 +171,10 @@
 
 
 def configuration_document(
-    version: int, rate: float = 0, keys: tuple[str, ...] = (KEY,)
+    version: int,
+    rate: float = 0,
+    keys: tuple[str, ...] = (KEY,),
+    timeout_ms: int = 4000,
 ) -> Any:
     engine = {
         'slots': 8,
@@ -181,7 +184,7 @@
     }
     route = {
         'host': 'house.example',
-        'timeout-ms': 4000,
+        'timeout-ms': timeout_ms,
         'goal-ms': 1000,
         'priority': 0,
         'attempts': 2,
--- /dev/null
+++ b/features/entry_stop.feature
@@ -0,0 +1,37 @@
+Feature: Requests around the planned stop of an entry daemon
+  A request that a daemon reads after SIGTERM is answered whole, or surely not run.
+
+  # Guards against accepting a stream that takes longer than what is left before the kill.
+  Scenario: Streams sent on kept connections late in the grace period aren't cut off
+    Given a stopping fleet of 2 daemons whose streams take 1.8 s
+    When streams are sent on kept connections each 0.25 s from 1 s to 7.75 s after SIGTERM
+    Then each is answered whole or surely not run
+    And the daemon is gone before the kill
+
+  # Guards against reading requests between the check that none is in flight and the exit.
+  Scenario: Streams that arrive once the daemon has found itself idle aren't cut off
+    Given a stopping fleet of 2 daemons whose streams take 1.8 s
+    When streams are sent on kept connections as soon as the daemon has found itself idle
+    Then each is answered whole or surely not run
+    And the daemon is gone before the kill
+
+  # Guards against cutting off callers that connect again from an old copy of the directory.
+  Scenario: Callers that open connections until the process is gone get whole answers
+    Given a stopping fleet of 2 daemons whose streams take 3.3 s
+    When streams and short requests are sent on new connections from 2 s after SIGTERM on
+    Then each is answered whole or surely not run
+    And the daemon is gone before the kill
+
+  # Guards against an end without an answer for requests that outlast the grace period.
+  Scenario: Requests that outlast the grace period get an answer before the kill
+    Given a stopping fleet of 2 daemons whose streams take 60 s
+    When a request and a stream without a first event run as SIGTERM comes
+    Then both get a whole answer with status 504
+    And the daemon is gone before the kill
+
+  # Guards against running requests that are read after a server has begun to close.
+  Scenario: A server that closes while a request runs begins no other request
+    Given a server whose requests take as long as they say
+    When it closes while a request of 0.6 s runs and one of 3 s arrives 0.3 s later
+    Then the running request gets a whole answer
+    And the request that arrived later hasn't begun
--- /dev/null
+++ b/features/steps/entry_stop.py
@@ -0,0 +1,186 @@
+"""Steps for the planned stop of an entry daemon."""
+
+from __future__ import annotations
+
+import http.client
+import threading
+import time
+from collections.abc import Iterable
+from contextlib import suppress
+
+from behave import given, then, when
+from behave.runner import Context
+from entry_fleet import EntryFleet, wait_for
+from stop_callers import (
+    GRACE_S,
+    Caller,
+    Stop,
+    call_until_gone,
+    lost_requests,
+    wait_for_log,
+)
+
+from pimentohoist._http_server import HttpServer
+
+_STREAM = '/models/x'
+_SHORT = '/look/x'
+_EVENTS = 6
+_STREAM_CALLERS = 12
+_SHORT_CALLERS = 28
+_IDLE_CONNECTIONS = 20
+_SERVER_HOST = '127.42.77.1'
+_SERVER_PORT = 8000
+
+
+@given('a stopping fleet of {daemons:d} daemons whose streams take {stream_s:g} s')
+def start_fleet(context: Context, daemons: int, stream_s: float) -> None:
+    context.fleet = context.stack.enter_context(EntryFleet())
+    context.fleet.add_engine('engine-1')
+    context.fleet.add_engine('engine-2')
+    timeout_ms = int(max(4, 2 * stream_s) * 1000)
+    context.fleet.declare(1, timeout_ms=timeout_ms)
+    context.fleet.start_ready(daemons)
+    for daemon in range(daemons):
+        assert context.fleet.send_request(adapter='a0', daemon=daemon).status == 200
+    for engine in context.fleet.engines:
+        engine.faults.event_s = stream_s / _EVENTS
+    context.stop = Stop(context.fleet.daemons[0])
+
+
+@when(
+    'streams are sent on kept connections each {step_s:g} s '
+    'from {first_s:g} s to {last_s:g} s after SIGTERM'
+)
+def send_on_kept(
+    context: Context, step_s: float, first_s: float, last_s: float
+) -> None:
+    count = int((last_s - first_s) / step_s) + 1
+    callers = [Caller(context.stop) for _ in range(count)]
+    context.stop.begin()
+    for number, caller in enumerate(callers):
+        sent_at_s = first_s + number * step_s
+        context.stop.start_thread(caller.send_at, sent_at_s, _STREAM, f'kept-{number}')
+    context.stop.join()
+
+
+@when(
+    'streams are sent on kept connections as soon as the daemon has found itself idle'
+)
+def send_when_idle(context: Context) -> None:
+    callers = [Caller(context.stop) for _ in range(_IDLE_CONNECTIONS)]
+    context.stop.begin()
+    wait_for_log(context.stop.daemon, 'no request in flight', GRACE_S)
+    for number, caller in enumerate(callers):
+        context.stop.start_thread(caller.send, _STREAM, f'idle-{number}')
+        time.sleep(0.01)
+    context.stop.join()
+
+
+@when(
+    'streams and short requests are sent on new connections '
+    'from {first_s:g} s after SIGTERM on'
+)
+def send_on_new(context: Context, first_s: float) -> None:
+    stop = context.stop
+    stop.begin()
+    time.sleep(first_s)
+    for number in range(_STREAM_CALLERS):
+        stop.start_thread(call_until_gone, stop, f'stream-{number}', _STREAM, 0.1)
+        time.sleep(0.05)
+    for number in range(_SHORT_CALLERS):
+        stop.start_thread(call_until_gone, stop, f'short-{number}', _SHORT, 0.1)
+    stop.join()
+
+
+@when('a request and a stream without a first event run as SIGTERM comes')
+def stop_with_long_requests(context: Context) -> None:
+    stop = context.stop
+    context.fleet.ledger.faults.is_silent = True
+    stop.signalled_at = time.monotonic()
+    stop.start_thread(Caller(stop).send, _SHORT, 'long-request')
+    stop.start_thread(Caller(stop).send, _STREAM, 'long-stream')
+    engines = (*context.fleet.engines, context.fleet.ledger)
+    wait_for(
+        lambda: sum(len(engine.state.executed_requests) for engine in engines) >= 4, 3
+    )
+    stop.begin()
+    stop.join()
+    context.fleet.ledger.faults.is_silent = False
+
+
+@then('each is answered whole or surely not run')
+def check_not_lost(context: Context) -> None:
+    lost = lost_requests(context.fleet, context.stop)
+    times = [
+        (sent.request_id, sent.sent_after_s, sent.ended_after_s, sent.status)
+        for sent in lost
+    ]
+    assert context.stop.requests
+    assert not lost, times
+
+
+@then('both get a whole answer with status {status:d}')
+def check_statuses(context: Context, status: int) -> None:
+    outcomes = {
+        sent.request_id: (sent.status, sent.is_whole) for sent in context.stop.requests
+    }
+    assert set(outcomes.values()) == {(status, True)}, outcomes
+
+
+@then('the daemon is gone before the kill')
+def check_gone(context: Context) -> None:
+    assert context.stop.gone_after_s is not None, 'it was killed'
+
+
+@given('a server whose requests take as long as they say')
+def start_server(context: Context) -> None:
+    context.begun = []
+
+    def app(environ: dict, start_response: object) -> Iterable[bytes]:
+        duration_s = float(environ['PATH_INFO'].strip('/'))
+        context.begun.append(duration_s)
+        time.sleep(duration_s)
+        start_response('200 OK', [('Content-Length', '4')])
+        return [b'done']
+
+    address = f'{_SERVER_HOST}:{_SERVER_PORT}'
+    context.server = HttpServer(app, address, threads=4)
+    context.server.__enter__()
+
+
+@when(
+    'it closes while a request of {first_s:g} s runs '
+    'and one of {second_s:g} s arrives {delay_s:g} s later'
+)
+def close_server(
+    context: Context, first_s: float, second_s: float, delay_s: float
+) -> None:
+    first, second = (
+        http.client.HTTPConnection(_SERVER_HOST, _SERVER_PORT, timeout=5)
+        for _ in range(2)
+    )
+    for connection in (first, second):
+        connection.connect()
+    first.request('GET', f'/{first_s}')
+    time.sleep(0.1)
+    closing = threading.Thread(target=context.server.__exit__)
+    closing.start()
+    time.sleep(delay_s)
+    # The server may have closed this connection, since it was idle.
+    with suppress(OSError):
+        second.request('GET', f'/{second_s}')
+    context.response = first.getresponse()
+    context.body = context.response.read()
+    closing.join()
+    for connection in (first, second):
+        connection.close()
+
+
+@then('the running request gets a whole answer')
+def check_running_answered(context: Context) -> None:
+    assert (context.response.status, context.body) == (200, b'done')
+
+
+@then("the request that arrived later hasn't begun")
+def check_later_not_begun(context: Context) -> None:
+    assert len(context.begun) == 1, context.begun
