Accept a request during a stop only if it ends before the daemon; refuse the others as not run

Cause: nothing tied a request to the time that the process had left. A leaving daemon accepted every request until the kill, on kept connections and on new ones, whatever time it needed. Its end was a check that nothing ran, followed by waits one after the other, each with its own bound, while the server went on reading: requests were dispatched after the decision to end, or read and never answered.

Change: one schedule, from the time of the signal, for all of the stop. A request that arrives later is accepted if the time that it may take is left: what its route usually takes at most while callers renew their copies of the directory (2.5 s), its whole deadline after that. Others get 503 with Retry-After: 0 at once; they haven't run and another daemon can serve them. The daemon ends only when it was idle after it had begun to refuse all requests. 0.8 s before the kill what still runs is cancelled: 504, or a cut stream with a line in the log; a timer ends the process 0.3 s before the kill. A closing server closes its listener and its idle connections first and refuses what it reads then.

Also: the signal handlers set attributes only (an event's lock may be held by the thread that a handler interrupts) and are installed before the daemon starts; the store's group is left in a thread of its own, since a silent store holds it up.

--- a/features/entry_stop.feature
+++ b/features/entry_stop.feature
@@ -35,3 +35,8 @@
     When it closes while a request of 0.6 s runs and one of 3 s arrives 0.3 s later
     Then the running request gets a whole answer
     And the request that arrived later hasn't begun
+
+  # Guards against accepting requests that may outlast the daemon, at any time of a stop.
+  Scenario: In generated stops no request begins that may outlast the daemon
+    Then a request that a stopping daemon accepts ends before it, as far as is known
+    And a request that must end before the daemon is accepted at any time of the stop
--- a/features/steps/entry_stop.py
+++ b/features/steps/entry_stop.py
@@ -20,6 +20,12 @@
     wait_for_log,
 )
 
+from hypothesis import given as over
+from hypothesis import seed, settings
+from hypothesis import strategies as st
+
+from pimentohoist._decisions.recent_durations import RecentDurations
+from pimentohoist._decisions.shutdown_schedule import ShutdownSchedule
 from pimentohoist._http_server import HttpServer
 
 _STREAM = '/models/x'
@@ -31,6 +37,51 @@
 _SERVER_HOST = '127.42.77.1'
 _SERVER_PORT = 8000
 
+_GRACES_S = st.floats(1, 60)
+_DURATIONS_S = st.floats(0.001, 30)
+_RENEWAL_S = 2.0
+"""Time for which callers cache a response of the directory."""
+
+
+@seed(22)
+@settings(max_examples=500, database=None, deadline=None)
+@over(_GRACES_S, st.floats(0, 60), _DURATIONS_S, st.lists(_DURATIONS_S))
+def check_accepted(
+    grace_s: float, now: float, limit_s: float, answered_s: list[float]
+) -> None:
+    schedule = ShutdownSchedule(0, grace_s)
+    recent = RecentDurations()
+    for duration_s in answered_s:
+        recent.record(duration_s)
+    expected_s = recent.expected_max_s()
+    if not schedule.may_begin(now, limit_s, expected_s):
+        return
+    is_limit_needed = expected_s is None or now > _RENEWAL_S + 1
+    longest_s = limit_s if is_limit_needed else min(limit_s, max(answered_s[-100:]))
+    assert now + longest_s <= schedule.answers_end_at
+    assert schedule.answers_end_at < schedule.exit_at < grace_s
+
+
+@seed(23)
+@settings(max_examples=500, database=None, deadline=None)
+@over(_GRACES_S, st.floats(0, 60), _DURATIONS_S, st.none() | _DURATIONS_S)
+def check_served(
+    grace_s: float, now: float, limit_s: float, expected_s: float | None
+) -> None:
+    schedule = ShutdownSchedule(0, grace_s)
+    if now + limit_s <= schedule.answers_end_at:
+        assert schedule.may_begin(now, limit_s, expected_s)
+
+
+@then('a request that a stopping daemon accepts ends before it, as far as is known')
+def check_generated_acceptance(context: Context) -> None:
+    check_accepted()
+
+
+@then('a request that must end before the daemon is accepted at any time of the stop')
+def check_generated_service(context: Context) -> None:
+    check_served()
+
 
 @given('a stopping fleet of {daemons:d} daemons whose streams take {stream_s:g} s')
 def start_fleet(context: Context, daemons: int, stream_s: float) -> None:
@@ -69,7 +120,7 @@
 def send_when_idle(context: Context) -> None:
     callers = [Caller(context.stop) for _ in range(_IDLE_CONNECTIONS)]
     context.stop.begin()
-    wait_for_log(context.stop.daemon, 'no request in flight', GRACE_S)
+    wait_for_log(context.stop.daemon, 'all requests are refused', GRACE_S)
     for number, caller in enumerate(callers):
         context.stop.start_thread(caller.send, _STREAM, f'idle-{number}')
         time.sleep(0.01)
--- a/src/pimentohoist/_entry/connections.py
+++ b/src/pimentohoist/_entry/connections.py
@@ -9,7 +9,6 @@
 
 import http.client
 import io
-import select
 import socket
 import threading
 from collections import defaultdict
@@ -20,6 +19,7 @@
 
 from pimentohoist import _clock
 from pimentohoist._addresses import split_address
+from pimentohoist._sockets import has_input
 from pimentohoist.entry_models import EntryRequest, Endpoint
 from pimentohoist.exceptions import PeerConnectError, PeerError, PeerTimeoutError
 from pimentohoist.platform import is_response_to
@@ -97,7 +97,7 @@
 
     def is_reusable(self) -> bool:
         """Return whether no bytes and no end have come since the last response."""
-        if _has_input(self.sock):
+        if has_input(self.sock):
             return False
         self.sock.settimeout(0)
         is_empty = not self.shared_socket.reader.peek(1)
@@ -105,12 +105,6 @@
         return is_empty
 
 
-def _has_input(sock: socket.socket) -> bool:
-    poll = select.poll()
-    poll.register(sock, select.POLLIN)
-    return bool(poll.poll(0))
-
-
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Status and headers of an endpoint's response."""
--- a/src/pimentohoist/_entry/request_handler.py
+++ b/src/pimentohoist/_entry/request_handler.py
@@ -83,13 +83,18 @@
         timeout_s = route.timeout_s
         if request.timeout_s is not None:
             timeout_s = min(timeout_s, request.timeout_s)
+        self.shutdown.check(
+            request.request_id,
+            route.name,
+            timeout_s,
+            self.metrics.expected_max_s(route.name),
+        )
         monitored = MonitoredRequest(
             request.request_id,
             request.arrived_at,
             request.arrived_at + timeout_s,
             poll_disconnected,
         )
-        self.shutdown.record_arrival(request.request_id, route.name, timeout_s)
         self.request_monitor.add(monitored)
         return RequestContext(request, monitored, declaration, route, group)
 
--- a/src/pimentohoist/_entry/request_metrics.py
+++ b/src/pimentohoist/_entry/request_metrics.py
@@ -5,9 +5,12 @@
 import threading
 from collections import Counter
 from collections.abc import Iterator
+from http import HTTPStatus
 
 from hdrh.histogram import HdrHistogram
 
+from pimentohoist._decisions.recent_durations import RecentDurations
+
 _MAX_DURATION_MS = 60_000
 _SIGNIFICANT_DIGITS = 2
 _MS_PER_S = 1000
@@ -22,6 +25,7 @@
     def __init__(self) -> None:
         self.statuses: Counter[tuple[str, int]] = Counter()
         self.histograms: dict[str, HdrHistogram] = {}
+        self._recent: dict[str, RecentDurations] = {}
         self._lock = threading.Lock()
 
     def record(self, route: str, status: int, duration_s: float) -> None:
@@ -33,10 +37,19 @@
             if histogram is None:
                 histogram = HdrHistogram(1, _MAX_DURATION_MS, _SIGNIFICANT_DIGITS)
                 self.histograms[route] = histogram
+                self._recent[route] = RecentDurations()
+            if status < HTTPStatus.BAD_REQUEST:
+                self._recent[route].record(duration_s)
             self.statuses[route, status] += 1
             duration_ms = min(_MAX_DURATION_MS, max(1, round(duration_s * _MS_PER_S)))
             histogram.record_value(duration_ms)
 
+    def expected_max_s(self, route: str) -> float | None:
+        """Return the seconds that a route's answers take at most; None if unknown."""
+        with self._lock:
+            recent = self._recent.get(route)
+            return None if recent is None else recent.expected_max_s()
+
     def lines(self) -> Iterator[str]:
         """Yield the metrics as lines of text."""
         with self._lock:
--- a/src/pimentohoist/_entry/request_monitor.py
+++ b/src/pimentohoist/_entry/request_monitor.py
@@ -1,4 +1,4 @@
-"""Cancels requests whose caller has disconnected or whose deadline has passed."""
+"""Cancels requests whose caller has disconnected, or whose time is over."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum, auto
 from typing import Self
 
 from pimentohoist import _clock
@@ -21,6 +22,14 @@
 _logger = logging.getLogger(__name__)
 
 
+class Cancellation(Enum):
+    """Why a request was cancelled."""
+
+    DISCONNECTED = auto()
+    DEADLINE = auto()
+    STOP = auto()
+
+
 @dataclass(slots=True)
 class MonitoredRequest:
     """A request, from its arrival to the end of its response.
@@ -35,10 +44,8 @@
         Returns whether the caller has disconnected.
     exchange : UpstreamExchange or None
         Its newest exchange with an endpoint.
-    is_cancelled : bool
-        Whether the caller has disconnected or the deadline has passed.
-    is_disconnected : bool
-        Whether it was cancelled because the caller has disconnected.
+    cancellation : Cancellation or None
+        Why it was cancelled; None if it wasn't.
     """
 
     request_id: str
@@ -46,8 +53,12 @@
     deadline: float
     poll_disconnected: Callable[[], bool]
     exchange: UpstreamExchange | None = None
-    is_cancelled: bool = False
-    is_disconnected: bool = False
+    cancellation: Cancellation | None = None
+
+    @property
+    def is_cancelled(self) -> bool:
+        """Return whether no attempt may begin or go on."""
+        return self.cancellation is not None
 
     def attach(self, exchange: UpstreamExchange) -> None:
         """Set the exchange to abort on cancellation; abort it now if already cancelled."""
@@ -55,10 +66,9 @@
         if self.is_cancelled:
             exchange.abort()
 
-    def cancel(self, *, is_disconnected: bool) -> None:
+    def cancel(self, cancellation: Cancellation) -> None:
         """Abort the exchange and let no other begin."""
-        self.is_disconnected = is_disconnected
-        self.is_cancelled = True
+        self.cancellation = cancellation
         if self.exchange is not None:
             self.exchange.abort()
 
@@ -95,6 +105,12 @@
         """Return the requests in flight, the oldest first."""
         return sorted(self._requests.values(), key=lambda request: request.arrived_at)
 
+    def cancel_all(self, cancellation: Cancellation) -> None:
+        """Cancel the requests in flight."""
+        for monitored in self.in_flight():
+            if not monitored.is_cancelled:
+                monitored.cancel(cancellation)
+
     def add(self, monitored: MonitoredRequest) -> None:
         """Check a request until it is removed."""
         self._requests[id(monitored)] = monitored
@@ -118,9 +134,9 @@
         if monitored.is_cancelled:
             return
         if monitored.poll_disconnected():
-            monitored.cancel(is_disconnected=True)
+            monitored.cancel(Cancellation.DISCONNECTED)
         elif now >= monitored.deadline:
-            monitored.cancel(is_disconnected=False)
+            monitored.cancel(Cancellation.DEADLINE)
         elif monitored.exchange is not None:
             self._check_silence(monitored.exchange, now)
 
--- a/src/pimentohoist/_entry/retry_policy.py
+++ b/src/pimentohoist/_entry/retry_policy.py
@@ -20,6 +20,7 @@
     RequestContext,
     log_fields,
 )
+from pimentohoist._entry.request_monitor import Cancellation
 from pimentohoist._entry.retry_budgets import GroupRetryBudgets
 from pimentohoist.entry_models import Endpoint
 from pimentohoist.exceptions import (
@@ -99,7 +100,7 @@
             return self._handle_not_sent(context, error)
         context.executions += 1
         if context.monitored.is_cancelled:
-            if not context.monitored.is_disconnected:
+            if context.monitored.cancellation is Cancellation.DEADLINE:
                 health.record_failure(_clock.now())
             return cancellation_error(context)
         health.record_failure(_clock.now())
@@ -162,13 +163,22 @@
 
 def cancellation_error(context: RequestContext) -> PimentohoistError:
     """Return the error of a request that was cancelled, or has no time left to be sent."""
-    if context.monitored.is_disconnected:
+    cancellation = context.monitored.cancellation
+    if cancellation is Cancellation.DISCONNECTED:
         return CallerDisconnectedError('the caller has disconnected', step=_STEP)
+    if cancellation is Cancellation.STOP:
+        return _stop_error(context)
     if context.executions:
         return PeerTimeoutError('no response before the deadline', step=_STEP)
     return DeadlineError('not sent before the deadline', step=_STEP)
 
 
+def _stop_error(context: RequestContext) -> PimentohoistError:
+    if context.executions:
+        return PeerTimeoutError('no response before the daemon ended', step=_STEP)
+    return UnavailableError('the daemon is stopping', step=_STEP, retry_after_s=0)
+
+
 def _status_error(head: ResponseHead, endpoint: Endpoint) -> PeerError:
     return PeerError(f'status {head.status}', step=_STEP, peer=endpoint.endpoint_id)
 
--- a/src/pimentohoist/_entry/server.py
+++ b/src/pimentohoist/_entry/server.py
@@ -4,13 +4,12 @@
 
 from typing import Any
 
-from waitress.channel import HTTPChannel
 from waitress.parser import HTTPRequestParser, ParsingError
 from waitress.task import WSGITask
 from waitress.utilities import RequestEntityTooLarge
 
 from pimentohoist import _clock
-from pimentohoist._http_server import HttpServer, WsgiApp
+from pimentohoist._http_server import HttpServer, ServerChannel, WsgiApp
 from pimentohoist.entry_models import CallerLimits
 
 _THREADS = 160
@@ -121,7 +120,7 @@
         super().set_close_on_finish()
 
 
-class _Channel(HTTPChannel):
+class _Channel(ServerChannel):
     """Closes a connection whose header takes too long, even if bytes still arrive."""
 
     parser_class = _Parser
--- a/src/pimentohoist/_entry/shutdown.py
+++ b/src/pimentohoist/_entry/shutdown.py
@@ -1,4 +1,4 @@
-"""The state of a daemon's planned stop, and the log records that explain it."""
+"""A daemon's planned stop: what it still accepts, and the log records that explain it."""
 
 from __future__ import annotations
 
@@ -8,7 +8,9 @@
 from contextlib import contextmanager
 
 from pimentohoist import _clock
+from pimentohoist._decisions.shutdown_schedule import ShutdownSchedule
 from pimentohoist._entry.request_monitor import MonitoredRequest
+from pimentohoist.exceptions import UnavailableError
 
 _STEP = 'stop'
 _MS_PER_S = 1000
@@ -19,46 +21,77 @@
 
 
 class Shutdown:
-    """Follows a planned stop.
+    """Decides which requests a stopping daemon accepts.
 
     Attributes
     ----------
     grace_s : float
         Seconds from the signal to the kill.
-    signalled_at : float or None
-        Time of `_clock.now` in seconds at which the signal came; None before.
+    schedule : ShutdownSchedule or None
+        Times of the stop; None before the signal.
+    is_closed : bool
+        Whether all requests are refused.
     """
 
     def __init__(self, grace_s: float) -> None:
         self.grace_s = grace_s
-        self.signalled_at: float | None = None
-
-    def begin(self) -> None:
-        """Record the signal; later signals change nothing."""
-        if self.signalled_at is None:
-            self.signalled_at = _clock.now()
-
-    def since_signal_s(self) -> float:
-        """Return the seconds since the signal; 0 before it."""
-        return 0 if self.signalled_at is None else _clock.now() - self.signalled_at
-
-    def record_arrival(self, request_id: str, route: str, timeout_s: float) -> None:
-        """Log a request that arrives after the signal."""
-        if self.signalled_at is not None:
-            extra = {
-                **self._extra(),
-                'id': request_id,
-                'route': route,
-                'timeout_s': round(timeout_s, 3),
-            }
-            _logger.info('request arrived during the stop', extra=extra)
+        self.schedule: ShutdownSchedule | None = None
+        self.is_closed = False
+
+    def begin(self, signalled_at: float) -> ShutdownSchedule:
+        """Set the time of the signal and return the times of the stop."""
+        self.schedule = ShutdownSchedule(signalled_at, self.grace_s)
+        return self.schedule
+
+    def close(self) -> None:
+        """Refuse all requests from now on."""
+        if not self.is_closed:
+            _logger.info('all requests are refused', extra=self._extra())
+        self.is_closed = True
+
+    def check(
+        self, request_id: str, route: str, limit_s: float, expected_s: float | None
+    ) -> None:
+        """Raise UnavailableError if a request may outlast the daemon.
+
+        Parameters
+        ----------
+        limit_s : float
+            Seconds until the request's deadline.
+        expected_s : float or None
+            Seconds that requests of its route usually take at most; None if unknown.
+        """
+        schedule = self.schedule
+        if schedule is None:
+            return
+        now = _clock.now()
+        needed_s = schedule.needed_s(now, limit_s, expected_s)
+        is_accepted = not self.is_closed and schedule.may_begin(
+            now, limit_s, expected_s
+        )
+        extra = {
+            **self._extra(),
+            'id': request_id,
+            'route': route,
+            'needed_s': round(needed_s, 3),
+            'is_closed': self.is_closed,
+            'outcome': 'accepted' if is_accepted else 'refused',
+        }
+        _logger.info('request arrived during the stop', extra=extra)
+        if not is_accepted:
+            # Another daemon can serve the caller at once.
+            raise UnavailableError(
+                f'the daemon is stopping, the request may take {needed_s:.1f} s',
+                step=_STEP,
+                retry_after_s=0,
+            )
 
     def record_progress(self, message: str, running: int) -> None:
         """Log a step of the stop with the number of requests in flight."""
         _logger.info(message, extra={**self._extra(), 'running': running})
 
     def record_cut(self, requests: Sequence[MonitoredRequest]) -> None:
-        """Log the requests that the end of the process will cut off."""
+        """Log the requests that the end of the process cuts off."""
         for request in requests[:_MAX_LOGGED_REQUESTS]:
             exchange = request.exchange
             extra = {
@@ -83,7 +116,8 @@
         _logger.info('part of the stop ended', extra=extra)
 
     def _extra(self) -> dict[str, object]:
-        since_s = self.since_signal_s()
+        schedule = self.schedule
+        since_s = _clock.now() - schedule.signalled_at if schedule else 0
         return {
             'step': _STEP,
             'since_signal_s': round(since_s, 3),
--- a/src/pimentohoist/_entry/wsgi_apps.py
+++ b/src/pimentohoist/_entry/wsgi_apps.py
@@ -10,7 +10,7 @@
 from pimentohoist import _clock
 from pimentohoist._entry.request_context import EntryResponse
 from pimentohoist._entry.request_handler import RequestHandler
-from pimentohoist.exceptions import PimentohoistError
+from pimentohoist.exceptions import PimentohoistError, UnavailableError
 from pimentohoist.platform import (
     DIRECTORY_PATH,
     RawRequest,
@@ -48,6 +48,12 @@
         return _send_response(response, start_response)
 
 
+def refuse_request(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+    """Answer a request that arrives while the server closes; it hasn't run."""
+    error = UnavailableError('the daemon is stopping', step='stop', retry_after_s=0)
+    return _send_error(error, start_response)
+
+
 class DirectoryApp:
     """Serves the directory: the addresses to which callers connect."""
 
--- a/src/pimentohoist/_http_server.py
+++ b/src/pimentohoist/_http_server.py
@@ -2,26 +2,79 @@
 
 from __future__ import annotations
 
+import math
 import threading
 import time
 from collections.abc import Callable, Iterable
 from typing import Any, Self
 
+from waitress import wasyncore
+from waitress.channel import HTTPChannel
 from waitress.server import create_server
 
 from pimentohoist._addresses import split_address
+from pimentohoist._sockets import has_input
 
 WsgiApp = Callable[..., Iterable[bytes]]
 
 _SHUTDOWN_TIMEOUT_S = 1.0
+_REFUSAL_BODY = b'the server is stopping'
 # Above 0, waitress reads on while a request runs and so detects a disconnected client.
 _LOOKAHEAD_REQUESTS = 1
 _IDLE_CONNECTION_TIMEOUT_S = 60
 _IDLE_POLL_INTERVAL_S = 0.01
 
 
+def refuse(environ: Any, start_response: Any) -> Iterable[bytes]:
+    """Return 503: the request has not run and may be sent elsewhere at once."""
+    headers = [
+        ('Content-Type', 'text/plain'),
+        ('Content-Length', str(len(_REFUSAL_BODY))),
+        ('Retry-After', '0'),
+        ('Connection', 'close'),
+    ]
+    start_response('503 Service Unavailable', headers)
+    return [_REFUSAL_BODY]
+
+
+class ServerChannel(HTTPChannel):
+    """A connection that a closing server ends as soon as it is idle."""
+
+    server: Any
+    socket: Any
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        self.received_at = time.monotonic()
+        super().__init__(*args, **options)
+
+    def received(self, data: bytes) -> Any:
+        """Parse bytes and record when they came."""
+        self.received_at = time.monotonic()
+        return super().received(data)
+
+    def readable(self) -> Any:
+        """Return whether to read on; called by the thread that also reads.
+
+        What has arrived already is read and answered first.
+        """
+        idle_s = time.monotonic() - self.received_at
+        if idle_s >= self.server.max_idle_s and not is_busy(self):
+            self.will_close = self.will_close or not has_input(self.socket)
+        return super().readable()
+
+
 class HttpServer:
-    """Serves a WSGI application from the start to the end of its context."""
+    """Serves a WSGI application from the start to the end of its context.
+
+    Attributes
+    ----------
+    refusal : WsgiApp
+        Answers the requests that arrive once the server closes.
+    is_refusing : bool
+        Whether requests get the refusal.
+    shutdown_timeout_s : float
+        Seconds for which a closing server waits for requests in flight.
+    """
 
     def __init__(
         self,
@@ -39,8 +92,12 @@
             'channel_timeout': _IDLE_CONNECTION_TIMEOUT_S,
             **adjustments,
         }
+        self.app = app
+        self.refusal: WsgiApp = refuse
+        self.is_refusing = False
+        self.shutdown_timeout_s = _SHUTDOWN_TIMEOUT_S
         self._server: Any = create_server(
-            app,
+            self._serve,
             host=host,
             port=port,
             threads=threads,
@@ -51,6 +108,7 @@
             ident=None,
             **options,
         )
+        _use_server_channels(self._server)
         self._thread = threading.Thread(
             target=self._run, name=f'http-{address}', daemon=True
         )
@@ -62,24 +120,40 @@
         return self
 
     def __exit__(self, *exc_info: object) -> None:
-        """Stop accepting, let requests in flight finish and close the sockets."""
+        """Refuse new requests, let those in flight finish and close the sockets."""
         self._is_closing = True
-        self._server.accepting = False
-        deadline = time.monotonic() + _SHUTDOWN_TIMEOUT_S
-        while not self.is_idle() and time.monotonic() < deadline:
+        self.is_refusing = True
+        deadline = time.monotonic() + self.shutdown_timeout_s
+        # The thread that polls a socket must be the one to close it.
+        self._server.trigger.pull_trigger(
+            lambda: wasyncore.dispatcher.close(self._server)
+        )
+        self.close_idle_connections(0)
+        while self._server.active_channels and time.monotonic() < deadline:
             time.sleep(_IDLE_POLL_INTERVAL_S)
         self._server.task_dispatcher.shutdown(
-            cancel_pending=True, timeout=_SHUTDOWN_TIMEOUT_S
+            cancel_pending=True, timeout=max(0, deadline - time.monotonic())
         )
         self._server.close()
 
+    def close_idle_connections(self, max_idle_s: float) -> None:
+        """Close the connections on which no request is under way.
+
+        Parameters
+        ----------
+        max_idle_s : float
+            A connection stays open for this time after its last byte came, in seconds.
+        """
+        self._server.max_idle_s = max_idle_s
+        self._server.pull_trigger()
+
     def is_idle(self) -> bool:
         """Return whether no request is being received, queued, executed or answered."""
-        channels = tuple(self._server.active_channels.values())
-        return not any(
-            channel.requests or channel.request or channel.total_outbufs_len
-            for channel in channels
-        )
+        return not any(map(is_busy, tuple(self._server.active_channels.values())))
+
+    def _serve(self, environ: Any, start_response: Any) -> Iterable[bytes]:
+        app = self.refusal if self.is_refusing else self.app
+        return app(environ, start_response)
 
     def _run(self) -> None:
         try:
@@ -88,3 +162,13 @@
             # Closing the socket ends the loop with an error on some platforms.
             if not self._is_closing:
                 raise
+
+
+def _use_server_channels(server: Any) -> None:
+    server.max_idle_s = math.inf
+    server.channel_class = ServerChannel
+
+
+def is_busy(channel: Any) -> bool:
+    """Return whether a request is being received, queued, executed or answered."""
+    return bool(channel.requests or channel.request or channel.total_outbufs_len)
--- a/src/pimentohoist/_logs.py
+++ b/src/pimentohoist/_logs.py
@@ -57,9 +57,13 @@
 
     def __exit__(self, *exc_info: object) -> None:
         """Write the queued lines and stop; drop them if the output isn't being read."""
+        self.flush(_FLUSH_TIMEOUT_S)
+
+    def flush(self, timeout_s: float) -> None:
+        """Write the queued lines and stop, within a time in seconds."""
         with suppress(queue.Full):
             self._queued.put_nowait(None)
-        self._thread.join(_FLUSH_TIMEOUT_S)
+        self._thread.join(timeout_s)
 
     def _write(self) -> None:
         for record in iter(self._queued.get, None):
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -7,12 +7,14 @@
 import signal
 import sys
 import threading
+import time
 from collections.abc import Iterator
 from contextlib import ExitStack
 from types import FrameType
 from typing import Any, Self
 
 from pimentohoist import _clock
+from pimentohoist._decisions.shutdown_schedule import ShutdownSchedule
 from pimentohoist._entry.endpoint_chooser import EndpointChooser
 from pimentohoist._entry.connections import ConnectionPool
 from pimentohoist._entry.crash_reports import CrashReportsController
@@ -24,6 +26,7 @@
     MetricsApp,
     ReadyApp,
     RequestsApp,
+    refuse_request,
 )
 from pimentohoist._entry.endpoints import EndpointsController
 from pimentohoist._entry.filters import Authenticate, ChargeQuota, RejectQuarantined
@@ -37,7 +40,7 @@
 from pimentohoist._entry.in_flight_requests import InFlightRequests
 from pimentohoist._entry.server import CallersServer
 from pimentohoist._entry.shutdown import Shutdown
-from pimentohoist._entry.request_monitor import RequestMonitor
+from pimentohoist._entry.request_monitor import Cancellation, RequestMonitor
 from pimentohoist._http_server import HttpServer
 from pimentohoist._logs import BoundedLogs
 from pimentohoist._peers import PeerClients, PeerServer
@@ -56,14 +59,13 @@
 some threads to spare."""
 
 _STACK_BYTES = 262_144
-_KILL_MARGIN_S = 1.2
-"""How long before the kill the daemon ends the requests that are still in flight."""
+_POLL_INTERVAL_S = 0.05
+_STOP_POLL_INTERVAL_S = 0.02
+_MAX_IDLE_S = 0.5
+"""While a daemon stops, a connection stays open for this time without a request: a new
+one carries its request after a round trip."""
 
-_MIN_DRAIN_S = 2.5
-"""Callers cache a response of the directory for two seconds and renew it now and then,
-so a leaving daemon serves for at least this long."""
-
-_POLL_INTERVAL_S = 0.1
+_MIN_FLUSH_S = 0.1
 _MAX_OWNER_WAIT_S = 2.0
 """After this time a daemon is ready although the owners of some engines are unknown."""
 
@@ -114,6 +116,7 @@
         self.callers = CallersServer(
             RequestsApp(self.request_handler), settings.callers_address
         )
+        self.callers.refusal = refuse_request
         self._stack = ExitStack()
         self._created_at = _clock.now()
         self._has_started_up = False
@@ -147,7 +150,6 @@
         """Stop everything."""
         with self.shutdown.timed('close servers and controllers'):
             self._stack.close()
-        self.shutdown.record_cut(self.request_monitor.in_flight())
 
     def is_ready(self) -> bool:
         """Return whether callers can be served."""
@@ -168,22 +170,26 @@
         own = [self.settings.callers_address] if self.is_ready() else []
         return own + others
 
-    def leave(self) -> None:
+    def leave(self, schedule: ShutdownSchedule) -> None:
         """Accept no new callers; finish the requests in flight, until the deadline."""
-        began_at = _clock.now()
-        deadline = began_at + self.settings.bounds.grace_s - _KILL_MARGIN_S
         self.is_draining.set()
         self.callers.is_draining = True
         self.members.send_now()
-        with self.shutdown.timed('leave the group'):
-            self.ownership.leave()
-        self.members.send_now()
-        while _clock.now() < deadline:
-            is_quiet = not len(self.request_monitor) and self.callers.is_idle()
-            if is_quiet and _clock.now() > began_at + _MIN_DRAIN_S:
-                self.shutdown.record_progress('no request in flight', 0)
-                break
-            threading.Event().wait(_POLL_INTERVAL_S)
+        # The store may be silent for longer than the requests have left.
+        threading.Thread(target=self._leave_group, name='leave', daemon=True).start()
+        with self.shutdown.timed('wait for requests'):
+            self._wait_for_requests(schedule)
+        self.shutdown.close()
+        self.request_monitor.cancel_all(Cancellation.STOP)
+        left_s = schedule.exit_at - _clock.now()
+        self.callers.shutdown_timeout_s = max(_MIN_FLUSH_S, left_s - _MIN_FLUSH_S)
+
+    def end(self) -> None:
+        """End the process at once; log what that cuts off."""
+        self.shutdown.record_cut(self.request_monitor.in_flight())
+        self.logs.flush(_MIN_FLUSH_S)
+        # Threads that wait for peers would keep the process alive until they time out.
+        os._exit(0)
 
     def metrics(self) -> Iterator[str]:
         """Yield metrics as text."""
@@ -215,6 +221,29 @@
             'dispatch': self.dispatch.dump(),
         }
 
+    def _leave_group(self) -> None:
+        with self.shutdown.timed('leave the group'):
+            self.ownership.leave()
+        self.members.send_now()
+
+    def _wait_for_requests(self, schedule: ShutdownSchedule) -> None:
+        """Return when none is in flight and all are refused, or when time is over."""
+        while _clock.now() < schedule.answers_end_at:
+            time.sleep(_STOP_POLL_INTERVAL_S)
+            if _clock.now() >= schedule.renewed_at and self._has_ended():
+                break
+
+    def _has_ended(self) -> bool:
+        """Close idle connections; return whether no request is or will be in flight."""
+        self.callers.close_idle_connections(_MAX_IDLE_S)
+        was_closed = self.shutdown.is_closed
+        is_idle = not len(self.request_monitor) and self.callers.is_idle()
+        if is_idle:
+            # A request may be accepted between the check and the refusal of all others,
+            # so only a check after that counts.
+            self.shutdown.close()
+        return is_idle and was_closed
+
     def _dispatch(self) -> Dispatch:
         in_flight = InFlightRequests()
         connections = ConnectionPool()
@@ -276,30 +305,57 @@
         sys.stderr.write(f'pimentohoist: {error}\n')
         sys.exit(_EXIT_SETTINGS)
     threading.stack_size(_STACK_BYTES)
+    signals = _Signals()
     with BoundedLogs('INFO', instance=settings.name, stream=sys.stdout) as logs:
-        with EntryDaemon(settings, logs) as daemon:
-            _run_until_stopped(daemon, settings_path)
-    # Threads that wait for peers would keep the process alive until they time out.
-    os._exit(0)
+        daemon = EntryDaemon(settings, logs)
+        with daemon:
+            _run_until_stopped(daemon, signals, settings_path)
+        daemon.end()
+
+
+class _Signals:
+    """The signals that have come; handled from before the daemon starts.
+
+    The handlers set attributes only: an event's lock may be held by the thread that they
+    interrupt.
+
+    Attributes
+    ----------
+    stopped_at : float or None
+        Time of `_clock.now` in seconds of the first signal to stop.
+    is_reload_requested : bool
+        Whether the settings are to be read again.
+    """
+
+    def __init__(self) -> None:
+        self.stopped_at: float | None = None
+        self.is_reload_requested = False
+        signal.signal(signal.SIGTERM, self._stop)
+        signal.signal(signal.SIGHUP, self._reload)
 
+    def _stop(self, number: int, frame: FrameType | None) -> None:
+        if self.stopped_at is None:
+            self.stopped_at = _clock.now()
 
-def _run_until_stopped(daemon: EntryDaemon, settings_path: str) -> None:
-    stopped = threading.Event()
-    reloaded = threading.Event()
+    def _reload(self, number: int, frame: FrameType | None) -> None:
+        self.is_reload_requested = True
 
-    def stop(number: int, frame: FrameType | None) -> None:  # noqa: WPS430
-        daemon.shutdown.begin()
-        stopped.set()
 
-    signal.signal(signal.SIGTERM, stop)
-    signal.signal(signal.SIGHUP, lambda number, frame: reloaded.set())
+def _run_until_stopped(
+    daemon: EntryDaemon, signals: _Signals, settings_path: str
+) -> None:
     _logger.info('started', extra={'step': 'start'})
-    while not stopped.wait(_POLL_INTERVAL_S):
-        if reloaded.is_set():
-            reloaded.clear()
+    while signals.stopped_at is None:
+        time.sleep(_POLL_INTERVAL_S)
+        if signals.is_reload_requested:
+            signals.is_reload_requested = False
             _reload(daemon, settings_path)
+    schedule = daemon.shutdown.begin(signals.stopped_at)
+    guard = threading.Timer(schedule.exit_at - _clock.now(), daemon.end)
+    guard.daemon = True
+    guard.start()
     daemon.shutdown.record_progress('stopping', len(daemon.request_monitor))
-    daemon.leave()
+    daemon.leave(schedule)
     daemon.shutdown.record_progress('stopped', len(daemon.request_monitor))
 
 
