--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -39,3 +39,13 @@
     Given a leaving fleet of 1 daemon and 2 engines with a stream of 3000 tokens running
     When "entry-1" gets SIGTERM twice
     Then "entry-1" soon exits with code 0
+
+  # Guards against ending with a request that arrived after the check that none runs.
+  Scenario: A request that arrives as a stopping daemon finds itself idle is finished
+    When a daemon drains and a request begins right after the check that none runs
+    Then the drain ends after that request, and others are refused meanwhile
+
+  # Guards against a handler that waits for a lock which the thread it interrupts holds.
+  Scenario: A signal to stop that interrupts a check for it isn't lost
+    When SIGTERM comes while the main thread holds the lock of the event that it sets
+    Then the process stops
--- a/features/steps/leaving.py
+++ b/features/steps/leaving.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import signal
+import subprocess
+import sys
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -14,6 +16,7 @@
 from hypothesis import seed, settings
 from hypothesis import strategies as st
 
+from pimentohoist._controllers.drain import DrainController
 from pimentohoist._decisions.draining import DrainProgress, is_drained
 from pimentohoist._http_client import HttpResponse, HttpRequest
 from pimentohoist_standins.fleet import Fleet
@@ -222,3 +225,74 @@
 @when('the log is up again')
 def restore_log(context: Context) -> None:
     context.fleet.control('log', is_down=False)
+
+
+_STOP_SCRIPT = """
+import os, signal, time
+from pimentohoist._signals import stop_event
+stopped = stop_event()
+with stopped._cond:
+    os.kill(os.getpid(), signal.SIGTERM)
+    time.sleep(0.1)
+raise SystemExit(0 if stopped.wait(5) else 1)
+"""
+_REQUEST_S = 0.3
+
+
+class _BusyServer:
+    """A server on which a request begins right after the first check that none runs."""
+
+    def __init__(self) -> None:
+        self.checks = 0
+        self.is_refusing = False
+        self.ended = threading.Event()
+
+    def is_idle(self) -> bool:
+        self.checks += 1
+        if self.checks == 1:
+            threading.Timer(_REQUEST_S, self.ended.set).start()
+            return True
+        return self.ended.is_set()
+
+    def refuse_requests(self) -> None:
+        self.is_refusing = True
+
+
+class _Membership:
+    incarnation = 'entry-1'
+
+
+class _AcceptingLog:
+    def append(self, *records: object, **options: object) -> int:
+        return 1
+
+
+@when('a daemon drains and a request begins right after the check that none runs')
+def drain_with_late_request(context: Context) -> None:
+    context.server = _BusyServer()
+    drain = DrainController(
+        _AcceptingLog(), _Membership(), entries_max_age_s=0, limit_s=30
+    )
+    with drain:
+        drain.request_stop()
+        drain.wait(context.server)
+
+
+@then('the drain ends after that request, and others are refused meanwhile')
+def check_late_request_finished(context: Context) -> None:
+    assert context.server.ended.is_set()
+    assert context.server.is_refusing
+
+
+@when('SIGTERM comes while the main thread holds the lock of the event that it sets')
+def signal_within_lock(context: Context) -> None:
+    context.process = subprocess.Popen([sys.executable, '-c', _STOP_SCRIPT])
+
+
+@then('the process stops')
+def check_process_stops(context: Context) -> None:
+    try:
+        assert context.process.wait(WAIT_S) == 0
+    finally:
+        context.process.kill()
+        context.process.wait()
--- a/src/pimentohoist/_callers_app.py
+++ b/src/pimentohoist/_callers_app.py
@@ -29,6 +29,7 @@
     NotFoundError,
     OversizedRequestError,
     PimentohoistError,
+    UnavailableError,
 )
 from pimentohoist.exchanges import (
     CallerResponse,
@@ -112,6 +113,12 @@
             return self._stream(response, environ, start_response)
         return response(environ, start_response)
 
+    def refuse(self, environ: Any, start_response: Any) -> Iterable[bytes]:
+        """Answer a request that arrives while the server closes; it hasn't run."""
+        error = UnavailableError('the daemon is stopping', step=_STEP, retry_after_s=0)
+        response = self._error_response(error, uuid.uuid4().hex)
+        return response(environ, start_response)
+
     def _stream(
         self, response: _StreamedResponse, environ: Any, start_response: Any
     ) -> Iterable[bytes]:
--- a/src/pimentohoist/_controllers/drain.py
+++ b/src/pimentohoist/_controllers/drain.py
@@ -25,6 +25,16 @@
     incarnation: str
 
 
+class DrainedServer(Protocol):
+    """The callers' server."""
+
+    def is_idle(self) -> bool:
+        """Return whether no request is running, queued or being answered."""
+
+    def refuse_requests(self) -> None:
+        """Refuse all requests that arrive from now on as not run."""
+
+
 class DrainController:
     """Stops the daemon in steps.
 
@@ -78,25 +88,17 @@
             self.immediate_stop_requested.set()
         self.stop_requested.set()
 
-    def wait(self, is_idle: Callable[[], bool]) -> None:
-        """Wait until a stop is requested and may proceed without cutting off requests.
-
-        Parameters
-        ----------
-        is_idle : callable
-            Whether no request is running, queued or being answered.
-        """
+    def wait(self, server: DrainedServer) -> None:
+        """Wait until a stop is requested and may proceed without cutting off requests."""
         self.stop_requested.wait()
         self._announce_thread.start()
         began_at = self.clock()
-        while not self.immediate_stop_requested.is_set():
-            progress = DrainProgress(
-                began_at, self.announced_at, self.entries_max_age_s, self.limit_s
-            )
-            if is_drained(progress, self.clock(), is_idle=is_idle()):
-                break
-            self.immediate_stop_requested.wait(_POLL_PERIOD_S)
-        _logger.info('drained', extra={'step': _STEP, 'is_idle': is_idle()})
+        self._wait_until(lambda: self._is_drained(server, began_at))
+        # A request may have been accepted since the check, so only a check after all
+        # others are refused counts.
+        server.refuse_requests()
+        self._wait_until(lambda: self._is_drained(server, began_at))
+        _logger.info('drained', extra={'step': _STEP, 'is_idle': server.is_idle()})
 
     def dump(self) -> Mapping[str, Any]:
         """Return whether a stop was requested and announced."""
@@ -105,6 +107,17 @@
             'is_announced': self.announced_at is not None,
         }
 
+    def _wait_until(self, condition: Callable[[], bool]) -> None:
+        """Return once the condition holds or an immediate stop is requested."""
+        while not self.immediate_stop_requested.is_set() and not condition():
+            self.immediate_stop_requested.wait(_POLL_PERIOD_S)
+
+    def _is_drained(self, server: DrainedServer, began_at: float) -> bool:
+        progress = DrainProgress(
+            began_at, self.announced_at, self.entries_max_age_s, self.limit_s
+        )
+        return is_drained(progress, self.clock(), is_idle=server.is_idle())
+
     def _announce(self) -> None:
         """Append a drain record, and another if the daemon rejoins meanwhile."""
         announced = ''
--- a/src/pimentohoist/_http_server.py
+++ b/src/pimentohoist/_http_server.py
@@ -122,7 +122,7 @@
     def __exit__(self, *exc_info: object) -> None:
         """Refuse new requests, let those in flight finish and close the sockets."""
         self._is_closing = True
-        self.is_refusing = True
+        self.refuse_requests()
         deadline = time.monotonic() + self.shutdown_timeout_s
         # The thread that polls a socket must be the one to close it.
         self._server.trigger.pull_trigger(
@@ -136,6 +136,10 @@
         )
         self._server.close()
 
+    def refuse_requests(self) -> None:
+        """Answer the requests that arrive from now on with the refusal."""
+        self.is_refusing = True
+
     def close_idle_connections(self, max_idle_s: float) -> None:
         """Close the connections on which no request is under way.
 
--- a/src/pimentohoist/daemon.py
+++ b/src/pimentohoist/daemon.py
@@ -109,7 +109,7 @@
             self.endpoints,
             snapshots,
         )
-        self._is_idle: Callable[[], bool] = _always_idle
+        self._callers: HttpServer | None = None
         self._stack = ExitStack()
 
     def __enter__(self) -> Self:
@@ -122,8 +122,7 @@
             for controller in self.controllers.values():
                 stack.enter_context(controller)
             stack.enter_context(self._operators_server())
-            callers_server = stack.enter_context(self._callers_server())
-            self._is_idle = callers_server.is_idle
+            self._callers = stack.enter_context(self._callers_server())
             self._stack = stack.pop_all()
         return self
 
@@ -133,7 +132,8 @@
 
     def wait_until_drained(self) -> None:
         """Return when a stop was requested and no request would be interrupted."""
-        self.requests.drain.wait(self._is_idle)
+        if self._callers is not None:
+            self.requests.drain.wait(self._callers)
 
     def handler(self) -> Handler:
         """Return the filter chain."""
@@ -162,11 +162,12 @@
 
     def _callers_server(self) -> HttpServer:
         callers = self.settings.callers
-        return HttpServer(
-            CallersApp(self.handler(), self.entries, callers, self.requests.relay),
-            self.settings.daemon.callers_address,
-            threads=callers.threads,
+        app = CallersApp(self.handler(), self.entries, callers, self.requests.relay)
+        server = HttpServer(
+            app, self.settings.daemon.callers_address, threads=callers.threads
         )
+        server.refusal = app.refuse
+        return server
 
     def _peer_server(self) -> PeerServer:
         methods: dict[str, Callable[[Any], Any]] = {}
@@ -186,10 +187,6 @@
         )
 
 
-def _always_idle() -> bool:
-    return True
-
-
 def serve(settings: str) -> None:
     """Run a daemon until SIGTERM or SIGINT.
 
