Run a stream that may resume again if its engine fails before the first event

What callers saw: a 500 or 502 for a stream whose route allows it to resume, though engines, attempts and time were left. Cause: only idempotent routes were retried; a stream that may resume may run more than once as well, and nothing of it had been relayed. Evidence: entry_daemon, "A stream that may resume is run again ...": status 500 before, a whole stream now.

--- a/features/entry_daemon.feature
+++ b/features/entry_daemon.feature
@@ -42,6 +42,12 @@
     When a stream that may resume is cut within its third event
     Then the caller gets every event once
 
+  # Guards against failing a stream that may run again before its first event was relayed.
+  Scenario: A stream that may resume is run again if its first engine fails
+    Given a fleet of 1 daemon with 2 engines
+    When the first engine of a stream that may resume ends it with status 500
+    Then the caller gets a whole stream
+
   Scenario: A stream that may not resume is cut and doesn't look complete
     Given a fleet of 1 daemon with 2 engines
     When a stream that may not resume is cut within its third event
--- a/features/entry_fleet.py
+++ b/features/entry_fleet.py
@@ -175,6 +175,7 @@
     rate: float = 0,
     keys: tuple[str, ...] = (KEY,),
     timeout_ms: int = 4000,
+    attempts: int = 2,
 ) -> Any:
     engine = {
         'slots': 8,
@@ -187,7 +188,7 @@
         'timeout-ms': timeout_ms,
         'goal-ms': 1000,
         'priority': 0,
-        'attempts': 2,
+        'attempts': attempts,
         'public': False,
     }
     routes = [
--- a/features/steps/entry_attempts.py
+++ b/features/steps/entry_attempts.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import http.client
+from http import HTTPStatus
 
-from behave import then, when
+from behave import given, then, when
 from behave.runner import Context
 from entry_daemon import check_streams
+from entry_fleet import EntryFleet
 
 
 @when('the ledger fails the next non-idempotent request')
@@ -77,6 +79,44 @@
         context.responses.append(response)
 
 
+@given('a fleet of 1 daemon with 3 engines that may make 3 attempts')
+def start_fleet_of_three(context: Context) -> None:
+    context.fleet = context.stack.enter_context(EntryFleet())
+    for number in range(3):
+        context.fleet.add_engine(f'engine-{number}')
+    context.fleet.declare(1, attempts=3)
+    context.fleet.start_ready()
+
+
+@when('a stream that may resume is cut and its resumption fails with status {status:d}')
+def cut_resumed_stream(context: Context, status: int) -> None:
+    context.error = None
+    fleet = context.fleet
+    assert fleet.send_request(path='/resumed/x').status == 200
+    first = next(engine for engine in fleet.engines if engine.state.executed_requests)
+    others = [engine for engine in fleet.engines if engine is not first]
+    first.faults.cut_after_events = 2
+    statuses = [HTTPStatus(status)]
+    for engine in others:
+        engine.faults.statuses = statuses
+    context.responses = [fleet.send_request(path='/resumed/x')]
+    assert not statuses, 'no engine was asked to resume the stream'
+
+
+@when('the first engine of a stream that may resume ends it with status 500')
+def fail_first_engine(context: Context) -> None:
+    fleet = context.fleet
+    assert fleet.send_request(path='/resumed/x').status == 200
+    first = next(engine for engine in fleet.engines if engine.state.executed_requests)
+    first.faults.failures = 1
+    context.responses = [fleet.send_request(path='/resumed/x')]
+
+
+@then('the caller gets a whole stream')
+def check_whole_stream(context: Context) -> None:
+    check_streams(context)
+
+
 @then('the caller gets every event once')
 def check_resumed(context: Context) -> None:
     assert context.error is None
--- a/src/pimentohoist/entry_models.py
+++ b/src/pimentohoist/entry_models.py
@@ -71,7 +71,7 @@
     @property
     def may_retry(self) -> bool:
         """Return whether a request that may have been executed may be sent again."""
-        return self.execution_policy is ExecutionPolicy.IDEMPOTENT
+        return self.execution_policy is ExecutionPolicy.IDEMPOTENT or self.can_resume
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pimentohoist_standins/opaque_engine.py
+++ b/src/pimentohoist_standins/opaque_engine.py
@@ -31,6 +31,9 @@
         Number of next responses that are followed by one without an id.
     failures : int
         Number of next requests that are executed and end with status 500.
+    statuses : list of HTTPStatus
+        Statuses of the next requests, which are refused, or fail if the status is 500;
+        engines may share the list.
     is_silent : bool
         Whether executed requests stay unanswered; they are answered once it is false.
     is_leaving : bool
@@ -50,6 +53,7 @@
     cut_after_events: int | None = None
     extra_responses: int = 0
     failures: int = 0
+    statuses: list[HTTPStatus] = field(default_factory=list)
     load_s: float = 0.05
     event_s: float = 0.005
 
@@ -244,6 +248,11 @@
             self.send_answer(HTTPStatus.SERVICE_UNAVAILABLE, b'', not_executed)
             return
         refusal = self.engine.refusal(headers)
+        if self.engine.faults.statuses:
+            refusal = self.engine.faults.statuses.pop()
+        if refusal is HTTPStatus.INTERNAL_SERVER_ERROR:
+            self.send_answer(refusal, b'failed')
+            return
         if refusal is not None:
             self.send_answer(refusal, b'', {'Pimentohoist-Not-Executed': '1'})
             return
