Try other engines when the first one asked to resume a stream refuses or fails

What callers saw: a stream was cut although time, attempts and engines were left. Cause: a resumption was tried once; a 421 or 503 that says the request hasn't run, a 500 or a broken connection ended the stream. The exchange that had failed stayed open, too. Change: a resumption is classified like any other attempt, in the same retry budget.

Evidence: entry_daemon, "A stream whose resumption fails ...": the stream was cut with each of 421, 503 and 500 before, whole now.

--- a/features/entry_daemon.feature
+++ b/features/entry_daemon.feature
@@ -42,6 +42,18 @@
     When a stream that may resume is cut within its third event
     Then the caller gets every event once
 
+  # Guards against cutting a stream because the first engine asked to resume it refused.
+  Scenario Outline: A stream whose resumption fails is resumed at another engine
+    Given a fleet of 1 daemon with 3 engines that may make 3 attempts
+    When a stream that may resume is cut and its resumption fails with <failure>
+    Then the caller gets every event once
+
+    Examples:
+      | failure    |
+      | status 421 |
+      | status 503 |
+      | status 500 |
+
   # Guards against failing a stream that may run again before its first event was relayed.
   Scenario: A stream that may resume is run again if its first engine fails
     Given a fleet of 1 daemon with 2 engines
--- a/src/pimentohoist/_entry/dispatch.py
+++ b/src/pimentohoist/_entry/dispatch.py
@@ -189,24 +189,46 @@
             )
         if not self.retry_policy.may_resume(context):
             raise StreamBrokenError(str(error))
-        try:
-            return self._send_resumption(context, relay.splitter.last_event_id)
-        except PimentohoistError as failure:
-            raise StreamBrokenError(str(failure)) from failure
+        while True:
+            try:
+                return self._send_resumption(context, relay.splitter.last_event_id)
+            except RetryableError as failure:
+                _logger.info(
+                    'stream not resumed, retrying: %s',
+                    failure,
+                    extra=log_fields(context),
+                )
+            except PimentohoistError as failure:
+                raise StreamBrokenError(str(failure)) from failure
 
     def _send_resumption(
         self, context: RequestContext, last_event_id: str | None
     ) -> UpstreamExchange:
         exchange = self._send(context, self._choose(context), last_event_id)
-        head = self._read_head(context, exchange)
+        try:
+            self._check_resumption(context, exchange)
+        except BaseException:
+            exchange.close()
+            context.run_cleanups()
+            raise
+        return exchange
+
+    def _check_resumption(
+        self, context: RequestContext, exchange: UpstreamExchange
+    ) -> None:
+        try:
+            head = self._read_head(context, exchange)
+        except PeerError as error:
+            raise self.retry_policy.classify_failure(
+                context, exchange.endpoint, error
+            ) from error
+        self.retry_policy.check_response(context, exchange, head)
         if not _is_stream(context, head):
             raise PeerError(
                 f'stream not resumed: expected status 200, got {head.status}',
                 step=_STEP,
                 peer=exchange.endpoint.endpoint_id,
             )
-        context.executions += 1
-        return exchange
 
 
 def _is_stream(context: RequestContext, head: ResponseHead) -> bool:
