Measure idle connections of callers by the monotonic clock

What callers would see: when the time of day jumps ahead by more than the idle timeout, all answers that are still being read are cut off. Change: the channel records on the monotonic clock when bytes moved; the library's own check is off. Found by looking for other ends of connections that act on an old check.

--- a/features/entry_stop.feature
+++ b/features/entry_stop.feature
@@ -40,3 +40,9 @@
   Scenario: In generated stops no request begins that may outlast the daemon
     Then a request that a stopping daemon accepts ends before it, as far as is known
     And a request that must end before the daemon is accepted at any time of the stop
+
+  # Guards against cutting off answers that callers read slowly when the time of day jumps.
+  Scenario: A jump of the time of day ends no connection whose answer is being read
+    Given a server with an answer of 64 MB of which its caller has read the beginning
+    When the time of day jumps by an hour
+    Then the caller gets the whole answer
--- a/features/steps/entry_stop.py
+++ b/features/steps/entry_stop.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import http.client
+import socket
 import threading
 import time
 from collections.abc import Iterable
 from contextlib import suppress
+from unittest import mock
 
 from behave import given, then, when
 from behave.runner import Context
@@ -235,3 +237,42 @@
 @then("the request that arrived later hasn't begun")
 def check_later_not_begun(context: Context) -> None:
     assert len(context.begun) == 1, context.begun
+
+
+@given('a server with an answer of 64 MB of which its caller has read the beginning')
+def start_large_answer(context: Context) -> None:
+    body = bytes(64_000_000)
+
+    def app(environ: dict, start_response: object) -> Iterable[bytes]:
+        start_response('200 OK', [('Content-Length', str(len(body)))])
+        return [body]
+
+    server = HttpServer(app, f'{_SERVER_HOST}:{_SERVER_PORT}', threads=2)
+    context.stack.enter_context(server)
+    # How often waitress checks its connections.
+    server._server.adj.cleanup_interval = 0.1
+    server._server.next_channel_cleanup = 0
+    context.connection = http.client.HTTPConnection(
+        _SERVER_HOST, _SERVER_PORT, timeout=10
+    )
+    context.connection.connect()
+    # A small buffer, so that most of the answer is still with the server.
+    context.connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+    context.connection.request('GET', '/')
+    context.response = context.connection.getresponse()
+    context.left = len(body) - len(context.response.read(1000))
+    # By then the server has taken over the whole answer from the application.
+    time.sleep(0.5)
+
+
+@when('the time of day jumps by an hour')
+def jump_clock(context: Context) -> None:
+    now = time.time
+    with mock.patch('time.time', lambda: now() + 3600):
+        time.sleep(2.5)
+
+
+@then('the caller gets the whole answer')
+def check_large_answer(context: Context) -> None:
+    assert len(context.response.read()) == context.left
+    context.connection.close()
--- a/src/pimentohoist/_entry/server.py
+++ b/src/pimentohoist/_entry/server.py
@@ -63,7 +63,7 @@
             _MAX_FRAMING_FACTOR * limits.max_body_bytes + 1
         )
         adjustments.max_body_bytes = limits.max_body_bytes
-        adjustments.channel_timeout = max(1, int(limits.idle_timeout_s))
+        self._server.idle_timeout_s = limits.idle_timeout_s
         self.header_timeout_s = limits.header_timeout_s
 
 
--- a/src/pimentohoist/_http_server.py
+++ b/src/pimentohoist/_http_server.py
@@ -22,6 +22,9 @@
 # Above 0, waitress reads on while a request runs and so detects a disconnected client.
 _LOOKAHEAD_REQUESTS = 1
 _IDLE_CONNECTION_TIMEOUT_S = 60
+_NO_TIMEOUT_S = 10_000_000_000
+"""Disables waitress's own check."""
+
 _IDLE_POLL_INTERVAL_S = 0.01
 
 
@@ -38,30 +41,48 @@
 
 
 class ServerChannel(HTTPChannel):
-    """A connection that a closing server ends as soon as it is idle."""
+    """A connection that ends when it was idle for too long.
+
+    Waitress measures that by the time of day, which may jump.
+    """
 
     server: Any
     socket: Any
 
     def __init__(self, *args: Any, **options: Any) -> None:
-        self.received_at = time.monotonic()
+        self.active_at = time.monotonic()
         super().__init__(*args, **options)
 
     def received(self, data: bytes) -> Any:
         """Parse bytes and record when they came."""
-        self.received_at = time.monotonic()
+        self.active_at = time.monotonic()
         return super().received(data)
 
-    def readable(self) -> Any:
-        """Return whether to read on; called by the thread that also reads.
+    def write_soon(self, data: Any) -> Any:
+        """Queue bytes of a response and record when they came."""
+        self.active_at = time.monotonic()
+        return super().write_soon(data)
 
-        What has arrived already is read and answered first.
-        """
-        idle_s = time.monotonic() - self.received_at
-        if idle_s >= self.server.max_idle_s and not is_busy(self):
-            self.will_close = self.will_close or not has_input(self.socket)
+    def send(self, data: bytes, do_close: bool = True) -> Any:
+        """Send bytes and record when the other end took some."""
+        sent = super().send(data, do_close=do_close)
+        if sent:
+            self.active_at = time.monotonic()
+        return sent
+
+    def readable(self) -> Any:
+        """Return whether to read on; called by the thread that also reads."""
+        if not self.requests and self._is_expired(time.monotonic() - self.active_at):
+            self.will_close = True
         return super().readable()
 
+    def _is_expired(self, idle_s: float) -> bool:
+        if idle_s >= self.server.idle_timeout_s:
+            return True
+        # What has arrived already is read and answered first.
+        is_unused = idle_s >= self.server.max_unused_s and not is_busy(self)
+        return is_unused and not has_input(self.socket)
+
 
 class HttpServer:
     """Serves a WSGI application from the start to the end of its context.
@@ -89,7 +110,7 @@
         self.address = address
         options = {
             'connection_limit': max(1000, 2 * threads),
-            'channel_timeout': _IDLE_CONNECTION_TIMEOUT_S,
+            'channel_timeout': _NO_TIMEOUT_S,
             **adjustments,
         }
         self.app = app
@@ -140,15 +161,15 @@
         """Answer the requests that arrive from now on with the refusal."""
         self.is_refusing = True
 
-    def close_idle_connections(self, max_idle_s: float) -> None:
+    def close_idle_connections(self, max_unused_s: float) -> None:
         """Close the connections on which no request is under way.
 
         Parameters
         ----------
-        max_idle_s : float
-            A connection stays open for this time after its last byte came, in seconds.
+        max_unused_s : float
+            A connection stays open for this time after its last byte, in seconds.
         """
-        self._server.max_idle_s = max_idle_s
+        self._server.max_unused_s = max_unused_s
         self._server.pull_trigger()
 
     def is_idle(self) -> bool:
@@ -169,7 +190,8 @@
 
 
 def _use_server_channels(server: Any) -> None:
-    server.max_idle_s = math.inf
+    server.idle_timeout_s = _IDLE_CONNECTION_TIMEOUT_S
+    server.max_unused_s = math.inf
     server.channel_class = ServerChannel
 
 
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -61,7 +61,7 @@
 _STACK_BYTES = 262_144
 _POLL_INTERVAL_S = 0.05
 _STOP_POLL_INTERVAL_S = 0.02
-_MAX_IDLE_S = 0.5
+_MAX_UNUSED_S = 0.5
 """While a daemon stops, a connection stays open for this time without a request: a new
 one carries its request after a round trip."""
 
@@ -235,7 +235,7 @@
 
     def _has_ended(self) -> bool:
         """Close idle connections; return whether no request is or will be in flight."""
-        self.callers.close_idle_connections(_MAX_IDLE_S)
+        self.callers.close_idle_connections(_MAX_UNUSED_S)
         was_closed = self.shutdown.is_closed
         is_idle = not len(self.request_monitor) and self.callers.is_idle()
         if is_idle:
