Close a server's listener before looking at its connections; a refusal without a Connection header

What callers would see: a connection that a closing server has just accepted is read and never answered. Cause: the listener is closed by the polling thread, while the closing thread looked at the known connections at once; one that was accepted but not yet registered was missed, and the threads that answer ended. The refusal of a closing server named a hop-by-hop header, which the library refuses with 500.

--- a/features/steps/entry_stop_review.py
+++ b/features/steps/closing_servers.py
@@ -1,4 +1,4 @@
-"""Steps for what a review of the planned stop has found."""
+"""Steps for servers that close, and for connections that end."""
 
 from __future__ import annotations
 
@@ -112,7 +112,7 @@
         return [_BODY]
 
     context.server = context.stack.enter_context(
-        HttpServer(app, _ADDRESS, threads=4, channel_timeout=15)
+        HttpServer(app, _ADDRESS, threads=4, idle_timeout_s=15)
     )
 
 
--- a/src/pimentohoist/_http_server.py
+++ b/src/pimentohoist/_http_server.py
@@ -34,7 +34,6 @@
         ('Content-Type', 'text/plain'),
         ('Content-Length', str(len(_REFUSAL_BODY))),
         ('Retry-After', '0'),
-        ('Connection', 'close'),
     ]
     start_response('503 Service Unavailable', headers)
     return [_REFUSAL_BODY]
@@ -104,6 +103,7 @@
         *,
         threads: int,
         max_body_bytes: int = 1_073_741_824,
+        idle_timeout_s: float = _IDLE_CONNECTION_TIMEOUT_S,
         **adjustments: Any,
     ) -> None:
         host, port = split_address(address)
@@ -129,11 +129,12 @@
             ident=None,
             **options,
         )
-        _use_server_channels(self._server)
+        _use_server_channels(self._server, idle_timeout_s)
         self._thread = threading.Thread(
             target=self._run, name=f'http-{address}', daemon=True
         )
         self._is_closing = False
+        self._has_stopped_listening = threading.Event()
 
     def __enter__(self) -> Self:
         """Start serving."""
@@ -145,11 +146,10 @@
         self._is_closing = True
         self.refuse_requests()
         deadline = time.monotonic() + self.shutdown_timeout_s
-        # The thread that polls a socket must be the one to close it.
-        self._server.trigger.pull_trigger(
-            lambda: wasyncore.dispatcher.close(self._server)
-        )
+        self._server.trigger.pull_trigger(self._stop_listening)
         self.close_idle_connections(0)
+        # Connections that were accepted before are known only after that.
+        self._has_stopped_listening.wait(self.shutdown_timeout_s)
         while self._server.active_channels and time.monotonic() < deadline:
             time.sleep(_IDLE_POLL_INTERVAL_S)
         self._server.task_dispatcher.shutdown(
@@ -176,6 +176,11 @@
         """Return whether no request is being received, queued, executed or answered."""
         return not any(map(is_busy, tuple(self._server.active_channels.values())))
 
+    def _stop_listening(self) -> None:
+        """Close the listener; called by the thread that polls it."""
+        wasyncore.dispatcher.close(self._server)
+        self._has_stopped_listening.set()
+
     def _serve(self, environ: Any, start_response: Any) -> Iterable[bytes]:
         app = self.refusal if self.is_refusing else self.app
         return app(environ, start_response)
@@ -189,8 +194,8 @@
                 raise
 
 
-def _use_server_channels(server: Any) -> None:
-    server.idle_timeout_s = _IDLE_CONNECTION_TIMEOUT_S
+def _use_server_channels(server: Any, idle_timeout_s: float) -> None:
+    server.idle_timeout_s = idle_timeout_s
     server.max_unused_s = math.inf
     server.channel_class = ServerChannel
 
