Measure the time of a header from the end of the response before it

What a caller would see that sends its next header early and slowly: the connection is closed while its request runs. Cause: the limit on a header's time looked at the header only. Evidence: closing_servers, "A late header ...", failed before.

--- a/src/pimentohoist/_entry/server.py
+++ b/src/pimentohoist/_entry/server.py
@@ -146,6 +146,9 @@
 
         The server calls this about once a second at least.
         """
+        if self.requests or self.total_outbufs_len:
+            # The response before it comes first.
+            self.header_started_at = self.header_started_at and _clock.now()
         started_at = self.header_started_at
         if started_at is not None:
             elapsed_s = _clock.now() - started_at
