Read on after a last response, so that a reset doesn't destroy it; don't wait for half a request in a stop

What callers would see: a response that ends early by a reset. Cause: a connection that is closed with unread bytes is reset, and a reset destroys what the caller hasn't read yet; this concerns callers that send ahead, and bodies that are refused before their end. The channel shuts down its sending side and drops what comes, for 0.5 s at most.

--- a/src/pimentohoist/_http_server.py
+++ b/src/pimentohoist/_http_server.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import math
+import socket
 import threading
 import time
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from typing import Any, Self
 
 from waitress import wasyncore
@@ -26,6 +28,8 @@
 """Disables waitress's own check."""
 
 _IDLE_POLL_INTERVAL_S = 0.01
+_MAX_LINGER_S = 0.5
+"""How long a connection that has ended its last response waits for the other end."""
 
 
 def refuse(environ: Any, start_response: Any) -> Iterable[bytes]:
@@ -47,16 +51,15 @@
 
     server: Any
     socket: Any
+    connected: bool
 
     def __init__(self, *args: Any, **options: Any) -> None:
         self.active_at = time.monotonic()
+        self._ends_with_response = False
+        self._has_ended_response = False
+        self._is_lingering = False
         super().__init__(*args, **options)
 
-    def received(self, data: bytes) -> Any:
-        """Parse bytes and record when they came."""
-        self.active_at = time.monotonic()
-        return super().received(data)
-
     def write_soon(self, data: Any) -> Any:
         """Queue bytes of a response and record when they came."""
         self.active_at = time.monotonic()
@@ -69,17 +72,55 @@
             self.active_at = time.monotonic()
         return sent
 
+    @property
+    def close_when_flushed(self) -> bool:
+        """Return whether the connection ends with the response that is being sent."""
+        return self._ends_with_response
+
+    @close_when_flushed.setter
+    def close_when_flushed(self, is_last: bool) -> None:
+        self._ends_with_response = is_last
+        self._has_ended_response = self._has_ended_response or is_last
+
     def readable(self) -> Any:
         """Return whether to read on; called by the thread that also reads."""
         if not self.requests and self._is_expired(time.monotonic() - self.active_at):
             self.will_close = True
         return super().readable()
 
+    def received(self, data: bytes) -> Any:
+        """Parse bytes and record when they came; drop them after the last response."""
+        if self._is_lingering:
+            return False
+        self.active_at = time.monotonic()
+        return super().received(data)
+
+    def handle_close(self) -> None:
+        """Close the connection; first read what still comes after the last response.
+
+        A connection that is closed with unread bytes is reset, and a reset destroys what
+        the other end hasn't read yet.
+        """
+        if self._is_lingering or not self._is_reset_likely():
+            super().handle_close()
+            return
+        self._is_lingering = True
+        self.will_close = False
+        self.active_at = time.monotonic()
+        # The other end may have closed the connection already.
+        with suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
+
+    def _is_reset_likely(self) -> bool:
+        return self.connected and self._has_ended_response and has_input(self.socket)
+
     def _is_expired(self, idle_s: float) -> bool:
+        if self._is_lingering:
+            return idle_s >= _MAX_LINGER_S
         if idle_s >= self.server.idle_timeout_s:
             return True
-        # What has arrived already is read and answered first.
-        is_unused = idle_s >= self.server.max_unused_s and not is_busy(self)
+        # A response is sent, and what has arrived is read and answered, first.
+        is_unused = idle_s >= self.server.max_unused_s and not self.total_outbufs_len
         return is_unused and not has_input(self.socket)
 
 
@@ -162,7 +203,7 @@
         self.is_refusing = True
 
     def close_idle_connections(self, max_unused_s: float) -> None:
-        """Close the connections on which no request is under way.
+        """Close the connections without a request that was received completely.
 
         Parameters
         ----------
