While a daemon stops and no other is ready, accept what usually ends in time

Cause: the decision took for granted that another daemon can serve the caller. Now it looks whether one is ready; if none is, a request is given the time that its route usually takes throughout, and a refusal names about the time of a restart. A route with too few answers is given the longest usual time of the others. The margins before the kill are shares of the grace period, so that they fit a short one, too.

--- a/features/steps/entry_stop.py
+++ b/features/steps/entry_stop.py
@@ -27,7 +27,7 @@
 from hypothesis import strategies as st
 
 from pimentohoist._decisions.recent_durations import RecentDurations
-from pimentohoist._decisions.shutdown_schedule import ShutdownSchedule
+from pimentohoist._decisions.shutdown_schedule import ExpectedTimes, ShutdownSchedule
 from pimentohoist._http_server import HttpServer
 
 _STREAM = '/models/x'
@@ -47,18 +47,23 @@
 
 @seed(22)
 @settings(max_examples=500, database=None, deadline=None)
-@over(_GRACES_S, st.floats(0, 60), _DURATIONS_S, st.lists(_DURATIONS_S))
+@over(_GRACES_S, st.floats(0, 60), _DURATIONS_S, st.lists(_DURATIONS_S), st.booleans())
 def check_accepted(
-    grace_s: float, now: float, limit_s: float, answered_s: list[float]
+    grace_s: float,
+    now: float,
+    limit_s: float,
+    answered_s: list[float],
+    has_alternative: bool,
 ) -> None:
     schedule = ShutdownSchedule(0, grace_s)
     recent = RecentDurations()
     for duration_s in answered_s:
         recent.record(duration_s)
-    expected_s = recent.expected_max_s()
-    if not schedule.may_begin(now, limit_s, expected_s):
+    usual_s = recent.usual_max_s()
+    if not schedule.may_begin(now, ExpectedTimes(limit_s, usual_s, has_alternative)):
         return
-    is_limit_needed = expected_s is None or now > _RENEWAL_S + 1
+    is_renewed = now > _RENEWAL_S + 1 and has_alternative
+    is_limit_needed = usual_s is None or is_renewed
     longest_s = limit_s if is_limit_needed else min(limit_s, max(answered_s[-100:]))
     assert now + longest_s <= schedule.answers_end_at
     assert schedule.answers_end_at < schedule.exit_at < grace_s
@@ -66,13 +71,20 @@
 
 @seed(23)
 @settings(max_examples=500, database=None, deadline=None)
-@over(_GRACES_S, st.floats(0, 60), _DURATIONS_S, st.none() | _DURATIONS_S)
+@over(
+    _GRACES_S, st.floats(0, 60), _DURATIONS_S, st.none() | _DURATIONS_S, st.booleans()
+)
 def check_served(
-    grace_s: float, now: float, limit_s: float, expected_s: float | None
+    grace_s: float,
+    now: float,
+    limit_s: float,
+    usual_s: float | None,
+    has_alternative: bool,
 ) -> None:
     schedule = ShutdownSchedule(0, grace_s)
+    times = ExpectedTimes(limit_s, usual_s, has_alternative)
     if now + limit_s <= schedule.answers_end_at:
-        assert schedule.may_begin(now, limit_s, expected_s)
+        assert schedule.may_begin(now, times)
 
 
 @then('a request that a stopping daemon accepts ends before it, as far as is known')
--- a/src/pimentohoist/_decisions/recent_durations.py
+++ b/src/pimentohoist/_decisions/recent_durations.py
@@ -20,7 +20,7 @@
         """Add the duration of a request that was answered, in seconds."""
         self._durations_s.append(duration_s)
 
-    def expected_max_s(self) -> float | None:
+    def usual_max_s(self) -> float | None:
         """Return the seconds that hardly any request exceeds; None if unknown."""
         if len(self._durations_s) < _MIN_SAMPLES:
             return None
--- a/src/pimentohoist/_decisions/shutdown_schedule.py
+++ b/src/pimentohoist/_decisions/shutdown_schedule.py
@@ -5,14 +5,35 @@
 from dataclasses import dataclass
 
 _RENEWAL_S = 2.5
-"""Callers cache a response of the directory for two seconds, so within this time they
-have learned of other daemons."""
+"""Callers cache a response of the directory for two seconds, so within this time most
+of them have learned of other daemons."""
 
-_ANSWER_MARGIN_S = 0.8
-"""From the end of the last response to the kill: time to send errors and to exit."""
+_ANSWER_MARGIN = 0.1
+"""Share of the grace period from the end of the last response to the kill: time to send
+errors and to exit."""
 
-_EXIT_MARGIN_S = 0.3
-"""From the exit to the kill, since a busy machine may run the daemon late."""
+_EXIT_MARGIN = 0.04
+"""Share of the grace period from the exit to the kill, since a busy machine may run the
+daemon late."""
+
+
+@dataclass(frozen=True, slots=True)
+class ExpectedTimes:
+    """How long a request may take.
+
+    Attributes
+    ----------
+    limit_s : float
+        Seconds until its deadline.
+    usual_s : float or None
+        Seconds that requests of its route usually take at most; None if unknown.
+    has_alternative : bool
+        Whether another daemon can serve it.
+    """
+
+    limit_s: float
+    usual_s: float | None
+    has_alternative: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,31 +59,26 @@
     @property
     def answers_end_at(self) -> float:
         """Return when the last response must have ended."""
-        return self.signalled_at + self.grace_s - _ANSWER_MARGIN_S
+        return self.signalled_at + self.grace_s * (1 - _ANSWER_MARGIN)
 
     @property
     def exit_at(self) -> float:
         """Return when the process must end."""
-        return self.signalled_at + self.grace_s - _EXIT_MARGIN_S
+        return self.signalled_at + self.grace_s * (1 - _EXIT_MARGIN)
 
-    def needed_s(self, now: float, limit_s: float, expected_s: float | None) -> float:
+    def needed_s(self, now: float, request: ExpectedTimes) -> float:
         """Return how long a request that arrives now is given.
 
-        Until callers have renewed their copies of the directory, a request is given the
-        time that its route usually takes. Those that still come then can reach another
-        daemon at once, so they are given the time that they may take at most.
-
-        Parameters
-        ----------
-        limit_s : float
-            Time until the request's deadline.
-        expected_s : float or None
-            Time that requests of its route usually take at most; None if unknown.
+        Until callers have renewed their copies of the directory, or if no other daemon
+        can serve them, a request is given the time that its route usually takes. Those
+        that come later can reach another daemon at once, so they are given the time
+        that they may take at most.
         """
-        if expected_s is None or now >= self.renewed_at:
-            return limit_s
-        return min(limit_s, expected_s)
+        is_strict = now >= self.renewed_at and request.has_alternative
+        if request.usual_s is None or is_strict:
+            return request.limit_s
+        return min(request.limit_s, request.usual_s)
 
-    def may_begin(self, now: float, limit_s: float, expected_s: float | None) -> bool:
+    def may_begin(self, now: float, request: ExpectedTimes) -> bool:
         """Return whether a request that arrives now ends before the daemon does."""
-        return now + self.needed_s(now, limit_s, expected_s) <= self.answers_end_at
+        return now + self.needed_s(now, request) <= self.answers_end_at
--- a/src/pimentohoist/_entry/request_handler.py
+++ b/src/pimentohoist/_entry/request_handler.py
@@ -87,7 +87,7 @@
             request.request_id,
             route.name,
             timeout_s,
-            self.metrics.expected_max_s(route.name),
+            self.metrics.usual_max_s(route.name),
         )
         monitored = MonitoredRequest(
             request.request_id,
--- a/src/pimentohoist/_entry/request_metrics.py
+++ b/src/pimentohoist/_entry/request_metrics.py
@@ -44,11 +44,19 @@
             duration_ms = min(_MAX_DURATION_MS, max(1, round(duration_s * _MS_PER_S)))
             histogram.record_value(duration_ms)
 
-    def expected_max_s(self, route: str) -> float | None:
-        """Return the seconds that a route's answers take at most; None if unknown."""
+    def usual_max_s(self, route: str) -> float | None:
+        """Return the seconds that a route's answers usually take at most.
+
+        If too few are known, those of the slowest other route count; None if there is
+        none.
+        """
         with self._lock:
-            recent = self._recent.get(route)
-            return None if recent is None else recent.expected_max_s()
+            usual_s = {
+                name: longest_s
+                for name, recent in self._recent.items()
+                if (longest_s := recent.usual_max_s()) is not None
+            }
+        return usual_s.get(route) or max(usual_s.values(), default=None)
 
     def lines(self) -> Iterator[str]:
         """Yield the metrics as lines of text."""
--- a/src/pimentohoist/_entry/retry_policy.py
+++ b/src/pimentohoist/_entry/retry_policy.py
@@ -176,7 +176,9 @@
 def _stop_error(context: RequestContext) -> PimentohoistError:
     if context.executions:
         return PeerTimeoutError('no response before the daemon ended', step=_STEP)
-    return UnavailableError('the daemon is stopping', step=_STEP, retry_after_s=0)
+    return UnavailableError(
+        'the daemon is stopping', step=_STEP, retry_after_s=add_jitter(0)
+    )
 
 
 def _status_error(head: ResponseHead, endpoint: Endpoint) -> PeerError:
--- a/src/pimentohoist/_entry/shutdown.py
+++ b/src/pimentohoist/_entry/shutdown.py
@@ -4,16 +4,20 @@
 
 import logging
 import time
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
 
 from pimentohoist import _clock
-from pimentohoist._decisions.shutdown_schedule import ShutdownSchedule
+from pimentohoist._decisions.shutdown_schedule import ExpectedTimes, ShutdownSchedule
+from pimentohoist._entry.filters import add_jitter
 from pimentohoist._entry.request_monitor import MonitoredRequest
 from pimentohoist.exceptions import UnavailableError
 
 _STEP = 'stop'
 _MS_PER_S = 1000
+_RESTART_S = 1.0
+"""Time until a daemon that is started now is ready."""
+
 _MAX_LOGGED_REQUESTS = 100
 """Requests that are named one by one when the daemon ends before they do."""
 
@@ -31,10 +35,13 @@
         Times of the stop; None before the signal.
     is_closed : bool
         Whether all requests are refused.
+    has_alternative : callable
+        Returns whether another daemon is ready.
     """
 
-    def __init__(self, grace_s: float) -> None:
+    def __init__(self, grace_s: float, has_alternative: Callable[[], bool]) -> None:
         self.grace_s = grace_s
+        self.has_alternative = has_alternative
         self.schedule: ShutdownSchedule | None = None
         self.is_closed = False
 
@@ -50,7 +57,7 @@
         self.is_closed = True
 
     def check(
-        self, request_id: str, route: str, limit_s: float, expected_s: float | None
+        self, request_id: str, route: str, limit_s: float, usual_s: float | None
     ) -> None:
         """Raise UnavailableError if a request may outlast the daemon.
 
@@ -58,17 +65,16 @@
         ----------
         limit_s : float
             Seconds until the request's deadline.
-        expected_s : float or None
+        usual_s : float or None
             Seconds that requests of its route usually take at most; None if unknown.
         """
         schedule = self.schedule
         if schedule is None:
             return
         now = _clock.now()
-        needed_s = schedule.needed_s(now, limit_s, expected_s)
-        is_accepted = not self.is_closed and schedule.may_begin(
-            now, limit_s, expected_s
-        )
+        times = ExpectedTimes(limit_s, usual_s, self.has_alternative())
+        needed_s = schedule.needed_s(now, times)
+        is_accepted = not self.is_closed and schedule.may_begin(now, times)
         extra = {
             **self._extra(),
             'id': request_id,
@@ -79,12 +85,15 @@
         }
         _logger.info('request arrived during the stop', extra=extra)
         if not is_accepted:
-            # Another daemon can serve the caller at once.
-            raise UnavailableError(
-                f'the daemon is stopping, the request may take {needed_s:.1f} s',
-                step=_STEP,
-                retry_after_s=0,
-            )
+            raise self.refusal(f'the request may take {needed_s:.1f} s')
+
+    def refusal(self, cause: str) -> UnavailableError:
+        """Return the error for a request that hasn't run and won't."""
+        # Another daemon can serve the caller at once; else one must start first.
+        wait_s = 0 if self.has_alternative() else add_jitter(_RESTART_S)
+        return UnavailableError(
+            f'the daemon is stopping: {cause}', step=_STEP, retry_after_s=wait_s
+        )
 
     def record_progress(self, message: str, running: int) -> None:
         """Log a step of the stop with the number of requests in flight."""
--- a/src/pimentohoist/_entry/wsgi_apps.py
+++ b/src/pimentohoist/_entry/wsgi_apps.py
@@ -10,7 +10,8 @@
 from pimentohoist import _clock
 from pimentohoist._entry.request_context import EntryResponse
 from pimentohoist._entry.request_handler import RequestHandler
-from pimentohoist.exceptions import PimentohoistError, UnavailableError
+from pimentohoist._entry.shutdown import Shutdown
+from pimentohoist.exceptions import PimentohoistError
 from pimentohoist.platform import (
     DIRECTORY_PATH,
     RawRequest,
@@ -48,10 +49,18 @@
         return _send_response(response, start_response)
 
 
-def refuse_request(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
-    """Answer a request that arrives while the server closes; it hasn't run."""
-    error = UnavailableError('the daemon is stopping', step='stop', retry_after_s=0)
-    return _send_error(error, start_response)
+class RefusalApp:
+    """Answers requests that arrive while the server closes; they haven't run."""
+
+    def __init__(self, shutdown: Shutdown) -> None:
+        self.shutdown = shutdown
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Return 503, and when to come back."""
+        error = self.shutdown.refusal('it accepts no more requests')
+        return _send_error(error, start_response)
 
 
 class DirectoryApp:
--- a/src/pimentohoist/_peers.py
+++ b/src/pimentohoist/_peers.py
@@ -84,6 +84,10 @@
 
     def __exit__(self, *exc_info: object) -> None:
         """Close all connections."""
+        self.close()
+
+    def close(self) -> None:
+        """Close all connections; calls in flight fail."""
         with self._lock:
             channels = tuple(self._channels.values())
             self._channels.clear()
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -26,7 +26,7 @@
     MetricsApp,
     ReadyApp,
     RequestsApp,
-    refuse_request,
+    RefusalApp,
 )
 from pimentohoist._entry.endpoints import EndpointsController
 from pimentohoist._entry.filters import Authenticate, ChargeQuota, RejectQuarantined
@@ -79,7 +79,9 @@
         self.settings = settings
         self.logs = logs
         self.is_draining = threading.Event()
-        self.shutdown = Shutdown(settings.bounds.grace_s)
+        self.shutdown = Shutdown(
+            settings.bounds.grace_s, lambda: bool(self._ready_others())
+        )
         self.store = Store(settings.store_address)
         self.peers = PeerClients()
         self.members = MembersController(settings, self.store, self._make_heartbeat)
@@ -116,7 +118,7 @@
         self.callers = CallersServer(
             RequestsApp(self.request_handler), settings.callers_address
         )
-        self.callers.refusal = refuse_request
+        self.callers.refusal = RefusalApp(self.shutdown)
         self._stack = ExitStack()
         self._created_at = _clock.now()
         self._has_started_up = False
@@ -162,13 +164,8 @@
 
     def addresses(self) -> list[str]:
         """Return the addresses to which callers may connect."""
-        others = [
-            heartbeat.callers_address
-            for heartbeat in self.members.reachable()
-            if heartbeat.is_ready
-        ]
         own = [self.settings.callers_address] if self.is_ready() else []
-        return own + others
+        return own + self._ready_others()
 
     def leave(self, schedule: ShutdownSchedule) -> None:
         """Accept no new callers; finish the requests in flight, until the deadline."""
@@ -186,10 +183,12 @@
 
     def end(self) -> None:
         """End the process at once; log what that cuts off."""
-        self.shutdown.record_cut(self.request_monitor.in_flight())
-        self.logs.flush(_MIN_FLUSH_S)
-        # Threads that wait for peers would keep the process alive until they time out.
-        os._exit(0)
+        try:
+            self.shutdown.record_cut(self.request_monitor.in_flight())
+            self.logs.flush(_MIN_FLUSH_S)
+        finally:
+            # Threads that wait for peers would keep the process alive for longer.
+            os._exit(0)
 
     def metrics(self) -> Iterator[str]:
         """Yield metrics as text."""
@@ -221,6 +220,13 @@
             'dispatch': self.dispatch.dump(),
         }
 
+    def _ready_others(self) -> list[str]:
+        return [
+            heartbeat.callers_address
+            for heartbeat in self.members.reachable()
+            if heartbeat.is_ready
+        ]
+
     def _leave_group(self) -> None:
         with self.shutdown.timed('leave the group'):
             self.ownership.leave()
