Release requests that wait for an adapter when a daemon's time is over

What callers would see: no answer from a stopping daemon, if their request waits for an adapter until the kill; only exchanges with engines were aborted. The owners' waits and the calls to other daemons are ended as well.

--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -178,6 +178,10 @@
             self._wait_for_requests(schedule)
         self.shutdown.close()
         self.request_monitor.cancel_all(Cancellation.STOP)
+        # Requests that wait for an adapter have no exchange to abort.
+        for engine in tuple(self.owned_engines.engines.values()):
+            engine.close()
+        self.peers.close()
         left_s = schedule.exit_at - _clock.now()
         self.callers.shutdown_timeout_s = max(_MIN_FLUSH_S, left_s - _MIN_FLUSH_S)
 
