--- a/src/pimentohoist_standins/_soak/records.py
+++ b/src/pimentohoist_standins/_soak/records.py
@@ -103,6 +103,10 @@
         Whether the caller's key was passed on.
     left_s : float or None
         The time that the daemon named as left, in seconds.
+    status : int
+        The status that the endpoint answered; 0 if it isn't known.
+    last_event : int or None
+        Number of the last event that the endpoint sent; None if it isn't known.
     """
 
     request_id: str
@@ -119,6 +123,8 @@
     arrived_at: float
     ended_at: float | None
     outcome: RunOutcome
+    status: int = 0
+    last_event: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,6 +158,8 @@
         Tokens a second and burst, by workspace.
     is_valid : bool
         Whether daemons may put it in force.
+    groups : dict of str to str
+        Endpoint groups by route.
     """
 
     version: int
@@ -161,6 +169,7 @@
     keys: dict[str, str]
     rates: dict[str, tuple[float, float]]
     is_valid: bool = True
+    groups: dict[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
