Soak: check 28 promises against the records of a run

Each promise is a pure function of the records that yields a verdict on every observation to which it applies; run_checks counts these and returns the violations.

The tests hold cases by hand that break each promise and cases that look alike but are excused or allowed, 200 generated histories that keep every promise (every check must apply to some), and a run of 20,000 attempts within 5 s.

--- /dev/null
+++ b/features/soak_cases.py
@@ -0,0 +1,482 @@
+"""Cases by hand for the checks of the fault soak."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import replace
+from itertools import repeat
+from types import MappingProxyType
+from typing import Any
+
+from pimentohoist_standins._soak.records import (
+    Bounds,
+    CallerRecord,
+    ConfigurationRecord,
+    ConnectionEnd,
+    FaultRecord,
+    Observations,
+    OrderRecord,
+    ProcessRecord,
+    RequestKind,
+    RunOutcome,
+    RunRecord,
+)
+
+BOUNDS = Bounds()
+# A stream that is answered whole, and its run.
+CALLER = CallerRecord(
+    request_id='a-1',
+    daemon='front-1',
+    route='chat',
+    kind=RequestKind.STREAM,
+    key='key-1',
+    workspace='lab',
+    adapter='summary',
+    tokens=100,
+    timeout_s=10,
+    sent_at=100,
+    read_at=100.01,
+    first_byte_at=100.2,
+    ended_at=101,
+    status=200,
+    retry_after_s=None,
+    has_seal=True,
+    is_whole=True,
+    events=(1, 2, 3),
+    end=ConnectionEnd.NONE,
+    is_kept=False,
+)
+RUN = RunRecord(
+    request_id='a-1',
+    endpoint='engine-1',
+    group='group-1',
+    daemon='front-1',
+    path='/chat',
+    workspace='lab',
+    adapter='summary',
+    version=1,
+    last_event_id=0,
+    has_key=False,
+    left_s=9.9,
+    arrived_at=100.1,
+    ended_at=100.9,
+    outcome=RunOutcome.COMPLETED,
+    status=200,
+    last_event=3,
+)
+CONFIGURATION = ConfigurationRecord(
+    version=1,
+    sent_at=10,
+    acknowledged_at=10.1,
+    routes=frozenset(('chat',)),
+    keys={'key-1': 'lab'},
+    rates={},
+    groups={'chat': 'group-1'},
+)
+PROCESS = ProcessRecord('front-1', 0, 1, None, None, None, None)
+_KILLED = replace(PROCESS, signalled_at=100, killed_at=108, ended_at=108, exit_code=-9)
+_STOPPED = replace(PROCESS, signalled_at=100, ended_at=107.9, exit_code=0)
+_ORDER = OrderRecord('engine-1', 'front-1', 5, 'load', 'summary', 200, 100, 3, 4)
+_SECOND = replace(CONFIGURATION, version=2, sent_at=50, acknowledged_at=50.1)
+_NEW_KEYS = (CONFIGURATION, replace(_SECOND, keys={'key-2': 'lab'}))
+_OTHER_HOLDER = (CONFIGURATION, replace(_SECOND, keys={'key-1': 'office'}))
+_NEW_ROUTES = (CONFIGURATION, replace(_SECOND, routes=frozenset(('chat', 'look'))))
+_INVALID = (CONFIGURATION, replace(_NEW_ROUTES[1], is_valid=False))
+_MOVED = (CONFIGURATION, replace(_SECOND, groups={'chat': 'group-2'}))
+_QUOTA = replace(CONFIGURATION, rates={'lab': (100, 200)})
+_LOW_QUOTA = replace(_SECOND, rates={'lab': (1, 1)})
+_SLACK_TOKENS = int(BOUNDS.quota_slack_tokens)
+_SAFE = MappingProxyType({'kind': RequestKind.SAFE})
+_UNSAFE = MappingProxyType({'kind': RequestKind.UNSAFE})
+_RESUMABLE = MappingProxyType({'kind': RequestKind.RESUMABLE, 'ended_at': 103})
+_LEFT = MappingProxyType({'end': ConnectionEnd.LEFT})
+_NO_KEY = MappingProxyType({'key': '', 'workspace': ''})
+_BROKEN_OFF = MappingProxyType({'outcome': RunOutcome.BROKEN_OFF})
+_FAILED = MappingProxyType({'outcome': RunOutcome.FAILED})
+_REFUSED = MappingProxyType({'outcome': RunOutcome.REFUSED})
+_AT_SECOND = MappingProxyType({'endpoint': 'engine-2', 'group': 'group-2'})
+_RESUMED = MappingProxyType({'last_event_id': 2, 'arrived_at': 101})
+
+
+def _fault(kind: str, target: str, began_at: float, ended_at: float = 0) -> FaultRecord:
+    return FaultRecord(kind, target, began_at, ended_at or began_at)
+
+
+def _seen(
+    callers: Sequence[CallerRecord] = (),
+    runs: Sequence[RunRecord] = (),
+    faults: Sequence[FaultRecord] = (),
+    **others: Any,
+) -> Observations:
+    base = Observations(1, 0, 200, BOUNDS, tuple(callers), tuple(runs))
+    common = {'configurations': (CONFIGURATION,), 'processes': (PROCESS,)}
+    return replace(base, faults=tuple(faults), **{**common, **others})
+
+
+def _ran(*runs: Mapping[str, Any], **caller: Any) -> Observations:
+    """One attempt and its runs, each with changes."""
+    return _seen([replace(CALLER, **caller)], [replace(RUN, **one) for one in runs])
+
+
+def _refused(status: int, *runs: Mapping[str, Any], **caller: Any) -> Observations:
+    return _ran(*runs, status=status, has_seal=False, events=(), **caller)
+
+
+def _cut(
+    sent_at: float, ended_at: float, *runs: Mapping[str, Any], **caller: Any
+) -> Observations:
+    """One attempt whose connection was closed early, and its cancelled runs."""
+    span = {'sent_at': sent_at, 'read_at': sent_at, 'ended_at': ended_at}
+    cancelled = {'arrived_at': sent_at, 'ended_at': ended_at}
+    closed = {'is_whole': False, 'end': ConnectionEnd.CLOSED}
+    records = _ran(
+        *({**cancelled, 'outcome': RunOutcome.CANCELLED, **one} for one in runs),
+        **{**span, **closed, **caller},
+    )
+    return replace(records, processes=(replace(PROCESS, ready_at=1),))
+
+
+def _stop(
+    sent_at: float, ended_at: float, *runs: Mapping[str, Any], **caller: Any
+) -> Observations:
+    """The same at a daemon that gets SIGTERM at 100 s and is killed at 108 s."""
+    return replace(_cut(sent_at, ended_at, *runs, **caller), processes=(_KILLED,))
+
+
+def _with(observations: Observations, *faults: FaultRecord) -> Observations:
+    return replace(observations, faults=faults)
+
+
+def _under(configurations: Any, observations: Observations) -> Observations:
+    return replace(observations, configurations=tuple(configurations))
+
+
+def _ended(*faults: FaultRecord, **changes: Any) -> Observations:
+    return _seen(faults=faults, processes=(replace(PROCESS, **changes),))
+
+
+def _ordered(*changes: Mapping[str, Any]) -> Observations:
+    orders = [replace(_ORDER, **change) for change in changes]
+    return _seen([replace(CALLER, daemon='front-2')], orders=tuple(orders))
+
+
+def _joined(*parts: Observations) -> Observations:
+    callers = [
+        replace(part.callers[0], request_id=f'a-{number}')
+        for number, part in enumerate(parts)
+    ]
+    runs = [
+        replace(run, request_id=f'a-{number}')
+        for number, part in enumerate(parts)
+        for run in part.runs
+    ]
+    return replace(parts[0], callers=tuple(callers), runs=tuple(runs))
+
+
+def _spent(tokens: int, sent_at: float = 100) -> Observations:
+    """Two runs of 1600 and some tokens; 8 s allow 1000 x 1.1 and the slack."""
+    second = _ran({'arrived_at': sent_at + 0.1}, tokens=tokens, sent_at=sent_at)
+    return _under([_QUOTA], _joined(_ran({}, tokens=1600), second))
+
+
+def _moved_back(sent_at: float) -> Observations:
+    """A run at the new group at 51 s, then a request at the old group."""
+    new = _ran(
+        {'arrived_at': 51, **_AT_SECOND}, sent_at=50.5, read_at=50.5, ended_at=51.2
+    )
+    old = _ran({'arrived_at': 51.5}, sent_at=sent_at, read_at=sent_at, ended_at=51.7)
+    return _under(_MOVED, _joined(new, old))
+
+
+def _repeated(repeats: int) -> Observations:
+    return _ran({}, *({'arrived_at': 101, **_REFUSED} for _ in range(repeats)))
+
+
+def _drained(*runs: Mapping[str, Any], began_at: float = 90) -> Observations:
+    return _with(_ran(*runs), _fault('engine_leaves', 'engine-1', began_at, 110))
+
+
+_KEPT_CUT = _cut(100, 101, {}, status=0, is_kept=True)
+_STORE_DOWN = _fault('store_down', 'store', 101, 106)
+_PAUSE = _fault('pause', 'front-1', 101, 102)
+_LINK_CUT = _fault('link_cut', 'front-1>engine-1', 98, 99)
+_HUP = _fault('hup', 'front-1', 100)
+_RESTARTED = (
+    replace(PROCESS, signalled_at=51.2, ended_at=51.3, exit_code=0),
+    replace(PROCESS, started_at=51.35, ready_at=52),
+)
+_RESTARTED_AFTER_KILL = (
+    replace(PROCESS, killed_at=50, ended_at=50, exit_code=-9),
+    replace(PROCESS, started_at=52, ready_at=58),
+)
+
+BROKEN: Mapping[str, dict[str, Observations]] = MappingProxyType(
+    {
+        'lost_at_stop': {
+            'sent 6.3 s after SIGTERM, cut by the kill': _stop(106.3, 108, {}),
+            'sent 3.1 s after SIGTERM, cut by the kill': _stop(103.1, 108, {}),
+            'sent 2.9 s after SIGTERM, cut 5 s after it': _stop(102.9, 105, {}),
+            'closed 0.3 s after its last byte': _stop(104, 104.3),
+            'cut after one engine broke off': _stop(104, 105, _BROKEN_OFF, {}),
+            'unsafe while the store is down': _with(
+                _stop(104, 105, {}, **_UNSAFE), _STORE_DOWN
+            ),
+            'another daemon paused': _with(
+                _joined(_stop(104, 105, {}), _ran({}, daemon='front-2')),
+                replace(_PAUSE, target='front-2'),
+            ),
+        },
+        'lost_at_reload': {'sent before SIGHUP': _with(_cut(99, 101, {}), _HUP)},
+        'lost_at_configuration': {
+            'cut 1 s after': _under(_NEW_ROUTES, _cut(49, 51, {}))
+        },
+        'kept_connections': {'closed four times': _joined(*repeat(_KEPT_CUT, 4))},
+        'gone_before_kill': {
+            'killed after the grace period': _seen(processes=(_KILLED,)),
+            'outlives the grace period': _ended(signalled_at=100),
+            'paused only before SIGTERM': _with(
+                _seen(processes=(_KILLED,)), _fault('pause', 'front-1', 90, 99)
+            ),
+        },
+        'exit_codes': {
+            'code 1': _seen(processes=(replace(_STOPPED, exit_code=1),)),
+            'ended by itself': _ended(ended_at=100, exit_code=0),
+        },
+        'ready_after_start': {
+            'ready after 6 s': _ended(ready_at=6),
+            'never ready': _ended(ready_at=None),
+            'ready 6 s after a kill': _seen(processes=_RESTARTED_AFTER_KILL),
+        },
+        'runs_once': {
+            'unsafe at two engines': _ran({}, {'endpoint': 'engine-2'}, **_UNSAFE),
+            'a stream at one engine twice': _ran(_BROKEN_OFF, {}),
+        },
+        'true_refusals': {
+            '503 after a broken run': _refused(503, _BROKEN_OFF),
+            '429, runs later': _refused(429, {'arrived_at': 106}),
+            '503 after a run and a refusal': _refused(503, _FAILED, _REFUSED, **_SAFE),
+        },
+        'runs_asked_for': {
+            'unknown id': _seen([], [RUN]),
+            'other adapter': _ran({'adapter': 'other'}),
+        },
+        'keys_stay_inside': {'key passed on': _ran({'has_key': True})},
+        'workspace_of_key': {
+            'other workspace': _ran({'workspace': 'office'}),
+            'key never configured': _ran({}, key='key-9'),
+        },
+        'group_of_route': {
+            'other group': _ran({'group': 'group-9'}),
+            'route never configured': _ran({}, route='look'),
+            'before its configuration was sent': _under(
+                (CONFIGURATION, replace(_MOVED[1], sent_at=100.5)), _ran(_AT_SECOND)
+            ),
+        },
+        'drain': {
+            '10 s after': _drained({}),
+            'refused as full': _drained({'status': 503, **_REFUSED}),
+        },
+        'configuration_in_force': {
+            'withdrawn key served': _under(_NEW_KEYS, _ran({})),
+            'new key refused': _under(_NEW_KEYS, _refused(401, key='key-2')),
+            'new route unknown': _under(_NEW_ROUTES, _refused(404, route='look')),
+            'old group': _under(_MOVED, _ran({})),
+            'former holder': _under(_OTHER_HOLDER, _ran({})),
+        },
+        'no_rollback': {'old group sent 0.4 s after the new': _moved_back(51.4)},
+        'whole_successes': {
+            'no seal': _ran({}, has_seal=False),
+            'whole though its run broke off': _ran(_BROKEN_OFF),
+        },
+        'sealed_failures': {
+            'other status': _ran({'status': 404, **_FAILED}, status=500)
+        },
+        'event_order': {
+            'gap': _ran({}, events=(1, 3)),
+            'no first event': _ran({}, events=(2, 3)),
+            'doubled': _ran({}, events=(1, 2, 2, 3)),
+            'whole without the last event': _ran({}, events=(1, 2)),
+            'joined wrongly': _ran(
+                _BROKEN_OFF, _RESUMED, **_RESUMABLE, events=(1, 3, 3)
+            ),
+        },
+        'resumptions': {
+            'not allowed': _ran(_BROKEN_OFF, _RESUMED),
+            'begun anew later': _ran({}, _RESUMED, {'arrived_at': 102}, **_RESUMABLE),
+        },
+        'resumed_runs_apart': {
+            'both at work': _ran({'ended_at': 102}, _RESUMED, **_RESUMABLE)
+        },
+        'answers_in_time': {'0.6 s late': _ran({}, timeout_s=0.39)},
+        'cancellations': {
+            'goes on for 2 s': _cut(100, 101, {'ended_at': 103}, **_LEFT),
+            'never ends': _cut(100, 101, {'ended_at': None}, **_LEFT),
+            'begins 1 s later': _cut(
+                100, 101, {'arrived_at': 102, 'ended_at': 102.1}, **_LEFT, **_SAFE
+            ),
+        },
+        'adapter_slots': {'5 in 4': _ordered({'held': 5})},
+        'one_holder_per_fence': {'two holders': _ordered({}, {'holder': 'front-2'})},
+        'fences_rise': {'lower obeyed': _ordered({}, {'fence': 4, 'arrived_at': 101})},
+        'quotas': {
+            'one token over': _spent(_SLACK_TOKENS - 499),
+            'over a quota lowered long ago': _under(
+                (_QUOTA, _LOW_QUOTA), _spent(_SLACK_TOKENS - 500)
+            ),
+        },
+        'retry_budget': {'55 repeats of one request': _repeated(55)},
+    }
+)
+KEPT: Mapping[str, dict[str, Observations]] = MappingProxyType(
+    {
+        'lost_at_stop': {
+            'sent 2.9 s after SIGTERM, at work in the last sixth': _stop(
+                102.9, 108, {}
+            ),
+            'closed 0.1 s after its last byte': _stop(104, 104.1),
+            'sent in part': _stop(104, 104.3, read_at=None),
+            'sent to a process that is gone': _stop(108.1, 108.5),
+            'the engine broke off': _stop(104, 105, _BROKEN_OFF),
+            'deadline reached': _stop(104, 105, {}, timeout_s=1),
+            'the daemon was paused': _with(_stop(104, 105, {}), _PAUSE),
+            'unknown fault': _with(_stop(104, 105, {}), _fault('disk_full', 'x', 101)),
+            'a stream while the store is down': _with(_stop(104, 105, {}), _STORE_DOWN),
+            'answered 503': replace(_refused(503), processes=(_KILLED,)),
+        },
+        'lost_at_reload': {
+            'cut before SIGHUP': _with(_cut(98, 99.9, {}), _HUP),
+            'sent 2.1 s after SIGHUP': _with(_cut(102.1, 103, {}), _HUP),
+            'other daemon': _with(_cut(99, 101, {}, daemon='front-2'), _HUP),
+        },
+        'lost_at_configuration': {
+            'cut 4 s after': _under(_NEW_ROUTES, _cut(53, 54, {})),
+            'as often as at other times': _under(
+                _NEW_ROUTES, _joined(_cut(49, 51, {}), _cut(70, 71, {}))
+            ),
+            'three quarters of its time used': _under(
+                _NEW_ROUTES, _cut(49, 51, {}, timeout_s=2.66)
+            ),
+            'not valid': _under(_INVALID, _cut(49, 51, {})),
+        },
+        'kept_connections': {
+            'closed three times': _joined(*repeat(_KEPT_CUT, 3)),
+            'engine crashed': _with(
+                _joined(*repeat(_KEPT_CUT, 4)),
+                _fault('engine_crash', 'engine-1', 100.5),
+            ),
+        },
+        'gone_before_kill': {
+            'gone after 7.9 s': _seen(processes=(_STOPPED,)),
+            'paused after SIGTERM': _seen([], [], [_PAUSE], processes=(_KILLED,)),
+            'killed by a fault after 1 s': _ended(
+                signalled_at=100, killed_at=101, ended_at=101, exit_code=-9
+            ),
+            'the run ends first': _ended(signalled_at=199),
+        },
+        'exit_codes': {
+            'code 0': _seen(processes=(_STOPPED,)),
+            'killed': _seen(processes=(_KILLED,)),
+        },
+        'ready_after_start': {
+            'ready after 1 s': _seen(),
+            'stopped before': _ended(ready_at=None, signalled_at=4, ended_at=5),
+            'store down': _ended(_fault('store_down', 'store', 1, 8), ready_at=9),
+        },
+        'runs_once': {
+            'refused, then run': _ran(_REFUSED, {'endpoint': 'engine-2'}, **_UNSAFE),
+            'safe at two engines': _ran(_FAILED, {'endpoint': 'engine-2'}, **_SAFE),
+        },
+        'true_refusals': {
+            '503 after refusals': _refused(503, _REFUSED, _REFUSED),
+            '502 after a broken run': _refused(502, _BROKEN_OFF),
+        },
+        'runs_asked_for': {'as sent': _ran({})},
+        'keys_stay_inside': {'no key': _ran({})},
+        'workspace_of_key': {
+            'key moved': _under(_OTHER_HOLDER, _ran({'workspace': 'office'})),
+            'no key': _ran({'workspace': ''}, **_NO_KEY),
+        },
+        'group_of_route': {'former group': _under(_MOVED, _ran({}))},
+        'drain': {
+            '1.9 s after': _drained({}, began_at=98.2),
+            'misdirected': _drained({'status': 421, **_REFUSED}),
+            'link was cut': _with(_drained({}), *_drained({}).faults, _LINK_CUT),
+            'store was slow': _with(
+                _drained({}),
+                *_drained({}).faults,
+                _fault('store_slow', 'store', 85, 89),
+            ),
+        },
+        'configuration_in_force': {
+            'withdrawn key refused': _under(_NEW_KEYS, _refused(401)),
+            '1.5 s after': _under(_NEW_KEYS, _ran({}, sent_at=51.6, ended_at=52)),
+            'the engine answers 404': _under(
+                _NEW_ROUTES, _ran({}, route='look', status=404)
+            ),
+            'paused': _with(
+                _under(_NEW_KEYS, _ran({})), _fault('pause', 'front-1', 90, 98)
+            ),
+            'sent meanwhile': _under(
+                (CONFIGURATION, replace(_MOVED[1], sent_at=100.05)), _ran(_AT_SECOND)
+            ),
+        },
+        'no_rollback': {
+            'old group sent 0.2 s after the new': _moved_back(51.2),
+            'another process': replace(_moved_back(51.4), processes=_RESTARTED),
+            'paused': _with(_moved_back(51.4), _fault('pause', 'front-1', 50)),
+        },
+        'whole_successes': {'broken run': _cut(100, 101, _BROKEN_OFF)},
+        'sealed_failures': {
+            'same status': _ran({'status': 500, **_FAILED}, status=500)
+        },
+        'event_order': {
+            'broken stream': _cut(100, 101, _BROKEN_OFF, events=(1, 2)),
+            'resumed by its caller': _ran(_RESUMED, **_RESUMABLE, events=(3,)),
+        },
+        'resumptions': {'allowed': _ran(_BROKEN_OFF, _RESUMED, **_RESUMABLE)},
+        'resumed_runs_apart': {
+            'ended before': _ran({}, _RESUMED, **_RESUMABLE),
+            'engine frozen': _with(
+                _ran({'ended_at': None}, _RESUMED, **_RESUMABLE),
+                _fault('engine_freeze', 'engine-1', 100.5, 104),
+            ),
+        },
+        'answers_in_time': {
+            '0.4 s late': _ran({}, timeout_s=0.6),
+            'paused': _with(
+                _ran({}, timeout_s=0.39), _fault('pause', 'front-1', 100.5)
+            ),
+            'slow caller': _with(
+                _ran({}, timeout_s=0.39), _fault('caller_slow', 'a-1', 100, 101)
+            ),
+        },
+        'cancellations': {
+            'cancelled after 0.3 s': _cut(100, 101, {'ended_at': 101.3}, **_LEFT),
+            'unsafe': _cut(100, 101, {'ended_at': 103}, **_LEFT, **_UNSAFE),
+            'link cut': _with(_cut(100, 101, {'ended_at': 103}, **_LEFT), _LINK_CUT),
+        },
+        'adapter_slots': {'4 in 4': _ordered({'held': 4})},
+        'one_holder_per_fence': {'one holder': _ordered({}, {'arrived_at': 101})},
+        'fences_rise': {
+            'refused': _ordered({}, {'fence': 4, 'status': 412, 'arrived_at': 101}),
+            'after a crash': _with(
+                _ordered({}, {'fence': 4, 'arrived_at': 110}),
+                _fault('engine_crash', 'engine-1', 105),
+            ),
+            'paused holder': _with(
+                _ordered({}, {'holder': 'front-2', 'fence': 4, 'arrived_at': 101}),
+                _fault('pause', 'front-2', 95, 100),
+            ),
+        },
+        'quotas': {
+            'all used': _spent(_SLACK_TOKENS - 500),
+            'spread over 9 s': _spent(_SLACK_TOKENS, sent_at=109),
+            'lowered shortly before': _under(
+                (_QUOTA, replace(_LOW_QUOTA, sent_at=85, acknowledged_at=90)),
+                _spent(_SLACK_TOKENS - 500),
+            ),
+            'none': _under([CONFIGURATION], _spent(2 * _SLACK_TOKENS)),
+        },
+        'retry_budget': {'54 repeats of one request': _repeated(54)},
+    }
+)
