Soak checks: judge more cases and keep no verdicts

Small changes of the checks (comparisons, operands and constants, one at a time) showed excuses that no case tested: an endpoint that is frozen or a daemon that is paused beside a drain or a cancellation, configurations never acknowledged, links of the store, pauses far apart, requests without a key. Each has a case now. A sealed failure needs a status. Verdicts are counted as they come instead of being kept in a list.

--- a/features/soak_cases.py
+++ b/features/soak_cases.py
@@ -188,8 +188,14 @@
     return _under(_MOVED, _joined(new, old))
 
 
-def _repeated(repeats: int) -> Observations:
-    return _ran({}, *({'arrived_at': 101, **_REFUSED} for _ in range(repeats)))
+def _repeated(repeats: int, requests_at: float = 100) -> Observations:
+    """Repeats of one of 101 requests at 100 s; the others are sent at another time."""
+    others = (
+        replace(CALLER, request_id=f'b-{number}', sent_at=requests_at)
+        for number in range(100)
+    )
+    repeated = _ran({}, *({'arrived_at': 101, **_REFUSED} for _ in range(repeats)))
+    return replace(repeated, callers=(*repeated.callers, *others))
 
 
 def _drained(*runs: Mapping[str, Any], began_at: float = 90) -> Observations:
@@ -199,8 +205,10 @@
 _KEPT_CUT = _cut(100, 101, {}, status=0, is_kept=True)
 _STORE_DOWN = _fault('store_down', 'store', 101, 106)
 _PAUSE = _fault('pause', 'front-1', 101, 102)
+_LATER_PAUSE = _fault('pause', 'front-1', 120, 121)
 _LINK_CUT = _fault('link_cut', 'front-1>engine-1', 98, 99)
 _HUP = _fault('hup', 'front-1', 100)
+_STOPPED_EARLY = replace(PROCESS, signalled_at=50, ended_at=55, exit_code=0)
 _RESTARTED = (
     replace(PROCESS, signalled_at=51.2, ended_at=51.3, exit_code=0),
     replace(PROCESS, started_at=51.35, ready_at=52),
@@ -213,6 +221,18 @@
 BROKEN: Mapping[str, dict[str, Observations]] = MappingProxyType(
     {
         'lost_at_stop': {
+            'sent 2.9 s after SIGTERM, cut before the last sixth': _stop(
+                102.9, 106.6, {}
+            ),
+            'paused long before and long after': _with(
+                _stop(104, 105, {}),
+                replace(_PAUSE, began_at=90, ended_at=91),
+                _LATER_PAUSE,
+            ),
+            'its run has never ended': _stop(103.1, 108, {'ended_at': None}),
+            'unsafe while the links of the store are cut': _with(
+                _stop(104, 105, {}, **_UNSAFE), _fault('link_cut', 'store', 101, 106)
+            ),
             'sent 6.3 s after SIGTERM, cut by the kill': _stop(106.3, 108, {}),
             'sent 3.1 s after SIGTERM, cut by the kill': _stop(103.1, 108, {}),
             'sent 2.9 s after SIGTERM, cut 5 s after it': _stop(102.9, 105, {}),
@@ -228,10 +248,20 @@
         },
         'lost_at_reload': {'sent before SIGHUP': _with(_cut(99, 101, {}), _HUP)},
         'lost_at_configuration': {
-            'cut 1 s after': _under(_NEW_ROUTES, _cut(49, 51, {}))
+            'never acknowledged': _under(
+                (CONFIGURATION, replace(_SECOND, acknowledged_at=None)),
+                _cut(49, 51, {}),
+            ),
+            'cut 1 s after': _under(_NEW_ROUTES, _cut(49, 51, {})),
         },
         'kept_connections': {'closed four times': _joined(*repeat(_KEPT_CUT, 4))},
         'gone_before_kill': {
+            'another daemon paused': _seen(
+                [], [], [_fault('pause', 'front-2', 101)], processes=(_KILLED,)
+            ),
+            'a link slow': _seen(
+                [], [], [_fault('link_slow', 'front-1', 101)], processes=(_KILLED,)
+            ),
             'killed after the grace period': _seen(processes=(_KILLED,)),
             'outlives the grace period': _ended(signalled_at=100),
             'paused only before SIGTERM': _with(
@@ -277,13 +307,19 @@
             'refused as full': _drained({'status': 503, **_REFUSED}),
         },
         'configuration_in_force': {
+            'withdrawn key answered without a run': _under(_NEW_KEYS, _ran()),
             'withdrawn key served': _under(_NEW_KEYS, _ran({})),
             'new key refused': _under(_NEW_KEYS, _refused(401, key='key-2')),
             'new route unknown': _under(_NEW_ROUTES, _refused(404, route='look')),
             'old group': _under(_MOVED, _ran({})),
             'former holder': _under(_OTHER_HOLDER, _ran({})),
         },
-        'no_rollback': {'old group sent 0.4 s after the new': _moved_back(51.4)},
+        'no_rollback': {
+            'in a process that ends later': replace(
+                _moved_back(51.4), processes=(replace(PROCESS, ended_at=150),)
+            ),
+            'old group sent 0.4 s after the new': _moved_back(51.4),
+        },
         'whole_successes': {
             'no seal': _ran({}, has_seal=False),
             'whole though its run broke off': _ran(_BROKEN_OFF),
@@ -301,6 +337,7 @@
             ),
         },
         'resumptions': {
+            'resumed from nothing': _ran({'last_event_id': 2}, events=(3,)),
             'not allowed': _ran(_BROKEN_OFF, _RESUMED),
             'begun anew later': _ran({}, _RESUMED, {'arrived_at': 102}, **_RESUMABLE),
         },
@@ -324,15 +361,34 @@
                 (_QUOTA, _LOW_QUOTA), _spent(_SLACK_TOKENS - 500)
             ),
         },
-        'retry_budget': {'55 repeats of one request': _repeated(55)},
+        'retry_budget': {
+            '75 repeats': _repeated(75),
+            'requests 21 s before': _repeated(55, requests_at=79),
+            'requests after the window': _repeated(55, requests_at=112),
+        },
     }
 )
 KEPT: Mapping[str, dict[str, Observations]] = MappingProxyType(
     {
         'lost_at_stop': {
+            'sent 2.9 s after SIGTERM, cut in the last sixth': _stop(102.9, 106.7, {}),
+            'paused twice, the longer one first': _with(
+                _stop(105, 106, {}),
+                replace(_PAUSE, ended_at=104),
+                replace(_PAUSE, began_at=102),
+            ),
+            'a link of nothing known': _with(
+                _stop(104, 105, {}), _fault('link_cut', 'link-7', 101)
+            ),
             'sent 2.9 s after SIGTERM, at work in the last sixth': _stop(
                 102.9, 108, {}
             ),
+            'sent 2.9 s after SIGTERM, its run goes on': _stop(
+                102.9, 108, {'ended_at': None}
+            ),
+            'sent to the process before': replace(
+                _stop(99, 101, {}), processes=(replace(_KILLED, started_at=99.5),)
+            ),
             'closed 0.1 s after its last byte': _stop(104, 104.1),
             'sent in part': _stop(104, 104.3, read_at=None),
             'sent to a process that is gone': _stop(108.1, 108.5),
@@ -344,11 +400,18 @@
             'answered 503': replace(_refused(503), processes=(_KILLED,)),
         },
         'lost_at_reload': {
+            'paused': _with(_cut(99, 101, {}), _HUP, _fault('pause', 'front-1', 98)),
             'cut before SIGHUP': _with(_cut(98, 99.9, {}), _HUP),
             'sent 2.1 s after SIGHUP': _with(_cut(102.1, 103, {}), _HUP),
             'other daemon': _with(_cut(99, 101, {}, daemon='front-2'), _HUP),
         },
         'lost_at_configuration': {
+            'stopping': _under(
+                _NEW_ROUTES, replace(_cut(49, 51, {}), processes=(_STOPPED_EARLY,))
+            ),
+            'paused': _with(
+                _under(_NEW_ROUTES, _cut(49, 51, {})), _fault('pause', 'front-1', 48)
+            ),
             'cut 4 s after': _under(_NEW_ROUTES, _cut(53, 54, {})),
             'as often as at other times': _under(
                 _NEW_ROUTES, _joined(_cut(49, 51, {}), _cut(70, 71, {}))
@@ -359,6 +422,8 @@
             'not valid': _under(_INVALID, _cut(49, 51, {})),
         },
         'kept_connections': {
+            'new connections': _joined(*repeat(_cut(100, 101, {}, status=0), 4)),
+            'begun answers': _joined(*repeat(_cut(100, 101, {}, is_kept=True), 4)),
             'closed three times': _joined(*repeat(_KEPT_CUT, 3)),
             'engine crashed': _with(
                 _joined(*repeat(_KEPT_CUT, 4)),
@@ -378,6 +443,7 @@
             'killed': _seen(processes=(_KILLED,)),
         },
         'ready_after_start': {
+            'paused': _ended(_fault('pause', 'front-1', 1, 2), ready_at=6),
             'ready after 1 s': _seen(),
             'stopped before': _ended(ready_at=None, signalled_at=4, ended_at=5),
             'store down': _ended(_fault('store_down', 'store', 1, 8), ready_at=9),
@@ -398,6 +464,17 @@
         },
         'group_of_route': {'former group': _under(_MOVED, _ran({}))},
         'drain': {
+            'engine was frozen': _with(
+                _drained({}),
+                *_drained({}).faults,
+                _fault('engine_freeze', 'engine-1', 98),
+            ),
+            'daemon was paused': _with(
+                _drained({}), *_drained({}).faults, _fault('pause', 'front-1', 98)
+            ),
+            'engine fails but stays': _with(
+                _ran({}), _fault('engine_fail', 'engine-1', 90)
+            ),
             '1.9 s after': _drained({}, began_at=98.2),
             'misdirected': _drained({'status': 421, **_REFUSED}),
             'link was cut': _with(_drained({}), *_drained({}).faults, _LINK_CUT),
@@ -408,6 +485,18 @@
             ),
         },
         'configuration_in_force': {
+            'no key': _under(_NEW_KEYS, _ran({'workspace': ''}, **_NO_KEY)),
+            'no key refused': _under(_NEW_KEYS, _refused(401, **_NO_KEY)),
+            'never acknowledged': _under(
+                (CONFIGURATION, replace(_NEW_KEYS[1], acknowledged_at=None)), _ran({})
+            ),
+            'store down': _with(
+                _under(_NEW_KEYS, _ran({})), _fault('store_down', 'x', 98)
+            ),
+            'started 2 s before': replace(
+                _under(_NEW_KEYS, _ran({})),
+                processes=(replace(PROCESS, started_at=98),),
+            ),
             'withdrawn key refused': _under(_NEW_KEYS, _refused(401)),
             '1.5 s after': _under(_NEW_KEYS, _ran({}, sent_at=51.6, ended_at=52)),
             'the engine answers 404': _under(
@@ -421,19 +510,34 @@
             ),
         },
         'no_rollback': {
+            'process unknown': replace(_moved_back(51.4), processes=()),
             'old group sent 0.2 s after the new': _moved_back(51.2),
             'another process': replace(_moved_back(51.4), processes=_RESTARTED),
             'paused': _with(_moved_back(51.4), _fault('pause', 'front-1', 50)),
         },
         'whole_successes': {'broken run': _cut(100, 101, _BROKEN_OFF)},
         'sealed_failures': {
-            'same status': _ran({'status': 500, **_FAILED}, status=500)
+            'own answer': _refused(502, {'status': 500, **_FAILED}),
+            'success of a repeat': _ran(
+                {'status': 500, **_FAILED}, {'status': 0}, **_SAFE
+            ),
+            'no answer': _cut(100, 101, {'status': 500}, status=0),
+            'same status': _ran({'status': 500, **_FAILED}, status=500),
         },
         'event_order': {
+            'no stream': _ran({}, **_SAFE, events=()),
+            'failed stream': _ran({}, status=500, events=(7,)),
+            'cut after its run': _cut(
+                100, 101, {'outcome': RunOutcome.COMPLETED}, events=(1,)
+            ),
+            'last event not recorded': _ran({'last_event': None}, events=(1, 2)),
             'broken stream': _cut(100, 101, _BROKEN_OFF, events=(1, 2)),
             'resumed by its caller': _ran(_RESUMED, **_RESUMABLE, events=(3,)),
         },
-        'resumptions': {'allowed': _ran(_BROKEN_OFF, _RESUMED, **_RESUMABLE)},
+        'resumptions': {
+            'run once': _ran({}),
+            'allowed': _ran(_BROKEN_OFF, _RESUMED, **_RESUMABLE),
+        },
         'resumed_runs_apart': {
             'ended before': _ran({}, _RESUMED, **_RESUMABLE),
             'engine frozen': _with(
@@ -442,6 +546,8 @@
             ),
         },
         'answers_in_time': {
+            'left': _ran({}, timeout_s=0.39, **_LEFT),
+            'sent in part': _ran({}, timeout_s=0.39, read_at=None),
             '0.4 s late': _ran({}, timeout_s=0.6),
             'paused': _with(
                 _ran({}, timeout_s=0.39), _fault('pause', 'front-1', 100.5)
@@ -451,6 +557,15 @@
             ),
         },
         'cancellations': {
+            'closed by the daemon': _cut(100, 101, {'ended_at': 103}),
+            'daemon paused': _with(
+                _cut(100, 101, {'ended_at': 103}, **_LEFT),
+                _fault('pause', 'front-1', 101),
+            ),
+            'engine frozen': _with(
+                _cut(100, 101, {'ended_at': 103}, **_LEFT),
+                _fault('engine_freeze', 'engine-1', 101),
+            ),
             'cancelled after 0.3 s': _cut(100, 101, {'ended_at': 101.3}, **_LEFT),
             'unsafe': _cut(100, 101, {'ended_at': 103}, **_LEFT, **_UNSAFE),
             'link cut': _with(_cut(100, 101, {'ended_at': 103}, **_LEFT), _LINK_CUT),
@@ -469,6 +584,10 @@
             ),
         },
         'quotas': {
+            'lowered while a daemon was paused': _with(
+                _under((_QUOTA, _LOW_QUOTA), _spent(_SLACK_TOKENS - 500)),
+                _fault('pause', 'front-1', 51, 88),
+            ),
             'all used': _spent(_SLACK_TOKENS - 500),
             'spread over 9 s': _spent(_SLACK_TOKENS, sent_at=109),
             'lowered shortly before': _under(
@@ -477,6 +596,10 @@
             ),
             'none': _under([CONFIGURATION], _spent(2 * _SLACK_TOKENS)),
         },
-        'retry_budget': {'54 repeats of one request': _repeated(54)},
+        'retry_budget': {
+            '74 repeats': _repeated(74),
+            'requests 9 s before': _repeated(74, requests_at=91),
+            '54 repeats of one request': _repeated(54, requests_at=20),
+        },
     }
 )
--- a/src/pimentohoist_standins/_soak/checks_answers.py
+++ b/src/pimentohoist_standins/_soak/checks_answers.py
@@ -42,7 +42,8 @@
     """A sealed failure has the status that an endpoint gave."""
     for caller in history.observations.callers:
         statuses = [run.status for run in history.arrivals(caller) if run.status]
-        if caller.has_seal and statuses and not is_success(caller.status):
+        is_failure = caller.status > 0 and not is_success(caller.status)
+        if caller.has_seal and statuses and is_failure:
             text = f'status {caller.status} with a seal; endpoints gave {statuses}'
             yield Verdict.on_caller(caller, text, is_kept=caller.status in statuses)
 
@@ -113,10 +114,9 @@
         due_at = caller.ended_at + history.bounds.cancel_s + _RECORD_SLACK_S
         for run in runs:
             if _is_left_behind(history, caller, run, due_at):
-                is_kept = _is_ended_by(run, due_at) and run.arrived_at <= due_at
                 span = f'{run.arrived_at:.2f} to {run.ended_at}'
                 text = f'caller left at {caller.ended_at:.2f}, ran from {span}'
-                yield Verdict.on_run(run, text, is_kept=is_kept)
+                yield Verdict.on_run(run, text, is_kept=_is_ended_by(run, due_at))
 
 
 def _is_left_behind(
--- a/src/pimentohoist_standins/_soak/checks_configuration.py
+++ b/src/pimentohoist_standins/_soak/checks_configuration.py
@@ -26,9 +26,9 @@
     for caller in history.calm_callers():
         allowing = versions.in_force(caller.sent_at, caller.ended_at)
         for handling in handlings(history, caller) if allowing else ():
-            place = f'{handling.group}, {handling.workspace}, {handling.status}'
-            text = f'{place} is allowed by no version from {allowing[0].version} on'
             is_kept = any(handling.fits(one) for one in allowing)
+            seen = '' if is_kept else str(handling)
+            text = f'{seen} is not allowed from version {allowing[0].version} on'
             yield Verdict.on_caller(caller, text, is_kept=is_kept)
 
 
--- a/src/pimentohoist_standins/_soak/checks_stops.py
+++ b/src/pimentohoist_standins/_soak/checks_stops.py
@@ -76,16 +76,15 @@
     cuts: Counter[str] = Counter()
     for caller in history.calm_callers():
         arrivals = history.arrivals(caller)
-        if not caller.is_kept or not arrivals:
-            continue
-        is_endpoint_disturbed = history.disruptions.is_disturbed(
+        is_sound = arrivals and not history.disruptions.is_disturbed(
             arrivals[-1].endpoint, caller.sent_at, caller.ended_at
         )
-        is_cut = caller.status == 0 and _is_lost(history, caller)
-        cuts[caller.daemon] += int(is_cut and not is_endpoint_disturbed)
-        is_kept = not is_cut or cuts[caller.daemon] <= _MAX_CUTS_ON_KEPT_CONNECTIONS
-        text = f'{caller.daemon} closed {cuts[caller.daemon]} connections so'
-        yield Verdict.on_caller(caller, text, is_kept=is_kept or is_endpoint_disturbed)
+        if caller.is_kept and is_sound:
+            is_cut = caller.status == 0 and _is_lost(history, caller)
+            cuts[caller.daemon] += int(is_cut)
+            is_few = cuts[caller.daemon] <= _MAX_CUTS_ON_KEPT_CONNECTIONS
+            text = f'{caller.daemon} closed {cuts[caller.daemon]} connections so'
+            yield Verdict.on_caller(caller, text, is_kept=is_few or not is_cut)
 
 
 def _cut_shares(history: History, callers: list[CallerRecord]) -> dict[str, float]:
--- a/src/pimentohoist_standins/_soak/disruptions.py
+++ b/src/pimentohoist_standins/_soak/disruptions.py
@@ -102,22 +102,15 @@
         )
 
     def _targets(self, fault: FaultRecord) -> tuple[str, ...]:
-        if fault.kind in _HARMLESS_KINDS:
-            return ()
         if fault.kind in _STORE_KINDS:
             return (STORE,)
         if fault.kind in _ENGINE_KINDS:
             return (fault.target,)
         if fault.kind in _PROCESS_OR_LINK_KINDS:
-            return self._ends(fault.target)
-        return (_EVERYTHING,)
-
-    def _ends(self, target: str) -> tuple[str, ...]:
-        ends = {target, *target.replace('>', '/').split('/')}
-        known = ends & (self.daemons | self.endpoints)
-        if not known and STORE in ends:
-            return (STORE,)
-        return tuple(known) or (_EVERYTHING,)
+            ends = {fault.target, *fault.target.replace('>', '/').split('/')}
+            known = ends & (self.daemons | self.endpoints)
+            return tuple(known or ends & {STORE} or {_EVERYTHING})
+        return () if fault.kind in _HARMLESS_KINDS else (_EVERYTHING,)
 
 
 def _process_spans(
--- a/src/pimentohoist_standins/_soak/history.py
+++ b/src/pimentohoist_standins/_soak/history.py
@@ -89,13 +89,15 @@
 
 def judge(promise: Promise, history: History) -> CheckResult:
     """Return what one check finds, under the name of its function."""
-    verdicts = list(promise(history))
-    violations = tuple(
-        Violation(promise.__name__, verdict.at, verdict.text, verdict.request_id)
-        for verdict in verdicts
-        if not verdict.is_kept
-    )
-    return CheckResult(promise.__name__, len(verdicts), violations)
+    name = promise.__name__
+    applied = 0
+    violations = []
+    for verdict in promise(history):
+        applied += 1
+        if not verdict.is_kept:
+            one = Violation(name, verdict.at, verdict.text, verdict.request_id)
+            violations.append(one)
+    return CheckResult(name, applied, tuple(violations))
 
 
 def is_run(arrival: RunRecord) -> bool:
