Count the time that a request waits for a thread towards its deadline

What callers would see when all threads are busy: an answer, or a refusal, after their deadline. Cause: a request's time began when a thread picked it up. Now it begins with its last byte, as the parser has read it.

--- a/features/closing_servers.feature
+++ b/features/closing_servers.feature
@@ -32,3 +32,9 @@
     Given a callers' server whose requests take 0.3 s
     When the server drains and a slow caller sends 4 requests one after another
     Then the slow caller gets all of it
+
+  # Guards against giving a request more time than its caller waits, while threads are busy.
+  Scenario: The time that a request waits for a thread counts towards its deadline
+    Given a callers' server with one thread whose requests take 0.5 s
+    When two requests are sent at the same time
+    Then both are known to have arrived within 0.2 s of being sent
--- a/features/steps/closing_servers.py
+++ b/features/steps/closing_servers.py
@@ -15,7 +15,8 @@
 from entry_fleet import EntryFleet, configuration_document, wait_for
 from stop_callers import Caller, Stop
 
-from pimentohoist._entry.server import CallersServer
+from pimentohoist import _clock
+from pimentohoist._entry.server import RECEIVED_AT, CallersServer
 from pimentohoist._http_server import HttpServer
 
 _STREAM = '/models/x'
@@ -185,3 +186,35 @@
         return response.read()
     except (http.client.HTTPException, OSError) as error:
         return repr(error).encode()
+
+
+@given("a callers' server with one thread whose requests take {duration_s:g} s")
+def start_busy_server(context: Context, duration_s: float) -> None:
+    context.arrivals = []
+
+    def app(environ: dict, start_response: object) -> Iterable[bytes]:
+        context.arrivals.append(environ[RECEIVED_AT])
+        time.sleep(duration_s)
+        start_response('200 OK', [('Content-Length', '0')])
+        return [b'']
+
+    context.server = context.stack.enter_context(CallersServer(app, _ADDRESS))
+    context.server._server.task_dispatcher.set_thread_count(1)
+
+
+@when('two requests are sent at the same time')
+def send_two(context: Context) -> None:
+    connections = [http.client.HTTPConnection(_HOST, _PORT) for _ in range(2)]
+    context.sent_at = _clock.now()
+    for connection in connections:
+        connection.request('GET', '/')
+    for connection in connections:
+        connection.getresponse().read()
+        connection.close()
+
+
+@then('both are known to have arrived within {limit_s:g} s of being sent')
+def check_arrivals(context: Context, limit_s: float) -> None:
+    delays = [arrived_at - context.sent_at for arrived_at in context.arrivals]
+    assert len(delays) == 2
+    assert all(0 <= delay < limit_s for delay in delays), delays
--- a/src/pimentohoist/_entry/server.py
+++ b/src/pimentohoist/_entry/server.py
@@ -12,6 +12,9 @@
 from pimentohoist._http_server import HttpServer, ServerChannel, WsgiApp
 from pimentohoist.entry_models import CallerLimits
 
+RECEIVED_AT = 'pimentohoist.received_at'
+"""Key of the WSGI environment: time of `_clock.now` in seconds of a request's last byte."""
+
 _THREADS = 160
 """Requests handled at once; at the heaviest load of an instance about a hundred wait."""
 
@@ -72,6 +75,10 @@
 
     adj: Any
 
+    def __init__(self, adj: Any) -> None:
+        super().__init__(adj)
+        self.completed_at: float | None = None
+
     def received(self, data: bytes) -> Any:
         """Parse bytes and check the body's size without the framing of its chunks.
 
@@ -85,6 +92,8 @@
                 f'body exceeds {self.adj.max_body_bytes} bytes'
             )
             self.completed = True
+        if self.completed and self.completed_at is None:
+            self.completed_at = _clock.now()
         return consumed
 
     def parse_header(self, header_plus: bytes) -> None:
@@ -103,6 +112,10 @@
 
     channel: Any
 
+    def get_environment(self) -> Any:
+        request: Any = self.request
+        return {**super().get_environment(), RECEIVED_AT: request.completed_at}
+
     def build_response_header(self) -> Any:
         if self.channel.server.callers_server.is_draining:
             super().set_close_on_finish()
--- a/src/pimentohoist/_entry/wsgi_apps.py
+++ b/src/pimentohoist/_entry/wsgi_apps.py
@@ -7,9 +7,9 @@
 from http import HTTPStatus
 from typing import Any
 
-from pimentohoist import _clock
 from pimentohoist._entry.request_context import EntryResponse
 from pimentohoist._entry.request_handler import RequestHandler
+from pimentohoist._entry.server import RECEIVED_AT
 from pimentohoist._entry.shutdown import Shutdown
 from pimentohoist.exceptions import PimentohoistError
 from pimentohoist.platform import (
@@ -38,9 +38,8 @@
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Handle a request and return the response's body as it arrives."""
-        arrived_at = _clock.now()
         try:
-            request = read_request(_raw_request(environ), arrived_at)
+            request = read_request(_raw_request(environ), environ[RECEIVED_AT])
             response = self.handler.handle(
                 request, environ['waitress.client_disconnected']
             )
