Limit responses that HttpClient reads in bytes and in time

Cause: http.client skips any number of "100 Continue" heads and trailer lines, and starts its timeout again with each byte; bytes that have arrived already never time out. So reads of reports, orders and the store could go on for good, and a body could be of any size. A read of the store's newest records also followed pages for as long as the store announced another one.

Change: LimitedReader counts bytes and checks one deadline below http.client, for the head, the framing of a body and the body. HttpClient, the clients of orders and the store, and the lines of a model server's events have limits; all pages of a topic's newest records have one together. A log line names the limit.

--- /dev/null
+++ b/features/steps/endless_reads.py
@@ -0,0 +1,186 @@
+"""Steps on answers without an end, at clients in this process."""
+
+from __future__ import annotations
+
+import socket
+import sys
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
+from pathlib import Path
+
+from behave import given, then
+from behave.runner import Context
+
+sys.path.append(str(Path(__file__).resolve().parent.parent))
+
+from pimentohoist._entry.connections import ConnectionPool  # noqa: E402
+from pimentohoist._http_client import HttpClient, HttpRequest  # noqa: E402
+from pimentohoist.entry_models import (  # noqa: E402
+    AdapterKey,
+    Endpoint,
+    EntryRequest,
+)
+from pimentohoist.exceptions import PeerError, PimentohoistError  # noqa: E402
+from pimentohoist.platform import EngineOrders, ReadPosition, Store  # noqa: E402
+from pimentohoist_standins.endless import (  # noqa: E402
+    ENDLESS_ANSWERS,
+    TRICKLED_ANSWERS,
+    EndlessAnswer,
+)
+from pimentohoist_standins.keyed_store import KeyedStore  # noqa: E402
+from pimentohoist_standins.opaque_engine import OpaqueEngine  # noqa: E402
+
+_LOOPBACK = '127.0.0.1'
+_PAUSE_S = 0.05
+_GUARD_S = 6
+_TOPIC = 'keyed.op'
+_INVALID_CHUNK = (
+    b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n'
+    b'Pimentohoist-Attempt-Id: r1\r\nPimentohoist-Response-Seal: 1\r\n\r\nsize\r\n'
+)
+
+
+def _duration_s(call: Callable[[], object]) -> float:
+    """Return how long a call takes to fail with an error of the package."""
+    errors: list[Exception] = []
+
+    def run() -> None:
+        try:
+            call()
+        except Exception as error:
+            errors.append(error)
+
+    started_at = time.monotonic()
+    thread = threading.Thread(target=run, daemon=True)
+    thread.start()
+    thread.join(_GUARD_S)
+    duration_s = time.monotonic() - started_at
+    assert not errors or isinstance(errors[0], PimentohoistError), repr(errors)
+    return duration_s if errors else float('inf')
+
+
+def _check_all(limit_s: float, call: Callable[[EndlessAnswer], object]) -> None:
+    """Check how long a call with each kind of answer takes to fail.
+
+    Trickled answers are read side by side, since they need no time of the processor.
+    """
+    durations = {
+        kind: _duration_s(partial(call, answer))
+        for kind, answer in ENDLESS_ANSWERS.items()
+    }
+    with ThreadPoolExecutor(len(TRICKLED_ANSWERS)) as pool:
+        trickled = {
+            f'{kind}, trickled': pool.submit(
+                _duration_s, partial(call, answer.trickled(_PAUSE_S))
+            )
+            for kind, answer in TRICKLED_ANSWERS.items()
+        }
+    durations.update({kind: taken.result() for kind, taken in trickled.items()})
+    slow = {kind: taken for kind, taken in durations.items() if taken > limit_s}
+    assert not slow, slow
+
+
+@then(
+    'every kind of endless report is given up within {report_s:f} s'
+    ' and of endless order within {order_s:f} s'
+)
+def check_orders(context: Context, report_s: float, order_s: float) -> None:
+    def start(answer: EndlessAnswer) -> EngineOrders:
+        engine = OpaqueEngine((_LOOPBACK, 0), 'e1', 'm1')
+        context.stack.enter_context(engine)
+        engine.faults.endless_reports = answer
+        return EngineOrders(engine.address, 'e1')
+
+    _check_all(report_s, lambda answer: start(answer).report())
+    _check_all(order_s, lambda answer: start(answer).load(AdapterKey('m1', 'a1'), 0, 1))
+
+
+@then('every kind of endless answer of the store is given up within {limit_s:d} s')
+def check_store(context: Context, limit_s: int) -> None:
+    def start(answer: EndlessAnswer) -> Store:
+        stand_in = context.stack.enter_context(KeyedStore((_LOOPBACK, 0)))
+        stand_in.endless_answer = answer
+        return Store(stand_in.address)
+
+    def read_sent(answer: EndlessAnswer) -> None:
+        start(answer).send_read(_TOPIC, ReadPosition(0, 0), wait_s=0).result()
+
+    _check_all(limit_s, lambda answer: start(answer).read_newest(_TOPIC))
+    _check_all(limit_s, read_sent)
+
+
+@then('a read of endless pages is given up within {limit_s:d} s')
+def check_pages(context: Context, limit_s: int) -> None:
+    stand_in = context.stack.enter_context(KeyedStore((_LOOPBACK, 0)))
+    stand_in.put(_TOPIC, 'config', {'version': 1})
+    stand_in.has_endless_pages = True
+    store = Store(stand_in.address, timeout_s=0.4)
+    try:
+        assert _duration_s(lambda: store.read_newest(_TOPIC)) < limit_s
+    finally:
+        stand_in.has_endless_pages = False
+
+
+@given('a service that sends an invalid chunk size and keeps the connection open')
+def start_service(context: Context) -> None:
+    listener = socket.create_server((_LOOPBACK, 0))
+    context.stack.callback(listener.close)
+    context.address = f'{_LOOPBACK}:{listener.getsockname()[1]}'
+    context.connections = []
+    threading.Thread(target=_serve, args=(context, listener), daemon=True).start()
+
+
+def _serve(context: Context, listener: socket.socket) -> None:
+    while True:
+        try:
+            connection, _ = listener.accept()
+        except OSError:
+            return
+        requests: list[bytes] = []
+        context.connections.append(requests)
+        threading.Thread(
+            target=_answer, args=(connection, requests), daemon=True
+        ).start()
+
+
+def _answer(connection: socket.socket, requests: list[bytes]) -> None:
+    with connection:
+        while request := connection.recv(65_536):
+            requests.append(request)
+            connection.sendall(_INVALID_CHUNK)
+
+
+@then('neither client sends its next request on that connection')
+def check_new_connections(context: Context) -> None:
+    client = HttpClient(context.address, timeout_s=1, step='test')
+    request = partial(client.request, HttpRequest('GET', '/'))
+    for send in (request, _exchange(context)):
+        context.connections.clear()
+        for _ in range(2):
+            try:
+                send()
+            except PeerError:
+                continue
+            raise AssertionError('the answer was taken for complete')
+        counts = [len(requests) for requests in context.connections]
+        assert counts == [1, 1], counts
+
+
+def _exchange(context: Context) -> Callable[[], object]:
+    """Return a function that sends a request as an entry daemon does."""
+    connections = ConnectionPool()
+    endpoint = Endpoint('e', 's', context.address, 'a', 4, False, 1, 0)
+    request = EntryRequest('r1', 'GET', 'h', '/x', (), b'', '', None, None, None, 0)
+
+    def send() -> None:
+        exchange = connections.send(endpoint, request, [('Host', 'h')])
+        try:
+            exchange.read_head('r1')
+            exchange.read_body()
+        finally:
+            exchange.close()
+
+    return send
--- a/src/pimentohoist/_http_client.py
+++ b/src/pimentohoist/_http_client.py
@@ -11,6 +11,7 @@
 import http.client
 import json
 import logging
+import math
 import socket
 import threading
 import time
@@ -18,10 +19,12 @@
 from contextlib import AbstractContextManager, ExitStack, closing, contextmanager
 from dataclasses import dataclass, field, replace
 from http import HTTPStatus
-from typing import Any, Self
+from typing import Any, Self, cast
 
 from pimentohoist._addresses import split_address
+from pimentohoist._limited_reader import ByteLimitError, LimitedResponse
 from pimentohoist.exceptions import (
+    OversizedResponseError,
     PeerConnectError,
     PeerError,
     PeerRefusedError,
@@ -33,7 +36,7 @@
 _CONNECT_TIMEOUT_S = 1.0
 _MAX_REUSED_SILENCE_S = 5.0
 _MIN_SOCKET_TIMEOUT_S = 0.001
-_MAX_READ_BYTES = 65_536
+_MAX_BODY_BYTES = 16_777_216
 _MAX_QUOTED_BODY_BYTES = 200
 _KEEPALIVE_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -98,7 +101,7 @@
         """Start the timeout for the complete response."""
         self.deadline = time.monotonic() + timeout_s
         self.sock = self.http.sock
-        self.limit_next_read()
+        self._set_socket_timeout()
 
     def send(self, request: HttpRequest) -> None:
         """Send a request."""
@@ -106,14 +109,24 @@
             request.method, request.path, request.body, dict(request.headers)
         )
 
-    def limit_next_read(self) -> None:
-        """Limit the next read to the time that remains for the complete response."""
+    def receive(self) -> LimitedResponse:
+        """Return the response, whose body is read before the connection's deadline."""
+        self._set_socket_timeout()
+        return cast(LimitedResponse, self.http.getresponse())
+
+    def _set_socket_timeout(self) -> None:
         if self.sock is not None:
             remaining_s = self.deadline - time.monotonic()
             self.sock.settimeout(max(_MIN_SOCKET_TIMEOUT_S, remaining_s))
 
 
-class _Http10Connection(http.client.HTTPConnection):
+class _HttpConnection(http.client.HTTPConnection):
+    """A connection whose responses have limits on their bytes and their time."""
+
+    response_class = LimitedResponse
+
+
+class _Http10Connection(_HttpConnection):
     """A connection for one request, whose response isn't chunked."""
 
     _http_vsn = 10
@@ -121,12 +134,28 @@
 
 
 class HttpClient:
-    """Client of one peer; many threads may use it at once."""
+    """Client of one peer; many threads may use it at once.
 
-    def __init__(self, address: str, *, timeout_s: float, step: str) -> None:
+    Parameters
+    ----------
+    timeout_s : float
+        Time for a complete response, in seconds.
+    max_body_bytes : int
+        Size of the largest body of a response.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        *,
+        timeout_s: float,
+        step: str,
+        max_body_bytes: int = _MAX_BODY_BYTES,
+    ) -> None:
         self.address = address
         self.timeout_s = timeout_s
         self.step = step
+        self.max_body_bytes = max_body_bytes
         self._idle: list[_Connection] = []
         self._lock = threading.Lock()
 
@@ -142,9 +171,9 @@
         PeerTimeoutError, PeerError
             The request may have taken effect.
         """
-        with self._open_response(request, timeout_s) as (connection, response):
-            with _peer_errors(self.address, self.step):
-                body = _read_body(connection, response)
+        with self._open_response(request, timeout_s) as response:
+            with translate_errors(self):
+                body = response.read_all(self.max_body_bytes)
             return HttpResponse(response.status, dict(response.headers), body)
 
     def request_json(
@@ -169,9 +198,9 @@
     @contextmanager
     def stream(
         self, request: HttpRequest, *, timeout_s: float | None = None
-    ) -> Iterator[http.client.HTTPResponse]:
+    ) -> Iterator[LimitedResponse]:
         """Send a request and yield the response, to be read in parts."""
-        with self._open_response(request, timeout_s) as (_, response):
+        with self._open_response(request, timeout_s) as response:
             yield response
 
     @contextmanager
@@ -185,7 +214,7 @@
         """
         connection = self._open(_Http10Connection)
         with closing(connection.http):
-            with _peer_errors(self.address, self.step):
+            with translate_errors(self):
                 connection.start_response_timeout(timeout_s)
                 # http.client adds no Host header to HTTP/1.0 requests.
                 headers = {'Host': self.address, **request.headers}
@@ -204,7 +233,7 @@
             The request may have taken effect.
         """
         connection = self._open()
-        with _peer_errors(self.address, self.step, connection.http):
+        with _peer_errors(self, connection.http):
             connection.start_response_timeout(self.timeout_s)
             connection.send(request)
         return SentRequest(self, connection)
@@ -219,17 +248,17 @@
     @contextmanager
     def _open_response(
         self, request: HttpRequest, timeout_s: float | None
-    ) -> Iterator[tuple[_Connection, http.client.HTTPResponse]]:
+    ) -> Iterator[LimitedResponse]:
         response_timeout_s = self.timeout_s if timeout_s is None else timeout_s
         connection, response = self._send(request, response_timeout_s)
         try:
-            yield connection, response
+            yield response
         finally:
             self._release(connection, response)
 
     def _send(
         self, request: HttpRequest, timeout_s: float
-    ) -> tuple[_Connection, http.client.HTTPResponse]:
+    ) -> tuple[_Connection, LimitedResponse]:
         connection = self._acquire(request)
         if not connection.is_reused:
             return connection, self._send_on(connection, request, timeout_s)
@@ -268,11 +297,11 @@
 
     def _send_on(
         self, connection: _Connection, request: HttpRequest, timeout_s: float
-    ) -> http.client.HTTPResponse:
-        with _peer_errors(self.address, self.step, connection.http):
+    ) -> LimitedResponse:
+        with _peer_errors(self, connection.http):
             connection.start_response_timeout(timeout_s)
             connection.send(request)
-            return connection.http.getresponse()
+            return connection.receive()
 
     def _acquire(self, request: HttpRequest) -> _Connection:
         min_opened_at = time.monotonic() - _MAX_CONNECTION_AGE_S
@@ -286,8 +315,7 @@
         return self._open()
 
     def _open(
-        self,
-        connection_class: type[http.client.HTTPConnection] = http.client.HTTPConnection,
+        self, connection_class: type[_HttpConnection] = _HttpConnection
     ) -> _Connection:
         host, port = split_address(self.address)
         connection = connection_class(host, port, timeout=_CONNECT_TIMEOUT_S)
@@ -341,8 +369,8 @@
         """
         with translate_errors(self.client):
             self._connection.start_response_timeout(self.client.timeout_s)
-            response = self._connection.http.getresponse()
-            body = _read_body(self._connection, response)
+            response = self._connection.receive()
+            body = response.read_all(self.client.max_body_bytes)
         return HttpResponse(response.status, dict(response.headers), body)
 
 
@@ -369,51 +397,49 @@
         """Close the response."""
         self._stack.close()
 
-    def response(self) -> http.client.HTTPResponse:
+    def response(self) -> LimitedResponse:
         """Wait for the status line and the headers."""
         with translate_errors(self.client):
-            return self._stack.enter_context(closing(self._http.getresponse()))
+            response = cast(LimitedResponse, self._http.getresponse())
+            return self._stack.enter_context(closing(response))
 
-    def start_body(self, response: http.client.HTTPResponse) -> bool:
+    def start_body(self, response: LimitedResponse) -> bool:
         """Return whether a part of the body arrived with the headers.
 
         From now on reads don't block: where no data has arrived, they find an end.
         """
+        response.reader.deadline = math.inf
         self.socket.setblocking(False)
         return bool(response.peek(1))
 
 
 def translate_errors(client: HttpClient) -> AbstractContextManager[None]:
     """Return a context that converts errors of reading a response to `PeerError`."""
-    return _peer_errors(client.address, client.step)
+    return _peer_errors(client)
 
 
 @contextmanager
 def _peer_errors(
-    address: str, step: str, connection: http.client.HTTPConnection | None = None
+    client: HttpClient, connection: http.client.HTTPConnection | None = None
 ) -> Iterator[None]:
     try:
         yield
     except (OSError, http.client.HTTPException) as error:
         if connection is not None:
             connection.close()
-        error_class = PeerTimeoutError if isinstance(error, TimeoutError) else PeerError
-        raise error_class(
-            f'{type(error).__name__}: {error}', step=step, peer=address
-        ) from error
-
-
-def _read_body(connection: _Connection, response: http.client.HTTPResponse) -> bytes:
-    """Return the complete body, read in parts before the connection's deadline."""
-    parts = [b'']
-    part = response.read1(_MAX_READ_BYTES)
-    while part:
-        parts.append(part)
-        connection.limit_next_read()
-        part = response.read1(_MAX_READ_BYTES)
-    body = b''.join(parts)
-    if response.length:
-        raise http.client.IncompleteRead(body, response.length)
-    # A body of known length has ended by now, but only this call closes it.
-    response.read()
-    return body
+        raise _peer_error(client, error) from error
+
+
+def _peer_error(client: HttpClient, error: Exception) -> PeerError:
+    text = f'{type(error).__name__}: {error}'
+    if isinstance(error, ByteLimitError):
+        extra = {
+            'step': client.step,
+            'peer': client.address,
+            'limit': error.limit,
+            'max_bytes': error.max_bytes,
+        }
+        _logger.warning('response exceeds a limit', extra=extra)
+        return OversizedResponseError(text, step=client.step, peer=client.address)
+    error_class = PeerTimeoutError if isinstance(error, TimeoutError) else PeerError
+    return error_class(text, step=client.step, peer=client.address)
--- a/src/pimentohoist/_platform_clients/engine.py
+++ b/src/pimentohoist/_platform_clients/engine.py
@@ -7,7 +7,6 @@
 from collections.abc import Iterator, Sequence
 from functools import lru_cache
 from http import HTTPStatus
-from http.client import HTTPResponse
 from typing import Any
 
 from pimentohoist._http_client import (
@@ -16,6 +15,7 @@
     PendingResponse,
     translate_errors,
 )
+from pimentohoist._limited_reader import ByteLimitError, LimitedResponse
 from pimentohoist.exceptions import PeerError, PeerRefusedError
 from pimentohoist.exchanges import ReadReadiness
 from pimentohoist.models import (
@@ -31,7 +31,8 @@
 _LOAD_TIMEOUT_S = 30.0
 _EVENT_PREFIX = b'data: '
 _END_OF_STREAM = b'[DONE]'
-_READ_BYTES = 65_536
+_MAX_REFUSAL_BYTES = 65_536
+_MAX_LINE_BYTES = 1_048_576
 _decoder = json.JSONDecoder()
 
 
@@ -78,7 +79,9 @@
                 yield ()
                 response = pending.response()
                 if response.status >= HTTPStatus.BAD_REQUEST:
-                    raise self._refused_error(response.status, response.read())
+                    raise self._refused_error(
+                        response.status, response.read_all(_MAX_REFUSAL_BYTES)
+                    )
                 yield from self._batches(pending, response, readiness, timeout_s)
 
     def cancel(self, request_id: str) -> None:
@@ -104,7 +107,7 @@
     def _batches(
         self,
         pending: PendingResponse,
-        response: HTTPResponse,
+        response: LimitedResponse,
         readiness: ReadReadiness,
         timeout_s: float,
     ) -> Iterator[Sequence[TokenChunk]]:
@@ -124,8 +127,8 @@
                 readiness.wait_for(pending.socket)
             yield batch
 
-    def _read_part(self, response: HTTPResponse) -> bytes:
-        part = response.read1(_READ_BYTES)
+    def _read_part(self, response: LimitedResponse) -> bytes:
+        part = response.read_part()
         if not part:
             raise PeerError(
                 'the stream ended before its last event',
@@ -154,15 +157,20 @@
 
     def __init__(self) -> None:
         self.has_ended = False
-        self._incomplete_line = b''
+        self._incomplete_line = bytearray()
 
     def feed(self, part: bytes) -> list[bytes]:
-        """Return the data of the events that `part` completes."""
-        lines = (self._incomplete_line + part).split(b'\n')
+        """Return the data of the events that `part` completes; raises ByteLimitError."""
+        self._incomplete_line += part
+        if b'\n' not in part:
+            if len(self._incomplete_line) > _MAX_LINE_BYTES:
+                raise ByteLimitError('event', _MAX_LINE_BYTES)
+            return []
+        lines = self._incomplete_line.split(b'\n')
         self._incomplete_line = lines.pop()
         events = []
         for line in lines:
-            event = line.strip().removeprefix(_EVENT_PREFIX)
+            event = bytes(line.strip()).removeprefix(_EVENT_PREFIX)
             if event == _END_OF_STREAM:
                 self.has_ended = True
                 break
--- a/src/pimentohoist/exceptions.py
+++ b/src/pimentohoist/exceptions.py
@@ -220,6 +220,10 @@
     status = HTTPStatus.GATEWAY_TIMEOUT
 
 
+class OversizedResponseError(PeerError):
+    """The peer's response exceeds a limit on its bytes."""
+
+
 class PeerRefusedError(PeerError):
     """The peer refused the request; ``peer_status`` is its status code."""
 
--- a/src/pimentohoist/platform/_orders.py
+++ b/src/pimentohoist/platform/_orders.py
@@ -24,6 +24,9 @@
 
 _REPORT_TIMEOUT_S = 0.6
 _MAX_SENDS = 3
+_MAX_ANSWER_BYTES = 262_144
+"""A report of a thousand adapters has a tenth of this."""
+
 _JSON = 'application/json'
 
 
@@ -81,7 +84,12 @@
     """
 
     def __init__(self, address: str, endpoint_id: str) -> None:
-        self.client = HttpClient(address, timeout_s=_TIMEOUT_S, step=_STEP)
+        self.client = HttpClient(
+            address,
+            timeout_s=_TIMEOUT_S,
+            step=_STEP,
+            max_body_bytes=_MAX_ANSWER_BYTES,
+        )
         self.endpoint_id = endpoint_id
         self.lease_holder = _LeaseHolder('', 0)
         self.on_notice: Callable[[EndpointNotice], None] = _ignore
--- a/src/pimentohoist/platform/_store.py
+++ b/src/pimentohoist/platform/_store.py
@@ -5,7 +5,8 @@
 import base64
 import binascii
 import json
-from collections.abc import Iterator, Mapping
+import time
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any
@@ -17,7 +18,13 @@
     HttpResponse,
     SentRequest,
 )
-from pimentohoist.exceptions import PeerError, PeerRefusedError, PimentohoistError
+from pimentohoist.exceptions import (
+    OversizedResponseError,
+    PeerError,
+    PeerRefusedError,
+    PeerTimeoutError,
+    PimentohoistError,
+)
 from pimentohoist.platform._era import EraChangedError, EraTracker
 
 OPERATOR_RECORDS = 'keyed.op'
@@ -33,6 +40,15 @@
 _LENGTH_BYTES = 4
 _OFFSET_BYTES = 8
 _MAX_KB = 1024
+_MAX_ANSWER_BYTES = 4_194_304
+"""Four times what the store sends in one answer."""
+
+_MAX_NEWEST_TIMEOUTS = 6
+"""Time for all pages of the newest records, in timeouts of one page."""
+
+_MAX_NEWEST_BYTES = 8_388_608
+"""All pages of the newest records; each has 500 records or 1 MB at most."""
+
 _GENERATIONS_PER_ERA = 10_000_000
 """Twenty years of changes at 1,260 a day."""
 
@@ -93,7 +109,9 @@
         timeout_s: float = _TIMEOUT_S,
         era: EraTracker | None = None,
     ) -> None:
-        self.client = HttpClient(address, timeout_s=timeout_s, step=_STEP)
+        self.client = HttpClient(
+            address, timeout_s=timeout_s, step=_STEP, max_body_bytes=_MAX_ANSWER_BYTES
+        )
         self.era = EraTracker() if era is None else era
 
     def read_newest(self, topic: str) -> tuple[list[KeyedRecord], ReadPosition]:
@@ -103,7 +121,10 @@
         ------
         EraChangedError
             The era changed between two pages.
+        PeerError
+            A page wasn't read, or the pages have no end.
         """
+        budget = _PagesBudget(self.client)
         records: list[KeyedRecord] = []
         position: ReadPosition | None = None
         query: dict[str, object] = {'topic': topic, 'part': 0}
@@ -115,7 +136,9 @@
             position = ReadPosition(page['end'], era) if position is None else position
             _check_era(position, era)
             rows = page['items']
-            records.extend(_decode_row(row) for row in rows)
+            decoded = [_decode_row(row) for row in rows]
+            budget.spend(decoded)
+            records.extend(decoded)
             has_more = bool(page.get('has-more')) and bool(rows)
             query['after'] = rows[-1]['key'] if rows else ''
         return records, position or ReadPosition(0, 0)
@@ -215,6 +238,29 @@
         return response, era
 
 
+class _PagesBudget:
+    """Time and bytes left for the pages of one read."""
+
+    def __init__(self, client: HttpClient) -> None:
+        self.peer = client.address
+        self.deadline = time.monotonic() + _MAX_NEWEST_TIMEOUTS * client.timeout_s
+        self.left_bytes = _MAX_NEWEST_BYTES
+
+    def spend(self, records: Sequence[KeyedRecord]) -> None:
+        """Count the records of a page; raises PeerError."""
+        self.left_bytes -= sum(
+            len(record.key) + len(record.body or b'') for record in records
+        )
+        if self.left_bytes < 0:
+            raise OversizedResponseError(
+                f'pages exceed {_MAX_NEWEST_BYTES} bytes', step=_STEP, peer=self.peer
+            )
+        if time.monotonic() > self.deadline:
+            raise PeerTimeoutError(
+                'pages not complete in time', step=_STEP, peer=self.peer
+            )
+
+
 class SentRead:
     """A read that was sent on a connection of its own."""
 
--- a/src/pimentohoist_standins/_threaded.py
+++ b/src/pimentohoist_standins/_threaded.py
@@ -43,3 +43,4 @@
 
 class _Server(ThreadingHTTPServer):
     daemon_threads = True
+    request_queue_size = 128
--- a/src/pimentohoist_standins/keyed_store.py
+++ b/src/pimentohoist_standins/keyed_store.py
@@ -14,6 +14,7 @@
 from urllib.parse import parse_qsl, urlsplit
 
 from pimentohoist_standins._threaded import SilentHandler, ThreadedStandIn
+from pimentohoist_standins.endless import EndlessAnswer
 
 _PARTITION_COUNT = 12
 _WAIT_SLICE_S = 0.02
@@ -29,6 +30,10 @@
     is_silent : bool
         Whether calls are neither executed nor answered. Connections that were open
         meanwhile stay silent for good.
+    endless_answer : EndlessAnswer or None
+        Sent to all calls instead of their answers.
+    has_endless_pages : bool
+        Whether each page of newest records says that another one follows.
     era : int or None
         Named in all answers; None leaves the header out.
     owner : dict of int to str
@@ -39,6 +44,8 @@
         super().__init__(address, _handler(self))
         self.is_down = False
         self.is_silent = False
+        self.endless_answer: EndlessAnswer | None = None
+        self.has_endless_pages = False
         self.era: int | None = None
         self._copy: tuple[Any, ...] = ()
         self._silent_before = float('-inf')
@@ -127,7 +134,10 @@
             for key, body in newest.items()
             if key not in dropped
         ]
-        return _json_reply({'items': rows, 'has-more': False, 'end': end})
+        has_more = self.has_endless_pages
+        if has_more:
+            rows = [{'key': f'key-{self.calls}', 'value': '', 'offset': 0}]
+        return _json_reply({'items': rows, 'has-more': has_more, 'end': end})
 
     def _read(self, query: dict[str, str]) -> _Reply:
         topic, offset = query['topic'], int(query['from'])
@@ -201,6 +211,10 @@
             if store.is_connection_silent(self.opened_at):
                 self.discard_input()
                 return
+            if store.endless_answer is not None:
+                self.close_connection = True
+                store.endless_answer.send(self.connection)
+                return
             parts = urlsplit(self.path)
             reply = store.answer(parts.path, dict(parse_qsl(parts.query)), body)
             if store.is_connection_silent(self.opened_at):
--- a/src/pimentohoist_standins/opaque_engine.py
+++ b/src/pimentohoist_standins/opaque_engine.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from pimentohoist_standins._threaded import SilentHandler, ThreadedStandIn
+from pimentohoist_standins.endless import ENDLESS_EVENT, EndlessAnswer
 
 _EVENTS_PER_STREAM = 6
 _RESPONSE_SEAL = '1.2.3'
@@ -27,10 +28,19 @@
         Number of next orders that are carried out but not answered.
     cut_after_events : int or None
         Number of events after which the next stream is cut, once.
+    endless_after_events : int or None
+        Number of events after which an event of the next streams doesn't end, as many as
+        `endless_answers`.
     extra_responses : int
         Number of next responses that are followed by one without an id.
+    answer_bytes : int
+        Size to which the answers of a plain service are padded.
     failures : int
         Number of next requests that are executed and end with status 500.
+    endless_answer : EndlessAnswer or None
+        Sent to the next requests, as many as `endless_answers`.
+    endless_reports : EndlessAnswer or None
+        Sent to all orders, after they are carried out, and reads of the report.
     is_silent : bool
         Whether executed requests stay unanswered; they are answered once it is false.
     is_leaving : bool
@@ -48,8 +58,13 @@
     is_leaving: bool = False
     quiet_s: float | None = None
     cut_after_events: int | None = None
+    endless_after_events: int | None = None
     extra_responses: int = 0
     failures: int = 0
+    answer_bytes: int = 0
+    endless_answer: EndlessAnswer | None = None
+    endless_answers: int = 0
+    endless_reports: EndlessAnswer | None = None
     load_s: float = 0.05
     event_s: float = 0.005
 
@@ -80,6 +95,8 @@
         When each order and each read of the report arrived.
     disconnected_streams : int
         Streams whose client disconnected before the end.
+    closed_answers : list of int
+        Bytes sent of each endless answer until the client closed the connection.
     """
 
     capacity: int = 4
@@ -96,6 +113,7 @@
     arrivals: list[float] = field(default_factory=list)
     order_arrivals: list[float] = field(default_factory=list)
     disconnected_streams: int = 0
+    closed_answers: list[int] = field(default_factory=list)
 
 
 class OpaqueEngine(ThreadedStandIn):
@@ -182,6 +200,17 @@
             return HTTPStatus.MISDIRECTED_REQUEST
         return None
 
+    def take_endless(self) -> bool:
+        """Return whether the next answer is endless, and count it."""
+        with self.lock:
+            self.faults.endless_answers -= 1
+            return self.faults.endless_answers >= 0
+
+    def endless_after_events(self) -> float:
+        """Return the number of events of the next stream before an endless one."""
+        events = self.faults.endless_after_events
+        return float('inf') if events is None or not self.take_endless() else events
+
     def _status_if_done(self, document: dict[str, Any], name: str) -> HTTPStatus | None:
         """Return the status of an order that changes nothing, otherwise None."""
         ready_at = self.state.adapters.get(name)
@@ -207,7 +236,7 @@
     def do_GET(self) -> None:  # noqa: N802
         if self.path == '/v1/report':
             self.engine.state.order_arrivals.append(time.monotonic())
-            self.send_answer(HTTPStatus.OK, json.dumps(self.engine.report()).encode())
+            self.send_state(HTTPStatus.OK, json.dumps(self.engine.report()).encode())
         else:
             self.run_request()
 
@@ -221,13 +250,25 @@
             self.engine.faults.unanswered_orders -= 1
             self.close_connection = True
             return
-        self.send_answer(status, b'{}')
+        self.send_state(status, b'{}')
 
     def end_headers(self) -> None:
         if self.engine.faults.is_leaving:
             self.send_header('Server-Leaving', '1')
         super().end_headers()
 
+    def send_state(self, status: HTTPStatus, body: bytes) -> None:
+        endless = self.engine.faults.endless_reports
+        if endless is None:
+            self.send_answer(status, body)
+        else:
+            self.send_endless(endless)
+
+    def send_endless(self, endless: EndlessAnswer, request_id: str = '') -> None:
+        self.close_connection = True
+        sent = endless.send(self.connection, request_id)
+        self.engine.state.closed_answers.append(sent)
+
     def read_body(self) -> bytes:
         return self.rfile.read(int(self.headers.get('Content-Length') or 0))
 
@@ -257,24 +298,31 @@
         }
         while self.engine.faults.is_silent:
             time.sleep(_SILENT_POLL_S)
-        if self.engine.faults.failures > 0:
-            self.engine.faults.failures -= 1
+        self.send_result(response_headers, headers)
+
+    def send_result(
+        self, response_headers: dict[str, str], headers: dict[str, str]
+    ) -> None:
+        faults = self.engine.faults
+        request_id = headers.get('pimentohoist-attempt-id', '')
+        if faults.endless_answer is not None and self.engine.take_endless():
+            self.send_endless(faults.endless_answer, request_id)
+        elif faults.failures > 0:
+            faults.failures -= 1
             self.send_answer(
                 HTTPStatus.INTERNAL_SERVER_ERROR, b'failed', response_headers
             )
         elif self.engine.model:
             self.send_stream(response_headers, int(headers.get('last-event-id', '0')))
         else:
-            self.send_answer(
-                HTTPStatus.OK, b'answer to ' + request_id.encode(), response_headers
-            )
-            if self.engine.faults.extra_responses > 0:
-                self.engine.faults.extra_responses -= 1
+            text = b'answer to ' + request_id.encode()
+            body = text.ljust(faults.answer_bytes)
+            self.send_answer(HTTPStatus.OK, body, response_headers)
+            if faults.extra_responses > 0:
+                faults.extra_responses -= 1
                 self.send_answer(HTTPStatus.OK, b'nobody asked')
 
     def send_stream(self, response_headers: dict[str, str], last_id: int) -> None:
-        faults = self.engine.faults
-        cut_after_events, faults.cut_after_events = faults.cut_after_events, None
         self.send_response(HTTPStatus.OK)
         headers = {
             **response_headers,
@@ -284,20 +332,32 @@
         for name, text in headers.items():
             self.send_header(name, text)
         self.end_headers()
+        self.send_events(last_id)
+
+    def send_events(self, last_id: int) -> None:
+        faults = self.engine.faults
+        cut_after_events, faults.cut_after_events = faults.cut_after_events, None
+        endless_after_events = self.engine.endless_after_events()
         for number in range(last_id + 1, _EVENTS_PER_STREAM + 1):
             if cut_after_events is not None and number > cut_after_events:
                 # Cuts the stream in the middle of an event.
                 self.send_chunk(b'id: 9')
                 self.close_connection = True
                 return
+            if number > endless_after_events:
+                self.send_endless(ENDLESS_EVENT)
+                return
             time.sleep(faults.event_s)
-            try:
-                self.send_chunk(f'id: {number}\ndata: token {number}\n\n'.encode())
-            except OSError:
-                self.engine.state.disconnected_streams += 1
-                raise
+            self.send_event(number)
         self.wfile.write(b'0\r\n\r\n')
 
+    def send_event(self, number: int) -> None:
+        try:
+            self.send_chunk(f'id: {number}\ndata: token {number}\n\n'.encode())
+        except OSError:
+            self.engine.state.disconnected_streams += 1
+            raise
+
     def send_chunk(self, data: bytes) -> None:
         self.wfile.write(f'{len(data):x}\r\n'.encode() + data + b'\r\n')
         self.wfile.flush()
