Limit responses of endpoints in bytes, and the memory of all of them

Cause: a daemon held a body, or an event without an end, of any size until the request's deadline, and read "100 Continue" heads and trailers for as long. No time was left to send an idempotent request to another endpoint.

Change: limits on the head, the framing, a body that is no stream (16 MiB), an event (1 MiB) and a dropped response to another request. A response that exceeds one ends as a broken one does: its connection is closed, its endpoint's health records a failure, the request is sent again if it may be or ends with 502, a stream is resumed or cut. A log line names endpoint, id, limit and bytes. ResponseMemory lets all responses hold 4 MiB together; the oldest large one may grow to its own limit while the others wait, for 1 s at most.

The scenario of a late abort in entry_decisions joins the parts of the body, which read_body now returns, before it compares the same bytes.

--- a/features/steps/entry_decisions.py
+++ b/features/steps/entry_decisions.py
@@ -220,5 +220,5 @@
 @then('the next one gets its response')
 def check_next(context: Context) -> None:
     context.next.read_head('next')
-    assert context.next.read_body() == b'answer to next'
+    assert b''.join(context.next.read_body()) == b'answer to next'
     assert context.connections.opened == 1
--- a/src/pimentohoist/_entry/connections.py
+++ b/src/pimentohoist/_entry/connections.py
@@ -9,6 +9,7 @@
 
 import http.client
 import io
+import logging
 import socket
 import threading
 from collections import defaultdict
@@ -19,9 +20,21 @@
 
 from pimentohoist import _clock
 from pimentohoist._addresses import split_address
+from pimentohoist._entry.held_bytes import HeldBytes
+from pimentohoist._entry.response_memory import ResponseMemory
+from pimentohoist._limited_reader import (
+    MAX_READ_BYTES,
+    ByteLimitError,
+    LimitedReader,
+)
 from pimentohoist._sockets import has_input
 from pimentohoist.entry_models import EntryRequest, Endpoint
-from pimentohoist.exceptions import PeerConnectError, PeerError, PeerTimeoutError
+from pimentohoist.exceptions import (
+    OversizedResponseError,
+    PeerConnectError,
+    PeerError,
+    PeerTimeoutError,
+)
 from pimentohoist.platform import is_response_to
 
 _STEP = 'endpoint'
@@ -43,9 +56,13 @@
 _IDLE_MARGIN_S = 0.5
 _MAX_IDLE_CONNECTIONS = 64
 _MAX_RESPONSES_READ = 3
-_MAX_READ_BYTES = 65_536
+_MAX_DROPPED_BYTES = 65_536
+_MAX_BODY_BYTES = 16_777_216
+_MAX_MEMORY_WAIT_S = 1.0
 _BODILESS = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 
+_logger = logging.getLogger(__name__)
+
 
 class _SharedReader(io.BufferedReader):
     """Stays open when a response that was read from it is closed."""
@@ -59,7 +76,8 @@
 
     def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
-        self.reader = _SharedReader(socket.SocketIO(sock, 'r'))
+        self.limits = LimitedReader(socket.SocketIO(sock, 'r'), sock)
+        self.reader = _SharedReader(self.limits)
 
     def makefile(self, mode: str) -> io.BufferedReader:
         return self.reader
@@ -100,6 +118,7 @@
         if has_input(self.sock):
             return False
         self.sock.settimeout(0)
+        self.shared_socket.limits.allow_head()
         is_empty = not self.shared_socket.reader.peek(1)
         self.sock.settimeout(None)
         return is_empty
@@ -122,11 +141,11 @@
         connections: ConnectionPool,
         connection: _Connection,
         endpoint: Endpoint,
-        method: str,
+        request: EntryRequest,
     ) -> None:
         self.connections = connections
         self.connection = connection
-        self.method = method
+        self.request = request
         self.endpoint = endpoint
         self.sent_at = _clock.now()
         self.is_aborted = False
@@ -145,52 +164,91 @@
     def read_head(self, request_id: str) -> ResponseHead:
         """Wait for the head of the response to a request; raises PeerError."""
         for _ in range(_MAX_RESPONSES_READ):
-            with _wrap_errors(self.endpoint.address):
+            with self._wrap_errors():
                 response = self._next_response()
             self._record_received()
             if is_response_to(request_id, response.status, response.headers):
                 self._response = response
                 return ResponseHead(response.status, response.reason, response.headers)
-            # This is a second response to an earlier request: drop it.
-            with _wrap_errors(self.endpoint.address):
-                response.read()
+            # This is a second response to an earlier request.
+            self._drop(response)
         raise self._failure(
             f'expected a response to {request_id}, got {_MAX_RESPONSES_READ} to others'
         )
 
-    def read_body(self) -> bytes:
-        """Return the body; raises PeerError if it is cut off."""
-        return b''.join(self.parts())
+    def read_body(self) -> HeldBytes:
+        """Return the body; raises PeerError if it is cut off or too large."""
+        body = HeldBytes()
+        if self._response is not None:
+            self._check_body_size(self._response.length or 0)
+        try:
+            self._read_into(body)
+        except BaseException:
+            # The error's traceback would keep the bytes until the next collection.
+            body.clear()
+            raise
+        return body
 
     def parts(self) -> Iterator[bytes]:
         """Yield the body as it arrives; raises PeerError if it is cut off."""
         response = self._response
         if response is None:
             raise self._failure('the body was read before the head')
-        while True:
-            with _wrap_errors(self.endpoint.address):
-                part = response.read1(_MAX_READ_BYTES)
-            if not part:
-                break
+        part = self._read_part(response)
+        while part:
             self._record_received()
             yield part
+            part = self._read_part(response)
         if response.length:
             raise self._failure(f'body cut off: {response.length} bytes are missing')
-        with _wrap_errors(self.endpoint.address):
+        with self._wrap_errors():
             # A body of known length has been read, but only this closes the response.
             response.read()
 
+    def hold(self, size: int) -> None:
+        """Record how many bytes of the response are held; wait until they may be.
+
+        Raises
+        ------
+        OversizedResponseError
+            Other responses have taken the memory.
+        """
+        memory = self.connections.memory
+        deadline = _clock.now() + _MAX_MEMORY_WAIT_S
+        while not memory.resize(self, size):
+            # It isn't the endpoint that is silent.
+            self._record_received()
+            if _clock.now() > deadline:
+                raise self.limit_failure(
+                    ByteLimitError('memory of all responses', memory.max_total_bytes)
+                )
+
+    def limit_failure(self, error: ByteLimitError) -> OversizedResponseError:
+        """Log that the response exceeds a limit and return the error to raise."""
+        extra = {
+            'step': _STEP,
+            'endpoint': self.endpoint.endpoint_id,
+            'peer': self.endpoint.address,
+            'id': self.request.request_id,
+            'limit': error.limit,
+            'max_bytes': error.max_bytes,
+        }
+        _logger.warning('response exceeds a limit', extra=extra)
+        return OversizedResponseError(
+            str(error), step=_STEP, peer=self.endpoint.address
+        )
+
     def close(self) -> None:
         """Release the connection if the response was read completely, or close it."""
         with self._lock:
             if self._is_closed:
                 return
             self._is_closed = True
+        self.connections.memory.release(self)
         response = self._response
-        is_complete = response is not None and response.isclosed()
         if (
             response is None
-            or not is_complete
+            or not response.isclosed()
             or self.is_aborted
             or response.will_close
         ):
@@ -210,15 +268,65 @@
         self.connections.received_at[self.endpoint.address] = _clock.now()
 
     def _next_response(self) -> http.client.HTTPResponse:
+        shared_socket = self.connection.shared_socket
+        shared_socket.limits.allow_head()
         response = http.client.HTTPResponse(
-            cast('socket.socket', self.connection.shared_socket), method=self.method
+            cast('socket.socket', shared_socket), method=self.request.method
         )
         response.begin()
+        shared_socket.limits.allow_body()
         return response
 
+    def _read_into(self, body: HeldBytes) -> None:
+        for part in self.parts():
+            size = len(body) + len(part)
+            self._check_body_size(size)
+            self.hold(size)
+            body.append(part)
+
+    def _check_body_size(self, size: int) -> None:
+        if size > _MAX_BODY_BYTES:
+            raise self.limit_failure(ByteLimitError('body', _MAX_BODY_BYTES))
+
+    def _read_part(self, response: http.client.HTTPResponse) -> bytes:
+        # Bytes that arrived before the shutdown could still be read.
+        self._check_aborted()
+        with self._wrap_errors():
+            part = response.read1(MAX_READ_BYTES)
+        self.connection.shared_socket.limits.count_data(len(part))
+        return part
+
+    def _check_aborted(self) -> None:
+        if self.is_aborted:
+            raise self._failure('the exchange was aborted')
+
+    def _drop(self, response: http.client.HTTPResponse) -> None:
+        size = 0
+        part = self._read_part(response)
+        while part:
+            size += len(part)
+            if size > _MAX_DROPPED_BYTES:
+                raise self.limit_failure(ByteLimitError('body', _MAX_DROPPED_BYTES))
+            part = self._read_part(response)
+        with self._wrap_errors():
+            response.read()
+
     def _failure(self, text: str) -> PeerError:
         return PeerError(text, step=_STEP, peer=self.endpoint.address)
 
+    @contextmanager
+    def _wrap_errors(self) -> Iterator[None]:
+        try:
+            yield
+        except ByteLimitError as error:
+            raise self.limit_failure(error) from error
+        except TimeoutError as error:
+            raise PeerTimeoutError(
+                str(error), step=_STEP, peer=self.endpoint.address
+            ) from error
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            raise self._failure(f'{type(error).__name__}: {error}') from error
+
 
 class ConnectionPool:
     """A pool of connections, by endpoint address.
@@ -229,11 +337,14 @@
         Connections opened since the start.
     received_at : dict of str to float
         Time of `_clock.now` in seconds at which an address last sent bytes.
+    memory : ResponseMemory
+        Memory of the responses that are buffered.
     """
 
     def __init__(self) -> None:
         self.opened = 0
         self.received_at: dict[str, float] = {}
+        self.memory = ResponseMemory()
         self._idle: defaultdict[str, list[_Connection]] = defaultdict(list)
         self._lock = threading.Lock()
 
@@ -253,7 +364,7 @@
             Sending failed; the endpoint may have received the request.
         """
         connection = self._acquire(endpoint.address)
-        exchange = UpstreamExchange(self, connection, endpoint, request.method)
+        exchange = UpstreamExchange(self, connection, endpoint, request)
         try:
             _write_request(connection, request, headers)
         except (OSError, http.client.HTTPException) as error:
@@ -338,14 +449,3 @@
         if name.lower() == 'timeout' and seconds.isdecimal():
             return min(_MAX_IDLE_S, int(seconds) - _IDLE_MARGIN_S)
     return _MAX_IDLE_S
-
-
-@contextmanager
-def _wrap_errors(address: str) -> Iterator[None]:
-    try:
-        yield
-    except TimeoutError as error:
-        raise PeerTimeoutError(str(error), step=_STEP, peer=address) from error
-    except (OSError, http.client.HTTPException, ValueError) as error:
-        text = f'{type(error).__name__}: {error}'
-        raise PeerError(text, step=_STEP, peer=address) from error
--- a/src/pimentohoist/_entry/dispatch.py
+++ b/src/pimentohoist/_entry/dispatch.py
@@ -148,7 +148,7 @@
         exchange.close()
         context.run_cleanups()
         headers = response_headers(head.headers.items())
-        return EntryResponse(head.status, head.reason, headers, [body], len(body))
+        return EntryResponse(head.status, head.reason, headers, body, len(body))
 
     def _read_head(
         self, context: RequestContext, exchange: UpstreamExchange
--- a/src/pimentohoist/_entry/event_stream.py
+++ b/src/pimentohoist/_entry/event_stream.py
@@ -4,7 +4,12 @@
 
 import re
 
-_EVENT_END = re.compile(rb'\r?\n\r?\n')
+from pimentohoist._entry.held_bytes import HeldBytes
+from pimentohoist._limited_reader import ByteLimitError
+
+_EVENT_ENDS = (b'\n\n', b'\n\r\n')
+_MAX_TAIL_BYTES = 2
+_MAX_EVENT_BYTES = 1_048_576
 _EVENT_ID = re.compile(rb'^id: ?([^\r\n]*)', re.MULTILINE)
 
 
@@ -19,18 +24,33 @@
 
     def __init__(self) -> None:
         self.last_event_id: str | None = None
-        self._buffer = b''
+        self._held = HeldBytes()
+        self._tail = b''
+
+    def __len__(self) -> int:
+        """Return the number of bytes after the last complete event."""
+        return len(self._held)
 
     def feed(self, part: bytes) -> bytes:
-        """Add bytes; return the events that are complete now, unchanged; may be empty."""
-        text = self._buffer + part
-        ends = [match.end() for match in _EVENT_END.finditer(text)]
-        if not ends:
-            self._buffer = text
+        """Add bytes; return the events that are complete now, unchanged; may be empty.
+
+        Raises
+        ------
+        ByteLimitError
+            An event is too large.
+        """
+        # The end of an event may have begun in an earlier part.
+        searched = self._tail + part
+        end = max(_end_of_last(mark, searched) for mark in _EVENT_ENDS)
+        self._tail = searched[-_MAX_TAIL_BYTES:]
+        if not end:
+            self._hold(part)
             return b''
-        end = ends[-1]
-        complete = text[:end]
-        self._buffer = text[end:]
+        end -= len(searched) - len(part)
+        complete = self.flush() + part[:end]
+        remainder = part[end:]
+        self._tail = remainder[-_MAX_TAIL_BYTES:]
+        self._hold(remainder)
         ids = _EVENT_ID.findall(complete)
         if ids:
             self.last_event_id = ids[-1].decode(errors='replace')
@@ -38,5 +58,23 @@
 
     def flush(self) -> bytes:
         """Return and discard the bytes after the last complete event."""
-        remainder, self._buffer = self._buffer, b''
+        remainder = b''.join(self._held)
+        self.discard()
         return remainder
+
+    def discard(self) -> None:
+        """Discard the bytes after the last complete event."""
+        self._held.clear()
+        self._tail = b''
+
+    def _hold(self, part: bytes) -> None:
+        if len(self._held) + len(part) > _MAX_EVENT_BYTES:
+            self.discard()
+            raise ByteLimitError('event', _MAX_EVENT_BYTES)
+        self._held.append(part)
+
+
+def _end_of_last(mark: bytes, text: bytes) -> int:
+    """Return where the last occurrence of a mark ends; 0 if there is none."""
+    found_at = text.rfind(mark)
+    return 0 if found_at < 0 else found_at + len(mark)
--- a/src/pimentohoist/_entry/stream_relay.py
+++ b/src/pimentohoist/_entry/stream_relay.py
@@ -7,6 +7,7 @@
 from pimentohoist._entry.connections import UpstreamExchange
 from pimentohoist._entry.event_stream import EventSplitter
 from pimentohoist._entry.request_context import RequestContext
+from pimentohoist._limited_reader import ByteLimitError
 from pimentohoist.exceptions import PeerError
 
 ResumeStream = Callable[['StreamRelay', PeerError], UpstreamExchange]
@@ -37,11 +38,15 @@
     def first_events(self) -> bytes:
         """Wait for the first events; raises PeerError if the stream breaks before them."""
         self._parts = self.exchange.parts()
-        for part in self._parts:
-            events = self.splitter.feed(part)
-            if events:
-                return events
-        return self.splitter.flush()
+        events: bytes | None = b''
+        try:
+            while events == b'':
+                events = self._next_events()
+        except PeerError:
+            # The error's traceback would keep the bytes until the next collection.
+            self.splitter.discard()
+            raise
+        return self.splitter.flush() if events is None else events
 
     def events(self, first: bytes) -> Iterator[bytes]:
         """Yield the first events, then the remaining ones."""
@@ -57,7 +62,7 @@
         while failure is not None:
             self.exchange.close()
             self.context.run_cleanups()
-            self.splitter.flush()
+            self.splitter.discard()
             self.exchange = self.resume(self, failure)
             self._parts = self.exchange.parts()
             failure = yield from self._events_until_failure()
@@ -66,15 +71,27 @@
         """Yield the events of the exchange; return the error that broke it, or None."""
         while True:
             try:
-                part = next(self._parts, None)
+                events = self._next_events()
             except PeerError as error:
                 return error
-            if part is None:
+            if events is None:
                 break
-            events = self.splitter.feed(part)
             if events:
                 yield events
         remainder = self.splitter.flush()
         if remainder:
             yield remainder
         return None
+
+    def _next_events(self) -> bytes | None:
+        """Return the events that the next part completes; None at the stream's end."""
+        part = next(self._parts, None)
+        return None if part is None else self._split(part)
+
+    def _split(self, part: bytes) -> bytes:
+        try:
+            events = self.splitter.feed(part)
+        except ByteLimitError as error:
+            raise self.exchange.limit_failure(error) from error
+        self.exchange.hold(len(self.splitter))
+        return events
