Don't pass on a body as complete that the daemon itself has cut

Cause: at a request's deadline its exchange is aborted by a shutdown. A body without a length ends with its connection, so the bytes until then were taken for the whole body.

Change: the parts of an aborted exchange end in an error, even if its body looks complete.

Before: a body without a length, a byte every 0.05 s, arrived at the caller as a 200 with 21 bytes. Now the caller gets 504 within 0.6 s of the deadline for each kind of trickled answer, and each connection is closed.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -14,6 +14,12 @@
     And a second ledger
     Then for every kind of endless answer the caller gets 502 and one ledger executed it
 
+  # Guards against answers that outlast the deadline because each byte restarts a timeout.
+  Scenario: A service sends a byte of an answer now and then
+    Given a fleet of 1 daemon with 1 engine
+    Then for every kind of trickled answer the caller gets 504 within 0.6 s of its deadline
+    And each trickled answer's connection is closed
+
   # Guards against a daemon that ends because many endless answers take all its memory.
   Scenario Outline: Many endless answers at once
     Given a fleet of 1 daemon with 1 engine
--- a/src/pimentohoist/_entry/connections.py
+++ b/src/pimentohoist/_entry/connections.py
@@ -199,6 +199,8 @@
             self._record_received()
             yield part
             part = self._read_part(response)
+        # A body without a length also ends with the shutdown of its connection.
+        self._check_aborted()
         if response.length:
             raise self._failure(f'body cut off: {response.length} bytes are missing')
         with self._wrap_errors():
