Reuse a connection only if its response was read to its end

Cause: http.client closes a response whose chunk size is no number, before it raises an error. Both clients took a closed response for a complete one and kept its connection, so that the next request's answer was read from what followed.

Change: only the regular end of the body frees the connection.

Before: the second request was sent on the connection with the invalid chunk size. Now it is sent on a new one, by both clients.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -79,6 +79,11 @@
     Then the daemon's memory has grown by less than 32 MB
     And a configuration declared afterwards is in force within 3 s
 
+  # Guards against the next request's answer being read from the middle of a broken one.
+  Scenario: A chunk size that is no number
+    Given a service that sends an invalid chunk size and keeps the connection open
+    Then neither client sends its next request on that connection
+
   # Guards against an event line of a model server that fills the memory.
   Scenario: A model server's event line without an end
     Then an event line without an end is given up at its limit
--- a/src/pimentohoist/_entry/connections.py
+++ b/src/pimentohoist/_entry/connections.py
@@ -152,6 +152,7 @@
         self._is_closed = False
         self._lock = threading.Lock()
         self._response: http.client.HTTPResponse | None = None
+        self._is_complete = False
 
     def abort(self) -> None:
         """End the wait for the response by a shutdown, so that the endpoint stops its work."""
@@ -206,6 +207,7 @@
         with self._wrap_errors():
             # A body of known length has been read, but only this closes the response.
             response.read()
+        self._is_complete = True
 
     def hold(self, size: int) -> None:
         """Record how many bytes of the response are held; wait until they may be.
@@ -250,7 +252,7 @@
         response = self._response
         if (
             response is None
-            or not response.isclosed()
+            or not self._is_complete
             or self.is_aborted
             or response.will_close
         ):
--- a/src/pimentohoist/_http_client.py
+++ b/src/pimentohoist/_http_client.py
@@ -253,8 +253,11 @@
         connection, response = self._send(request, response_timeout_s)
         try:
             yield response
-        finally:
-            self._release(connection, response)
+        except BaseException:
+            response.close()
+            connection.http.close()
+            raise
+        self._release(connection, response)
 
     def _send(
         self, request: HttpRequest, timeout_s: float
