Let a request be aborted while it is still being sent

Cause: an exchange was known to the request's monitor only once the request was sent, so an endpoint that reads slowly could hold a request beyond its deadline.

Change: the monitor gets the exchange when its connection is open. The steps that send requests pass the new argument; what they check is the same.

Now it ends within 1 s if it is aborted after 0.4 s.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -84,6 +84,11 @@
     Given a service that sends an invalid chunk size and keeps the connection open
     Then neither client sends its next request on that connection
 
+  # Guards against a request that outlasts its deadline because it is still being sent.
+  Scenario: A service reads a request slowly
+    Given a service that reads 64 KB of a request every 0.2 s
+    Then a request of 12 MB that is aborted after 0.4 s ends within 1 s
+
   # Guards against an event line of a model server that fills the memory.
   Scenario: A model server's event line without an end
     Then an event line without an end is given up at its limit
--- a/features/steps/endless_reads.py
+++ b/features/steps/endless_reads.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
 from functools import partial
 from pathlib import Path
 
@@ -16,7 +17,10 @@
 
 sys.path.append(str(Path(__file__).resolve().parent.parent))
 
-from pimentohoist._entry.connections import ConnectionPool  # noqa: E402
+from pimentohoist._entry.connections import (  # noqa: E402
+    ConnectionPool,
+    UpstreamExchange,
+)
 from pimentohoist._http_client import HttpClient, HttpRequest  # noqa: E402
 from pimentohoist.entry_models import (  # noqa: E402
     AdapterKey,
@@ -176,7 +180,9 @@
     request = EntryRequest('r1', 'GET', 'h', '/x', (), b'', '', None, None, None, 0)
 
     def send() -> None:
-        exchange = connections.send(endpoint, request, [('Host', 'h')])
+        exchange = connections.send(
+            endpoint, request, [('Host', 'h')], lambda opened: None
+        )
         try:
             exchange.read_head('r1')
             exchange.read_body()
@@ -184,3 +190,37 @@
             exchange.close()
 
     return send
+
+
+@given('a service that reads {rate_kb:d} KB of a request every {pause_s:f} s')
+def start_slow_reader(context: Context, rate_kb: int, pause_s: float) -> None:
+    listener = socket.create_server((_LOOPBACK, 0))
+    context.stack.callback(listener.close)
+    context.address = f'{_LOOPBACK}:{listener.getsockname()[1]}'
+    threading.Thread(
+        target=_read_slowly, args=(listener, rate_kb * 1000, pause_s), daemon=True
+    ).start()
+
+
+def _read_slowly(listener: socket.socket, size: int, pause_s: float) -> None:
+    connection, _ = listener.accept()
+    with connection, suppress(OSError):
+        while connection.recv(size):
+            time.sleep(pause_s)
+
+
+@then('a request of {size_mb:d} MB that is aborted after {delay_s:f} s ends within 1 s')
+def check_abort_while_sending(context: Context, size_mb: int, delay_s: float) -> None:
+    endpoint = Endpoint('e', 's', context.address, 'a', 4, False, 1, 0)
+    body = b'x' * (size_mb * 1_000_000)
+    request = EntryRequest('r1', 'POST', 'h', '/x', (), body, '', None, None, None, 0)
+
+    def abort_later(exchange: UpstreamExchange) -> None:
+        timer = threading.Timer(delay_s, exchange.abort)
+        context.stack.callback(timer.cancel)
+        timer.start()
+
+    duration_s = _duration_s(
+        lambda: ConnectionPool().send(endpoint, request, [('Host', 'h')], abort_later)
+    )
+    assert duration_s < 1, duration_s
--- a/features/steps/entry_decisions.py
+++ b/features/steps/entry_decisions.py
@@ -203,7 +203,9 @@
         ('Pimentohoist-Attempt-Id', name),
         ('Pimentohoist-Expect-Instance', 'e'),
     ]
-    return context.connections.send(context.endpoint, make_request(name), headers)
+    return context.connections.send(
+        context.endpoint, make_request(name), headers, lambda exchange: None
+    )
 
 
 @when('a request is aborted after its connection carries the next one')
--- a/features/steps/response_limits.py
+++ b/features/steps/response_limits.py
@@ -17,7 +17,7 @@
 from hypothesis import example, given, seed, settings
 from hypothesis import strategies as st
 
-from pimentohoist._entry.connections import ConnectionPool
+from pimentohoist._entry.connections import ConnectionPool, UpstreamExchange
 from pimentohoist._entry.event_stream import EventSplitter
 from pimentohoist._entry.response_memory import ResponseMemory
 from pimentohoist._http_client import HttpClient, HttpRequest
@@ -188,12 +188,16 @@
     client.close()
 
 
+def _ignore(exchange: UpstreamExchange) -> None:
+    """Do nothing with an exchange."""
+
+
 def _check_exchange(address: str) -> None:
     connections = ConnectionPool()
     endpoint = Endpoint('e', 's', address, 'a', 4, False, 1, 0)
     request = EntryRequest('r1', 'GET', 'h', '/x', (), b'', '', None, None, None, 0)
     try:
-        exchange = connections.send(endpoint, request, [('Host', 'h')])
+        exchange = connections.send(endpoint, request, [('Host', 'h')], _ignore)
     except PeerError:
         return
     with suppress(PeerError):
--- a/src/pimentohoist/_entry/connections.py
+++ b/src/pimentohoist/_entry/connections.py
@@ -13,7 +13,7 @@
 import socket
 import threading
 from collections import defaultdict
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass
 from typing import cast
@@ -357,9 +357,16 @@
         endpoint: Endpoint,
         request: EntryRequest,
         headers: list[tuple[str, str]],
+        on_open: Callable[[UpstreamExchange], None],
     ) -> UpstreamExchange:
         """Send a request on an idle or a new connection.
 
+        Parameters
+        ----------
+        on_open : callable
+            Called with the exchange before the request is sent, so that an endpoint that
+            reads the request slowly can't delay an abort.
+
         Raises
         ------
         PeerConnectError
@@ -369,10 +376,11 @@
         """
         connection = self._acquire(endpoint.address)
         exchange = UpstreamExchange(self, connection, endpoint, request)
+        on_open(exchange)
         try:
             _write_request(connection, request, headers)
         except (OSError, http.client.HTTPException) as error:
-            connection.close()
+            exchange.close()
             raise PeerError(
                 f'request not sent completely: {error}',
                 step=_STEP,
--- a/src/pimentohoist/_entry/dispatch.py
+++ b/src/pimentohoist/_entry/dispatch.py
@@ -116,13 +116,13 @@
                 endpoint,
                 context.request,
                 forwarded_headers(context.request, forwarding),
+                context.monitored.attach,
             )
         except PimentohoistError as error:
             context.run_cleanups()
             raise self.retry_policy.classify_failure(
                 context, endpoint, error
             ) from error
-        context.monitored.attach(exchange)
         return exchange
 
     def _track(self, context: RequestContext, endpoint_id: str) -> None:
