Explain requests that a restore, a leave, a quiet endpoint or a stop touched

Cause: explain knew none of these lines. The line on a leave named no endpoint in a field, a quiet endpoint was shown for 3 s only, and a request that a stop refused or cut off has no line 'request ended', so its end was reported as missing. Change: changes of the store's era and parts of a stop are states of the daemon; leaves and quiet times are shown for the endpoints tried and for what the request's daemon heard, quiet ones for as long as they asked; the lines of the stop count as the request's end, with verdicts of their own. 'endpoint is leaving' has the field endpoint. The lines of restore, leave and quiet come from a daemon that runs in the test; those of the stop from its Shutdown class, with requests made up.

--- a/features/ctl.feature
+++ b/features/ctl.feature
@@ -169,6 +169,35 @@
       | explain 4192ca4c2f7563b4                             | 2    |                         | no log was named                    |
       | explain 4192ca4c2f7563b4 logs/front-derby-3.log odd --json | 1 | "verdict": "refused  | odd: 2 lines cut or not of a daemon |
 
+  # Guards against requests whose cause, a restore of the store or what an endpoint asked, is
+  # in the logs and isn't shown.
+  Scenario: Explanations name a restore of the store and endpoints that leave or are quiet
+    Given an operator's folder
+    And the log of a daemon whose store was restored, whose engine left and whose ledger asked for no requests
+    When the operator runs "explain request-2 entry.log"
+    Then the command ends with code 0 and prints "answered"
+    And it prints "store era changed  step=store source=store era=2 before=1" as known and "endpoint is leaving: engine-0#1" as what happened, in order of time
+    When the operator runs "explain request-3 entry.log"
+    Then the command ends with code 0 and prints "not sent to an endpoint; it has not run"
+    And it prints "store era changed" as known and "endpoint is leaving: engine-0#1" as what happened, in order of time
+    When the operator runs "explain request-5 entry.log"
+    Then the command ends with code 0 and prints "not sent to an endpoint; it has not run"
+    And it prints "store era changed" as known and "endpoint wants no requests  step=endpoints endpoint=ledger-1" as what happened, in order of time
+
+  # Guards against requests that a stop refused or cut off and that are reported as lost lines.
+  Scenario Outline: Explanations tell what a stop of the daemon did to a request
+    Given an operator's folder
+    And the log of a daemon that stopped while requests ran and others came
+    When the operator runs "explain <id> entry.log"
+    Then the command ends with code 0 and prints "<verdict>"
+    And it prints "<known>" as known and "<event>" as what happened, in order of time
+
+    Examples:
+      | id     | verdict                                                                       | known                                    | event                           |
+      | late-1 | front-1: refused by the stop of its daemon; it has not run                    | part of the stop ended  step=stop        | request arrived during the stop |
+      | cut-1  | front-1: cut off by the stop of its daemon; whether it has run is not known   | nothing in these logs                    | stopping  step=stop             |
+      | cut-2  | front-1: cut off by the stop of its daemon; it was not sent to an endpoint    | nothing in these logs                    | all requests are refused        |
+
   Scenario: The help lists every command and the exit codes
     Given an operator's folder
     When the operator runs "--help"
--- a/src/pimentohoist/_commands/explanation.py
+++ b/src/pimentohoist/_commands/explanation.py
@@ -100,12 +100,7 @@
     parts = [f'request {explanation.request_id}']
     origin = explanation.end or explanation.events[-1]
     if explanation.end is not None:
-        fields = explanation.end.fields
-        parts += [
-            f'{fields.get("status")} after {fields.get("took_ms")} ms on '
-            f'{explanation.end.instance}: {verdict(explanation.end)}',
-            f'{fields.get("outcome", "")}',
-        ]
+        parts += _end_texts(explanation.end)
     parts += ['', 'known when it came (seconds before its end)']
     parts += _event_rows(explanation.known, origin) or ['nothing in these logs']
     parts += ['', 'what happened']
@@ -113,6 +108,14 @@
     return '\n'.join(parts)
 
 
+def _end_texts(end: LogLine) -> list[str]:
+    outcome = f'{end.instance}: {verdict(end)}'
+    if 'status' not in end.fields:
+        return [f'on {outcome}']
+    status, took_ms = end.fields['status'], end.fields.get('took_ms')
+    return [f'{status} after {took_ms} ms on {outcome}', end.fields.get('outcome', '')]
+
+
 def _event_rows(lines: Sequence[LogLine], origin: LogLine) -> list[str]:
     width = max((len(line.instance) for line in lines), default=0)
     return [
--- a/src/pimentohoist/_entry/endpoint_notices.py
+++ b/src/pimentohoist/_entry/endpoint_notices.py
@@ -53,7 +53,8 @@
                 if now - leave.at < _MAX_AGE_S
             }
             self._leaves[incarnation] = _Leave(source, now)
-        extra = {'step': 'endpoints', 'source': source}
+        endpoint_id, _, _ = incarnation.rpartition('#')
+        extra = {'step': 'endpoints', 'endpoint': endpoint_id, 'source': source}
         _logger.info('endpoint is leaving: %s', incarnation, extra=extra)
 
     def is_leaving(self, endpoint: Endpoint) -> bool:
