Load the popular adapters of an engine that leaves at other engines before demand

Cause: requests for adapters of a leaving engine waited for a load though the leave was known. A HoldAdapter call with wait_ms 0 means such a load; the owner evicts no adapter for it that was requested lately. evictable of AdapterSlots is public for this count. Measured: the new scenario of endpoint_notices failed while the loads weren't asked for (none in 3 s) and passed in 6 runs of it alone with this code; the scenario on full engines fails without the count of unpopular slots and passed in 3 runs. endpoint_notices, entry_decisions, store_restore, entry_daemon, entry_stop: 73 passed.

--- a/features/endpoint_notices.feature
+++ b/features/endpoint_notices.feature
@@ -7,6 +7,15 @@
     When one engine says in a response to the first daemon that it leaves
     Then 1 s later neither daemon sends requests to that engine or loads adapters there
 
+  # Guards against requests that wait for a load though it was known that the engine with
+  # their adapter leaves.
+  Scenario: Adapters of an engine that leaves are loaded elsewhere before they are requested
+    Given a fleet of 2 daemons with 2 engines
+    And adapters that both engines serve
+    When the store says that one engine leaves
+    Then its adapters are loaded at the other engine within 3 s without a request
+    And requests for all adapters are served there without another load
+
   # Guards against requests to an engine that has asked for none, from the queue, from
   # retries and from new callers alike.
   Scenario: A service asks for no requests for a time
--- a/features/entry_decisions.feature
+++ b/features/entry_decisions.feature
@@ -87,6 +87,19 @@
     Given 5 engines of which one holds an adapter
     Then a cold adapter goes to its first engine with a free adapter slot
 
+  # Guards against an engine whose leave makes others load more than they can at a time.
+  Scenario: An engine with many adapters leaves: others load within their limits
+    Given 5 engines that have 0 to 9 free adapter slots
+    When an engine with 60 popular adapters leaves
+    Then each engine is asked for 4 loads at most, and for no more than it has free slots
+    And for no adapter that one of them has
+
+  # Guards against popular adapters that are evicted for those of an engine that leaves.
+  Scenario: An engine leaves while the others are full of popular adapters
+    Given an engine of 3 adapter slots of which 2 hold adapters that were requested lately
+    When 3 adapters of another engine are prepared there one after the other
+    Then one is loaded and the popular ones stay
+
   Scenario: The retry budget holds for the whole fleet
     Then in generated histories 7 daemons stay within the stated retry budget
 
--- a/features/steps/endpoint_notices.py
+++ b/features/steps/endpoint_notices.py
@@ -60,6 +60,34 @@
     assert (len(state.arrivals), state.loads.total()) == before
 
 
+@when('the store says that one engine leaves')
+def announce_leave_by_store(context: Context) -> None:
+    context.leaving, context.staying = context.fleet.engines
+    context.moved = set(context.leaving.state.adapters)
+    assert context.moved
+    entry = context.leaving.entry('models', 'draining')
+    context.fleet.store.put('keyed.servers', context.leaving.engine_id, entry)
+
+
+@then(
+    'its adapters are loaded at the other engine within {limit:d} s without a request'
+)
+def check_loaded_elsewhere(context: Context, limit: int) -> None:
+    state = context.staying.state
+    wait_for(lambda: context.moved <= state.adapters.keys(), limit)
+
+
+@then('requests for all adapters are served there without another load')
+def check_served_without_load(context: Context) -> None:
+    state = context.staying.state
+    time.sleep(_SHORT_LOAD_S)
+    loads = state.loads.total()
+    for adapter in _ADAPTERS:
+        assert context.fleet.send_request(adapter=adapter).status == 200
+    assert state.loads.total() == loads
+    assert not state.is_overloaded
+
+
 @when(
     'the ledger asks for no requests for {duration:d} s'
     ' while callers send 20 requests a second'
--- a/features/steps/entry_choice.py
+++ b/features/steps/entry_choice.py
@@ -13,6 +13,9 @@
 
 sys.path.append(str(Path(__file__).resolve().parent.parent))
 
+from pimentohoist._decisions.adapter_handover import (  # noqa: E402
+    choose_new_holder,
+)
 from pimentohoist._decisions.endpoint_choice import (  # noqa: E402
     Candidate,
     choose_engines,
@@ -131,3 +134,48 @@
         for number in range(5)
     ]
     assert choose_engines('m/cold', cold)[0] == 'e3'
+
+
+@given('5 engines that have 0 to 9 free adapter slots')
+def describe_free_slots(context: Context) -> None:
+    context.free = {'e0': 0, 'e1': 2, 'e2': 4, 'e3': 5, 'e4': 9}
+
+
+@when('an engine with {count:d} popular adapters leaves')
+def request_adapters(context: Context, count: int) -> None:
+    context.requested = Counter()
+    context.held = {f'a{number}' for number in range(0, count, 10)}
+    context.moved = set()
+    for number in range(count):
+        adapter = f'a{number}'
+        candidates = [
+            Candidate(
+                name,
+                64,
+                0,
+                0.1,
+                1.0,
+                True,
+                name == 'e4' and adapter in context.held,
+                free,
+            )
+            for name, free in context.free.items()
+        ]
+        target = choose_new_holder(adapter, candidates, context.requested)
+        if target is not None:
+            context.requested[target] += 1
+            context.moved.add(adapter)
+
+
+@then(
+    'each engine is asked for {limit:d} loads at most,'
+    ' and for no more than it has free slots'
+)
+def check_requested_loads(context: Context, limit: int) -> None:
+    allowed = {name: min(limit, free) for name, free in context.free.items() if free}
+    assert context.requested == allowed, context.requested
+
+
+@then('for no adapter that one of them has')
+def check_no_copies(context: Context) -> None:
+    assert not context.moved & context.held
--- a/features/steps/entry_loads.py
+++ b/features/steps/entry_loads.py
@@ -5,6 +5,7 @@
 import sys
 import time
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
 from pathlib import Path
 
 from behave import given, then, when
@@ -17,6 +18,7 @@
     PIN_S,
     MAX_CONCURRENT_LOADS,
 )
+from pimentohoist.exceptions import UnavailableError  # noqa: E402
 
 _MS_PER_S = 1000
 _MAX_FIRST_TOKEN_MS = 1100
@@ -103,3 +105,31 @@
 @then('that is loaded as soon as the first one is no longer pinned')
 def check_waited(context: Context) -> None:
     assert context.waited_ms < _MAX_FIRST_TOKEN_MS, context.waited_ms
+
+
+@given(
+    'an engine of {count:d} adapter slots'
+    ' of which {popular:d} hold adapters that were requested lately'
+)
+def fill_engine(context: Context, count: int, popular: int) -> None:
+    context.engine = FakeEngine({key(number): 1 for number in range(count)})
+    loaders = context.stack.enter_context(ThreadPoolExecutor(4))
+    context.owner = make_owner(context.engine, count, loaders)
+    context.popular = {key(number) for number in range(popular)}
+    for adapter in context.popular:
+        context.owner.load_and_pin(adapter, 1, time.monotonic())
+
+
+@when('{count:d} adapters of another engine are prepared there one after the other')
+def prepare_adapters(context: Context, count: int) -> None:
+    time.sleep(2 * PIN_S)
+    for number in range(count):
+        with suppress(UnavailableError):
+            context.owner.prepare(key(10 + number), 1)
+        time.sleep(2 * PIN_S)
+
+
+@then('one is loaded and the popular ones stay')
+def check_prepared(context: Context) -> None:
+    assert context.engine.held.keys() == context.popular | {key(10)}
+    assert context.engine.max_held == 3
--- a/src/pimentohoist/_decisions/adapter_slots.py
+++ b/src/pimentohoist/_decisions/adapter_slots.py
@@ -136,7 +136,7 @@
         if len(self.slots) < self.capacity:
             return SlotLoadPlan(adapter, None)
         victim = min(
-            self._evictable(now),
+            self.evictable(now),
             key=lambda held: (self.demand(held, now), str(held)),
             default=None,
         )
@@ -194,9 +194,10 @@
             if has_expired and slot.state is AdapterSlotState.LEAVING:
                 self.slots.pop(adapter)
         free = self.capacity - len(self.slots)
-        return max(0, free) + sum(1 for _ in self._evictable(now))
+        return max(0, free) + sum(1 for _ in self.evictable(now))
 
-    def _evictable(self, now: float) -> Iterable[AdapterKey]:
+    def evictable(self, now: float) -> Iterable[AdapterKey]:
+        """Return the ready adapters that are neither pinned nor in use."""
         used = self._used()
         return (
             adapter
--- a/src/pimentohoist/_entry/endpoint_chooser.py
+++ b/src/pimentohoist/_entry/endpoint_chooser.py
@@ -82,6 +82,13 @@
             return ChosenEndpoint(usable[ranked[0]])
         return self._choose_engine(context, adapter, usable)
 
+    def candidates_for(self, group: str, adapter: AdapterKey) -> list[Candidate]:
+        """Return the engines of a group that a request for an adapter may use."""
+        usable = {
+            endpoint.endpoint_id: endpoint for endpoint in self.endpoints.usable(group)
+        }
+        return self._candidates(_filter_by_model(usable, adapter.model), adapter)
+
     def _unavailable(self, context: RequestContext) -> PimentohoistError:
         group = context.group.name
         quiet_s = self.endpoints.quiet_s(group)
--- a/src/pimentohoist/_entry/engine_owner.py
+++ b/src/pimentohoist/_entry/engine_owner.py
@@ -7,6 +7,10 @@
 from concurrent.futures import Executor
 
 from pimentohoist import _clock
+from pimentohoist._decisions.adapter_handover import (
+    popular_adapters,
+    unpopular_slot_count,
+)
 from pimentohoist._decisions.adapter_slots import AdapterSlots
 from pimentohoist._entry.adapter_loader import AdapterLoader
 from pimentohoist._entry.engine_session import EngineLease, EngineSession, LoadOutcome
@@ -115,6 +119,27 @@
                 pinned_version = self._pin_or_load(adapter, version)
             return pinned_version
 
+    def prepare(self, adapter: AdapterKey, version: int) -> int:
+        """Begin to load an adapter if that evicts none that was requested lately.
+
+        Raises
+        ------
+        UnavailableError
+            The adapter isn't loaded yet.
+        """
+        with self._changed:
+            now = _clock.now()
+            pinned_version = self.adapter_slots.grant(adapter, version, now)
+            if pinned_version is not None:
+                return pinned_version
+            room = unpopular_slot_count(self.adapter_slots, now)
+            is_known = self._is_loaded_or_loading(adapter)
+            if not is_known and room > len(self._pending_loads):
+                # Otherwise the next prepared adapter would evict this one.
+                self.adapter_slots.record_demand(adapter, now)
+                self._begin_load(adapter, version)
+            raise self._unavailable(f'adapter {adapter} not loaded yet')
+
     def record_use(self, member: str, adapters: frozenset[AdapterKey]) -> None:
         """Record which adapters the requests of a daemon use."""
         with self._changed:
@@ -142,6 +167,11 @@
             free = self.adapter_slots.free_adapter_slots(_clock.now())
             return free, [str(adapter) for adapter in self.adapter_slots.slots]
 
+    def popular_adapters(self) -> list[AdapterKey]:
+        """Return the ready adapters that were requested lately, most popular first."""
+        with self._changed:
+            return popular_adapters(self.adapter_slots, _clock.now())
+
     def apply_report(self, report: EngineReport) -> None:
         """Replace the state of the adapter slots by the engine's report."""
         with self._changed:
--- a/src/pimentohoist/_entry/owned_engines.py
+++ b/src/pimentohoist/_entry/owned_engines.py
@@ -119,6 +119,9 @@
 
         Parameters
         ----------
+        wait_s : float
+            Longest wait in seconds. If 0, the load only begins, and only if that evicts
+            no adapter that was requested lately.
         fail_fast : bool
             Refuse at once if a load can't begin now.
 
@@ -216,6 +219,8 @@
             raise UnavailableError(
                 'engine is leaving or wants no requests', step=_STEP, peer=endpoint_id
             )
+        if not wait_s:
+            return engine.prepare(adapter, newest_version)
         deadline = _clock.now() + wait_s
         return engine.load_and_pin(
             adapter, newest_version, deadline, fail_fast=fail_fast
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -32,6 +32,7 @@
 from pimentohoist._entry.filters import Authenticate, ChargeQuota, RejectQuarantined
 from pimentohoist._entry.ownership import OwnershipController
 from pimentohoist._entry.retry_policy import RetryPolicy
+from pimentohoist._entry.leaving_engines import LeavingEngines
 from pimentohoist._entry.members import Heartbeat, MembersController
 from pimentohoist._entry.owned_engines import OwnedEnginesController
 from pimentohoist._entry.quotas import QuotasController
@@ -100,6 +101,7 @@
         )
         self.request_monitor = RequestMonitor(self.endpoints.record_silence)
         self.dispatch = self._dispatch()
+        self.leaving_engines = LeavingEngines(self.dispatch.chooser)
         filters = (
             Authenticate(),
             ChargeQuota(self.quotas),
@@ -136,6 +138,7 @@
                 self.members,
                 self.ownership,
                 self.owned_engines,
+                self.leaving_engines,
                 self.declaration_sync,
                 self.request_monitor,
                 *self._auxiliary_servers(),
