Leave loads for leaving engines out of explanations of other adapters' requests

Cause: such a line names the endpoint, so explain showed it for every request there. Change: it is filtered by adapter, as the other lines on loads are.

--- a/features/ctl.feature
+++ b/features/ctl.feature
@@ -191,6 +191,7 @@
     When the operator runs "explain <id> entry.log"
     Then the command ends with code 0 and prints "<verdict>"
     And it prints "<known>" as known and "<event>" as what happened, in order of time
+    And it prints no load of another adapter
 
     Examples:
       | id     | verdict                                                                       | known                                    | event                           |
--- a/features/steps/ctl_explain_entry.py
+++ b/features/steps/ctl_explain_entry.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import logging
 import sys
 import time
 from contextlib import suppress
 from pathlib import Path
 from types import SimpleNamespace
 
-from behave import given
+from behave import given, then
 from behave.runner import Context
 
 sys.path.append(str(Path(__file__).resolve().parent.parent))
@@ -26,6 +27,7 @@
 """Longer than the time before a request in which events are shown."""
 
 _GRACE_S = 8
+_OTHER_LOAD = 'adapter of a leaving engine requested'
 
 
 @given(
@@ -66,6 +68,8 @@
         shutdown.close()
         with suppress(UnavailableError):
             shutdown.check('late-1', 'models', 4, None)
+        extra = {'endpoint': 'engine-0', 'adapter': 'm1/other'}
+        logging.getLogger('test').info(_OTHER_LOAD, extra=extra)
         shutdown.record_cut([_running('cut-1', 'engine-0'), _running('cut-2', '')])
 
 
@@ -75,3 +79,9 @@
     return MonitoredRequest(
         request_id, now - 2, now + 4, lambda: False, exchange if endpoint else None
     )
+
+
+@then('it prints no load of another adapter')
+def check_no_other_load(context: Context) -> None:
+    assert _OTHER_LOAD in (context.folder / 'entry.log').read_text()
+    assert _OTHER_LOAD not in context.run.stdout, context.run.stdout
--- a/src/pimentohoist/_decisions/explanation.py
+++ b/src/pimentohoist/_decisions/explanation.py
@@ -42,7 +42,7 @@
 """Beginnings of messages on what endpoints ask of a daemon."""
 
 _EMPTY_VALUES = frozenset(('', 'None', '[]'))
-_LOAD_MESSAGES = ('load', 'unload', 'poll')
+_LOAD_MESSAGES = ('load', 'unload', 'poll', 'adapter of a leaving engine')
 
 
 @dataclass(frozen=True, slots=True)
