Soak: runner of real processes with seeded faults from outside

Change: pimentohoist-soak starts daemons, engines, a store, proxies on all links and callers as processes, injects the faults of a seeded plan and writes records for the checks. The stand-ins of store and engine record arrivals and notice clients that leave.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/installed
 PACKAGES := src features
 
-.PHONY: demo test lint format generate bench experiment capacity clean
+.PHONY: demo test lint format generate bench experiment capacity soak clean
 
 $(STAMP): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -29,6 +29,9 @@
 experiment: $(STAMP)
 	$(BIN)/pimentohoist-experiment --faults all
 
+soak: $(STAMP)
+	$(BIN)/pimentohoist-soak
+
 test: $(STAMP)
 	$(BIN)/python features/run.py
 
--- /dev/null
+++ b/src/pimentohoist_standins/_soak/caller_directory.py
@@ -0,0 +1,72 @@
+"""A caller's copy of the directory."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import random
+import time
+from collections.abc import Iterator
+from http import HTTPStatus
+from typing import Any
+
+from pimentohoist_standins._soak.addresses import DIRECTORY_PORT
+
+_TIMEOUT_S = 1.0
+_MAX_ASKED = 3
+_FAILURE_S = 1.0
+"""Time for which a caller avoids an address that failed."""
+
+_PATH = '/v1/resolve?name=house.example&region=r&zone=a'
+
+
+class DirectoryCopy:
+    """The daemons' hosts that the directory named; older if it can't be asked."""
+
+    def __init__(
+        self, daemons: list[str], keeps_s: float, source: random.Random
+    ) -> None:
+        self.known = tuple(daemons)
+        self.keeps_s = keeps_s
+        self.source = source
+        self.named: tuple[str, ...] = ()
+        self.read_at = float('-inf')
+        self.failed_at: dict[str, float] = {}
+
+    def hosts(self) -> tuple[str, ...]:
+        """Return the hosts, asked for anew once the copy is too old."""
+        if time.monotonic() > self.read_at + self.keeps_s:
+            self.named = next(self._answers(), self.named)
+            self.read_at = time.monotonic()
+        return self.named
+
+    def choose(self) -> str:
+        """Return a host at random, if possible one that hasn't failed of late."""
+        since = time.monotonic() - _FAILURE_S
+        working = [host for host in self.named if self.failed_at.get(host, 0) < since]
+        return self.source.choice(working or self.named)
+
+    def record_failure(self, host: str) -> None:
+        """Record that a host gave no whole response."""
+        self.failed_at[host] = time.monotonic()
+
+    def _answers(self) -> Iterator[tuple[str, ...]]:
+        known = tuple(dict.fromkeys((*self.named, *self.known)))
+        for host in self.source.sample(known, min(_MAX_ASKED, len(known))):
+            try:
+                addresses = _ask(host)
+            except (OSError, http.client.HTTPException):
+                continue
+            if addresses:
+                yield tuple(address.partition(':')[0] for address in addresses)
+
+
+def _ask(host: str) -> Any:
+    connection = http.client.HTTPConnection(host, DIRECTORY_PORT, timeout=_TIMEOUT_S)
+    try:
+        connection.request('GET', _PATH)
+        response = connection.getresponse()
+        body = response.read()
+    finally:
+        connection.close()
+    return json.loads(body)['addresses'] if response.status == HTTPStatus.OK else []
--- /dev/null
+++ b/src/pimentohoist_standins/_soak/faults.py
@@ -0,0 +1,258 @@
+"""Injects planned faults, each in a thread of its own."""
+
+from __future__ import annotations
+
+import signal
+import threading
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from types import MappingProxyType
+from typing import Any, Self
+
+from pimentohoist_standins._soak.caller_requests import EXTRA_ROUTES, KEYS
+from pimentohoist_standins._soak.daemons import DaemonFleet
+from pimentohoist_standins._soak.endpoints import EndpointFleet, EndpointProcess
+from pimentohoist_standins._soak.errors import SoakError
+from pimentohoist_standins._soak.links import Links
+from pimentohoist_standins._soak.operator import Operator
+from pimentohoist_standins._soak.plan import ROLL_PAUSE_S, PlannedFault
+from pimentohoist_standins._soak.records import FaultRecord
+from pimentohoist_standins._soak.role_process import RoleProcess
+
+_LEAVE_S = 2.0
+_SERIES_COUNT = 5
+_SERIES_PAUSE_S = 0.15
+_SLOW_STORE_S = 0.4
+_ENTRIES_BACK_S = 1.5
+"""Time after the store's return from a copy until endpoints' entries are back."""
+
+_LINK_FAULTS: Mapping[str, Mapping[str, Any]] = MappingProxyType(
+    {
+        'link_delay': {'delay_s': 0.15},
+        'link_cut_requests': {'is_request_cut': True},
+        'link_cut_responses': {'is_response_cut': True},
+        'link_silent': {'is_request_cut': True, 'is_response_cut': True},
+        'link_slow': {'bytes_per_s': 3000},
+        'link_close': {'close_after_bytes': 700},
+    }
+)
+_STORE_FAULTS: Mapping[str, Mapping[str, Any]] = MappingProxyType(
+    {
+        'store_down': {'is_down': True},
+        'store_slow': {'delay_s': _SLOW_STORE_S},
+        'store_lose_calls': {'is_losing_calls': True},
+        'store_lose_answers': {'is_losing_answers': True},
+    }
+)
+_ENDPOINT_FAULTS: Mapping[str, Mapping[str, Any]] = MappingProxyType(
+    {
+        'engine_silent': {'is_silent': True},
+        'engine_fail': {'failures': 5},
+        'engine_twice': {'extra_responses': 3},
+        'engine_cut': {'cut_after_events': 3},
+        'engine_quiet': {'quiet_s': 0.5},
+    }
+)
+_ENDPOINT_CALM: Mapping[str, Any] = MappingProxyType(
+    {'is_silent': False, 'quiet_s': None}
+)
+
+
+@dataclass
+class Parts:
+    """What faults act on."""
+
+    daemons: DaemonFleet
+    endpoints: EndpointFleet
+    store: RoleProcess
+    links: Links
+    operator: Operator
+
+
+@dataclass
+class FaultInjector:
+    """Injects the faults of a plan and records them.
+
+    Attributes
+    ----------
+    skipped : list of PlannedFault
+        Faults whose target had ended.
+    """
+
+    parts: Parts
+    records: list[FaultRecord] = field(default_factory=list)
+    skipped: list[PlannedFault] = field(default_factory=list)
+    threads: list[threading.Thread] = field(default_factory=list)
+
+    def __enter__(self) -> Self:
+        """Return the injector."""
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Wait for the end of all faults."""
+        while self.threads:
+            self.threads.pop().join()
+
+    def begin(self, fault: PlannedFault) -> None:
+        """Inject a fault now."""
+        thread = threading.Thread(target=self._run, args=(fault,), daemon=True)
+        self.threads.append(thread)
+        thread.start()
+
+    def _run(self, fault: PlannedFault) -> None:
+        name, _, numbers = fault.target.partition(':')
+        inject = _INJECTORS[name]
+        began_at = time.monotonic()
+        try:
+            targets = inject(self.parts, fault, numbers)
+        except SoakError:
+            self.skipped.append(fault)
+            return
+        ended_at = time.monotonic()
+        self.records.extend(
+            FaultRecord(fault.kind, target, began_at, ended_at) for target in targets
+        )
+
+
+def _inject_into_daemon(parts: Parts, fault: PlannedFault, number: str) -> list[str]:
+    daemons = parts.daemons.daemons
+    daemon = daemons[int(number)]
+    process = daemon.process
+    match fault.kind:
+        case 'hup':
+            process.send_signal(signal.SIGHUP)
+        case 'pause':
+            process.send_signal(signal.SIGSTOP)
+            time.sleep(fault.duration_s)
+            process.send_signal(signal.SIGCONT)
+        case 'kill':
+            process.kill()
+            time.sleep(fault.duration_s)
+            daemon.restart()
+        case 'roll':
+            return _roll(parts, fault.duration_s)
+        case _:
+            daemon.stop()
+            time.sleep(fault.duration_s)
+            daemon.restart(is_moving=fault.kind == 'move')
+    return [process.host]
+
+
+def _roll(parts: Parts, pause_s: float) -> list[str]:
+    """Restart all daemons, each some time after the one before has begun to stop."""
+    hosts = [daemon.process.host for daemon in parts.daemons.daemons]
+    threads = []
+    for daemon in parts.daemons.daemons:
+        thread = threading.Thread(target=_stop_and_restart, args=(daemon,), daemon=True)
+        thread.start()
+        threads.append(thread)
+        time.sleep(ROLL_PAUSE_S + pause_s)
+    for started in threads:
+        started.join()
+    return hosts
+
+
+def _stop_and_restart(daemon: Any) -> None:
+    daemon.stop()
+    daemon.restart()
+
+
+def _inject_into_link(parts: Parts, fault: PlannedFault, target: str) -> list[str]:
+    kind, number, *endpoint = target.split(':')
+    host = parts.daemons.daemons[int(number)].process.host
+    name = '-'.join((kind, host, *endpoint))
+    if fault.kind == 'link_reset':
+        parts.links.reset(name)
+        return [name]
+    settings = _LINK_FAULTS[fault.kind]
+    parts.links.configure(name, **settings)
+    time.sleep(fault.duration_s)
+    parts.links.configure(name, **dict.fromkeys(settings, 0))
+    return [name]
+
+
+def _inject_into_store(parts: Parts, fault: PlannedFault, numbers: str) -> list[str]:
+    store = parts.store
+    match fault.kind:
+        case 'store_silent':
+            store.call('configure', is_silent=True)
+            time.sleep(fault.duration_s)
+            store.call('end_silence')
+        case 'store_restore':
+            store.call('save_copy')
+            time.sleep(fault.duration_s)
+            store.call('restore_copy')
+            time.sleep(_ENTRIES_BACK_S)
+            parts.endpoints.announce_again()
+            parts.operator.send()
+        case _:
+            settings = _STORE_FAULTS[fault.kind]
+            store.call('configure', **settings)
+            time.sleep(fault.duration_s)
+            store.call('configure', **dict.fromkeys(settings, 0))
+    return ['store']
+
+
+def _inject_into_endpoint(parts: Parts, fault: PlannedFault, number: str) -> list[str]:
+    endpoint = parts.endpoints.endpoints[int(number)]
+    endpoint_id = endpoint.endpoint_id
+    match fault.kind:
+        case 'engine_crash':
+            endpoint.replace(fault.duration_s)
+        case 'engine_pause':
+            process = endpoint.process
+            process.send_signal(signal.SIGSTOP)
+            time.sleep(fault.duration_s)
+            process.send_signal(signal.SIGCONT)
+        case 'engine_leave':
+            _leave(endpoint, fault.duration_s)
+        case _:
+            process = endpoint.process
+            process.call('configure', **_ENDPOINT_FAULTS[fault.kind])
+            time.sleep(fault.duration_s)
+            if fault.duration_s:
+                process.call('configure', **_ENDPOINT_CALM)
+    return [endpoint_id]
+
+
+def _leave(endpoint: EndpointProcess, duration_s: float) -> None:
+    """Let an endpoint drain, then replace it."""
+    endpoint.process.call('configure', is_leaving=True)
+    endpoint.announce('draining')
+    time.sleep(_LEAVE_S + duration_s)
+    endpoint.replace(0)
+
+
+def _inject_from_operator(parts: Parts, fault: PlannedFault, numbers: str) -> list[str]:
+    operator = parts.operator
+    match fault.kind:
+        case 'key_withdraw':
+            key = sorted(KEYS)[int(fault.at_s * 100) % len(KEYS)]
+            operator.withdrawn.add(key)
+            operator.send()
+            time.sleep(fault.duration_s)
+            operator.withdrawn.discard(key)
+            operator.send()
+        case 'config_series':
+            for _ in range(_SERIES_COUNT):
+                count = (len(operator.extra_routes) + 1) % (EXTRA_ROUTES + 1)
+                operator.extra_routes = [f'extra-{route + 1}' for route in range(count)]
+                operator.send()
+                time.sleep(_SERIES_PAUSE_S)
+        case _:
+            operator.send(is_valid=False)
+    return ['operator']
+
+
+_INJECTORS: Mapping[str, Callable[[Parts, PlannedFault, str], list[str]]] = (
+    MappingProxyType(
+        {
+            'daemon': _inject_into_daemon,
+            'endpoint': _inject_into_endpoint,
+            'link': _inject_into_link,
+            'operator': _inject_from_operator,
+            'store': _inject_into_store,
+        }
+    )
+)
--- a/src/pimentohoist_standins/keyed_store.py
+++ b/src/pimentohoist_standins/keyed_store.py
@@ -15,7 +15,7 @@
 
 from pimentohoist_standins._threaded import SilentHandler, ThreadedStandIn
 
-_PARTITION_COUNT = 12
+PARTITION_COUNT = 12
 _WAIT_SLICE_S = 0.02
 
 
@@ -29,6 +29,12 @@
     is_silent : bool
         Whether calls are neither executed nor answered. Connections that were open
         meanwhile stay silent for good.
+    is_losing_calls : bool
+        Whether calls are dropped before they take effect.
+    is_losing_answers : bool
+        Whether calls take effect and are dropped without an answer.
+    delay_s : float
+        Time that each call takes besides.
     era : int or None
         Named in all answers; None leaves the header out.
     owner : dict of int to str
@@ -39,6 +45,9 @@
         super().__init__(address, _handler(self))
         self.is_down = False
         self.is_silent = False
+        self.is_losing_calls = False
+        self.is_losing_answers = False
+        self.delay_s: float = 0
         self.era: int | None = None
         self._copy: tuple[Any, ...] = ()
         self._silent_before = float('-inf')
@@ -93,39 +102,68 @@
         """Assign all partitions to a member in a new generation."""
         with self._changed:
             self.generation += 1
-            self.owner = dict.fromkeys(range(_PARTITION_COUNT), member)
+            self.owner = dict.fromkeys(range(PARTITION_COUNT), member)
+
+    def view(self, topic: str, body: bytes, client_host: str) -> bytes:
+        """Return a record as a client reads it."""
+        return body
 
     def answer(self, path: str, query: dict[str, str], body: bytes) -> _Reply:
-        """Answer a call by its path."""
+        """Answer a call by its path; `query` names the client's host, too."""
         self.calls += 1
         if self.is_down:
             return _Reply(HTTPStatus.SERVICE_UNAVAILABLE, b'')
         match path:
             case '/v1/log-newest':
-                reply = self._newest(query['topic'])
+                reply = self._newest(query['topic'], query['client-host'])
             case '/v1/log-read':
                 reply = self._read(query)
             case '/v1/log-append':
                 reply = self._append(query['topic'], body)
             case '/v1/log-join':
-                reply = self._join(json.loads(body))
+                reply = self.join_group(json.loads(body))
             case '/v1/log-leave':
-                reply = self._leave(json.loads(body)['member'])
+                reply = self.leave_group(json.loads(body)['member'])
             case _:
                 reply = _Reply(HTTPStatus.NOT_FOUND, b'')
         return reply
 
-    def _newest(self, topic: str) -> _Reply:
+    def leave_group(self, member: str) -> _Reply:
+        """Drop a member; the first of the others gets its partitions."""
+        self.members.discard(member)
+        if member in self.owner.values() and self.members:
+            self.assign_all(min(self.members))
+        return _json_reply({})
+
+    def join_group(self, document: dict[str, Any]) -> _Reply:
+        """Answer a member with its partitions."""
+        member = document['member']
+        self.members.add(member)
+        if not self.owner:
+            self.assign_all(member)
+        group = document['group']
+        rows = [
+            [group, part, 0] for part, owner in self.owner.items() if owner == member
+        ]
+        return _json_reply(
+            {'generation': self.generation, 'ttl-ms': 3000, 'parts': rows}
+        )
+
+    def _newest(self, topic: str, client_host: str) -> _Reply:
         with self._changed:
             newest = {key: body for key, body in self._records[topic] if body}
             dropped = {
                 key for key, body in dict(self._records[topic]).items() if not body
             }
             end = len(self._records[topic])
-        rows = [
-            {'key': key, 'value': base64.b64encode(body).decode(), 'offset': 0}
+        viewed = {
+            key: self.view(topic, body, client_host)
             for key, body in newest.items()
             if key not in dropped
+        }
+        rows = [
+            {'key': key, 'value': base64.b64encode(body).decode(), 'offset': 0}
+            for key, body in viewed.items()
         ]
         return _json_reply({'items': rows, 'has-more': False, 'end': end})
 
@@ -141,32 +179,17 @@
             records = self._records[topic][offset:]
             end = len(self._records[topic])
         offsets = end.to_bytes(8, 'big') + self._first_offsets[topic].to_bytes(8, 'big')
-        return _Reply(HTTPStatus.OK, offsets + b''.join(map(_encode_record, records)))
+        encoded = (
+            _encode_record(key, self.view(topic, body, query['client-host']))
+            for key, body in records
+        )
+        return _Reply(HTTPStatus.OK, offsets + b''.join(encoded))
 
     def _append(self, topic: str, body: bytes) -> _Reply:
         key_end = 5 + body[4]
         self.put(topic, body[5:key_end].decode(), body[key_end:])
         return _json_reply({'offset': 0, 'end': len(self._records[topic])})
 
-    def _leave(self, member: str) -> _Reply:
-        self.members.discard(member)
-        if member in self.owner.values() and self.members:
-            self.assign_all(min(self.members))
-        return _json_reply({})
-
-    def _join(self, document: dict[str, Any]) -> _Reply:
-        member = document['member']
-        self.members.add(member)
-        if not self.owner:
-            self.assign_all(member)
-        group = document['group']
-        rows = [
-            [group, part, 0] for part, owner in self.owner.items() if owner == member
-        ]
-        return _json_reply(
-            {'generation': self.generation, 'ttl-ms': 3000, 'parts': rows}
-        )
-
 
 class _Reply:
     def __init__(self, status: HTTPStatus, body: bytes) -> None:
@@ -178,10 +201,10 @@
     return _Reply(HTTPStatus.OK, json.dumps(document).encode())
 
 
-def _encode_record(record: tuple[str, bytes]) -> bytes:
-    key = record[0].encode()
-    body = bytes((len(key),)) + key + record[1]
-    return len(body).to_bytes(4, 'big') + body
+def _encode_record(key: str, body: bytes) -> bytes:
+    encoded_key = key.encode()
+    record = bytes((len(encoded_key),)) + encoded_key + body
+    return len(record).to_bytes(4, 'big') + record
 
 
 def _handler(store: KeyedStore) -> type[SilentHandler]:
@@ -201,8 +224,19 @@
             if store.is_connection_silent(self.opened_at):
                 self.discard_input()
                 return
+            if store.is_losing_calls:
+                self.close_connection = True
+                return
+            time.sleep(store.delay_s)
             parts = urlsplit(self.path)
-            reply = store.answer(parts.path, dict(parse_qsl(parts.query)), body)
+            query = {
+                **dict(parse_qsl(parts.query)),
+                'client-host': str(self.client_address[0]),
+            }
+            reply = store.answer(parts.path, query, body)
+            if store.is_losing_answers:
+                self.close_connection = True
+                return
             if store.is_connection_silent(self.opened_at):
                 self.discard_input()
                 return
--- a/src/pimentohoist_standins/opaque_engine.py
+++ b/src/pimentohoist_standins/opaque_engine.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import select
+import socket
 import threading
 import time
 from collections import Counter, defaultdict
@@ -10,11 +12,15 @@
 from http import HTTPStatus
 from typing import Any
 
+from pimentohoist_standins._soak.records import RunOutcome
 from pimentohoist_standins._threaded import SilentHandler, ThreadedStandIn
 
 _EVENTS_PER_STREAM = 6
 _RESPONSE_SEAL = '1.2.3'
 _SILENT_POLL_S = 0.05
+_MS_PER_S = 1000
+WORK_MS = 'Work-Ms'
+"""Header by which a test's caller says how long the answer takes."""
 
 
 @dataclass(slots=True)
@@ -182,6 +188,15 @@
             return HTTPStatus.MISDIRECTED_REQUEST
         return None
 
+    def record_arrival(
+        self, path: str, headers: dict[str, str], client_host: str
+    ) -> int:
+        """Record that a request arrived; return a number for `record_end`."""
+        return 0
+
+    def record_end(self, arrival: int, outcome: RunOutcome) -> None:
+        """Record how a request ended."""
+
     def _status_if_done(self, document: dict[str, Any], name: str) -> HTTPStatus | None:
         """Return the status of an order that changes nothing, otherwise None."""
         ready_at = self.state.adapters.get(name)
@@ -234,7 +249,16 @@
     def run_request(self) -> None:
         body = self.read_body()
         headers = {name.lower(): text for name, text in self.headers.items()}
-        self.engine.state.arrivals.append(time.monotonic())
+        engine = self.engine
+        engine.state.arrivals.append(time.monotonic())
+        arrival = engine.record_arrival(self.path, headers, self.client_address[0])
+        outcome = RunOutcome.CANCELLED
+        try:
+            outcome = self.respond(headers, body)
+        finally:
+            engine.record_end(arrival, outcome)
+
+    def respond(self, headers: dict[str, str], body: bytes) -> RunOutcome:
         quiet_s = self.engine.faults.quiet_s
         if quiet_s is not None:
             not_executed = {
@@ -242,38 +266,60 @@
                 'Retry-After': f'{quiet_s}',
             }
             self.send_answer(HTTPStatus.SERVICE_UNAVAILABLE, b'', not_executed)
-            return
+            return RunOutcome.REFUSED
         refusal = self.engine.refusal(headers)
         if refusal is not None:
             self.send_answer(refusal, b'', {'Pimentohoist-Not-Executed': '1'})
-            return
+            return RunOutcome.REFUSED
         request_id = headers.get('pimentohoist-attempt-id', '')
         self.engine.state.executed_requests.append(
             ExecutedRequest(request_id, self.path, headers, body)
         )
+        return self.execute(request_id, headers)
+
+    def execute(self, request_id: str, headers: dict[str, str]) -> RunOutcome:
+        faults = self.engine.faults
         response_headers = {
             'Pimentohoist-Attempt-Id': request_id,
             'Pimentohoist-Response-Seal': _RESPONSE_SEAL,
         }
-        while self.engine.faults.is_silent:
-            time.sleep(_SILENT_POLL_S)
-        if self.engine.faults.failures > 0:
-            self.engine.faults.failures -= 1
+        while faults.is_silent:
+            self.wait(_SILENT_POLL_S)
+        if faults.failures > 0:
+            faults.failures -= 1
             self.send_answer(
                 HTTPStatus.INTERNAL_SERVER_ERROR, b'failed', response_headers
             )
-        elif self.engine.model:
-            self.send_stream(response_headers, int(headers.get('last-event-id', '0')))
-        else:
-            self.send_answer(
-                HTTPStatus.OK, b'answer to ' + request_id.encode(), response_headers
+            return RunOutcome.FAILED
+        if self.engine.model:
+            return self.send_stream(
+                response_headers, int(headers.get('last-event-id', '0'))
             )
-            if self.engine.faults.extra_responses > 0:
-                self.engine.faults.extra_responses -= 1
-                self.send_answer(HTTPStatus.OK, b'nobody asked')
-
-    def send_stream(self, response_headers: dict[str, str], last_id: int) -> None:
+        self.wait(int(headers.get(WORK_MS.lower(), '0')) / _MS_PER_S)
+        self.send_answer(
+            HTTPStatus.OK, b'answer to ' + request_id.encode(), response_headers
+        )
+        if faults.extra_responses > 0:
+            faults.extra_responses -= 1
+            self.send_answer(HTTPStatus.OK, b'nobody asked')
+        return RunOutcome.COMPLETED
+
+    def wait(self, duration_s: float) -> None:
+        """Wait; raise ConnectionAbortedError if the client disconnects meanwhile."""
+        until = time.monotonic() + duration_s
+        readable, _, _ = select.select([self.connection], [], [], duration_s)
+        if readable and not self.connection.recv(1, socket.MSG_PEEK):
+            raise ConnectionAbortedError('the client disconnected')
+        time.sleep(max(0, until - time.monotonic()))
+
+    def send_stream(self, response_headers: dict[str, str], last_id: int) -> RunOutcome:
         faults = self.engine.faults
+        work_ms = self.headers.get(WORK_MS)
+        event_s = (
+            faults.event_s
+            if work_ms is None
+            else int(work_ms) / _MS_PER_S / _EVENTS_PER_STREAM
+        )
         cut_after_events, faults.cut_after_events = faults.cut_after_events, None
         self.send_response(HTTPStatus.OK)
         headers = {
@@ -289,14 +335,18 @@
                 # Cuts the stream in the middle of an event.
                 self.send_chunk(b'id: 9')
                 self.close_connection = True
-                return
-            time.sleep(faults.event_s)
+                return RunOutcome.BROKEN_OFF
             try:
-                self.send_chunk(f'id: {number}\ndata: token {number}\n\n'.encode())
+                self.send_event(number, event_s)
             except OSError:
                 self.engine.state.disconnected_streams += 1
                 raise
         self.wfile.write(b'0\r\n\r\n')
+        return RunOutcome.COMPLETED
+
+    def send_event(self, number: int, event_s: float) -> None:
+        self.wait(event_s)
+        self.send_chunk(f'id: {number}\ndata: token {number}\n\n'.encode())
 
     def send_chunk(self, data: bytes) -> None:
         self.wfile.write(f'{len(data):x}\r\n'.encode() + data + b'\r\n')
