--- /dev/null
+++ b/features/steps/soak.py
@@ -0,0 +1,182 @@
+"""Steps for the fault soak."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import uuid
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from behave import given, then, when
+from behave.runner import Context
+
+from pimentohoist_standins._soak.errors import SoakError
+from pimentohoist_standins._soak.plan import SoakOptions, draw_plan, read_plan
+
+_START = 'from pimentohoist_standins.soak import main; main()'
+_MARK = 'PIMENTOHOIST_SOAK_TEST'
+_TIMEOUT_S = 150
+
+
+def start_soak(context: Context, options: list[str]) -> subprocess.Popen:
+    """Start the soak; its processes inherit a mark by which they are found."""
+    context.mark = uuid.uuid4().hex
+    folder = Path(context.stack.enter_context(TemporaryDirectory()))
+    context.report = folder / 'report.json'
+    return subprocess.Popen(
+        [sys.executable, '-c', _START, *options, f'--report={context.report}'],
+        env={**os.environ, _MARK: context.mark},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+
+def finish_soak(context: Context, process: subprocess.Popen) -> None:
+    context.output, context.errors = process.communicate(timeout=_TIMEOUT_S)
+    context.status = process.returncode
+
+
+def reports(context: Context) -> list[dict]:
+    return [json.loads(line) for line in context.report.read_text().splitlines()]
+
+
+def marked_processes(mark: str) -> list[str]:
+    """Return the commands of running processes that have the mark."""
+    found = []
+    for folder in Path('/proc').glob('[0-9]*'):
+        try:
+            environment = (folder / 'environ').read_bytes()
+            command = (folder / 'cmdline').read_bytes()
+        except OSError:
+            continue
+        if f'{_MARK}={mark}'.encode() in environment:
+            found.append(command.replace(b'\0', b' ').decode())
+    return found
+
+
+@when(
+    'seeds {first:d} to {last:d} are played for {seconds:d} s each '
+    'with {daemons:d} daemons, {engines:d} engines and {callers:d} callers'
+)
+def play_seeds(
+    context: Context,
+    first: int,
+    last: int,
+    seconds: int,
+    daemons: int,
+    engines: int,
+    callers: int,
+) -> None:
+    sizes = [f'--daemons={daemons}', f'--engines={engines}', f'--callers={callers}']
+    options = [f'--seeds={first}:{last}', f'--seconds={seconds}', *sizes]
+    finish_soak(context, start_soak(context, options))
+
+
+@when('a run of {seconds:d} s with a planted fault is played')
+def play_planted(context: Context, seconds: int) -> None:
+    sizes = ['--daemons=1', '--engines=1', '--callers=8', '--kinds=none']
+    options = [f'--seconds={seconds}', '--is_planted', *sizes]
+    finish_soak(context, start_soak(context, options))
+
+
+@given('a socket that listens at {address}')
+def listen(context: Context, address: str) -> None:
+    host, _, port = address.partition(':')
+    listening = context.stack.enter_context(socket.socket())
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listening.bind((host, int(port)))
+    listening.listen()
+
+
+@when('the soak is started with {options}')
+def start_with(context: Context, options: str) -> None:
+    finish_soak(context, start_soak(context, options.split()))
+
+
+@when('the soak gets {name} {delay_s:d} s after its start')
+def interrupt(context: Context, name: str, delay_s: int) -> None:
+    sizes = ['--daemons=2', '--engines=2', '--callers=8', '--seconds=20']
+    process = start_soak(context, sizes)
+    time.sleep(delay_s)
+    assert len(marked_processes(context.mark)) > 1, 'nothing was started'
+    process.send_signal(signal.Signals[name])
+    finish_soak(context, process)
+
+
+@then('the soak ends with status {status:d}')
+def check_status(context: Context, status: int) -> None:
+    assert context.status == status, (context.status, context.output, context.errors)
+
+
+@then('no promise is broken')
+def check_unbroken(context: Context) -> None:
+    broken = [violation for row in reports(context) for violation in row['violations']]
+    assert not broken, broken
+
+
+@then('each check has applied in some run')
+def check_applied(context: Context) -> None:
+    applied: dict[str, int] = {}
+    for row in reports(context):
+        for promise, count in row['checks'].items():
+            applied[promise] = applied.get(promise, 0) + count
+    assert applied, 'there are no checks'
+    assert all(applied.values()), applied
+
+
+@then('the report names the request that ran twice')
+def check_named(context: Context) -> None:
+    violations = reports(context)[0]['violations']
+    named = [violation for violation in violations if violation['request_id']]
+    assert named, violations
+
+
+@then('the only line of its errors says "{text}"')
+def check_error(context: Context, text: str) -> None:
+    lines = context.errors.splitlines()
+    assert len(lines) == 1, lines
+    assert text in lines[0], lines
+
+
+@then('nothing of the soak is left running')
+def check_nothing_left(context: Context) -> None:
+    left = marked_processes(context.mark)
+    assert not left, left
+
+
+@then('each of {count:d} seeds gives the same plan twice')
+def check_plans(context: Context, count: int) -> None:
+    options = [SoakOptions(seed) for seed in range(count)]
+    context.plans = [draw_plan(option) for option in options]
+    assert context.plans == [draw_plan(option) for option in options]
+    assert len({plan.faults for plan in context.plans}) == count
+
+
+@then('each plan is read from its report as it was')
+def check_replay(context: Context) -> None:
+    texts = [json.dumps(plan.document()) for plan in context.plans]
+    assert context.plans == [read_plan(json.loads(text)) for text in texts]
+
+
+@then("a plan that names a daemon that isn't there is refused")
+def check_misfit(context: Context) -> None:
+    document = json.loads(json.dumps(context.plans[0].document()))
+    document['faults'][0] = {
+        'at_s': 1.0,
+        'kind': 'term',
+        'target': 'daemon:4',
+        'duration_s': 1.0,
+    }
+    message = ''
+    try:
+        read_plan(document)
+    except SoakError as error:
+        message = str(error)
+    assert 'does not fit' in message
--- a/src/pimentohoist_standins/_soak/daemons.py
+++ b/src/pimentohoist_standins/_soak/daemons.py
@@ -88,15 +88,13 @@
                 stderr=output,
                 start_new_session=True,
             )
-        self._thread = threading.Thread(target=self._watch, daemon=True)
-        self._thread.start()
+        threading.Thread(target=self._watch, daemon=True).start()
         return self
 
     def __exit__(self, *exc_info: object) -> None:
         """Kill the process if it still runs."""
-        if not self._ended.is_set():
-            self.kill()
-        self._thread.join()
+        self.popen.kill()
+        self._ended.wait()
 
     @property
     def is_ended(self) -> bool:
@@ -107,6 +105,14 @@
         """Wait for the end of the process; return whether it came."""
         return self._ended.wait(timeout_s)
 
+    def wait_ready(self, deadline: float) -> None:
+        """Wait until the daemon is ready; raise a SoakError if it isn't in time."""
+        while self.ready_at is None:
+            if self.is_ended or time.monotonic() > deadline:
+                lines = self.log.read_text().splitlines() or ['no log']
+                raise SoakError(f'daemon {self.host} not ready: {lines[-1]}')
+            time.sleep(_POLL_S)
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal if the process runs."""
         if number is signal.SIGTERM and self.signalled_at is None:
@@ -143,9 +149,14 @@
         self._ended.set()
 
     def _is_running(self) -> bool:
+        options = os.WEXITED | os.WNOHANG | os.WNOWAIT
+        with suppress(ChildProcessError):
+            if os.waitid(os.P_PID, self.popen.pid, options) is None:
+                return True
         # The processor time of an ended process is known until it is waited for.
-        self.cpu_s = cpu_seconds(self.popen.pid) or self.cpu_s
-        return self.popen.poll() is None
+        self.cpu_s = cpu_seconds(self.popen.pid)
+        self.popen.wait()
+        return False
 
 
 class Daemon:
@@ -212,11 +223,7 @@
         """Wait until all are ready; raise a SoakError if one isn't."""
         deadline = time.monotonic() + timeout_s
         for daemon in self.daemons:
-            process = daemon.process
-            while process.ready_at is None:
-                if process.is_ended or time.monotonic() > deadline:
-                    raise SoakError(f'daemon {process.host} does not start')
-                time.sleep(_POLL_S)
+            daemon.process.wait_ready(deadline)
 
     def next_slot(self) -> int:
         """Return the number of a new address, whose proxies are open."""
--- a/src/pimentohoist_standins/_soak/endpoints.py
+++ b/src/pimentohoist_standins/_soak/endpoints.py
@@ -11,6 +11,7 @@
 
 from pimentohoist_standins._soak.addresses import SERVICE_PORT, Network
 from pimentohoist_standins._soak.caller_requests import MODEL
+from pimentohoist_standins._soak.errors import SoakError
 from pimentohoist_standins._soak.operator import ENGINE_GROUP, SERVICE_GROUP
 from pimentohoist_standins._soak.role_process import RoleProcess
 
@@ -72,6 +73,7 @@
         self.endpoints: list[EndpointProcess] = []
         self.processes: list[RoleProcess] = []
         self.entries: dict[str, dict[str, object] | None] = {}
+        self.is_closing = False
         self._lock = threading.Lock()
 
     def __enter__(self) -> Self:
@@ -80,6 +82,8 @@
 
     def __exit__(self, *exc_info: object) -> None:
         """End all processes."""
+        with self._lock:
+            self.is_closing = True
         self.stack.close()
 
     def start(self, engines: int, services: int) -> None:
@@ -121,6 +125,8 @@
             path=str(self.folder / f'{name}.records'),
         )
         with self._lock:
+            if self.is_closing:
+                raise SoakError('the soak is closing')
             self.stack.enter_context(process)
             self.processes.append(process)
         return process
--- a/src/pimentohoist_standins/_soak/faults.py
+++ b/src/pimentohoist_standins/_soak/faults.py
@@ -90,8 +90,8 @@
         return self
 
     def __exit__(self, *exc_info: object) -> None:
-        """Wait for the end of all faults."""
-        while self.threads:
+        """Wait for the end of all faults, unless the run is interrupted."""
+        while self.threads and exc_info[0] is None:
             self.threads.pop().join()
 
     def begin(self, fault: PlannedFault) -> None:
@@ -220,8 +220,10 @@
     """Let an endpoint drain, then replace it."""
     endpoint.process.call('configure', is_leaving=True)
     endpoint.announce('draining')
+    leaving_id = endpoint.endpoint_id
     time.sleep(_LEAVE_S + duration_s)
-    endpoint.replace(0)
+    if endpoint.endpoint_id == leaving_id:
+        endpoint.replace(0)
 
 
 def _inject_from_operator(parts: Parts, fault: PlannedFault, numbers: str) -> list[str]:
@@ -242,6 +244,8 @@
                 time.sleep(_SERIES_PAUSE_S)
         case _:
             operator.send(is_valid=False)
+            time.sleep(fault.duration_s)
+            operator.send()
     return ['operator']
 
 
--- a/src/pimentohoist_standins/_soak/operator.py
+++ b/src/pimentohoist_standins/_soak/operator.py
@@ -27,6 +27,7 @@
 _CALL_TIMEOUT_S = 1.0
 _RETRY_PAUSE_S = 0.3
 _MAX_TRIES = 30
+_SPOILS = 4
 _MS_PER_S = 1000
 _MAX_CONNECTIONS = 200
 _RATES = MappingProxyType({'house': (0, 0), 'yard': (20_000.0, 20_000.0)})
@@ -55,7 +56,10 @@
         self._lock = threading.Lock()
 
     def send(self, *, is_valid: bool = True) -> None:
-        """Send the configuration until the store acknowledges it or tries are used up."""
+        """Send the configuration until the store acknowledges it or tries are used up.
+
+        An invalid one lacks a field or names a group that isn't there; the version decides.
+        """
         with self._lock:
             self._version += 1
             keys = {
@@ -65,7 +69,7 @@
             }
             document = self._document(keys)
             if not is_valid:
-                document['routes'][0].pop('service')
+                _spoil(document)
             sent_at = time.monotonic()
             acknowledged_at = self._send_with_retries(json.dumps(document).encode())
             record = ConfigurationRecord(
@@ -122,6 +126,19 @@
         }
 
 
+def _spoil(document: dict[str, Any]) -> None:
+    route = document['routes'][0]
+    match document['version'] % _SPOILS:
+        case 0:
+            route.pop('service')
+        case 1:
+            route['service'] = 'nowhere'
+        case 2:
+            document.pop('services')
+        case _:
+            route['kind'] = 'unknown'
+
+
 def _route(name: str, kind: str, group: str) -> dict[str, Any]:
     return {
         'name': name,
--- a/src/pimentohoist_standins/_soak/plan.py
+++ b/src/pimentohoist_standins/_soak/plan.py
@@ -28,7 +28,8 @@
 _MOMENT_S = (0, 0)
 _SHORT_S = (0.2, 2)
 _LONG_S = (0.3, 5)
-_MIN_SECONDS = 8.0
+_SECONDS_RANGE = (8, 3600)
+_SEED_RANGE = (0, 1_000_000_000)
 _MAX_COUNT = 100
 
 
@@ -55,8 +56,8 @@
         (_ENDPOINT, _MOMENT_S, 'engine_fail engine_twice engine_cut'),
         (_ENDPOINT, _SHORT_S, 'engine_crash engine_leave engine_quiet'),
         (_ENDPOINT, _LONG_S, 'engine_pause engine_silent'),
-        ('operator', _MOMENT_S, 'config_series config_invalid'),
-        ('operator', _LONG_S, 'key_withdraw'),
+        ('operator', _MOMENT_S, 'config_series'),
+        ('operator', _LONG_S, 'key_withdraw config_invalid'),
     ):
         for name in names.split():
             yield name, FaultKind(target, *range_s)
@@ -78,7 +79,7 @@
     """
 
     seed: int
-    seconds: float = 30
+    seconds: int = 30
     daemons: int = 4
     engines: int = 4
     callers: int = 30
@@ -122,11 +123,12 @@
     unknown = sorted(set(options.kinds) - KINDS.keys())
     if unknown:
         raise SoakError(f'--kinds: unknown {unknown[0]}; known: {", ".join(KINDS)}')
-    if options.seconds < _MIN_SECONDS:
-        raise SoakError(f'--seconds: expected {_MIN_SECONDS:g} or more')
-    for name in ('daemons', 'engines', 'callers'):
-        if not 0 < getattr(options, name) <= _MAX_COUNT:
-            raise SoakError(f'--{name}: expected 1 to {_MAX_COUNT}')
+    limits = dict.fromkeys(('daemons', 'engines', 'callers'), (1, _MAX_COUNT))
+    limits.update(seconds=_SECONDS_RANGE, seed=_SEED_RANGE)
+    for name, (least, most) in limits.items():
+        number = getattr(options, name)
+        if not (isinstance(number, int) and least <= number <= most):
+            raise SoakError(f'--{name}: expected {least} to {most}, got {number!r}')
 
 
 def draw_plan(options: SoakOptions) -> SoakPlan:
--- a/src/pimentohoist_standins/soak.py
+++ b/src/pimentohoist_standins/soak.py
@@ -34,6 +34,7 @@
 _NETWORKS = 150
 _BROKEN_STATUS = 1
 _BAD_INPUT_STATUS = 2
+_INTERRUPTED_STATUS = 130
 
 
 def run(
@@ -72,6 +73,8 @@
     except SoakError as error:
         sys.stderr.write(f'pimentohoist-soak: {error}\n')
         sys.exit(_BAD_INPUT_STATUS)
+    except KeyboardInterrupt:
+        sys.exit(_INTERRUPTED_STATUS)
     sys.exit(_BROKEN_STATUS if any(broken) else 0)
 
 
