--- a/features/entry_fleet.py
+++ b/features/entry_fleet.py
@@ -16,36 +16,14 @@
 from pathlib import Path
 from typing import Any, Self
 
+from pimentohoist_standins._soak.daemons import SETTINGS_TEMPLATE
+from pimentohoist_standins._soak.records import Bounds
 from pimentohoist_standins.keyed_store import KeyedStore
 from pimentohoist_standins.opaque_engine import OpaqueEngine
 
 MODEL = 'm1'
 KEY = 'key-of-house'
 _ENTRY_SCRIPT = Path(__file__).resolve().parent.parent / 'src' / 'pimentohoist_entry.py'
-_SETTINGS_TEMPLATE = """
-[daemon]
-name = "{name}"
-failure_domain = "a"
-host = "{host}"
-port_range = "7600,7615"
-seeds = "{seeds}"
-[listen]
-callers = "{host}:8000"
-ready = "{host}:8001"
-control = "{host}:8002"
-directory = "{host}:8003"
-[store]
-address = "{store}"
-partitions = 12
-[bounds]
-engines_check_fences = true
-retry_ratio = 0.2
-retry_slack = 54
-retry_window_s = 10
-lease_ms = 3000
-grace_s = 8
-most_directory_age_s = 5
-"""
 
 
 @dataclass(frozen=True)
@@ -124,8 +102,8 @@
             host = f'{self.network}.{100 + len(self.daemons)}'
             settings = self.folder / f'{host}.toml'
             seeds = ','.join(f'{daemon.host}:8002' for daemon in self.daemons)
-            text = _SETTINGS_TEMPLATE.format(
-                name=host, host=host, seeds=seeds, store=self.store.address
+            text = SETTINGS_TEMPLATE.format(
+                host=host, seeds=seeds, store=self.store.address, bounds=Bounds()
             )
             settings.write_text(text)
             daemon = EntryProcess(
--- a/src/pimentohoist_standins/_soak/caller_connection.py
+++ b/src/pimentohoist_standins/_soak/caller_connection.py
@@ -23,6 +23,8 @@
     ----------
     leaves_at : float
         When the caller stops to wait.
+    is_kept : bool
+        Whether the connection had carried a request before.
     is_leaving_early : bool
         Whether that is before its deadline.
     slow_read_s : float
@@ -30,6 +32,8 @@
     """
 
     leaves_at: float
+    sent_at: float
+    is_kept: bool
     is_leaving_early: bool = False
     slow_read_s: float = 0
     read_at: float | None = None
--- a/src/pimentohoist_standins/_soak/caller_directory.py
+++ b/src/pimentohoist_standins/_soak/caller_directory.py
@@ -2,17 +2,14 @@
 
 from __future__ import annotations
 
-import http.client
 import json
 import random
 import time
 from collections.abc import Iterator
-from http import HTTPStatus
-from typing import Any
 
 from pimentohoist_standins._soak.addresses import DIRECTORY_PORT
+from pimentohoist_standins._soak.http_call import call
 
-_TIMEOUT_S = 1.0
 _MAX_ASKED = 3
 _FAILURE_S = 1.0
 """Time for which a caller avoids an address that failed."""
@@ -53,20 +50,7 @@
     def _answers(self) -> Iterator[tuple[str, ...]]:
         known = tuple(dict.fromkeys((*self.named, *self.known)))
         for host in self.source.sample(known, min(_MAX_ASKED, len(known))):
-            try:
-                addresses = _ask(host)
-            except (OSError, http.client.HTTPException):
-                continue
+            body = call(host, DIRECTORY_PORT, 'GET', _PATH)
+            addresses = json.loads(body)['addresses'] if body else ()
             if addresses:
                 yield tuple(address.partition(':')[0] for address in addresses)
-
-
-def _ask(host: str) -> Any:
-    connection = http.client.HTTPConnection(host, DIRECTORY_PORT, timeout=_TIMEOUT_S)
-    try:
-        connection.request('GET', _PATH)
-        response = connection.getresponse()
-        body = response.read()
-    finally:
-        connection.close()
-    return json.loads(body)['addresses'] if response.status == HTTPStatus.OK else []
--- a/src/pimentohoist_standins/_soak/callers.py
+++ b/src/pimentohoist_standins/_soak/callers.py
@@ -33,6 +33,11 @@
 
 _LEAST_LEFT_S = 0.001
 _SLOW_READ_S = 0.05
+_REQUEST_FIELDS = ('route', 'kind', 'key', 'workspace', 'adapter', 'tokens')
+_EXCHANGE_FIELDS = (
+    *('sent_at', 'read_at', 'first_byte_at', 'status', 'retry_after_s', 'is_whole'),
+    *('events', 'end', 'is_kept'),
+)
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _FINAL_STATUSES = frozenset((200, 400, 401, 404, 413, 431))
 _RETRY_AFTER_SHARE = 1 / 3
@@ -121,7 +126,7 @@
         self.attempts += 1
         sent_at = time.monotonic()
         left_s = max(_LEAST_LEFT_S, deadline - sent_at)
-        seen = Exchange(deadline)
+        seen = Exchange(deadline, sent_at, connection.requests > 0)
         if _happens(self.source, self.habits.leaves):
             seen.is_leaving_early = True
             seen.leaves_at = (
@@ -130,10 +135,9 @@
         if _happens(self.source, self.habits.reads_slowly):
             seen.slow_read_s = _SLOW_READ_S
         request_id = f'{self.name}-{self.attempts}'
-        is_kept = connection.requests > 0
         connection.exchange(request.path, request.headers(request_id, left_s), seen)
         sent = replace(request, deadline_s=left_s)
-        self._record(request_id, connection.daemon, sent, seen, sent_at, is_kept)
+        self._record(request_id, connection.daemon, sent, seen)
         if not seen.is_whole:
             self.directory.record_failure(connection.daemon)
         if seen.is_closing or not self.habits.is_keeping:
@@ -162,35 +166,17 @@
             self.connection = None
 
     def _record(
-        self,
-        request_id: str,
-        daemon: str,
-        request: CallerRequest,
-        seen: Exchange,
-        sent_at: float,
-        is_kept: bool,
+        self, request_id: str, daemon: str, sent: CallerRequest, seen: Exchange
     ) -> None:
+        fields = {name: getattr(sent, name) for name in _REQUEST_FIELDS}
+        fields |= {name: getattr(seen, name) for name in _EXCHANGE_FIELDS}
         record = CallerRecord(
             request_id=request_id,
             daemon=daemon,
-            route=request.route,
-            kind=request.kind,
-            key=request.key,
-            workspace=request.workspace,
-            adapter=request.adapter,
-            tokens=request.tokens,
-            timeout_s=min(request.deadline_s, TIMEOUT_S),
-            sent_at=sent_at,
-            read_at=seen.read_at,
-            first_byte_at=seen.first_byte_at,
+            timeout_s=min(sent.deadline_s, TIMEOUT_S),
             ended_at=time.monotonic(),
-            status=seen.status,
-            retry_after_s=seen.retry_after_s,
             has_seal='pimentohoist-response-seal' in seen.headers,
-            is_whole=seen.is_whole,
-            events=seen.events,
-            end=seen.end,
-            is_kept=is_kept,
+            **fields,
         )
         self.records.write(self.records.next_number(), record)
 
--- a/src/pimentohoist_standins/_soak/daemons.py
+++ b/src/pimentohoist_standins/_soak/daemons.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import http.client
 import os
 import signal
 import subprocess
@@ -11,7 +10,6 @@
 import time
 from collections.abc import Callable
 from contextlib import suppress
-from http import HTTPStatus
 from pathlib import Path
 from typing import Self
 
@@ -22,15 +20,15 @@
     Network,
 )
 from pimentohoist_standins._soak.errors import SoakError
+from pimentohoist_standins._soak.http_call import call
 from pimentohoist_standins._soak.records import Bounds, ProcessRecord
 from pimentohoist_standins._soak.role_process import cpu_seconds
 
 _ENTRY_SCRIPT = Path(__file__).resolve().parents[2] / 'pimentohoist_entry.py'
 _POLL_S = 0.02
 _READY_POLL_S = 0.1
-_READY_TIMEOUT_S = 0.5
 _MAX_SEEDS = 3
-_SETTINGS_TEMPLATE = """
+SETTINGS_TEMPLATE = """
 [daemon]
 name = "{host}"
 failure_domain = "a"
@@ -93,8 +91,8 @@
 
     def __exit__(self, *exc_info: object) -> None:
         """Kill the process if it still runs."""
-        self.popen.kill()
-        self._ended.wait()
+        if not self.is_ended:
+            self.kill()
 
     @property
     def is_ended(self) -> bool:
@@ -143,7 +141,8 @@
             now = time.monotonic()
             if self.ready_at is None and now > asked_at + _READY_POLL_S:
                 asked_at = now
-                self.ready_at = time.monotonic() if _is_ready(self.host) else None
+                is_ready = call(self.host, READY_PORT, 'GET', '/v1/ready') is not None
+                self.ready_at = time.monotonic() if is_ready else None
             time.sleep(_POLL_S)
         self.ended_at = time.monotonic()
         self._ended.set()
@@ -241,7 +240,7 @@
             f'{daemon.process.host}:{CONTROL_PORT}'
             for daemon in self.daemons[:_MAX_SEEDS]
         )
-        text = _SETTINGS_TEMPLATE.format(
+        text = SETTINGS_TEMPLATE.format(
             host=host,
             store=f'{self.network.store_link(slot)}:{SERVICE_PORT}',
             bounds=Bounds(),
@@ -254,12 +253,3 @@
                 raise SoakError('the soak is closing')
             self.processes.append(process.__enter__())
         return process
-
-
-def _is_ready(host: str) -> bool:
-    connection = http.client.HTTPConnection(host, READY_PORT, timeout=_READY_TIMEOUT_S)
-    with suppress(OSError, http.client.HTTPException):
-        connection.request('GET', '/v1/ready')
-        return connection.getresponse().status == HTTPStatus.OK
-    connection.close()
-    return False
--- a/src/pimentohoist_standins/_soak/links.py
+++ b/src/pimentohoist_standins/_soak/links.py
@@ -40,21 +40,10 @@
         if slot > MAX_SLOTS:
             raise SoakError(f'the plan needs more than {MAX_SLOTS} addresses')
         network, host = self.network, self.network.daemon(slot)
+        callers, store = network.callers_link(slot), network.store_link(slot)
         links = {
-            f'callers-{host}': (
-                network.callers_link(slot),
-                CALLERS_PORT,
-                host,
-                CALLERS_PORT,
-                '',
-            ),
-            f'store-{host}': (
-                network.store_link(slot),
-                SERVICE_PORT,
-                network.store,
-                SERVICE_PORT,
-                host,
-            ),
+            f'callers-{host}': (callers, CALLERS_PORT, host, CALLERS_PORT, ''),
+            f'store-{host}': (store, SERVICE_PORT, network.store, SERVICE_PORT, host),
         }
         engine_links = {
             f'{_ENGINE_LINK}{host}-{index}': (
--- a/src/pimentohoist_standins/_soak/operator.py
+++ b/src/pimentohoist_standins/_soak/operator.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import http.client
 import json
 import threading
 import time
-from http import HTTPStatus
 from types import MappingProxyType
 from typing import Any
 
@@ -18,13 +16,13 @@
     PLAIN_TOKENS,
     TIMEOUT_S,
 )
+from pimentohoist_standins._soak.http_call import call
 from pimentohoist_standins._soak.records import ConfigurationRecord
 
 ENGINE_GROUP = 'models'
 SERVICE_GROUP = 'ledger'
 _KEY = b'config'
 _APPEND_PATH = '/v1/log-append?topic=keyed.op&part=0'
-_CALL_TIMEOUT_S = 1.0
 _RETRY_PAUSE_S = 0.3
 _MAX_TRIES = 30
 _SPOILS = 4
@@ -84,26 +82,14 @@
             self.records.append(record)
 
     def _send_with_retries(self, body: bytes) -> float | None:
+        record = bytes((0, 0, 0, 0, len(_KEY))) + _KEY + body
         for _ in range(_MAX_TRIES):
-            if self._append(body):
+            reply = call(self.network.store, SERVICE_PORT, 'POST', _APPEND_PATH, record)
+            if reply is not None:
                 return time.monotonic()
             time.sleep(_RETRY_PAUSE_S)
         return None
 
-    def _append(self, body: bytes) -> bool:
-        """Append to the store; return whether it acknowledged."""
-        connection = http.client.HTTPConnection(
-            self.network.store, SERVICE_PORT, timeout=_CALL_TIMEOUT_S
-        )
-        record = bytes((0, 0, 0, 0, len(_KEY))) + _KEY + body
-        try:
-            connection.request('POST', _APPEND_PATH, record)
-            return connection.getresponse().status == HTTPStatus.OK
-        except (OSError, http.client.HTTPException):
-            return False
-        finally:
-            connection.close()
-
     def _document(self, keys: dict[str, str]) -> dict[str, Any]:
         routes = [
             _route('models', 'stream', ENGINE_GROUP),
