--- a/src/pimentohoist_standins/_soak/endpoints.py
+++ b/src/pimentohoist_standins/_soak/endpoints.py
@@ -102,7 +102,7 @@
 
     def announce_again(self) -> None:
         """Write all entries again, after the store lost some."""
-        self.store.call('put_documents', topic=_TOPIC, documents=self.entries)
+        self.store.call('put_documents', topic=_TOPIC, documents=dict(self.entries))
 
     def set_entry(self, endpoint_id: str, document: dict[str, object] | None) -> None:
         """Write one entry."""
--- a/src/pimentohoist_standins/_soak/faults.py
+++ b/src/pimentohoist_standins/_soak/faults.py
@@ -78,11 +78,14 @@
     ----------
     skipped : list of PlannedFault
         Faults whose target had ended.
+    errors : list of Exception
+        Other errors; the first one ends the run.
     """
 
     parts: Parts
     records: list[FaultRecord] = field(default_factory=list)
     skipped: list[PlannedFault] = field(default_factory=list)
+    errors: list[Exception] = field(default_factory=list)
     threads: list[threading.Thread] = field(default_factory=list)
 
     def __enter__(self) -> Self:
@@ -93,6 +96,8 @@
         """Wait for the end of all faults, unless the run is interrupted."""
         while self.threads and exc_info[0] is None:
             self.threads.pop().join()
+        if self.errors and exc_info[0] is None:
+            raise self.errors[0]
 
     def begin(self, fault: PlannedFault) -> None:
         """Inject a fault now."""
@@ -109,6 +114,9 @@
         except SoakError:
             self.skipped.append(fault)
             return
+        except Exception as error:
+            self.errors.append(error)
+            return
         ended_at = time.monotonic()
         self.records.extend(
             FaultRecord(fault.kind, target, began_at, ended_at) for target in targets
--- a/src/pimentohoist_standins/_soak/role_process.py
+++ b/src/pimentohoist_standins/_soak/role_process.py
@@ -66,7 +66,8 @@
         with self._lock:
             assert self.popen.stdin is not None
             try:
-                print(line, file=self.popen.stdin, flush=True)  # noqa: WPS421
+                self.popen.stdin.write(f'{line}\n')
+                self.popen.stdin.flush()
             except (OSError, ValueError) as error:
                 raise SoakError(f'{self.role}: process ended: {error}') from error
             return self._read_reply()
--- a/src/pimentohoist_standins/opaque_engine.py
+++ b/src/pimentohoist_standins/opaque_engine.py
@@ -231,7 +231,12 @@
             self.run_request()
             return
         self.engine.state.order_arrivals.append(time.monotonic())
-        status = self.engine.order(json.loads(self.read_body()))
+        body = self.read_body()
+        expected = self.headers.get('Pimentohoist-Expect-Instance')
+        if expected not in {None, self.engine.engine_id}:
+            self.send_answer(HTTPStatus.MISDIRECTED_REQUEST, b'{}')
+            return
+        status = self.engine.order(json.loads(body))
         if self.engine.faults.unanswered_orders > 0:
             self.engine.faults.unanswered_orders -= 1
             self.close_connection = True
