Soak: connections to a process that is gone are refused; faults name the process they ended

Cause: the proxy accepted and reset connections to a crashed engine, so that daemons answered 502 where a real one would refuse the connection; two crashes in a row named the first engine. Change: a link stops listening while its target refuses; replace returns the ended id.

--- a/src/pimentohoist_standins/_soak/daemons.py
+++ b/src/pimentohoist_standins/_soak/daemons.py
@@ -91,8 +91,7 @@
 
     def __exit__(self, *exc_info: object) -> None:
         """Kill the process if it still runs."""
-        if not self.is_ended:
-            self.kill()
+        self.kill()
 
     @property
     def is_ended(self) -> bool:
@@ -118,10 +117,11 @@
         self.popen.send_signal(number)
 
     def kill(self) -> None:
-        """Kill the process and wait for its end."""
-        self.killed_at = time.monotonic()
-        self.popen.kill()
-        self._ended.wait()
+        """Kill the process if it still runs, and wait for its end."""
+        if not self.is_ended:
+            self.killed_at = time.monotonic()
+            self.popen.kill()
+            self._ended.wait()
 
     def record(self) -> ProcessRecord:
         """Return the record of the process."""
--- a/src/pimentohoist_standins/_soak/endpoints.py
+++ b/src/pimentohoist_standins/_soak/endpoints.py
@@ -44,8 +44,8 @@
         document = self.process.call('document', state=state)
         self.fleet.set_entry(self.endpoint_id, document)
 
-    def replace(self, down_s: float) -> None:
-        """End the process and start another one after a time."""
+    def replace(self, down_s: float) -> str:
+        """End the process and start another one after a time; return the ended one's id."""
         with self._lock:
             self.process.kill()
             ended_id = self.endpoint_id
@@ -54,6 +54,7 @@
             self.start()
             self.process.wait_ready()
             self.announce()
+        return ended_id
 
 
 class EndpointFleet:
--- a/src/pimentohoist_standins/_soak/faults.py
+++ b/src/pimentohoist_standins/_soak/faults.py
@@ -207,7 +207,7 @@
     endpoint_id = endpoint.endpoint_id
     match fault.kind:
         case 'engine_crash':
-            endpoint.replace(fault.duration_s)
+            endpoint_id = endpoint.replace(fault.duration_s)
         case 'engine_pause':
             process = endpoint.process
             process.send_signal(signal.SIGSTOP)
--- a/src/pimentohoist_standins/_soak/proxy_role.py
+++ b/src/pimentohoist_standins/_soak/proxy_role.py
@@ -13,6 +13,7 @@
 
 _READ_BYTES = 65_536
 _SILENCE_POLL_S = 0.02
+_REFUSAL_POLL_S = 0.05
 _LINGER_RESET = struct.pack('ii', 1, 0)
 """Closing a socket with this option sends RST."""
 
@@ -47,7 +48,7 @@
 
 @dataclass(slots=True)
 class Link:
-    """The connections from one address to another.
+    """The connections from one address to another; refused while the target refuses them.
 
     Attributes
     ----------
@@ -55,12 +56,17 @@
         Host from which connections to the target are opened; empty for any.
     """
 
+    address: tuple[str, int]
     target: tuple[str, int]
     source: str
     faults: LinkFaults = field(default_factory=LinkFaults)
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
     server: asyncio.Server | None = None
 
+    async def listen(self) -> None:
+        """Accept connections."""
+        self.server = await asyncio.start_server(self.serve, *self.address)
+
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -72,6 +78,7 @@
             )
         except OSError:
             _reset(writer)
+            await self.refuse()
             return
         both = (writer, target_writer)
         self.writers.update(both)
@@ -88,6 +95,25 @@
             for done in both:
                 done.close()
 
+    async def refuse(self) -> None:
+        """Refuse connections until the target accepts one."""
+        server, self.server = self.server, None
+        if server is None:
+            return
+        server.close()
+        while not await self.is_target_listening():
+            await asyncio.sleep(_REFUSAL_POLL_S)
+        await self.listen()
+
+    async def is_target_listening(self) -> bool:
+        """Return whether the target accepts a connection."""
+        try:
+            _, writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            return False
+        writer.close()
+        return True
+
     async def pump(
         self,
         reader: asyncio.StreamReader,
@@ -147,9 +173,9 @@
     def open_links(self, links: dict[str, list[Any]]) -> None:
         """Listen for links by name: host and port, target's host and port, source."""
         for name, (host, port, target_host, target_port, source) in links.items():
-            link = Link((target_host, target_port), source)
+            link = Link((host, port), (target_host, target_port), source)
             self.links[name] = link
-            link.server = self._run(asyncio.start_server(link.serve, host, port))
+            self._run(link.listen())
 
     def configure(self, names: list[str], **faults: Any) -> None:
         """Set faults of links, such as ``delay_s``."""
