--- a/features/steps/entry_stop.py
+++ b/features/steps/entry_stop.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import http.client
+import socket
 import threading
 import time
 from collections.abc import Iterable
 from contextlib import suppress
+from unittest import mock
 
 from behave import given, then, when
 from behave.runner import Context
@@ -25,7 +27,7 @@
 from hypothesis import strategies as st
 
 from pimentohoist._decisions.recent_durations import RecentDurations
-from pimentohoist._decisions.shutdown_schedule import ShutdownSchedule
+from pimentohoist._decisions.shutdown_schedule import ExpectedTimes, ShutdownSchedule
 from pimentohoist._http_server import HttpServer
 
 _STREAM = '/models/x'
@@ -45,18 +47,23 @@
 
 @seed(22)
 @settings(max_examples=500, database=None, deadline=None)
-@over(_GRACES_S, st.floats(0, 60), _DURATIONS_S, st.lists(_DURATIONS_S))
+@over(_GRACES_S, st.floats(0, 60), _DURATIONS_S, st.lists(_DURATIONS_S), st.booleans())
 def check_accepted(
-    grace_s: float, now: float, limit_s: float, answered_s: list[float]
+    grace_s: float,
+    now: float,
+    limit_s: float,
+    answered_s: list[float],
+    has_alternative: bool,
 ) -> None:
     schedule = ShutdownSchedule(0, grace_s)
     recent = RecentDurations()
     for duration_s in answered_s:
         recent.record(duration_s)
-    expected_s = recent.expected_max_s()
-    if not schedule.may_begin(now, limit_s, expected_s):
+    usual_s = recent.usual_max_s()
+    if not schedule.may_begin(now, ExpectedTimes(limit_s, usual_s, has_alternative)):
         return
-    is_limit_needed = expected_s is None or now > _RENEWAL_S + 1
+    is_renewed = now > _RENEWAL_S + 1 and has_alternative
+    is_limit_needed = usual_s is None or is_renewed
     longest_s = limit_s if is_limit_needed else min(limit_s, max(answered_s[-100:]))
     assert now + longest_s <= schedule.answers_end_at
     assert schedule.answers_end_at < schedule.exit_at < grace_s
@@ -64,13 +71,20 @@
 
 @seed(23)
 @settings(max_examples=500, database=None, deadline=None)
-@over(_GRACES_S, st.floats(0, 60), _DURATIONS_S, st.none() | _DURATIONS_S)
+@over(
+    _GRACES_S, st.floats(0, 60), _DURATIONS_S, st.none() | _DURATIONS_S, st.booleans()
+)
 def check_served(
-    grace_s: float, now: float, limit_s: float, expected_s: float | None
+    grace_s: float,
+    now: float,
+    limit_s: float,
+    usual_s: float | None,
+    has_alternative: bool,
 ) -> None:
     schedule = ShutdownSchedule(0, grace_s)
+    times = ExpectedTimes(limit_s, usual_s, has_alternative)
     if now + limit_s <= schedule.answers_end_at:
-        assert schedule.may_begin(now, limit_s, expected_s)
+        assert schedule.may_begin(now, times)
 
 
 @then('a request that a stopping daemon accepts ends before it, as far as is known')
@@ -235,3 +249,42 @@
 @then("the request that arrived later hasn't begun")
 def check_later_not_begun(context: Context) -> None:
     assert len(context.begun) == 1, context.begun
+
+
+@given('a server with an answer of 64 MB of which its caller has read the beginning')
+def start_large_answer(context: Context) -> None:
+    body = bytes(64_000_000)
+
+    def app(environ: dict, start_response: object) -> Iterable[bytes]:
+        start_response('200 OK', [('Content-Length', str(len(body)))])
+        return [body]
+
+    server = HttpServer(app, f'{_SERVER_HOST}:{_SERVER_PORT}', threads=2)
+    context.stack.enter_context(server)
+    # How often waitress checks its connections.
+    server._server.adj.cleanup_interval = 0.1
+    server._server.next_channel_cleanup = 0
+    context.connection = http.client.HTTPConnection(
+        _SERVER_HOST, _SERVER_PORT, timeout=10
+    )
+    context.connection.connect()
+    # A small buffer, so that most of the answer is still with the server.
+    context.connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+    context.connection.request('GET', '/')
+    context.response = context.connection.getresponse()
+    context.left = len(body) - len(context.response.read(1000))
+    # By then the server has taken over the whole answer from the application.
+    time.sleep(0.5)
+
+
+@when('the time of day jumps by an hour')
+def jump_clock(context: Context) -> None:
+    now = time.time
+    with mock.patch('time.time', lambda: now() + 3600):
+        time.sleep(2.5)
+
+
+@then('the caller gets the whole answer')
+def check_large_answer(context: Context) -> None:
+    assert len(context.response.read()) == context.left
+    context.connection.close()
--- a/src/pimentohoist/_entry/server.py
+++ b/src/pimentohoist/_entry/server.py
@@ -63,7 +63,7 @@
             _MAX_FRAMING_FACTOR * limits.max_body_bytes + 1
         )
         adjustments.max_body_bytes = limits.max_body_bytes
-        adjustments.channel_timeout = max(1, int(limits.idle_timeout_s))
+        self._server.idle_timeout_s = limits.idle_timeout_s
         self.header_timeout_s = limits.header_timeout_s
 
 
@@ -146,6 +146,9 @@
 
         The server calls this about once a second at least.
         """
+        if self.requests or self.total_outbufs_len:
+            # The response before it comes first.
+            self.header_started_at = self.header_started_at and _clock.now()
         started_at = self.header_started_at
         if started_at is not None:
             elapsed_s = _clock.now() - started_at
--- a/src/pimentohoist/_http_server.py
+++ b/src/pimentohoist/_http_server.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import math
+import socket
 import threading
 import time
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from typing import Any, Self
 
 from waitress import wasyncore
@@ -22,7 +24,12 @@
 # Above 0, waitress reads on while a request runs and so detects a disconnected client.
 _LOOKAHEAD_REQUESTS = 1
 _IDLE_CONNECTION_TIMEOUT_S = 60
+_NO_TIMEOUT_S = 10_000_000_000
+"""Disables waitress's own check."""
+
 _IDLE_POLL_INTERVAL_S = 0.01
+_MAX_LINGER_S = 0.5
+"""How long a connection that has ended its last response waits for the other end."""
 
 
 def refuse(environ: Any, start_response: Any) -> Iterable[bytes]:
@@ -31,36 +38,90 @@
         ('Content-Type', 'text/plain'),
         ('Content-Length', str(len(_REFUSAL_BODY))),
         ('Retry-After', '0'),
-        ('Connection', 'close'),
     ]
     start_response('503 Service Unavailable', headers)
     return [_REFUSAL_BODY]
 
 
 class ServerChannel(HTTPChannel):
-    """A connection that a closing server ends as soon as it is idle."""
+    """A connection that ends when it was idle for too long.
+
+    Waitress measures that by the time of day, which may jump.
+    """
 
     server: Any
     socket: Any
+    connected: bool
 
     def __init__(self, *args: Any, **options: Any) -> None:
-        self.received_at = time.monotonic()
+        self.active_at = time.monotonic()
+        self._ends_with_response = False
+        self._has_ended_response = False
+        self._is_lingering = False
         super().__init__(*args, **options)
 
+    def write_soon(self, data: Any) -> Any:
+        """Queue bytes of a response and record when they came."""
+        self.active_at = time.monotonic()
+        return super().write_soon(data)
+
+    def send(self, data: bytes, do_close: bool = True) -> Any:
+        """Send bytes and record when the other end took some."""
+        sent = super().send(data, do_close=do_close)
+        if sent:
+            self.active_at = time.monotonic()
+        return sent
+
+    @property
+    def close_when_flushed(self) -> bool:
+        """Return whether the connection ends with the response that is being sent."""
+        return self._ends_with_response
+
+    @close_when_flushed.setter
+    def close_when_flushed(self, is_last: bool) -> None:
+        self._ends_with_response = is_last
+        self._has_ended_response = self._has_ended_response or is_last
+
+    def readable(self) -> Any:
+        """Return whether to read on; called by the thread that also reads."""
+        if not self.requests and self._is_expired(time.monotonic() - self.active_at):
+            self.will_close = True
+        return super().readable()
+
     def received(self, data: bytes) -> Any:
-        """Parse bytes and record when they came."""
-        self.received_at = time.monotonic()
+        """Parse bytes and record when they came; drop them after the last response."""
+        if self._is_lingering:
+            return False
+        self.active_at = time.monotonic()
         return super().received(data)
 
-    def readable(self) -> Any:
-        """Return whether to read on; called by the thread that also reads.
+    def handle_close(self) -> None:
+        """Close the connection; first read what still comes after the last response.
 
-        What has arrived already is read and answered first.
+        A connection that is closed with unread bytes is reset, and a reset destroys what
+        the other end hasn't read yet.
         """
-        idle_s = time.monotonic() - self.received_at
-        if idle_s >= self.server.max_idle_s and not is_busy(self):
-            self.will_close = self.will_close or not has_input(self.socket)
-        return super().readable()
+        if self._is_lingering or not self._is_reset_likely():
+            super().handle_close()
+            return
+        self._is_lingering = True
+        self.will_close = False
+        self.active_at = time.monotonic()
+        # The other end may have closed the connection already.
+        with suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
+
+    def _is_reset_likely(self) -> bool:
+        return self.connected and self._has_ended_response and has_input(self.socket)
+
+    def _is_expired(self, idle_s: float) -> bool:
+        if self._is_lingering:
+            return idle_s >= _MAX_LINGER_S
+        if idle_s >= self.server.idle_timeout_s:
+            return True
+        # A response is sent, and what has arrived is read and answered, first.
+        is_unused = idle_s >= self.server.max_unused_s and not self.total_outbufs_len
+        return is_unused and not has_input(self.socket)
 
 
 class HttpServer:
@@ -83,13 +144,14 @@
         *,
         threads: int,
         max_body_bytes: int = 1_073_741_824,
+        idle_timeout_s: float = _IDLE_CONNECTION_TIMEOUT_S,
         **adjustments: Any,
     ) -> None:
         host, port = split_address(address)
         self.address = address
         options = {
             'connection_limit': max(1000, 2 * threads),
-            'channel_timeout': _IDLE_CONNECTION_TIMEOUT_S,
+            'channel_timeout': _NO_TIMEOUT_S,
             **adjustments,
         }
         self.app = app
@@ -108,11 +170,12 @@
             ident=None,
             **options,
         )
-        _use_server_channels(self._server)
+        _use_server_channels(self._server, idle_timeout_s)
         self._thread = threading.Thread(
             target=self._run, name=f'http-{address}', daemon=True
         )
         self._is_closing = False
+        self._has_stopped_listening = threading.Event()
 
     def __enter__(self) -> Self:
         """Start serving."""
@@ -122,13 +185,12 @@
     def __exit__(self, *exc_info: object) -> None:
         """Refuse new requests, let those in flight finish and close the sockets."""
         self._is_closing = True
-        self.is_refusing = True
+        self.refuse_requests()
         deadline = time.monotonic() + self.shutdown_timeout_s
-        # The thread that polls a socket must be the one to close it.
-        self._server.trigger.pull_trigger(
-            lambda: wasyncore.dispatcher.close(self._server)
-        )
+        self._server.trigger.pull_trigger(self._stop_listening)
         self.close_idle_connections(0)
+        # Connections that were accepted before are known only after that.
+        self._has_stopped_listening.wait(self.shutdown_timeout_s)
         while self._server.active_channels and time.monotonic() < deadline:
             time.sleep(_IDLE_POLL_INTERVAL_S)
         self._server.task_dispatcher.shutdown(
@@ -136,21 +198,30 @@
         )
         self._server.close()
 
-    def close_idle_connections(self, max_idle_s: float) -> None:
-        """Close the connections on which no request is under way.
+    def refuse_requests(self) -> None:
+        """Answer the requests that arrive from now on with the refusal."""
+        self.is_refusing = True
+
+    def close_idle_connections(self, max_unused_s: float) -> None:
+        """Close the connections without a request that was received completely.
 
         Parameters
         ----------
-        max_idle_s : float
-            A connection stays open for this time after its last byte came, in seconds.
+        max_unused_s : float
+            A connection stays open for this time after its last byte, in seconds.
         """
-        self._server.max_idle_s = max_idle_s
+        self._server.max_unused_s = max_unused_s
         self._server.pull_trigger()
 
     def is_idle(self) -> bool:
         """Return whether no request is being received, queued, executed or answered."""
         return not any(map(is_busy, tuple(self._server.active_channels.values())))
 
+    def _stop_listening(self) -> None:
+        """Close the listener; called by the thread that polls it."""
+        wasyncore.dispatcher.close(self._server)
+        self._has_stopped_listening.set()
+
     def _serve(self, environ: Any, start_response: Any) -> Iterable[bytes]:
         app = self.refusal if self.is_refusing else self.app
         return app(environ, start_response)
@@ -164,8 +235,9 @@
                 raise
 
 
-def _use_server_channels(server: Any) -> None:
-    server.max_idle_s = math.inf
+def _use_server_channels(server: Any, idle_timeout_s: float) -> None:
+    server.idle_timeout_s = idle_timeout_s
+    server.max_unused_s = math.inf
     server.channel_class = ServerChannel
 
 
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -26,7 +26,7 @@
     MetricsApp,
     ReadyApp,
     RequestsApp,
-    refuse_request,
+    RefusalApp,
 )
 from pimentohoist._entry.endpoints import EndpointsController
 from pimentohoist._entry.filters import Authenticate, ChargeQuota, RejectQuarantined
@@ -61,7 +61,7 @@
 _STACK_BYTES = 262_144
 _POLL_INTERVAL_S = 0.05
 _STOP_POLL_INTERVAL_S = 0.02
-_MAX_IDLE_S = 0.5
+_MAX_UNUSED_S = 0.5
 """While a daemon stops, a connection stays open for this time without a request: a new
 one carries its request after a round trip."""
 
@@ -79,7 +79,9 @@
         self.settings = settings
         self.logs = logs
         self.is_draining = threading.Event()
-        self.shutdown = Shutdown(settings.bounds.grace_s)
+        self.shutdown = Shutdown(
+            settings.bounds.grace_s, lambda: bool(self._ready_others())
+        )
         self.store = Store(settings.store_address)
         self.peers = PeerClients()
         self.members = MembersController(settings, self.store, self._make_heartbeat)
@@ -116,7 +118,7 @@
         self.callers = CallersServer(
             RequestsApp(self.request_handler), settings.callers_address
         )
-        self.callers.refusal = refuse_request
+        self.callers.refusal = RefusalApp(self.shutdown)
         self._stack = ExitStack()
         self._created_at = _clock.now()
         self._has_started_up = False
@@ -162,13 +164,8 @@
 
     def addresses(self) -> list[str]:
         """Return the addresses to which callers may connect."""
-        others = [
-            heartbeat.callers_address
-            for heartbeat in self.members.reachable()
-            if heartbeat.is_ready
-        ]
         own = [self.settings.callers_address] if self.is_ready() else []
-        return own + others
+        return own + self._ready_others()
 
     def leave(self, schedule: ShutdownSchedule) -> None:
         """Accept no new callers; finish the requests in flight, until the deadline."""
@@ -181,15 +178,21 @@
             self._wait_for_requests(schedule)
         self.shutdown.close()
         self.request_monitor.cancel_all(Cancellation.STOP)
+        # Requests that wait for an adapter have no exchange to abort.
+        for engine in tuple(self.owned_engines.engines.values()):
+            engine.close()
+        self.peers.close()
         left_s = schedule.exit_at - _clock.now()
         self.callers.shutdown_timeout_s = max(_MIN_FLUSH_S, left_s - _MIN_FLUSH_S)
 
     def end(self) -> None:
         """End the process at once; log what that cuts off."""
-        self.shutdown.record_cut(self.request_monitor.in_flight())
-        self.logs.flush(_MIN_FLUSH_S)
-        # Threads that wait for peers would keep the process alive until they time out.
-        os._exit(0)
+        try:
+            self.shutdown.record_cut(self.request_monitor.in_flight())
+            self.logs.flush(_MIN_FLUSH_S)
+        finally:
+            # Threads that wait for peers would keep the process alive for longer.
+            os._exit(0)
 
     def metrics(self) -> Iterator[str]:
         """Yield metrics as text."""
@@ -221,6 +224,13 @@
             'dispatch': self.dispatch.dump(),
         }
 
+    def _ready_others(self) -> list[str]:
+        return [
+            heartbeat.callers_address
+            for heartbeat in self.members.reachable()
+            if heartbeat.is_ready
+        ]
+
     def _leave_group(self) -> None:
         with self.shutdown.timed('leave the group'):
             self.ownership.leave()
@@ -235,7 +245,7 @@
 
     def _has_ended(self) -> bool:
         """Close idle connections; return whether no request is or will be in flight."""
-        self.callers.close_idle_connections(_MAX_IDLE_S)
+        self.callers.close_idle_connections(_MAX_UNUSED_S)
         was_closed = self.shutdown.is_closed
         is_idle = not len(self.request_monitor) and self.callers.is_idle()
         if is_idle:
