Soak: run the checks on what the runner records

Cause: the checks were merged; they read the status and last event of runs, the groups of routes, slow callers and their own names of faults and links. Change: records of these; names of kinds and links as the checks know them; the checks' lists of kinds name the runner's other kinds, which disturb less than an unknown kind.

--- a/src/pimentohoist_standins/_soak/callers.py
+++ b/src/pimentohoist_standins/_soak/callers.py
@@ -17,7 +17,7 @@
     draw_request,
 )
 from pimentohoist_standins._soak.record_files import RecordFile
-from pimentohoist_standins._soak.records import CallerRecord, RequestKind
+from pimentohoist_standins._soak.records import CallerRecord, FaultRecord, RequestKind
 
 _PAUSE_S = 0.25
 """Mean time between the end of a request and the next one of a caller."""
@@ -179,6 +179,9 @@
             **fields,
         )
         self.records.write(self.records.next_number(), record)
+        if seen.slow_read_s:
+            slow = FaultRecord('caller_slow', request_id, seen.sent_at, record.ended_at)
+            self.records.write(self.records.next_number(), slow)
 
 
 class CallersRole:
--- a/src/pimentohoist_standins/_soak/disruptions.py
+++ b/src/pimentohoist_standins/_soak/disruptions.py
@@ -16,12 +16,16 @@
 _HARMLESS_KINDS = frozenset(
     'term hup restart roll new_address key_withdrawn config_change config_storm '
     'config_invalid caller_leaves caller_slow engine_fail engine_twice engine_leaves '
-    'engine_quiet engine_endless'.split(),
+    'engine_quiet engine_endless engine_cut'.split(),
 )
-_STORE_KINDS = frozenset('store_down store_slow store_lost store_restored'.split())
-_ENGINE_KINDS = frozenset('engine_crash engine_freeze'.split())
+_STORE_KINDS = frozenset(
+    'store_down store_slow store_lost store_restored store_silent store_lose_calls '
+    'store_lose_answers'.split(),
+)
+_ENGINE_KINDS = frozenset('engine_crash engine_freeze engine_silent'.split())
 _PROCESS_OR_LINK_KINDS = frozenset(
-    'kill pause link_delay link_reset link_cut link_silent link_slow link_close'.split(),
+    'kill pause link_delay link_reset link_cut link_silent link_slow link_close '
+    'link_cut_requests link_cut_responses'.split(),
 )
 
 
--- a/src/pimentohoist_standins/_soak/endpoint_role.py
+++ b/src/pimentohoist_standins/_soak/endpoint_role.py
@@ -89,9 +89,16 @@
         self.records.write(number, record)
         return number
 
-    def record_end(self, arrival: int, outcome: RunOutcome) -> None:
+    def record_end(
+        self, arrival: int, outcome: RunOutcome, status: int, last_event: int | None
+    ) -> None:
         """Record how a request ended."""
         record = self.arrivals.pop(arrival)
-        self.records.write(
-            arrival, replace(record, ended_at=time.monotonic(), outcome=outcome)
+        ended = replace(
+            record,
+            ended_at=time.monotonic(),
+            outcome=outcome,
+            status=status,
+            last_event=last_event,
         )
+        self.records.write(arrival, ended)
--- a/src/pimentohoist_standins/_soak/faults.py
+++ b/src/pimentohoist_standins/_soak/faults.py
@@ -24,6 +24,8 @@
 _SERIES_COUNT = 5
 _SERIES_PAUSE_S = 0.15
 _SLOW_STORE_S = 0.4
+_CUT_STREAMS = 10
+_CUT_PAUSE_S = 0.1
 _ENTRIES_BACK_S = 1.5
 """Time after the store's return from a copy until endpoints' entries are back."""
 
@@ -61,13 +63,27 @@
 
 @dataclass
 class Parts:
-    """What faults act on."""
+    """What faults act on.
+
+    Attributes
+    ----------
+    announced_at : dict of str to float
+        When the store acknowledged that an endpoint leaves.
+    """
 
     daemons: DaemonFleet
     endpoints: EndpointFleet
     store: RoleProcess
     links: Links
     operator: Operator
+    announced_at: dict[str, float] = field(default_factory=dict)
+
+    def link_target(self, name: str, endpoint: list[str]) -> str:
+        """Return the name of a link with its endpoint's id."""
+        if not endpoint:
+            return name
+        incarnation = self.endpoints.endpoints[int(endpoint[0])].endpoint_id
+        return f'{name.partition(">")[0]}>{incarnation}'
 
 
 @dataclass
@@ -106,8 +122,8 @@
         thread.start()
 
     def _run(self, fault: PlannedFault) -> None:
-        name, _, numbers = fault.target.partition(':')
-        inject = _INJECTORS[name]
+        kind, _, numbers = fault.target.partition(':')
+        inject = _INJECTORS[kind]
         began_at = time.monotonic()
         try:
             targets = inject(self.parts, fault, numbers)
@@ -117,10 +133,13 @@
         except Exception as error:
             self.errors.append(error)
             return
-        ended_at = time.monotonic()
-        self.records.extend(
-            FaultRecord(fault.kind, target, began_at, ended_at) for target in targets
-        )
+        self.records.extend(self._record(fault, name, began_at) for name in targets)
+
+    def _record(self, fault: PlannedFault, target: str, began_at: float) -> FaultRecord:
+        if fault.kind == 'engine_leaves':
+            # An endpoint leaves from the store's acknowledgement on.
+            began_at = self.parts.announced_at.get(target, began_at)
+        return FaultRecord(fault.kind, target, began_at, time.monotonic())
 
 
 def _inject_into_daemon(parts: Parts, fault: PlannedFault, number: str) -> list[str]:
@@ -143,7 +162,7 @@
         case _:
             daemon.stop()
             time.sleep(fault.duration_s)
-            daemon.restart(is_moving=fault.kind == 'move')
+            daemon.restart(is_moving=fault.kind == 'new_address')
     return [process.host]
 
 
@@ -169,15 +188,16 @@
 def _inject_into_link(parts: Parts, fault: PlannedFault, target: str) -> list[str]:
     kind, number, *endpoint = target.split(':')
     host = parts.daemons.daemons[int(number)].process.host
-    name = '-'.join((kind, host, *endpoint))
+    name = f'callers>{host}' if kind == 'callers' else f'{host}>{(*endpoint, kind)[0]}'
+    seen = [parts.link_target(name, endpoint)]
     if fault.kind == 'link_reset':
         parts.links.reset(name)
-        return [name]
+        return seen
     settings = _LINK_FAULTS[fault.kind]
     parts.links.configure(name, **settings)
     time.sleep(fault.duration_s)
     parts.links.configure(name, **dict.fromkeys(settings, 0))
-    return [name]
+    return seen
 
 
 def _inject_into_store(parts: Parts, fault: PlannedFault, numbers: str) -> list[str]:
@@ -187,7 +207,7 @@
             store.call('configure', is_silent=True)
             time.sleep(fault.duration_s)
             store.call('end_silence')
-        case 'store_restore':
+        case 'store_restored':
             store.call('save_copy')
             time.sleep(fault.duration_s)
             store.call('restore_copy')
@@ -208,27 +228,30 @@
     match fault.kind:
         case 'engine_crash':
             endpoint_id = endpoint.replace(fault.duration_s)
-        case 'engine_pause':
+        case 'engine_freeze':
             process = endpoint.process
             process.send_signal(signal.SIGSTOP)
             time.sleep(fault.duration_s)
             process.send_signal(signal.SIGCONT)
-        case 'engine_leave':
-            _leave(endpoint, fault.duration_s)
+        case 'engine_leaves':
+            _leave(parts, endpoint, fault.duration_s)
         case _:
             process = endpoint.process
-            process.call('configure', **_ENDPOINT_FAULTS[fault.kind])
+            for _ in range(_CUT_STREAMS if fault.kind == 'engine_cut' else 1):
+                process.call('configure', **_ENDPOINT_FAULTS[fault.kind])
+                time.sleep(_CUT_PAUSE_S)
             time.sleep(fault.duration_s)
             if fault.duration_s:
                 process.call('configure', **_ENDPOINT_CALM)
     return [endpoint_id]
 
 
-def _leave(endpoint: EndpointProcess, duration_s: float) -> None:
+def _leave(parts: Parts, endpoint: EndpointProcess, duration_s: float) -> None:
     """Let an endpoint drain, then replace it."""
     endpoint.process.call('configure', is_leaving=True)
     endpoint.announce('draining')
     leaving_id = endpoint.endpoint_id
+    parts.announced_at[leaving_id] = time.monotonic()
     time.sleep(_LEAVE_S + duration_s)
     if endpoint.endpoint_id == leaving_id:
         endpoint.replace(0)
@@ -237,14 +260,14 @@
 def _inject_from_operator(parts: Parts, fault: PlannedFault, numbers: str) -> list[str]:
     operator = parts.operator
     match fault.kind:
-        case 'key_withdraw':
+        case 'key_withdrawn':
             key = sorted(KEYS)[int(fault.at_s * 100) % len(KEYS)]
             operator.withdrawn.add(key)
             operator.send()
             time.sleep(fault.duration_s)
             operator.withdrawn.discard(key)
             operator.send()
-        case 'config_series':
+        case 'config_storm':
             for _ in range(_SERIES_COUNT):
                 count = (len(operator.extra_routes) + 1) % (EXTRA_ROUTES + 1)
                 operator.extra_routes = [f'extra-{route + 1}' for route in range(count)]
--- a/src/pimentohoist_standins/_soak/links.py
+++ b/src/pimentohoist_standins/_soak/links.py
@@ -14,14 +14,12 @@
 from pimentohoist_standins._soak.errors import SoakError
 from pimentohoist_standins._soak.role_process import RoleProcess
 
-_ENGINE_LINK = 'engine-'
-
 
 class Links:
     """Opens the links of daemons' addresses and sets faults on them by name.
 
-    The names are ``callers-HOST``, ``store-HOST`` and ``engine-HOST-N`` with the daemon's
-    host and the endpoint's index.
+    The names are ``callers>HOST``, ``HOST>store`` and ``HOST>N`` with the daemon's host and
+    the endpoint's index.
     """
 
     def __init__(self, network: Network, folder: Path, endpoints: int) -> None:
@@ -42,11 +40,11 @@
         network, host = self.network, self.network.daemon(slot)
         callers, store = network.callers_link(slot), network.store_link(slot)
         links = {
-            f'callers-{host}': (callers, CALLERS_PORT, host, CALLERS_PORT, ''),
-            f'store-{host}': (store, SERVICE_PORT, network.store, SERVICE_PORT, host),
+            f'callers>{host}': (callers, CALLERS_PORT, host, CALLERS_PORT, ''),
+            f'{host}>store': (store, SERVICE_PORT, network.store, SERVICE_PORT, host),
         }
         engine_links = {
-            f'{_ENGINE_LINK}{host}-{index}': (
+            f'{host}>{index}': (
                 network.endpoint_link(slot, index + 1),
                 SERVICE_PORT,
                 network.endpoint(index + 1),
@@ -67,4 +65,8 @@
         self._process(name).call('reset', names=[name])
 
     def _process(self, name: str) -> RoleProcess:
-        return self.engines if name.startswith(_ENGINE_LINK) else self.callers
+        return (
+            self.engines
+            if name[-1].isdecimal() and name[0].isdecimal()
+            else self.callers
+        )
--- a/src/pimentohoist_standins/_soak/operator.py
+++ b/src/pimentohoist_standins/_soak/operator.py
@@ -78,6 +78,10 @@
                 keys,
                 dict(_RATES),
                 is_valid,
+                {
+                    route['name']: route.get('service', '')
+                    for route in document['routes']
+                },
             )
             self.records.append(record)
 
--- a/src/pimentohoist_standins/_soak/plan.py
+++ b/src/pimentohoist_standins/_soak/plan.py
@@ -18,7 +18,7 @@
 ROLL_PAUSE_S = 1.0
 """Least time between the stops of two daemons in a rolling restart."""
 
-_STOPS = frozenset(('term', 'move'))
+_STOPS = frozenset(('term', 'new_address'))
 _MEAN_PAUSE_S = 0.8
 _BURST_SHARE = 0.3
 _BURST_PAUSE_S = 0.15
@@ -46,18 +46,18 @@
     """Yield all kinds of faults by their names."""
     for target, range_s, names in (
         (_DAEMON, _MOMENT_S, 'hup'),
-        (_DAEMON, _SHORT_S, 'term move kill roll'),
+        (_DAEMON, _SHORT_S, 'term new_address kill roll'),
         (_DAEMON, _LONG_S, 'pause'),
         ('link', _MOMENT_S, 'link_reset'),
         ('link', _LONG_S, 'link_delay link_cut_requests link_cut_responses'),
         ('link', _LONG_S, 'link_silent link_slow link_close'),
-        ('store', _LONG_S, 'store_down store_slow store_silent store_restore'),
+        ('store', _LONG_S, 'store_down store_slow store_silent store_restored'),
         ('store', _SHORT_S, 'store_lose_calls store_lose_answers'),
         (_ENDPOINT, _MOMENT_S, 'engine_fail engine_twice engine_cut'),
-        (_ENDPOINT, _SHORT_S, 'engine_crash engine_leave engine_quiet'),
-        (_ENDPOINT, _LONG_S, 'engine_pause engine_silent'),
-        ('operator', _MOMENT_S, 'config_series'),
-        ('operator', _LONG_S, 'key_withdraw config_invalid'),
+        (_ENDPOINT, _SHORT_S, 'engine_crash engine_leaves engine_quiet'),
+        (_ENDPOINT, _LONG_S, 'engine_freeze engine_silent'),
+        ('operator', _MOMENT_S, 'config_storm'),
+        ('operator', _LONG_S, 'key_withdrawn config_invalid'),
     ):
         for name in names.split():
             yield name, FaultKind(target, *range_s)
--- a/src/pimentohoist_standins/_soak/record_files.py
+++ b/src/pimentohoist_standins/_soak/record_files.py
@@ -14,6 +14,7 @@
 from pimentohoist_standins._soak.records import (
     CallerRecord,
     ConnectionEnd,
+    FaultRecord,
     OrderRecord,
     RequestKind,
     RunOutcome,
@@ -21,17 +22,24 @@
 )
 
 _FILE_MODE = 0o600
-SeenRecord = CallerRecord | RunRecord | OrderRecord
+SeenRecord = CallerRecord | FaultRecord | RunRecord | OrderRecord
 
 _TYPES: Mapping[str, type[SeenRecord]] = MappingProxyType(
     {
         record_type.__name__: record_type
-        for record_type in (CallerRecord, RunRecord, OrderRecord)
+        for record_type in (CallerRecord, FaultRecord, RunRecord, OrderRecord)
     }
 )
+
+
+def _read_kind(text: str) -> str:
+    """Return the kind of a request, or the name of a kind of fault."""
+    return RequestKind(text) if text in set(RequestKind) else text
+
+
 _FIELDS: Mapping[str, Any] = MappingProxyType(
     {
-        'kind': RequestKind,
+        'kind': _read_kind,
         'end': ConnectionEnd,
         'outcome': RunOutcome,
         'events': tuple,
--- a/src/pimentohoist_standins/_soak/report.py
+++ b/src/pimentohoist_standins/_soak/report.py
@@ -112,7 +112,8 @@
 
 
 def _fault_lines(document: dict[str, Any]) -> Iterator[str]:
-    for fault in sorted(document['faults'], key=_began_at):
+    faults = [fault for fault in document['faults'] if fault['kind'] != 'caller_slow']
+    for fault in sorted(faults, key=_began_at):
         began_s = fault['began_at'] - document['began_at']
         took_s = fault['ended_at'] - fault['began_at']
         yield f'  {began_s:6.2f} s {fault["kind"]} {fault["target"]} for {took_s:.2f} s'
--- a/src/pimentohoist_standins/_soak/run.py
+++ b/src/pimentohoist_standins/_soak/run.py
@@ -21,6 +21,7 @@
 from pimentohoist_standins._soak.records import (
     Bounds,
     CallerRecord,
+    FaultRecord,
     Observations,
     OrderRecord,
     RequestKind,
@@ -177,7 +178,10 @@
             tuple(record for record in seen if isinstance(record, RunRecord)),
             tuple(record for record in seen if isinstance(record, OrderRecord)),
             tuple(self.operator.records),
-            tuple(injector.records),
+            (
+                *injector.records,
+                *(record for record in seen if isinstance(record, FaultRecord)),
+            ),
             tuple(process.record() for process in self.daemons.processes),
         )
         if self.plan.options.is_planted:
--- a/src/pimentohoist_standins/opaque_engine.py
+++ b/src/pimentohoist_standins/opaque_engine.py
@@ -198,8 +198,10 @@
         """Record that a request arrived; return a number for `record_end`."""
         return 0
 
-    def record_end(self, arrival: int, outcome: RunOutcome) -> None:
-        """Record how a request ended."""
+    def record_end(
+        self, arrival: int, outcome: RunOutcome, status: int, last_event: int | None
+    ) -> None:
+        """Record how a request ended, the status and last event that were sent."""
 
     def _status_if_done(self, document: dict[str, Any], name: str) -> HTTPStatus | None:
         """Return the status of an order that changes nothing, otherwise None."""
@@ -223,6 +225,11 @@
 class _EngineHandler(SilentHandler):
     engine: OpaqueEngine
 
+    def setup(self) -> None:
+        self.status = 0
+        self.last_event: int | None = None
+        super().setup()
+
     def do_GET(self) -> None:  # noqa: N802
         if self.path == '/v1/report':
             self.engine.state.order_arrivals.append(time.monotonic())
@@ -252,6 +259,10 @@
             self.send_header('Server-Leaving', '1')
         super().end_headers()
 
+    def send_response(self, code: int, message: str | None = None) -> None:
+        self.status = code
+        super().send_response(code, message)
+
     def read_body(self) -> bytes:
         return self.rfile.read(int(self.headers.get('Content-Length') or 0))
 
@@ -262,10 +273,12 @@
         engine.state.arrivals.append(time.monotonic())
         arrival = engine.record_arrival(self.path, headers, self.client_address[0])
         outcome = RunOutcome.CANCELLED
+        self.status = 0
+        self.last_event = None
         try:
             outcome = self.respond(headers, body)
         finally:
-            engine.record_end(arrival, outcome)
+            engine.record_end(arrival, outcome, self.status, self.last_event)
 
     def respond(self, headers: dict[str, str], body: bytes) -> RunOutcome:
         quiet_s = self.engine.faults.quiet_s
@@ -281,7 +294,7 @@
             refusal = self.engine.faults.statuses.pop()
         if refusal is HTTPStatus.INTERNAL_SERVER_ERROR:
             self.send_answer(refusal, b'failed')
-            return
+            return RunOutcome.FAILED
         if refusal is not None:
             self.send_answer(refusal, b'', {'Pimentohoist-Not-Executed': '1'})
             return RunOutcome.REFUSED
@@ -361,6 +374,7 @@
     def send_event(self, number: int, event_s: float) -> None:
         self.wait(event_s)
         self.send_chunk(f'id: {number}\ndata: token {number}\n\n'.encode())
+        self.last_event = number
 
     def send_chunk(self, data: bytes) -> None:
         self.wfile.write(f'{len(data):x}\r\n'.encode() + data + b'\r\n')
--- a/src/pimentohoist_standins/soak.py
+++ b/src/pimentohoist_standins/soak.py
@@ -17,6 +17,7 @@
 import fire
 
 from pimentohoist_standins._soak.addresses import Network
+from pimentohoist_standins._soak.checks import run_checks
 from pimentohoist_standins._soak.errors import SoakError
 from pimentohoist_standins._soak.plan import (
     KINDS,
@@ -25,11 +26,9 @@
     draw_plan,
     read_plan,
 )
-from pimentohoist_standins._soak.optional_checks import run_checks
 from pimentohoist_standins._soak.report import report_document, summary_lines
 from pimentohoist_standins._soak.run import SoakRun
 
-
 _FIRST_NETWORK = 100
 _NETWORKS = 150
 _BROKEN_STATUS = 1
