--- a/features/steps/ctl_explain_entry.py
+++ b/features/steps/ctl_explain_entry.py
@@ -60,7 +60,7 @@
 def write_log_of_stop(context: Context) -> None:
     log = context.stack.enter_context((context.folder / 'entry.log').open('w'))
     with BoundedLogs('INFO', instance='front-1', stream=log):
-        shutdown = Shutdown(_GRACE_S)
+        shutdown = Shutdown(_GRACE_S, lambda: True)
         shutdown.begin(_clock.now())
         shutdown.record_progress('stopping', 2)
         with shutdown.timed('leave the group'):
--- a/src/pimentohoist_standins/opaque_engine.py
+++ b/src/pimentohoist_standins/opaque_engine.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import select
+import socket
 import threading
 import time
 from collections import Counter, defaultdict
@@ -10,12 +12,16 @@
 from http import HTTPStatus
 from typing import Any
 
+from pimentohoist_standins._soak.records import RunOutcome
 from pimentohoist_standins._threaded import SilentHandler, ThreadedStandIn
 from pimentohoist_standins.endless import ENDLESS_EVENT, EndlessAnswer
 
 _EVENTS_PER_STREAM = 6
 _RESPONSE_SEAL = '1.2.3'
 _SILENT_POLL_S = 0.05
+_MS_PER_S = 1000
+WORK_MS = 'Work-Ms'
+"""Header by which a test's caller says how long the answer takes."""
 
 
 @dataclass(slots=True)
@@ -215,6 +221,17 @@
         events = self.faults.endless_after_events
         return float('inf') if events is None or not self.take_endless() else events
 
+    def record_arrival(
+        self, path: str, headers: dict[str, str], client_host: str
+    ) -> int:
+        """Record that a request arrived; return a number for `record_end`."""
+        return 0
+
+    def record_end(
+        self, arrival: int, outcome: RunOutcome, status: int, last_event: int | None
+    ) -> None:
+        """Record how a request ended, the status and last event that were sent."""
+
     def _status_if_done(self, document: dict[str, Any], name: str) -> HTTPStatus | None:
         """Return the status of an order that changes nothing, otherwise None."""
         ready_at = self.state.adapters.get(name)
@@ -237,6 +254,11 @@
 class _EngineHandler(SilentHandler):
     engine: OpaqueEngine
 
+    def setup(self) -> None:
+        self.status = 0
+        self.last_event: int | None = None
+        super().setup()
+
     def do_GET(self) -> None:  # noqa: N802
         if self.path == '/v1/report':
             self.engine.state.order_arrivals.append(time.monotonic())
@@ -249,7 +271,12 @@
             self.run_request()
             return
         self.engine.state.order_arrivals.append(time.monotonic())
-        status = self.engine.order(json.loads(self.read_body()))
+        body = self.read_body()
+        expected = self.headers.get('Pimentohoist-Expect-Instance')
+        if expected not in {None, self.engine.engine_id}:
+            self.send_answer(HTTPStatus.MISDIRECTED_REQUEST, b'{}')
+            return
+        status = self.engine.order(json.loads(body))
         if self.engine.faults.unanswered_orders > 0:
             self.engine.faults.unanswered_orders -= 1
             self.close_connection = True
@@ -273,13 +300,28 @@
         sent = endless.send(self.connection, request_id)
         self.engine.state.closed_answers.append(sent)
 
+    def send_response(self, code: int, message: str | None = None) -> None:
+        self.status = code
+        super().send_response(code, message)
+
     def read_body(self) -> bytes:
         return self.rfile.read(int(self.headers.get('Content-Length') or 0))
 
     def run_request(self) -> None:
         body = self.read_body()
         headers = {name.lower(): text for name, text in self.headers.items()}
-        self.engine.state.arrivals.append(time.monotonic())
+        engine = self.engine
+        engine.state.arrivals.append(time.monotonic())
+        arrival = engine.record_arrival(self.path, headers, self.client_address[0])
+        outcome = RunOutcome.CANCELLED
+        self.status = 0
+        self.last_event = None
+        try:
+            outcome = self.respond(headers, body)
+        finally:
+            engine.record_end(arrival, outcome, self.status, self.last_event)
+
+    def respond(self, headers: dict[str, str], body: bytes) -> RunOutcome:
         quiet_s = self.engine.faults.quiet_s
         if quiet_s is not None:
             not_executed = {
@@ -287,51 +329,67 @@
                 'Retry-After': f'{quiet_s}',
             }
             self.send_answer(HTTPStatus.SERVICE_UNAVAILABLE, b'', not_executed)
-            return
+            return RunOutcome.REFUSED
         refusal = self.engine.refusal(headers)
         if self.engine.faults.statuses:
             refusal = self.engine.faults.statuses.pop()
         if refusal is HTTPStatus.INTERNAL_SERVER_ERROR:
             self.send_answer(refusal, b'failed')
-            return
+            return RunOutcome.FAILED
         if refusal is not None:
             self.send_answer(refusal, b'', {'Pimentohoist-Not-Executed': '1'})
-            return
+            return RunOutcome.REFUSED
         request_id = headers.get('pimentohoist-attempt-id', '')
         self.engine.state.executed_requests.append(
             ExecutedRequest(request_id, self.path, headers, body)
         )
+        return self.execute(request_id, headers)
+
+    def execute(self, request_id: str, headers: dict[str, str]) -> RunOutcome:
+        faults = self.engine.faults
         response_headers = {
             'Pimentohoist-Attempt-Id': request_id,
             'Pimentohoist-Response-Seal': _RESPONSE_SEAL,
         }
-        while self.engine.faults.is_silent:
-            time.sleep(_SILENT_POLL_S)
-        self.send_result(response_headers, headers)
+        while faults.is_silent:
+            self.wait(_SILENT_POLL_S)
+        return self.send_result(response_headers, headers)
 
     def send_result(
         self, response_headers: dict[str, str], headers: dict[str, str]
-    ) -> None:
+    ) -> RunOutcome:
         faults = self.engine.faults
         request_id = headers.get('pimentohoist-attempt-id', '')
         if faults.endless_answer is not None and self.engine.take_endless():
             self.send_endless(faults.endless_answer, request_id)
-        elif faults.failures > 0:
+            return RunOutcome.BROKEN_OFF
+        if faults.failures > 0:
             faults.failures -= 1
             self.send_answer(
                 HTTPStatus.INTERNAL_SERVER_ERROR, b'failed', response_headers
             )
-        elif self.engine.model:
-            self.send_stream(response_headers, int(headers.get('last-event-id', '0')))
-        else:
-            text = b'answer to ' + request_id.encode()
-            body = text.ljust(faults.answer_bytes)
-            self.send_answer(HTTPStatus.OK, body, response_headers)
-            if faults.extra_responses > 0:
-                faults.extra_responses -= 1
-                self.send_answer(HTTPStatus.OK, b'nobody asked')
-
-    def send_stream(self, response_headers: dict[str, str], last_id: int) -> None:
+            return RunOutcome.FAILED
+        if self.engine.model:
+            last_id = int(headers.get('last-event-id', '0'))
+            return self.send_stream(response_headers, last_id)
+        self.wait(int(headers.get(WORK_MS.lower(), '0')) / _MS_PER_S)
+        text = b'answer to ' + request_id.encode()
+        body = text.ljust(faults.answer_bytes)
+        self.send_answer(HTTPStatus.OK, body, response_headers)
+        if faults.extra_responses > 0:
+            faults.extra_responses -= 1
+            self.send_answer(HTTPStatus.OK, b'nobody asked')
+        return RunOutcome.COMPLETED
+
+    def wait(self, duration_s: float) -> None:
+        """Wait; raise ConnectionAbortedError if the client disconnects meanwhile."""
+        until = time.monotonic() + duration_s
+        readable, _, _ = select.select([self.connection], [], [], duration_s)
+        if readable and not self.connection.recv(1, socket.MSG_PEEK):
+            raise ConnectionAbortedError('the client disconnected')
+        time.sleep(max(0, until - time.monotonic()))
+
+    def send_stream(self, response_headers: dict[str, str], last_id: int) -> RunOutcome:
         self.send_response(HTTPStatus.OK)
         headers = {
             **response_headers,
@@ -341,10 +399,16 @@
         for name, text in headers.items():
             self.send_header(name, text)
         self.end_headers()
-        self.send_events(last_id)
+        return self.send_events(last_id)
 
-    def send_events(self, last_id: int) -> None:
+    def send_events(self, last_id: int) -> RunOutcome:
         faults = self.engine.faults
+        work_ms = self.headers.get(WORK_MS)
+        event_s = (
+            faults.event_s
+            if work_ms is None
+            else int(work_ms) / _MS_PER_S / _EVENTS_PER_STREAM
+        )
         cut_after_events, faults.cut_after_events = faults.cut_after_events, None
         endless_after_events = self.engine.endless_after_events()
         for number in range(last_id + 1, _EVENTS_PER_STREAM + 1):
@@ -352,20 +416,22 @@
                 # Cuts the stream in the middle of an event.
                 self.send_chunk(b'id: 9')
                 self.close_connection = True
-                return
+                return RunOutcome.BROKEN_OFF
             if number > endless_after_events:
                 self.send_endless(ENDLESS_EVENT)
-                return
-            time.sleep(faults.event_s)
-            self.send_event(number)
+                return RunOutcome.BROKEN_OFF
+            self.send_event(number, event_s)
         self.wfile.write(b'0\r\n\r\n')
+        return RunOutcome.COMPLETED
 
-    def send_event(self, number: int) -> None:
+    def send_event(self, number: int, event_s: float) -> None:
         try:
+            self.wait(event_s)
             self.send_chunk(f'id: {number}\ndata: token {number}\n\n'.encode())
         except OSError:
             self.engine.state.disconnected_streams += 1
             raise
+        self.last_event = number
 
     def send_chunk(self, data: bytes) -> None:
         self.wfile.write(f'{len(data):x}\r\n'.encode() + data + b'\r\n')
