Handle signals from the first line of a daemon's program on

What operators saw: a daemon that was stopped or reloaded while it started ended with the signal's status (-15, -1), as if it had crashed; a reload killed it. Cause: the handlers were installed after the imports and the settings.

--- a/features/entry_stop.feature
+++ b/features/entry_stop.feature
@@ -46,3 +46,16 @@
     Given a server with an answer of 64 MB of which its caller has read the beginning
     When the time of day jumps by an hour
     Then the caller gets the whole answer
+
+  # Guards against a daemon that a signal ends while it starts.
+  Scenario Outline: A signal while a daemon starts doesn't end it by that signal
+    Given a stopping fleet of 1 daemon whose streams take 1 s
+    When another daemon gets <signal> <delay> s after its start
+    Then it <end>
+
+    Examples:
+      | signal  | delay | end                |
+      | SIGTERM | 0.15  | ends with status 0 |
+      | SIGTERM | 0.5   | ends with status 0 |
+      | SIGHUP  | 0.15  | becomes ready      |
+      | SIGHUP  | 0.5   | becomes ready      |
--- a/features/steps/entry_stop.py
+++ b/features/steps/entry_stop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import signal
 import socket
 import threading
 import time
@@ -97,6 +98,7 @@
     check_served()
 
 
+@given('a stopping fleet of {daemons:d} daemon whose streams take {stream_s:g} s')
 @given('a stopping fleet of {daemons:d} daemons whose streams take {stream_s:g} s')
 def start_fleet(context: Context, daemons: int, stream_s: float) -> None:
     context.fleet = context.stack.enter_context(EntryFleet())
@@ -288,3 +290,21 @@
 def check_large_answer(context: Context) -> None:
     assert len(context.response.read()) == context.left
     context.connection.close()
+
+
+@when('another daemon gets {name} {delay_s:g} s after its start')
+def signal_starting_daemon(context: Context, name: str, delay_s: float) -> None:
+    context.fleet.start()
+    context.started = context.fleet.daemons[-1]
+    time.sleep(delay_s)
+    context.started.popen.send_signal(signal.Signals[name])
+
+
+@then('it ends with status 0')
+def check_end_status(context: Context) -> None:
+    assert context.started.popen.wait(GRACE_S) == 0
+
+
+@then('it becomes ready')
+def check_becomes_ready(context: Context) -> None:
+    wait_for(context.started.is_ready, 15)
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -312,13 +312,13 @@
 
 def serve(settings_path: str) -> None:
     """Run a daemon until SIGTERM."""
+    signals = _Signals()
     try:
         settings = read_entry_settings(settings_path)
     except SettingsError as error:
         sys.stderr.write(f'pimentohoist: {error}\n')
         sys.exit(_EXIT_SETTINGS)
     threading.stack_size(_STACK_BYTES)
-    signals = _Signals()
     with BoundedLogs('INFO', instance=settings.name, stream=sys.stdout) as logs:
         daemon = EntryDaemon(settings, logs)
         with daemon:
