--- a/features/entry_daemon.feature
+++ b/features/entry_daemon.feature
@@ -108,6 +108,12 @@
     When a request is refused because no engine is left
     Then one log record has its id, step and cause
 
+  # Guards against refusals that no log record explains.
+  Scenario: A request without a route has a log record too
+    Given a fleet of 1 daemon with 1 engine
+    When a request is refused because no route matches
+    Then one log record has its id, step "route" and status 404
+
   Scenario: The declared limits on callers' requests are enforced
     Given a fleet of 1 daemon with 1 engine
     Then a header of the declared size is served and a larger one gets 431
--- a/features/steps/entry_daemon.py
+++ b/features/steps/entry_daemon.py
@@ -292,6 +292,24 @@
     assert context.fleet.send_request().status == 503
 
 
+@when('a request is refused because no route matches')
+def refuse_without_route(context: Context) -> None:
+    assert context.fleet.send_request('/nowhere/x').status == 404
+
+
+@then('one log record has its id, step "{step}" and status {status:d}')
+def check_refusal_record(context: Context, step: str, status: int) -> None:
+    name = f'request-{context.fleet.requests}'
+    time.sleep(0.2)
+    daemon = context.fleet.daemons[-1]
+    lines = [
+        (line['message'], line['step'], line['status'])
+        for line in daemon.lines()
+        if line.get('id') == name
+    ]
+    assert lines == [('request ended', step, status)], lines
+
+
 @then('one log record has its id, step and cause')
 def check_log_record(context: Context) -> None:
     name = f'request-{context.fleet.requests}'
--- a/src/pimentohoist/_entry/request_handler.py
+++ b/src/pimentohoist/_entry/request_handler.py
@@ -77,9 +77,13 @@
     def _begin(
         self, request: EntryRequest, poll_disconnected: Callable[[], bool]
     ) -> RequestContext:
-        declaration, route, group = find_route(
-            self.declarations.current, request.host, request.path
-        )
+        try:
+            declaration, route, group = find_route(
+                self.declarations.current, request.host, request.path
+            )
+        except PimentohoistError as error:
+            self._log_refusal(request, error)
+            raise
         timeout_s = route.timeout_s
         if request.timeout_s is not None:
             timeout_s = min(timeout_s, request.timeout_s)
@@ -109,6 +113,22 @@
                 raise PeerError(error.message, step=error.step) from error
             raise
 
+    def _log_refusal(self, request: EntryRequest, error: PimentohoistError) -> None:
+        """Log the end of a request whose route or group isn't known."""
+        extra = {
+            'step': error.step,
+            'id': request.request_id,
+            'route': '',
+            'host': request.host,
+            'path': request.path,
+            'version': self.declarations.version,
+            'endpoints': [],
+            'runs': 0,
+            'status': int(error.status),
+            'outcome': str(error),
+        }
+        _logger.info('request ended', extra=extra)
+
     def _end(
         self,
         context: RequestContext,
