--- a/src/pimentohoist/_entry/connections.py
+++ b/src/pimentohoist/_entry/connections.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import cast
 
 from pimentohoist import _clock
@@ -124,13 +125,22 @@
         return is_empty
 
 
+class Framing(StrEnum):
+    """What tells the end of a response's body."""
+
+    LENGTH = 'length'
+    CHUNKS = 'chunks'
+    CONNECTION_END = 'connection end'
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
-    """Status and headers of an endpoint's response."""
+    """Status and headers of an endpoint's response, and how its body is framed."""
 
     status: int
     reason: str
     headers: http.client.HTTPMessage
+    framing: Framing
 
 
 class UpstreamExchange:
@@ -170,7 +180,12 @@
             self._record_received()
             if is_response_to(request_id, response.status, response.headers):
                 self._response = response
-                return ResponseHead(response.status, response.reason, response.headers)
+                return ResponseHead(
+                    response.status,
+                    response.reason,
+                    response.headers,
+                    _framing(response),
+                )
             # This is a second response to an earlier request.
             self._drop(response)
         raise self._failure(
@@ -454,6 +469,12 @@
     writer.endheaders(request.body or None)
 
 
+def _framing(response: http.client.HTTPResponse) -> Framing:
+    if response.chunked:
+        return Framing.CHUNKS
+    return Framing.CONNECTION_END if response.length is None else Framing.LENGTH
+
+
 def _max_idle_s(headers: http.client.HTTPMessage) -> float:
     """Return how long the endpoint keeps an idle connection open, less a margin."""
     for part in headers.get('Keep-Alive', '').split(','):
--- a/src/pimentohoist/_entry/dispatch.py
+++ b/src/pimentohoist/_entry/dispatch.py
@@ -155,6 +155,7 @@
     ) -> ResponseHead:
         head = exchange.read_head(context.request.request_id)
         endpoint = exchange.endpoint
+        context.framing = head.framing.value
         headers = dict(head.headers.items())
         notice = decode_notice(endpoint.endpoint_id, head.status, headers)
         self.chooser.endpoints.notices.record(endpoint, notice)
--- a/src/pimentohoist/_entry/request_context.py
+++ b/src/pimentohoist/_entry/request_context.py
@@ -58,6 +58,8 @@
         Attempts that may have run it.
     failure : PimentohoistError or None
         Error of the last failed attempt.
+    framing : str
+        How the body of the last response of an endpoint was framed; empty if none came.
     cleanups : list of callable
         Called when an attempt has ended.
     """
@@ -72,6 +74,7 @@
     tried_endpoints: list[str] = field(default_factory=list)
     executions: int = 0
     failure: PimentohoistError | None = None
+    framing: str = ''
     cleanups: list[Callable[[], None]] = field(default_factory=list)
 
     def remaining_s(self, now: float) -> float:
--- a/src/pimentohoist/_entry/request_handler.py
+++ b/src/pimentohoist/_entry/request_handler.py
@@ -158,6 +158,8 @@
             'endpoints': context.tried_endpoints,
             'runs': context.executions,
             'status': status,
+            'framing': context.framing,
+            'protocol': context.request.protocol,
             'took_ms': round(duration_s * _MS_PER_S),
             'outcome': 'answered' if error is None else str(error),
         }
--- a/src/pimentohoist/_entry/stream_relay.py
+++ b/src/pimentohoist/_entry/stream_relay.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable, Generator, Iterator
 
 from pimentohoist._entry.connections import UpstreamExchange
 from pimentohoist._entry.event_stream import EventSplitter
-from pimentohoist._entry.request_context import RequestContext
+from pimentohoist._entry.request_context import RequestContext, log_fields
 from pimentohoist._limited_reader import ByteLimitError
 from pimentohoist.exceptions import PeerError
 
 ResumeStream = Callable[['StreamRelay', PeerError], UpstreamExchange]
 
+_logger = logging.getLogger(__name__)
+
 
 class StreamRelay:
     """Relays one stream to a caller.
@@ -46,7 +49,7 @@
             # The error's traceback would keep the bytes until the next collection.
             self.splitter.discard()
             raise
-        return self.splitter.flush() if events is None else events
+        return self._end() if events is None else events
 
     def events(self, first: bytes) -> Iterator[bytes]:
         """Yield the first events, then the remaining ones."""
@@ -78,11 +81,24 @@
                 break
             if events:
                 yield events
-        remainder = self.splitter.flush()
+        remainder = self._end()
         if remainder:
             yield remainder
         return None
 
+    def _end(self) -> bytes:
+        """Return the bytes after the last complete event, at the end of the stream."""
+        remainder = self.splitter.flush()
+        if remainder:
+            extra = {
+                **log_fields(self.context),
+                'framing': self.context.framing,
+                'last_event_id': self.splitter.last_event_id,
+                'bytes_after_event': len(remainder),
+            }
+            _logger.warning('stream ended inside an event', extra=extra)
+        return remainder
+
     def _next_events(self) -> bytes | None:
         """Return the events that the next part completes; None at the stream's end."""
         part = next(self._parts, None)
--- a/src/pimentohoist/_entry/wsgi_apps.py
+++ b/src/pimentohoist/_entry/wsgi_apps.py
@@ -128,7 +128,11 @@
         headers.append(('Content-Type', content_type))
     body = environ['wsgi.input'].read()
     return RawRequest(
-        environ['REQUEST_METHOD'], environ['REQUEST_URI'], tuple(headers), body
+        environ['REQUEST_METHOD'],
+        environ['REQUEST_URI'],
+        tuple(headers),
+        body,
+        environ['SERVER_PROTOCOL'],
     )
 
 
--- a/src/pimentohoist/entry_models.py
+++ b/src/pimentohoist/entry_models.py
@@ -284,6 +284,8 @@
         Prompt tokens plus the maximum of output tokens.
     arrived_at : float
         Time of `_clock.now` in seconds at which it arrived.
+    protocol : str
+        Version of HTTP that the caller speaks.
     """
 
     request_id: str
@@ -297,6 +299,7 @@
     adapter: AdapterKey | None
     tokens: int | None
     arrived_at: float
+    protocol: str = 'HTTP/1.1'
 
     @property
     def path(self) -> str:
--- a/src/pimentohoist/platform/_requests.py
+++ b/src/pimentohoist/platform/_requests.py
@@ -25,6 +25,7 @@
     target: str
     headers: Headers
     body: bytes
+    protocol: str = 'HTTP/1.1'
 
 
 def read_request(raw: RawRequest, arrived_at: float) -> EntryRequest:
@@ -46,6 +47,7 @@
         _parse_adapter(found.get(header_names.ADAPTER.lower(), '')),
         None if tokens is None else _parse_token_count(tokens),
         arrived_at,
+        raw.protocol,
     )
 
 
