--- /dev/null
+++ b/features/steps/stream_ends.py
@@ -0,0 +1,93 @@
+"""Steps on streams that end early, whatever tells the end of their body."""
+
+from __future__ import annotations
+
+import http.client
+import sys
+from collections.abc import Iterable
+from pathlib import Path
+
+from behave import given, then
+from behave.runner import Context
+
+sys.path.append(str(Path(__file__).resolve().parent.parent))
+from entry_fleet import EntryFleet  # noqa: E402
+
+from pimentohoist_standins.opaque_engine import (  # noqa: E402
+    BrokenStream,
+    event_bytes,
+)
+
+_STREAM = '/models/x'
+_RESUMED = '/resumed/x'
+_EVENTS = tuple(event_bytes(number) for number in range(1, 7))
+_WHOLE = b''.join(_EVENTS)
+_CLOSED = tuple(
+    BrokenStream(events, _EVENTS[events][:size])
+    for events in (0, 1, 5)
+    for size in (1, 4, 12, len(_EVENTS[events]) - 1)
+)
+_RESET = (
+    BrokenStream(0, is_reset=True),
+    BrokenStream(0, _EVENTS[0][:4], is_reset=True),
+    BrokenStream(5, is_reset=True),
+    BrokenStream(5, _EVENTS[5][:4], is_reset=True),
+)
+
+
+@given('engines whose streams end with their connection')
+def end_with_connection(context: Context) -> None:
+    for engine in context.fleet.engines:
+        engine.faults.framing = 'connection end'
+
+
+@then('a stream that closes inside an event is incomplete or fails')
+def check_closed(context: Context) -> None:
+    _check_broken(context.fleet, _CLOSED)
+
+
+@then('a stream that closes inside an event is resumed and whole')
+def check_closed_resumed(context: Context) -> None:
+    _check_resumed(context.fleet, _CLOSED)
+
+
+@then('a stream on each route is whole')
+def check_whole(context: Context) -> None:
+    for path in (_STREAM, _RESUMED):
+        assert _send(context.fleet, path, None) == (200, _WHOLE, True)
+
+
+@then('a stream that is reset is incomplete, fails or is resumed')
+def check_reset(context: Context) -> None:
+    _check_broken(context.fleet, _RESET)
+    _check_resumed(context.fleet, _RESET)
+
+
+def _check_broken(fleet: EntryFleet, kinds: Iterable[BrokenStream]) -> None:
+    for broken in kinds:
+        status, body, is_complete = _send(fleet, _STREAM, broken)
+        if broken.events:
+            sent = b''.join(_EVENTS[: broken.events])
+            assert (status, body, is_complete) == (200, sent, False), broken
+        else:
+            assert status == 502, (broken, status, body)
+
+
+def _check_resumed(fleet: EntryFleet, kinds: Iterable[BrokenStream]) -> None:
+    for broken in kinds:
+        assert _send(fleet, _RESUMED, broken) == (200, _WHOLE, True), broken
+
+
+def _send(
+    fleet: EntryFleet, path: str, broken: BrokenStream | None
+) -> tuple[int, bytes, bool]:
+    """Return the status, the body and whether the body was complete."""
+    kinds = [] if broken is None else [broken]
+    for engine in fleet.engines:
+        engine.faults.broken_streams = kinds
+    try:
+        response = fleet.send_request(path)
+    except http.client.IncompleteRead as error:
+        return 200, error.partial, False
+    assert not kinds, 'no engine broke the stream'
+    return response.status, response.body, True
--- /dev/null
+++ b/features/stream_ends.feature
@@ -0,0 +1,25 @@
+Feature: A stream that ended early never looks complete to its caller
+
+  # Guards against taking the end of a connection for the end of a stream.
+  Scenario: A stream without a length or chunks ends inside an event
+    Given a fleet of 1 daemon with 2 engines
+    And engines whose streams end with their connection
+    Then a stream that closes inside an event is incomplete or fails
+
+  # Guards against the same where the rest of the stream could be had elsewhere.
+  Scenario: A stream without a length or chunks that may resume ends inside an event
+    Given a fleet of 1 daemon with 2 engines
+    And engines whose streams end with their connection
+    Then a stream that closes inside an event is resumed and whole
+
+  # Guards against a check of the end that breaks streams which are whole.
+  Scenario: A stream without a length or chunks is whole
+    Given a fleet of 1 daemon with 2 engines
+    And engines whose streams end with their connection
+    Then a stream on each route is whole
+
+  # Guards against taking a reset for the end of a stream.
+  Scenario: A stream without a length or chunks is reset
+    Given a fleet of 1 daemon with 2 engines
+    And engines whose streams end with their connection
+    Then a stream that is reset is incomplete, fails or is resumed
--- a/src/pimentohoist_standins/opaque_engine.py
+++ b/src/pimentohoist_standins/opaque_engine.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import json
+import os
 import select
 import socket
+import struct
 import threading
 import time
 from collections import Counter, defaultdict
@@ -20,10 +22,33 @@
 _RESPONSE_SEAL = '1.2.3'
 _SILENT_POLL_S = 0.05
 _MS_PER_S = 1000
+_LINGER_RESETS = struct.pack('ii', 1, 0)
 WORK_MS = 'Work-Ms'
 """Header by which a test's caller says how long the answer takes."""
 
 
+@dataclass(frozen=True, slots=True)
+class BrokenStream:
+    """How a stream ends before its last event.
+
+    Attributes
+    ----------
+    events : int
+        Complete events that are sent before.
+    part : bytes
+        What is sent after them.
+    is_reset : bool
+        Whether the connection is reset; else it is closed.
+    is_body_ended : bool
+        Whether a chunked body ends with its last chunk before the connection closes.
+    """
+
+    events: int
+    part: bytes = b''
+    is_reset: bool = False
+    is_body_ended: bool = True
+
+
 @dataclass(slots=True)
 class EngineFaults:
     """Faults that the engine shows.
@@ -34,6 +59,13 @@
         Number of next orders that are carried out but not answered.
     cut_after_events : int or None
         Number of events after which the next stream is cut, once.
+    broken_streams : list of BrokenStream
+        How the next streams end; engines may share the list.
+    framing : str
+        What tells the end of a response's body: ``chunks`` (of streams; other bodies have
+        a length), or ``connection end``.
+    event_end : bytes
+        Ends each line of an event, and the event.
     endless_after_events : int or None
         Number of events after which an event of the next streams doesn't end, as many as
         `endless_answers`.
@@ -71,6 +103,9 @@
     extra_responses: int = 0
     failures: int = 0
     statuses: list[HTTPStatus] = field(default_factory=list)
+    broken_streams: list[BrokenStream] = field(default_factory=list)
+    framing: str = 'chunks'
+    event_end: bytes = b'\n'
     answer_bytes: int = 0
     endless_answer: EndlessAnswer | None = None
     endless_answers: int = 0
@@ -216,6 +251,14 @@
             self.faults.endless_answers -= 1
             return self.faults.endless_answers >= 0
 
+    def take_broken_stream(self) -> BrokenStream | None:
+        """Return how the next stream is broken, once; None if it is whole."""
+        faults = self.faults
+        cut_after_events, faults.cut_after_events = faults.cut_after_events, None
+        if cut_after_events is not None:
+            return BrokenStream(cut_after_events, b'id: 9', is_body_ended=False)
+        return faults.broken_streams.pop() if faults.broken_streams else None
+
     def endless_after_events(self) -> float:
         """Return the number of events of the next stream before an endless one."""
         events = self.faults.endless_after_events
@@ -394,8 +437,11 @@
         headers = {
             **response_headers,
             'Content-Type': 'text/event-stream',
-            'Transfer-Encoding': 'chunked',
         }
+        if self.engine.faults.framing == 'chunks':
+            headers['Transfer-Encoding'] = 'chunked'
+        else:
+            self.close_connection = True
         for name, text in headers.items():
             self.send_header(name, text)
         self.end_headers()
@@ -409,32 +455,32 @@
             if work_ms is None
             else int(work_ms) / _MS_PER_S / _EVENTS_PER_STREAM
         )
-        cut_after_events, faults.cut_after_events = faults.cut_after_events, None
+        broken = self.engine.take_broken_stream()
         endless_after_events = self.engine.endless_after_events()
         for number in range(last_id + 1, _EVENTS_PER_STREAM + 1):
-            if cut_after_events is not None and number > cut_after_events:
-                # Cuts the stream in the middle of an event.
-                self.send_chunk(b'id: 9')
-                self.close_connection = True
+            if broken is not None and number > broken.events:
+                _break_off(self, broken)
                 return RunOutcome.BROKEN_OFF
             if number > endless_after_events:
                 self.send_endless(ENDLESS_EVENT)
                 return RunOutcome.BROKEN_OFF
             self.send_event(number, event_s)
-        self.wfile.write(b'0\r\n\r\n')
+        self.send_chunk(b'')
         return RunOutcome.COMPLETED
 
     def send_event(self, number: int, event_s: float) -> None:
         try:
             self.wait(event_s)
-            self.send_chunk(f'id: {number}\ndata: token {number}\n\n'.encode())
+            end = self.engine.faults.event_end
+            self.send_chunk(event_bytes(number).replace(b'\n', end))
         except OSError:
             self.engine.state.disconnected_streams += 1
             raise
         self.last_event = number
 
     def send_chunk(self, data: bytes) -> None:
-        self.wfile.write(f'{len(data):x}\r\n'.encode() + data + b'\r\n')
+        framed = f'{len(data):x}\r\n'.encode() + data + b'\r\n'
+        self.wfile.write(framed if self.engine.faults.framing == 'chunks' else data)
         self.wfile.flush()
 
     def send_answer(
@@ -448,5 +494,25 @@
         self.wfile.write(body)
 
 
+def _break_off(handler: _EngineHandler, broken: BrokenStream) -> None:
+    if broken.part:
+        handler.send_chunk(broken.part)
+    handler.close_connection = True
+    if broken.is_reset:
+        _reset(handler.connection)
+    elif broken.is_body_ended:
+        handler.send_chunk(b'')
+
+
+def _reset(connection: socket.socket) -> None:
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESETS)
+    os.close(connection.detach())
+
+
+def event_bytes(number: int) -> bytes:
+    """Return an event of a stream."""
+    return f'id: {number}\ndata: token {number}\n\n'.encode()
+
+
 def _handler(engine: OpaqueEngine) -> type[_EngineHandler]:
     return type('_Handler', (_EngineHandler,), {'engine': engine})
