Find the ends and ids of events whose lines end in CR

What callers saw: a stream whose lines end in CR reached them only when it had ended, and one that broke was resumed at its first event although it had no event relayed yet. The splitter knew LF LF and LF CR LF only, and ids only after LF.

A blank line is now found after any line end, also if its bytes come in several parts. A CR that follows an LF is taken for a blank line only once the next byte has come, since the LF of a CR LF may follow. Ids are found after any line end and after a byte order mark.

Before: 'A stream whose lines end in another way' with CR got all six events at once; 'Only complete events are relayed' failed for CR.

--- a/features/steps/entry_decisions.py
+++ b/features/steps/entry_decisions.py
@@ -72,7 +72,14 @@
     'a stream split at generated points yields the same bytes and only complete events'
 )
 def check_events(context: Context) -> None:
-    stream = b''.join(b'id: %d\r\ndata: x\r\n\r\n' % number for number in range(5))
+    for line_end in (b'\r\n', b'\n', b'\r'):
+        _check_splits(line_end)
+
+
+def _check_splits(line_end: bytes) -> None:
+    event = b'id: %d\ndata: x\n\n'.replace(b'\n', line_end)
+    stream = b''.join(event % number for number in range(5))
+    size = len(stream) // 5
 
     @_GENERATED
     @generated(st.lists(st.integers(0, len(stream)), max_size=12))
@@ -82,8 +89,9 @@
         emitted = b''
         for start, end in zip(boundaries, boundaries[1:], strict=False):
             complete = splitter.feed(stream[start:end])
-            assert not complete or complete.endswith(b'\r\n\r\n'), complete
+            assert not complete or complete.endswith(2 * line_end), complete
             emitted += complete
+            assert len(emitted) == end // size * size, (end, emitted)
         assert emitted + splitter.flush() == stream
         assert splitter.last_event_id == '4'
 
--- a/features/steps/response_limits.py
+++ b/features/steps/response_limits.py
@@ -76,7 +76,8 @@
 )
 _MIXED = st.lists(_PIECES | st.binary(max_size=20), max_size=12)
 _ANSWERS = _MIXED | _MIXED.map(lambda pieces: [_OWN_HEAD, *pieces])
-_EVENT_END = re.compile(rb'\n\r?\n')
+_EVENT_END = re.compile(rb'\n\r?\n|\n\r[^\n]|\r\r')
+_EVENT_ENDS = (b'\n\n', b'\n\r\n', b'\n\r', b'\r\r', b'\r\r\n')
 _EVENT_PIECES = st.sampled_from(
     [b'id: 1\n', b'id:2\r\n', b'data: x', b'\n', b'\r\n', b'\r', b'\n\n', b'\r\n\r\n']
 )
@@ -221,7 +222,7 @@
         relayed = b''
         for start in range(0, len(stream), size):
             events = splitter.feed(stream[start : start + size])
-            assert not events or events.endswith((b'\n\n', b'\n\r\n')), events
+            assert not events or events.endswith(_EVENT_ENDS), events
             relayed += events
             rest = stream[len(relayed) : start + size]
             assert len(splitter) == len(rest), rest
--- a/features/steps/stream_ends.py
+++ b/features/steps/stream_ends.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.client
 import sys
 from collections.abc import Iterable
@@ -11,9 +12,10 @@
 from behave.runner import Context
 
 sys.path.append(str(Path(__file__).resolve().parent.parent))
-from entry_fleet import EntryFleet  # noqa: E402
+from entry_fleet import KEY, MODEL, EntryFleet, wait_for  # noqa: E402
 
 from pimentohoist_standins.opaque_engine import (  # noqa: E402
+    WORK_MS,
     BrokenStream,
     event_bytes,
 )
@@ -27,6 +29,7 @@
     for events in (0, 1, 5)
     for size in (1, 4, 12, len(_EVENTS[events]) - 1)
 )
+_SLOW_STREAM_MS = 2000
 _RESET = (
     BrokenStream(0, is_reset=True),
     BrokenStream(0, _EVENTS[0][:4], is_reset=True),
@@ -63,6 +66,40 @@
     _check_resumed(context.fleet, _RESET)
 
 
+@given('engines whose lines end in {line_end}')
+def set_line_end(context: Context, line_end: str) -> None:
+    context.line_end = {'CR': b'\r', 'CR LF': b'\r\n'}[line_end]
+    for engine in context.fleet.engines:
+        engine.faults.event_end = context.line_end
+
+
+@then('the first event reaches its caller before the last is written')
+def check_relayed(context: Context) -> None:
+    connection = http.client.HTTPConnection(context.fleet.daemons[0].host, 8000)
+    headers = {
+        'Host': 'house.example',
+        'Pimentohoist-Attempt-Id': 'slow',
+        'Api-Key': KEY,
+        'Pimentohoist-Model': MODEL,
+        WORK_MS: str(_SLOW_STREAM_MS),
+    }
+    with contextlib.closing(connection):
+        connection.request('POST', _STREAM, b'', headers)
+        response = connection.getresponse()
+        first = response.read1()
+        running = [engine.state for engine in context.fleet.engines]
+    expected = _EVENTS[0].replace(b'\n', context.line_end)
+    assert first == expected, first
+    wait_for(lambda: sum(state.disconnected_streams for state in running) == 1, 3)
+
+
+@then('a stream that is reset after its fifth event is resumed and whole')
+def check_resumed_lines(context: Context) -> None:
+    whole = _WHOLE.replace(b'\n', context.line_end)
+    broken = BrokenStream(5, is_reset=True)
+    assert _send(context.fleet, _RESUMED, broken) == (200, whole, True)
+
+
 def _check_broken(fleet: EntryFleet, kinds: Iterable[BrokenStream]) -> None:
     for broken in kinds:
         status, body, is_complete = _send(fleet, _STREAM, broken)
--- a/features/stream_ends.feature
+++ b/features/stream_ends.feature
@@ -23,3 +23,16 @@
     Given a fleet of 1 daemon with 2 engines
     And engines whose streams end with their connection
     Then a stream that is reset is incomplete, fails or is resumed
+
+  # Guards against holding a stream back until its end, and resuming it at its first event,
+  # because its lines end in CR.
+  Scenario Outline: A stream whose lines end in another way
+    Given a fleet of 1 daemon with 2 engines
+    And engines whose lines end in <line end>
+    Then the first event reaches its caller before the last is written
+    And a stream that is reset after its fifth event is resumed and whole
+
+    Examples:
+      | line end |
+      | CR       |
+      | CR LF    |
--- a/src/pimentohoist/_entry/event_stream.py
+++ b/src/pimentohoist/_entry/event_stream.py
@@ -7,10 +7,14 @@
 from pimentohoist._entry.held_bytes import HeldBytes
 from pimentohoist._limited_reader import ByteLimitError
 
-_EVENT_ENDS = (b'\n\n', b'\n\r\n')
+_LAST_EVENT_END = re.compile(rb'.*(?:\n(?:\r?\n|\r(?=[^\n]))|\r\r\n?)', re.DOTALL)
+"""Text up to its last blank line. Lines end in LF, CR LF or CR; a CR that ends a blank line
+after an LF is complete once the next byte is known not to be the LF of a CR LF."""
+
 _MAX_TAIL_BYTES = 2
 _MAX_EVENT_BYTES = 1_048_576
-_EVENT_ID = re.compile(rb'^id: ?([^\r\n]*)', re.MULTILINE)
+_EVENT_ID = re.compile(rb'(?:\A(?:\xef\xbb\xbf)?|[\r\n])id: ?([^\r\n]*)')
+"""An id at the beginning of a line, or after the byte order mark of a stream."""
 
 
 class EventSplitter:
@@ -41,12 +45,12 @@
         """
         # The end of an event may have begun in an earlier part.
         searched = self._tail + part
-        end = max(_end_of_last(mark, searched) for mark in _EVENT_ENDS)
+        found = _LAST_EVENT_END.match(searched)
         self._tail = searched[-_MAX_TAIL_BYTES:]
-        if not end:
+        if found is None:
             self._hold(part)
             return b''
-        end -= len(searched) - len(part)
+        end = found.end() - (len(searched) - len(part))
         complete = self.flush() + part[:end]
         remainder = part[end:]
         self._tail = remainder[-_MAX_TAIL_BYTES:]
@@ -72,9 +76,3 @@
             self.discard()
             raise ByteLimitError('event', _MAX_EVENT_BYTES)
         self._held.append(part)
-
-
-def _end_of_last(mark: bytes, text: bytes) -> int:
-    """Return where the last occurrence of a mark ends; 0 if there is none."""
-    found_at = text.rfind(mark)
-    return 0 if found_at < 0 else found_at + len(mark)
