--- a/features/entry_decisions.feature
+++ b/features/entry_decisions.feature
@@ -122,6 +122,10 @@
   Scenario: Two daemons claim an engine
     Then the claim with the higher generation is valid
 
+  # Guards against calling a whole stream broken, or a broken one whole.
+  Scenario: A stream's end inside an event is recognised
+    Then a stream that ends at any byte is inside an event unless its events are complete
+
   Scenario: Only complete events are relayed
     Then a stream split at generated points yields the same bytes and only complete events
 
--- a/features/steps/entry_decisions.py
+++ b/features/steps/entry_decisions.py
@@ -98,6 +98,43 @@
     check_split()
 
 
+_LINE_ENDS = (b'\r\n', b'\n', b'\r')
+_END_PIECES = (b'id: 1', b'data: x', b': note', b'event', *_LINE_ENDS)
+
+
+@then(
+    'a stream that ends at any byte is inside an event unless its events are complete'
+)
+def check_ends(context: Context) -> None:
+    @settings(max_examples=1000, deadline=None)
+    @generated(st.lists(st.sampled_from(_END_PIECES), max_size=15), st.integers(1, 9))
+    def check_end(pieces: list[bytes], size: int) -> None:
+        stream = b''.join(pieces)
+        splitter = EventSplitter()
+        for start in range(0, len(stream), size):
+            splitter.feed(stream[start : start + size])
+        assert splitter.is_inside_event() is _is_inside_event(stream), stream
+
+    check_end()
+    splitter = EventSplitter()
+    splitter.feed(b'\xef\xbb\xbf')
+    assert not splitter.is_inside_event()
+
+
+def _is_inside_event(stream: bytes) -> bool:
+    """Read lines one after another: a blank one ends the event that has begun."""
+    is_inside = False
+    text = stream
+    while text:
+        ends = [(text.index(end), -len(end)) for end in _LINE_ENDS if end in text]
+        if not ends:
+            return is_inside or not text.startswith(b':')
+        at, negative_size = min(ends)
+        line, text = text[:at], text[at - negative_size :]
+        is_inside = bool(line) and (is_inside or not line.startswith(b':'))
+    return is_inside
+
+
 _VALID_RECORD = MappingProxyType(
     {
         'service': 's',
--- a/features/steps/stream_ends.py
+++ b/features/steps/stream_ends.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 from pathlib import Path
 
-from behave import given, then
+from behave import given, then, when
 from behave.runner import Context
 
 sys.path.append(str(Path(__file__).resolve().parent.parent))
@@ -100,6 +100,33 @@
     assert _send(context.fleet, _RESUMED, broken) == (200, whole, True)
 
 
+@when('a stream closes inside its sixth event')
+def break_sixth_event(context: Context) -> None:
+    _send(context.fleet, _STREAM, _CLOSED[-1])
+
+
+@then('the record of the request names the end inside an event and the framing')
+def check_record(context: Context) -> None:
+    wait_for(lambda: bool(_records(context.fleet)), 3)
+    record = _records(context.fleet)[0]
+    outcome = record['outcome']
+    assert outcome.startswith('the stream ended inside an event'), record
+    assert record['framing'] == 'connection end', record
+
+
+def _records(fleet: EntryFleet) -> list[dict]:
+    lines = fleet.daemons[0].lines()
+    return [line for line in lines if line['message'] == 'request ended']
+
+
+@then('a stream that ends with a comment is complete')
+def check_comment(context: Context) -> None:
+    for comment in (b': end\n\n', b': end', b': end\n'):
+        broken = BrokenStream(5, comment)
+        sent = b''.join(_EVENTS[:5]) + comment
+        assert _send(context.fleet, _STREAM, broken) == (200, sent, True), comment
+
+
 def _check_broken(fleet: EntryFleet, kinds: Iterable[BrokenStream]) -> None:
     for broken in kinds:
         status, body, is_complete = _send(fleet, _STREAM, broken)
--- a/features/stream_ends.feature
+++ b/features/stream_ends.feature
@@ -12,6 +12,25 @@
     And engines whose streams end with their connection
     Then a stream that closes inside an event is resumed and whole
 
+  # Guards against taking the last chunk for the end of the last event.
+  Scenario: A stream in chunks ends inside an event
+    Given a fleet of 1 daemon with 2 engines
+    Then a stream that closes inside an event is incomplete or fails
+    And a stream that closes inside an event is resumed and whole
+
+  # Guards against a record that calls a broken stream answered.
+  Scenario: The record of a stream that ended inside an event
+    Given a fleet of 1 daemon with 2 engines
+    And engines whose streams end with their connection
+    When a stream closes inside its sixth event
+    Then the record of the request names the end inside an event and the framing
+
+  # Guards against calling a stream broken for bytes that belong to no event.
+  Scenario: A stream ends with a comment
+    Given a fleet of 1 daemon with 2 engines
+    And engines whose streams end with their connection
+    Then a stream that ends with a comment is complete
+
   # Guards against a check of the end that breaks streams which are whole.
   Scenario: A stream without a length or chunks is whole
     Given a fleet of 1 daemon with 2 engines
--- a/src/pimentohoist/_entry/event_stream.py
+++ b/src/pimentohoist/_entry/event_stream.py
@@ -11,6 +11,8 @@
 """Text up to its last blank line. Lines end in LF, CR LF or CR; a CR that ends a blank line
 after an LF is complete once the next byte is known not to be the LF of a CR LF."""
 
+_LINE_END = re.compile(rb'\r\n|\n|\r')
+_BYTE_ORDER_MARK = b'\xef\xbb\xbf'
 _MAX_TAIL_BYTES = 2
 _MAX_EVENT_BYTES = 1_048_576
 _EVENT_ID = re.compile(rb'(?:\A(?:\xef\xbb\xbf)?|[\r\n])id: ?([^\r\n]*)')
@@ -35,6 +37,18 @@
         """Return the number of bytes after the last complete event."""
         return len(self._held)
 
+    def is_inside_event(self) -> bool:
+        """Return whether an event has begun and isn't complete.
+
+        Comments, blank lines and a byte order mark belong to no event.
+        """
+        held = b''.join(self._held).removeprefix(_BYTE_ORDER_MARK)
+        *lines, begun_line = _LINE_END.split(held)
+        is_inside = False
+        for line in lines:
+            is_inside = bool(line) and (is_inside or _is_field(line))
+        return is_inside or _is_field(begun_line)
+
     def feed(self, part: bytes) -> bytes:
         """Add bytes; return the events that are complete now, unchanged; may be empty.
 
@@ -76,3 +90,7 @@
             self.discard()
             raise ByteLimitError('event', _MAX_EVENT_BYTES)
         self._held.append(part)
+
+
+def _is_field(line: bytes) -> bool:
+    return bool(line) and not line.startswith(b':')
--- a/src/pimentohoist/_entry/stream_relay.py
+++ b/src/pimentohoist/_entry/stream_relay.py
@@ -13,6 +13,8 @@
 
 ResumeStream = Callable[['StreamRelay', PeerError], UpstreamExchange]
 
+_STEP = 'endpoint'
+
 _logger = logging.getLogger(__name__)
 
 
@@ -40,16 +42,13 @@
 
     def first_events(self) -> bytes:
         """Wait for the first events; raises PeerError if the stream breaks before them."""
-        self._parts = self.exchange.parts()
-        events: bytes | None = b''
+        self._events = self._exchange_events()
         try:
-            while events == b'':
-                events = self._next_events()
+            return next(self._events)
         except PeerError:
             # The error's traceback would keep the bytes until the next collection.
             self.splitter.discard()
             raise
-        return self._end() if events is None else events
 
     def events(self, first: bytes) -> Iterator[bytes]:
         """Yield the first events, then the remaining ones."""
@@ -67,42 +66,45 @@
             self.context.run_cleanups()
             self.splitter.discard()
             self.exchange = self.resume(self, failure)
-            self._parts = self.exchange.parts()
+            self._events = self._exchange_events()
             failure = yield from self._events_until_failure()
 
     def _events_until_failure(self) -> Generator[bytes, None, PeerError | None]:
         """Yield the events of the exchange; return the error that broke it, or None."""
-        while True:
-            try:
-                events = self._next_events()
-            except PeerError as error:
-                return error
-            if events is None:
-                break
-            if events:
-                yield events
-        remainder = self._end()
-        if remainder:
-            yield remainder
+        try:
+            yield from self._events
+        except PeerError as error:
+            return error
         return None
 
-    def _end(self) -> bytes:
-        """Return the bytes after the last complete event, at the end of the stream."""
-        remainder = self.splitter.flush()
-        if remainder:
-            extra = {
-                **log_fields(self.context),
-                'framing': self.context.framing,
-                'last_event_id': self.splitter.last_event_id,
-                'bytes_after_event': len(remainder),
-            }
-            _logger.warning('stream ended inside an event', extra=extra)
-        return remainder
-
-    def _next_events(self) -> bytes | None:
-        """Return the events that the next part completes; None at the stream's end."""
-        part = next(self._parts, None)
-        return None if part is None else self._split(part)
+    def _exchange_events(self) -> Iterator[bytes]:
+        """Yield the events of the exchange as they arrive; raises PeerError.
+
+        The last part has what belongs to no event and may be empty.
+        """
+        for part in self.exchange.parts():
+            events = self._split(part)
+            if events:
+                yield events
+        self._check_end()
+        yield self.splitter.flush()
+
+    def _check_end(self) -> None:
+        """Raise PeerError if the stream has ended inside an event."""
+        if not self.splitter.is_inside_event():
+            return
+        extra = {
+            **log_fields(self.context),
+            'framing': self.context.framing,
+            'last_event_id': self.splitter.last_event_id,
+            'bytes_after_event': len(self.splitter),
+        }
+        _logger.warning('stream ended inside an event', extra=extra)
+        raise PeerError(
+            'the stream ended inside an event',
+            step=_STEP,
+            peer=self.exchange.endpoint.address,
+        )
 
     def _split(self, part: bytes) -> bytes:
         try:
