Reset the connection of an HTTP/1.0 caller whose stream breaks

What callers saw: a caller with HTTP/1.0 gets streams without chunks, which end with the connection. One that broke was closed like one that was whole.

Cause: the server closes a connection in one way, whatever ended the answer.

Now a response that fails midway and has neither a length nor chunks resets its connection (SO_LINGER with a time of 0); for chunks the missing last chunk tells the failure as before. In the server of both daemons.

Before: status 200 and an orderly end for a stream that broke in its sixth event.

--- a/features/steps/stream_ends.py
+++ b/features/steps/stream_ends.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import http.client
+import socket
 import sys
 from collections.abc import Iterable
 from pathlib import Path
@@ -29,6 +30,7 @@
     for events in (0, 1, 5)
     for size in (1, 4, 12, len(_EVENTS[events]) - 1)
 )
+_RECEIVE_BYTES = 65_536
 _SLOW_STREAM_MS = 2000
 _RESET = (
     BrokenStream(0, is_reset=True),
@@ -66,6 +68,41 @@
     _check_resumed(context.fleet, _RESET)
 
 
+@then('a stream that breaks in its sixth event is reset for a caller with HTTP/1.0')
+def check_old_caller(context: Context) -> None:
+    for broken in (_CLOSED[-1], BrokenStream(5, b'id: 6', is_body_ended=False)):
+        _set_broken(context.fleet, [broken])
+        received, is_reset = _send_as_old_caller(context.fleet)
+        assert is_reset, (broken, received)
+
+
+@then('a whole stream ends with the connection of a caller with HTTP/1.0')
+def check_old_whole(context: Context) -> None:
+    received, is_reset = _send_as_old_caller(context.fleet)
+    assert not is_reset
+    assert received.endswith(_WHOLE), received
+    assert b'Transfer-Encoding' not in received, received
+
+
+def _send_as_old_caller(fleet: EntryFleet) -> tuple[bytes, bool]:
+    """Return what a caller receives, and whether its connection is reset."""
+    fleet.requests += 1
+    head = (
+        f'POST {_STREAM} HTTP/1.0\r\nHost: house.example\r\nContent-Length: 0\r\n'
+        f'Pimentohoist-Attempt-Id: old-{fleet.requests}\r\nApi-Key: {KEY}\r\n'
+        f'Pimentohoist-Model: {MODEL}\r\n\r\n'
+    )
+    received = b''
+    with socket.create_connection((fleet.daemons[0].host, 8000), 10) as sock:
+        sock.sendall(head.encode())
+        try:
+            while part := sock.recv(_RECEIVE_BYTES):
+                received += part
+        except ConnectionResetError:
+            return received, True
+    return received, False
+
+
 @given('engines whose lines end in {line_end}')
 def set_line_end(context: Context, line_end: str) -> None:
     context.line_end = {'CR': b'\r', 'CR LF': b'\r\n'}[line_end]
@@ -142,13 +179,17 @@
         assert _send(fleet, _RESUMED, broken) == (200, _WHOLE, True), broken
 
 
+def _set_broken(fleet: EntryFleet, kinds: list[BrokenStream]) -> None:
+    for engine in fleet.engines:
+        engine.faults.broken_streams = kinds
+
+
 def _send(
     fleet: EntryFleet, path: str, broken: BrokenStream | None
 ) -> tuple[int, bytes, bool]:
     """Return the status, the body and whether the body was complete."""
     kinds = [] if broken is None else [broken]
-    for engine in fleet.engines:
-        engine.faults.broken_streams = kinds
+    _set_broken(fleet, kinds)
     try:
         response = fleet.send_request(path)
     except http.client.IncompleteRead as error:
--- a/features/stream_ends.feature
+++ b/features/stream_ends.feature
@@ -55,3 +55,10 @@
       | line end |
       | CR       |
       | CR LF    |
+
+  # Guards against a broken stream that looks complete, since the end of the connection ends
+  # both.
+  Scenario: A caller with HTTP/1.0 gets a broken stream
+    Given a fleet of 1 daemon with 2 engines
+    Then a stream that breaks in its sixth event is reset for a caller with HTTP/1.0
+    And a whole stream ends with the connection of a caller with HTTP/1.0
--- a/src/pimentohoist/_entry/server.py
+++ b/src/pimentohoist/_entry/server.py
@@ -5,11 +5,10 @@
 from typing import Any
 
 from waitress.parser import HTTPRequestParser, ParsingError
-from waitress.task import WSGITask
 from waitress.utilities import RequestEntityTooLarge
 
 from pimentohoist import _clock
-from pimentohoist._http_server import HttpServer, ServerChannel, WsgiApp
+from pimentohoist._http_server import HttpServer, ServerChannel, ServerTask, WsgiApp
 from pimentohoist.entry_models import CallerLimits
 
 RECEIVED_AT = 'pimentohoist.received_at'
@@ -107,11 +106,9 @@
             )
 
 
-class _Task(WSGITask):
+class _Task(ServerTask):
     """Keeps the connection open after a chunked response, which its last chunk ends."""
 
-    channel: Any
-
     def get_environment(self) -> Any:
         request: Any = self.request
         return {**super().get_environment(), RECEIVED_AT: request.completed_at}
--- a/src/pimentohoist/_http_server.py
+++ b/src/pimentohoist/_http_server.py
@@ -4,6 +4,7 @@
 
 import math
 import socket
+import struct
 import threading
 import time
 from collections.abc import Callable, Iterable
@@ -13,6 +14,7 @@
 from waitress import wasyncore
 from waitress.channel import HTTPChannel
 from waitress.server import create_server
+from waitress.task import WSGITask
 
 from pimentohoist._addresses import split_address
 from pimentohoist._sockets import has_input
@@ -27,6 +29,9 @@
 _NO_TIMEOUT_S = 10_000_000_000
 """Disables waitress's own check."""
 
+_LINGER_RESETS = struct.pack('ii', 1, 0)
+"""Value of SO_LINGER with which a close resets the connection."""
+
 _IDLE_POLL_INTERVAL_S = 0.01
 _MAX_LINGER_S = 0.5
 """How long a connection that has ended its last response waits for the other end."""
@@ -43,18 +48,42 @@
     return [_REFUSAL_BODY]
 
 
+class ServerTask(WSGITask):
+    """Sends a response; one that fails midway never looks complete.
+
+    A response without a length and without chunks, as a caller with HTTP/1.0 gets it, is
+    complete when its connection is closed, so that only a reset tells a failure.
+    """
+
+    channel: Any
+
+    def execute(self) -> None:
+        """Send the response; raises what the application raises."""
+        try:
+            super().execute()
+        except Exception:
+            if self.wrote_header and not self._is_framed():
+                self.channel.reset_on_close()
+            raise
+
+    def _is_framed(self) -> bool:
+        return self.chunked_response or self.content_length is not None
+
+
 class ServerChannel(HTTPChannel):
     """A connection that ends when it was idle for too long.
 
     Waitress measures that by the time of day, which may jump.
     """
 
+    task_class = ServerTask
     server: Any
     socket: Any
     connected: bool
 
     def __init__(self, *args: Any, **options: Any) -> None:
         self.active_at = time.monotonic()
+        self._is_reset_wanted = False
         self._ends_with_response = False
         self._has_ended_response = False
         self._is_lingering = False
@@ -111,7 +140,16 @@
         with suppress(OSError):
             self.socket.shutdown(socket.SHUT_WR)
 
+    def reset_on_close(self) -> None:
+        """Let the close of the connection reset it."""
+        self._is_reset_wanted = True
+        # The other end may have closed the connection already.
+        with suppress(OSError):
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESETS)
+
     def _is_reset_likely(self) -> bool:
+        if self._is_reset_wanted:
+            return False
         return self.connected and self._has_ended_response and has_input(self.socket)
 
     def _is_expired(self, idle_s: float) -> bool:
