A stream that its connection ends before any event is broken

What callers saw: status 200, framed as complete, with no event at all, where the engine closed its connection before the first one and the body had neither a length nor chunks. A request that may resume wasn't run again.

Cause: nothing tells such a body from an empty one. A body in chunks without an event is passed on, since its engine has ended it. A resumption may have none, if the last event had been relayed before.

--- a/features/steps/stream_ends.py
+++ b/features/steps/stream_ends.py
@@ -30,6 +30,7 @@
     for events in (0, 1, 5)
     for size in (1, 4, 12, len(_EVENTS[events]) - 1)
 )
+_EMPTY = (BrokenStream(0),)
 _RECEIVE_BYTES = 65_536
 _SLOW_STREAM_MS = 2000
 _RESET = (
@@ -103,6 +104,39 @@
     return received, False
 
 
+@then('a stream that closes before its first event fails or is run again')
+def check_no_event(context: Context) -> None:
+    _check_broken(context.fleet, _EMPTY)
+    _check_resumed(context.fleet, _EMPTY)
+
+
+@then('a stream without an event is complete')
+def check_empty(context: Context) -> None:
+    assert _send(context.fleet, _STREAM, _EMPTY[0]) == (200, b'', True)
+
+
+@given('a plain service whose answers end with their connection')
+def end_service_with_connection(context: Context) -> None:
+    context.fleet.ledger.faults.framing = 'connection end'
+
+
+@then(
+    'an answer that is closed is complete, and one that is reset fails or is run again'
+)
+def check_service(context: Context) -> None:
+    fleet, ledger = context.fleet, context.fleet.ledger
+    answer = fleet.send_request('/pay/1')
+    assert answer.status == 200, answer
+    assert answer.body == f'answer to request-{fleet.requests}'.encode(), answer
+    for part in (b'', b'answer'):
+        ledger.faults.broken_streams = [BrokenStream(0, part, is_reset=True)]
+        assert fleet.send_request('/pay/1').status == 502
+    executed = len(ledger.state.executed_requests)
+    ledger.faults.broken_streams = [BrokenStream(0, b'answer', is_reset=True)]
+    assert fleet.send_request('/look/1').status == 502
+    assert len(ledger.state.executed_requests) == executed + 1
+
+
 @given('engines whose lines end in {line_end}')
 def set_line_end(context: Context, line_end: str) -> None:
     context.line_end = {'CR': b'\r', 'CR LF': b'\r\n'}[line_end]
--- a/features/stream_ends.feature
+++ b/features/stream_ends.feature
@@ -37,6 +37,17 @@
     And engines whose streams end with their connection
     Then a stream on each route is whole
 
+  # Guards against a success without any event, for a request that could run elsewhere.
+  Scenario: A stream without a length or chunks ends before its first event
+    Given a fleet of 1 daemon with 2 engines
+    And engines whose streams end with their connection
+    Then a stream that closes before its first event fails or is run again
+
+  # Guards against failing an empty stream that its engine has ended.
+  Scenario: A stream in chunks has no event
+    Given a fleet of 1 daemon with 2 engines
+    Then a stream without an event is complete
+
   # Guards against taking a reset for the end of a stream.
   Scenario: A stream without a length or chunks is reset
     Given a fleet of 1 daemon with 2 engines
@@ -62,3 +73,10 @@
     Given a fleet of 1 daemon with 2 engines
     Then a stream that breaks in its sixth event is reset for a caller with HTTP/1.0
     And a whole stream ends with the connection of a caller with HTTP/1.0
+
+  # Guards against a check of streams that breaks the answers of plain services, and against
+  # taking a reset for their end.
+  Scenario: A plain service's answer has no length
+    Given a fleet of 1 daemon with 1 engine
+    And a plain service whose answers end with their connection
+    Then an answer that is closed is complete, and one that is reset fails
--- a/src/pimentohoist/_entry/stream_relay.py
+++ b/src/pimentohoist/_entry/stream_relay.py
@@ -5,7 +5,7 @@
 import logging
 from collections.abc import Callable, Generator, Iterator
 
-from pimentohoist._entry.connections import UpstreamExchange
+from pimentohoist._entry.connections import Framing, UpstreamExchange
 from pimentohoist._entry.event_stream import EventSplitter
 from pimentohoist._entry.request_context import RequestContext, log_fields
 from pimentohoist._limited_reader import ByteLimitError
@@ -39,6 +39,7 @@
         self.exchange = exchange
         self.splitter = splitter
         self.resume = resume
+        self._has_events = False
 
     def first_events(self) -> bytes:
         """Wait for the first events; raises PeerError if the stream breaks before them."""
@@ -85,23 +86,31 @@
         for part in self.exchange.parts():
             events = self._split(part)
             if events:
+                self._has_events = True
                 yield events
         self._check_end()
         yield self.splitter.flush()
 
     def _check_end(self) -> None:
-        """Raise PeerError if the stream has ended inside an event."""
-        if not self.splitter.is_inside_event():
+        """Raise PeerError if the stream has ended inside an event, or before the first.
+
+        A body in chunks or with a length may have no event; where the connection's end is
+        the body's, nothing tells such a body from one whose engine has failed.
+        """
+        is_inside_event = self.splitter.is_inside_event()
+        is_framed = self.context.framing != Framing.CONNECTION_END.value
+        if not is_inside_event and (is_framed or self._has_events):
             return
+        where = 'inside an event' if is_inside_event else 'before its first event'
         extra = {
             **log_fields(self.context),
             'framing': self.context.framing,
             'last_event_id': self.splitter.last_event_id,
             'bytes_after_event': len(self.splitter),
         }
-        _logger.warning('stream ended inside an event', extra=extra)
+        _logger.warning('stream ended %s', where, extra=extra)
         raise PeerError(
-            'the stream ended inside an event',
+            f'the stream ended {where}',
             step=_STEP,
             peer=self.exchange.endpoint.address,
         )
--- a/src/pimentohoist_standins/opaque_engine.py
+++ b/src/pimentohoist_standins/opaque_engine.py
@@ -418,6 +418,11 @@
         self.wait(int(headers.get(WORK_MS.lower(), '0')) / _MS_PER_S)
         text = b'answer to ' + request_id.encode()
         body = text.ljust(faults.answer_bytes)
+        broken = self.engine.take_broken_stream()
+        if broken is not None:
+            self.send_answer(HTTPStatus.OK, b'', response_headers)
+            _break_off(self, broken)
+            return RunOutcome.BROKEN_OFF
         self.send_answer(HTTPStatus.OK, body, response_headers)
         if faults.extra_responses > 0:
             faults.extra_responses -= 1
@@ -489,7 +494,10 @@
         self.send_response(status)
         for name, text in (headers or {}).items():
             self.send_header(name, text)
-        self.send_header('Content-Length', str(len(body)))
+        if self.engine.faults.framing == 'chunks' or status >= HTTPStatus.BAD_REQUEST:
+            self.send_header('Content-Length', str(len(body)))
+        else:
+            self.close_connection = True
         self.end_headers()
         self.wfile.write(body)
 
