Read the records of a cut answer of the store again

An answer of the store with no length that is closed early was taken for complete: a record that was cut off was decoded as it was and the read went on after it, so that a daemon missed a configuration until the next one; an answer without even its two offsets counted as 'nothing newer'.

Before: 'The store's answer to a read is cut off' failed at 0 bytes.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -72,6 +72,11 @@
   Scenario: The store announces another page for ever
     Then a read of endless pages is given up within 4 s
 
+  # Guards against missing a configuration whose record was cut off, since the end of a
+  # connection was taken for the end of the records.
+  Scenario: The store's answer to a read is cut off
+    Then a read that is cut after any byte fails or has the complete records
+
   # Guards against the same in a daemon, for its memory and for what it does afterwards.
   Scenario: The store sends endless answers to a daemon for a time
     Given a fleet of 1 daemon with 1 engine
--- a/features/steps/endless_reads.py
+++ b/features/steps/endless_reads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import socket
 import sys
 import threading
@@ -28,7 +29,12 @@
     EntryRequest,
 )
 from pimentohoist.exceptions import PeerError, PimentohoistError  # noqa: E402
-from pimentohoist.platform import EngineOrders, ReadPosition, Store  # noqa: E402
+from pimentohoist.platform import (  # noqa: E402
+    EngineOrders,
+    KeyedRecord,
+    ReadPosition,
+    Store,
+)
 from pimentohoist_standins.endless import (  # noqa: E402
     ENDLESS_ANSWERS,
     TRICKLED_ANSWERS,
@@ -41,6 +47,9 @@
 _PAUSE_S = 0.05
 _GUARD_S = 6
 _TOPIC = 'keyed.op'
+_START = ReadPosition(0, 0)
+_OFFSETS_BYTES = 16
+_RECORD_HEAD_BYTES = 5
 _INVALID_CHUNK = (
     b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n'
     b'Pimentohoist-Attempt-Id: r1\r\nPimentohoist-Response-Seal: 1\r\n\r\nsize\r\n'
@@ -128,6 +137,40 @@
         stand_in.has_endless_pages = False
 
 
+@then('a read that is cut after any byte fails or has the complete records')
+def check_cut_reads(context: Context) -> None:
+    stand_in = context.stack.enter_context(KeyedStore((_LOOPBACK, 0)))
+    bodies = [b'{"version": 1}', b'{"version": 2}']
+    for body in bodies:
+        stand_in.put(_TOPIC, 'config', json.loads(body))
+    store = Store(stand_in.address, timeout_s=0.4)
+    whole, _ = store.read_changes(_TOPIC, _START, wait_s=0)
+    assert [record.body for record in whole] == bodies, whole
+    size = _OFFSETS_BYTES + sum(map(_record_bytes, whole))
+    ends = [_OFFSETS_BYTES + _record_bytes(whole[0]), size]
+    for cut_bytes in range(size + 1):
+        stand_in.cut_answers_bytes = cut_bytes
+        expected = whole[: sum(end <= cut_bytes for end in ends)]
+        _check_cut_read(store, expected, may_be_empty=cut_bytes == _OFFSETS_BYTES)
+
+
+def _check_cut_read(
+    store: Store, expected: list[KeyedRecord], *, may_be_empty: bool
+) -> None:
+    try:
+        records, position = store.read_changes(_TOPIC, _START, wait_s=0)
+    except PeerError:
+        assert not expected
+        return
+    assert records == expected, records
+    assert records or may_be_empty, position
+    assert position.offset == len(expected), position
+
+
+def _record_bytes(record: KeyedRecord) -> int:
+    return _RECORD_HEAD_BYTES + len(record.key) + len(record.body or b'')
+
+
 @given('a service that sends an invalid chunk size and keeps the connection open')
 def start_service(context: Context) -> None:
     listener = socket.create_server((_LOOPBACK, 0))
--- a/features/steps/stream_ends.py
+++ b/features/steps/stream_ends.py
@@ -120,9 +120,7 @@
     context.fleet.ledger.faults.framing = 'connection end'
 
 
-@then(
-    'an answer that is closed is complete, and one that is reset fails or is run again'
-)
+@then('an answer that is closed is complete, and one that is reset fails')
 def check_service(context: Context) -> None:
     fleet, ledger = context.fleet, context.fleet.ledger
     answer = fleet.send_request('/pay/1')
--- a/src/pimentohoist/platform/_store.py
+++ b/src/pimentohoist/platform/_store.py
@@ -157,7 +157,7 @@
         """
         query = _changes_query(topic, position.offset, wait_s)
         response, era = self._request('GET', _READ_PATH, query, wait_s=wait_s)
-        return _decode_changes(response, position, era)
+        return _decode_changes(response, position, era, self.client.address)
 
     def send_read(
         self, topic: str, position: ReadPosition, *, wait_s: float
@@ -285,7 +285,9 @@
         response = self.request.read_response()
         era = self.store.era.record_answer(response.headers)
         _check_status(response, self.target, self.request.client.address)
-        return _decode_changes(response, self.position, era)
+        return _decode_changes(
+            response, self.position, era, self.request.client.address
+        )
 
 
 def _check_status(response: HttpResponse, target: str, peer: str) -> None:
@@ -320,10 +322,21 @@
 
 
 def _decode_changes(
-    response: HttpResponse, position: ReadPosition, era: int
+    response: HttpResponse, position: ReadPosition, era: int, peer: str
 ) -> tuple[list[KeyedRecord], ReadPosition]:
+    """Return the complete records; raise PeerError if the body is cut off before them.
+
+    A body without a length looks complete when its connection is closed.
+    """
     _check_era(position, era)
     bodies = list(_split_records(response.body[2 * _OFFSET_BYTES :]))
+    size = 2 * _OFFSET_BYTES + sum(_LENGTH_BYTES + len(body) for body in bodies)
+    if size > len(response.body) or (size < len(response.body) and not bodies):
+        raise PeerError(
+            f'{_READ_PATH}: body cut off after {len(response.body)} bytes',
+            step=_STEP,
+            peer=peer,
+        )
     records = [_decode_record(body) for body in bodies]
     return records, ReadPosition(position.offset + len(bodies), era)
 
@@ -342,6 +355,8 @@
     while start + _LENGTH_BYTES <= len(stream):
         body_at = start + _LENGTH_BYTES
         start = body_at + int.from_bytes(stream[start:body_at], 'big')
+        if start > len(stream):
+            break
         yield stream[body_at:start]
 
 
--- a/src/pimentohoist_standins/keyed_store.py
+++ b/src/pimentohoist_standins/keyed_store.py
@@ -32,6 +32,8 @@
         meanwhile stay silent for good.
     endless_answer : EndlessAnswer or None
         Sent to all calls instead of their answers.
+    cut_answers_bytes : int or None
+        Size to which answers are cut; they have no length and end with their connection.
     has_endless_pages : bool
         Whether each page of newest records says that another one follows.
     is_losing_calls : bool
@@ -46,6 +48,8 @@
         Member by partition; the first member that joins gets all partitions.
     """
 
+    cut_answers_bytes: int | None = None
+
     def __init__(self, address: tuple[str, int]) -> None:
         super().__init__(address, _handler(self))
         self.is_down = False
@@ -251,12 +255,16 @@
         if self.store.is_connection_silent(self.opened_at):
             self.discard_input()
             return
+        cut_bytes = self.store.cut_answers_bytes
         self.send_response(reply.status)
-        self.send_header('Content-Length', str(len(reply.body)))
+        if cut_bytes is None:
+            self.send_header('Content-Length', str(len(reply.body)))
+        else:
+            self.close_connection = True
         if self.store.era is not None:
             self.send_header('Store-Era', str(self.store.era))
         self.end_headers()
-        self.wfile.write(reply.body)
+        self.wfile.write(reply.body[:cut_bytes])
 
     def drop_call(self) -> None:
         self.close_connection = True
