--- a/src/pimentohoist/_entry/dispatch.py
+++ b/src/pimentohoist/_entry/dispatch.py
@@ -110,6 +110,7 @@
             last_event_id,
             _priority(context) if context.group.engine else None,
         )
+        context.framing = ''
         self._track(context, endpoint.endpoint_id)
         try:
             exchange = self.connections.send(
--- a/src/pimentohoist/_entry/retry_policy.py
+++ b/src/pimentohoist/_entry/retry_policy.py
@@ -157,7 +157,14 @@
         )
         fingerprint = fingerprint_of(context.request)
         count = self.crash_reports.record_crash(fingerprint, endpoint.endpoint_id)
-        extra = {**log_fields(context), 'fingerprint': fingerprint, 'crashes': count}
+        extra = {
+            **log_fields(context),
+            'endpoint': endpoint.incarnation,
+            'fingerprint': fingerprint,
+            'crashes': count,
+            'shared_parts': context.request.shared_parts,
+            'framing': context.framing,
+        }
         _logger.warning('endpoint crashed while it executed a request', extra=extra)
 
 
--- a/src/pimentohoist/entry_models.py
+++ b/src/pimentohoist/entry_models.py
@@ -286,6 +286,8 @@
         Time of `_clock.now` in seconds at which it arrived.
     protocol : str
         Version of HTTP that the caller speaks.
+    shared_parts : tuple of str
+        Ids of the parts of the prompt that it may share with other requests.
     """
 
     request_id: str
@@ -300,6 +302,7 @@
     tokens: int | None
     arrived_at: float
     protocol: str = 'HTTP/1.1'
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def path(self) -> str:
--- a/src/pimentohoist/platform/_headers.py
+++ b/src/pimentohoist/platform/_headers.py
@@ -14,6 +14,10 @@
 TOKEN_COUNTS = 'Pimentohoist-Token-Count'
 """Number of prompt tokens and maximum number of output tokens, separated by a comma."""
 
+PROMPT_PARTS = 'Pimentohoist-Prompt-Prefix'
+"""Parts of the prompt in order, as ID:TOKENS pairs separated by commas; the last part is the
+request's own, the others may be shared with other requests."""
+
 API_KEY = 'Api-Key'
 WORKSPACE = 'Pimentohoist-Tenant'
 EXPECTED_ENDPOINT = 'Pimentohoist-Expect-Instance'
--- a/src/pimentohoist/platform/_requests.py
+++ b/src/pimentohoist/platform/_requests.py
@@ -13,6 +13,7 @@
 
 _STEP = 'decode_request'
 _MS_PER_S = 1000
+_MAX_PART_ID_LENGTH = 32
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -48,6 +49,7 @@
         None if tokens is None else _parse_token_count(tokens),
         arrived_at,
         raw.protocol,
+        _parse_shared_parts(found.get(header_names.PROMPT_PARTS.lower(), '')),
     )
 
 
@@ -120,6 +122,12 @@
     return AdapterKey(model, name)
 
 
+def _parse_shared_parts(text: str) -> tuple[str, ...]:
+    """Return the ids of all parts but the last; a part without an id has none."""
+    ids = (part.partition(':')[0].strip() for part in text.split(',')[:-1])
+    return tuple(part_id[:_MAX_PART_ID_LENGTH] for part_id in ids if part_id)
+
+
 def _parse_token_count(text: str) -> int:
     return sum(
         int(_parse_number(part, header_names.TOKEN_COUNTS)) for part in text.split(',')
