--- a/features/entry_fleet.py
+++ b/features/entry_fleet.py
@@ -127,6 +127,7 @@
         path: str = '/models/x',
         adapter: str = 'a1',
         daemon: int = 0,
+        body: bytes = b'{"a": 1}',
         **headers: str,
     ) -> Response:
         self.requests += 1
@@ -141,7 +142,7 @@
             sent['Pimentohoist-Model'] = f'{MODEL}/{adapter}' if adapter else MODEL
             sent['Pimentohoist-Token-Count'] = '10,20'
         host = self.daemons[daemon].host
-        return exchange(host, 8000, 'POST', path, sent, b'{"a": 1}')
+        return exchange(host, 8000, 'POST', path, sent, body)
 
     def add_endpoint(self, host: int, name: str, model: str) -> OpaqueEngine:
         address = (f'{self.network}.{host}', 9000)
--- a/src/pimentohoist/platform/_requests.py
+++ b/src/pimentohoist/platform/_requests.py
@@ -124,7 +124,8 @@
 
 def _parse_shared_parts(text: str) -> tuple[str, ...]:
     """Return the ids of all parts but the last; a part without an id has none."""
-    ids = (part.partition(':')[0].strip() for part in text.split(',')[:-1])
+    parts = text.split(',')[:-1]
+    ids = (part.partition(':')[0].strip() for part in parts)
     return tuple(part_id[:_MAX_PART_ID_LENGTH] for part_id in ids if part_id)
 
 
--- a/src/pimentohoist_standins/_threaded.py
+++ b/src/pimentohoist_standins/_threaded.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import socket
+import sys
 import threading
+from contextlib import suppress
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
-from typing import Self
+from typing import Any, Self
 
 
 class ThreadedStandIn:
@@ -25,6 +28,10 @@
         self._server.shutdown()
         self._server.server_close()
 
+    def crash(self) -> None:
+        """Refuse connections and cut those that are open, from any thread."""
+        self._server.crash()
+
     @property
     def address(self) -> str:
         """Address of the server, as ``ip:port``."""
@@ -44,3 +51,32 @@
 class _Server(ThreadingHTTPServer):
     daemon_threads = True
     request_queue_size = 128
+
+    def __init__(self, *args: Any) -> None:
+        self._open: set[socket.socket] = set()
+        super().__init__(*args)
+
+    def get_request(self) -> Any:
+        """Accept a connection."""
+        connection, address = super().get_request()
+        self._open.add(connection)
+        return connection, address
+
+    def shutdown_request(self, request: Any) -> None:
+        """Close a connection."""
+        self._open.discard(request)
+        super().shutdown_request(request)
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Ignore connections that the other end or a crash has cut."""
+        if not isinstance(sys.exception(), OSError):
+            super().handle_error(request, client_address)
+
+    def crash(self) -> None:
+        """Close the listener and cut the open connections."""
+        self.server_close()
+        for connection in tuple(self._open):
+            with suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+        # The loop would spin on the closed listener.
+        self.shutdown()
--- a/src/pimentohoist_standins/opaque_engine.py
+++ b/src/pimentohoist_standins/opaque_engine.py
@@ -11,6 +11,7 @@
 import time
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
+from email.message import Message
 from http import HTTPStatus
 from typing import Any
 
@@ -82,6 +83,8 @@
         Sent to the next requests, as many as `endless_answers`.
     endless_reports : EndlessAnswer or None
         Sent to all orders, after they are carried out, and reads of the report.
+    deadly_parts : frozenset of str
+        Parts of a prompt; the engine crashes when it begins to answer a request with one.
     is_silent : bool
         Whether executed requests stay unanswered; they are answered once it is false.
     is_leaving : bool
@@ -106,6 +109,7 @@
     broken_streams: list[BrokenStream] = field(default_factory=list)
     framing: str = 'chunks'
     event_end: bytes = b'\n'
+    deadly_parts: frozenset[str] = frozenset()
     answer_bytes: int = 0
     endless_answer: EndlessAnswer | None = None
     endless_answers: int = 0
@@ -138,6 +142,8 @@
         When each request arrived, on the monotonic clock, refused ones included.
     order_arrivals : list of float
         When each order and each read of the report arrived.
+    crashed_at : float or None
+        When the engine crashed, on the monotonic clock.
     disconnected_streams : int
         Streams whose client disconnected before the end.
     closed_answers : list of int
@@ -157,6 +163,7 @@
     executed_requests: list[ExecutedRequest] = field(default_factory=list)
     arrivals: list[float] = field(default_factory=list)
     order_arrivals: list[float] = field(default_factory=list)
+    crashed_at: float | None = None
     disconnected_streams: int = 0
     closed_answers: list[int] = field(default_factory=list)
 
@@ -251,6 +258,14 @@
             self.faults.endless_answers -= 1
             return self.faults.endless_answers >= 0
 
+    def crash_on(self, headers: dict[str, str]) -> None:
+        """Crash if a request has a deadly part."""
+        parts = headers.get('pimentohoist-prompt-prefix', '').split(',')
+        ids = {part.partition(':')[0] for part in parts[:-1]}
+        if ids & self.faults.deadly_parts and self.state.crashed_at is None:
+            self.state.crashed_at = time.monotonic()
+            self.crash()
+
     def take_broken_stream(self) -> BrokenStream | None:
         """Return how the next stream is broken, once; None if it is whole."""
         faults = self.faults
@@ -352,7 +367,7 @@
 
     def run_request(self) -> None:
         body = self.read_body()
-        headers = {name.lower(): text for name, text in self.headers.items()}
+        headers = _lowered(self.headers)
         engine = self.engine
         engine.state.arrivals.append(time.monotonic())
         arrival = engine.record_arrival(self.path, headers, self.client_address[0])
@@ -450,6 +465,7 @@
         for name, text in headers.items():
             self.send_header(name, text)
         self.end_headers()
+        self.engine.crash_on(_lowered(self.headers))
         return self.send_events(last_id)
 
     def send_events(self, last_id: int) -> RunOutcome:
@@ -502,6 +518,10 @@
         self.wfile.write(body)
 
 
+def _lowered(headers: Message) -> dict[str, str]:
+    return {name.lower(): text for name, text in headers.items()}
+
+
 def _break_off(handler: _EngineHandler, broken: BrokenStream) -> None:
     if broken.part:
         handler.send_chunk(broken.part)
