--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -4,6 +4,6 @@
   # crash them are alike, and against sound requests that are lost beside them.
   Scenario: Requests that share a part crash each engine that answers one
     Given a fleet of 2 daemons with 5 engines that crash on a part of a prompt
-    When requests with that part come for 13 s beside sound ones
+    When requests with that part come for 20 s beside sound ones
     Then at most 3 of them reach engines later than 3 s after the fifth crash
     And from 6 s after that crash on sound requests are served as often as before, or half
--- /dev/null
+++ b/features/prompt_parts.feature
@@ -0,0 +1,85 @@
+Feature: Parts of prompts are blamed only for crashes that nothing else explains
+
+  # Guards against requests, no two alike, that crash one engine after the other.
+  Scenario: Two crashes during requests that share a part
+    Given a register of parts
+    And an answer has begun on "first subject"
+    When an engine crashes on "first subject deadly"
+    Then a request with "first subject deadly" is served
+    When an engine crashes on "first other deadly"
+    Then a request with "first another deadly" is refused for "deadly"
+    And a request with "first subject" is served
+
+  # Guards against refusing all callers of a route for its first part.
+  Scenario: The first, long and shared part is the one that crashes engines
+    Given a register of parts
+    And an answer has begun on "other"
+    When an engine crashes on "first one"
+    And an engine crashes on "first two"
+    Then a request with "first three" is refused for "first"
+    And a request with "other one" is served
+
+  # Guards against blaming what was in flight beside the cause.
+  Scenario: Sound requests in flight at two crashes
+    Given a register of parts
+    When an engine crashes with "first deadly" and "first sound" in flight
+    And an answer begins on "first sound"
+    And an engine crashes with "first deadly" and "first other" in flight
+    Then a request with "first deadly" is refused for "deadly"
+    And a request with "first sound" is served
+    And a request with "first other" is served
+
+  # Guards against blaming the companion of a part, and against blaming neither.
+  Scenario: Two parts that always come together
+    Given a register of parts
+    When an engine crashes on "subject deadly"
+    And an engine crashes on "subject deadly"
+    Then a request with "subject deadly" is refused for "subject deadly"
+    When 1 s pass
+    Then one request with "subject" is tried and the next is refused
+    And a request with "subject deadly" is refused for "subject deadly"
+    When an answer begins on "subject"
+    Then a request with "subject" is served
+    And a request with "subject deadly" is refused for "deadly"
+
+  # Guards against missing one of two causes at the same time.
+  Scenario: Two parts crash engines at the same time
+    Given a register of parts
+    And an answer has begun on "first"
+    When an engine crashes on "first deadly"
+    And an engine crashes on "first fatal"
+    And an engine crashes on "first deadly"
+    And an engine crashes on "first fatal"
+    Then a request with "first deadly" is refused for "deadly"
+    And a request with "first fatal" is refused for "fatal"
+    And a request with "first" is served
+
+  # Guards against refusing sound requests for long after ordinary crashes.
+  Scenario: A part that two ordinary crashes made suspect is tried again
+    Given a register of parts
+    When an engine crashes on "rare"
+    And an engine crashes on "rare"
+    Then a request with "rare" is refused for "rare"
+    When 10 s pass
+    Then one request with "rare" is tried and the next is refused
+    When an answer begins on "rare"
+    Then a request with "rare" is served
+
+  # Guards against trials that crash engine after engine, and against a blame for good.
+  Scenario: Trials become rarer and the evidence is forgotten
+    Given a register of parts
+    When an engine crashes on "deadly"
+    And an engine crashes on "deadly"
+    And 10 s pass
+    Then one request with "deadly" is tried and the next is refused
+    When an engine crashes on "deadly"
+    And 19 s pass
+    Then a request with "deadly" is refused for "deadly"
+    And nothing is blamed 600 s later
+
+  Scenario: Generated histories
+    Then in generated histories a part with an answer since its crashes is never blamed
+    And in generated histories the deadly part is refused after its second crash
+    And daemons that merge generated reports in any order blame the same parts
+    And its memory stays bounded over 20000 parts
+    And the lifetimes of evidence are limited
--- /dev/null
+++ b/features/steps/prompt_parts.py
@@ -0,0 +1,198 @@
+"""Steps on the register of prompts' parts that crash engines, without a network."""
+
+from __future__ import annotations
+
+from random import Random
+
+from behave import given, then, when
+from behave.runner import Context
+from hypothesis import given as over
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from pimentohoist._decisions.prompt_parts import (
+    BLAME_LIFETIME_S,
+    SUSPECT_LIFETIME_S,
+    PartEvidence,
+    PartRegister,
+)
+
+_GENERATED = settings(max_examples=300, deadline=None)
+_START_S = 100
+_MERGED_S = 6
+_PARTS = ('shared', 'deadly', 'a', 'b', 'c', 'd')
+_EVENTS = st.lists(
+    st.tuples(
+        st.lists(st.sampled_from(_PARTS), unique=True, max_size=4),
+        st.sampled_from(('begun', 'crash', 'ordinary crash')),
+        st.floats(0, 2),
+    ),
+    max_size=40,
+)
+
+
+@given('a register of parts')
+def make_register(context: Context) -> None:
+    context.register = PartRegister()
+    context.now = 100.0
+    context.crashes = 0
+
+
+@given('an answer has begun on "{parts}"')
+@when('an answer begins on "{parts}"')
+def begin(context: Context, parts: str) -> None:
+    context.register.record_begun(parts.split(), context.now)
+
+
+@given('an engine crashed on "{parts}"')
+@when('an engine crashes on "{parts}"')
+def crash(context: Context, parts: str) -> None:
+    context.crashes += 1
+    context.now += 0.1
+    name = f'crash-{context.crashes}'
+    context.register.record_crash(parts.split(), name, context.now)
+
+
+@when('an engine crashes with "{parts}" and "{others}" in flight')
+def crash_with_two(context: Context, parts: str, others: str) -> None:
+    crash(context, parts)
+    name = f'crash-{context.crashes}'
+    context.register.record_crash(others.split(), name, context.now)
+
+
+@when('{duration_s:g} s pass')
+def wait(context: Context, duration_s: float) -> None:
+    context.now += duration_s
+
+
+@then('a request with "{parts}" is refused for "{blamed}"')
+def check_refused(context: Context, parts: str, blamed: str) -> None:
+    verdict = context.register.judge(parts.split(), context.now)
+    assert verdict.blamed == tuple(blamed.split()), verdict
+    assert context.now < verdict.trial_at, verdict
+
+
+@then('a request with "{parts}" is served')
+def check_served(context: Context, parts: str) -> None:
+    assert not context.register.judge(parts.split(), context.now).blamed
+
+
+@then('one request with "{parts}" is tried and the next is refused')
+def check_trial(context: Context, parts: str) -> None:
+    verdict = context.register.judge(parts.split(), context.now)
+    assert verdict.blamed, verdict
+    assert context.now >= verdict.trial_at, verdict
+    context.register.begin_trial(verdict.blamed, context.now)
+    verdict = context.register.judge(parts.split(), context.now)
+    assert context.now < verdict.trial_at, verdict
+
+
+@then('nothing is blamed {duration_s:g} s later')
+def check_forgotten(context: Context, duration_s: float) -> None:
+    context.now += duration_s
+    assert not context.register.blamed(context.now)
+
+
+class _NaiveRegister:
+    """Counts the crashes of each part since the last answer on it."""
+
+    def __init__(self) -> None:
+        self.crashes: dict[str, int] = {}
+
+    def record(self, parts: list[str], kind: str) -> None:
+        for part in parts:
+            if kind == 'begun':
+                self.crashes.pop(part, None)
+            else:
+                self.crashes[part] = self.crashes.get(part, 0) + 1
+
+    def suspects(self) -> set[str]:
+        return {part for part, count in self.crashes.items() if count > 1}
+
+
+@then('in generated histories a part with an answer since its crashes is never blamed')
+def check_begun(context: Context) -> None:
+    @_GENERATED
+    @over(_EVENTS)
+    def check(events: list[tuple[list[str], str, float]]) -> None:
+        register, naive = PartRegister(), _NaiveRegister()
+        now = _START_S
+        for number, (parts, kind, pause_s) in enumerate(events):
+            now += pause_s
+            naive.record(parts, kind)
+            if kind == 'begun':
+                register.record_begun(parts, now)
+            else:
+                register.record_crash(parts, f'{number}', now)
+            assert naive.suspects().issuperset(register.blamed(now))
+
+    check()
+
+
+@then('in generated histories the deadly part is refused after its second crash')
+def check_deadly(context: Context) -> None:
+    companions = st.tuples(st.sampled_from(_PARTS[2:]), st.booleans())
+
+    @_GENERATED
+    @over(st.lists(companions, min_size=2, max_size=8))
+    def check(requests: list[tuple[str, bool]]) -> None:
+        register = PartRegister()
+        register.record_begun(['shared'], 0)
+        for number, (companion, has_begun) in enumerate(requests):
+            if has_begun:
+                register.record_begun([companion], number)
+            parts = ['shared', companion, 'deadly']
+            register.record_crash(parts, f'{number}', number)
+            assert not number or register.judge(parts, number).blamed, requests
+            assert not register.judge(['shared'], number).blamed
+
+    check()
+
+
+@then('daemons that merge generated reports in any order blame the same parts')
+def check_merge(context: Context) -> None:
+    evidence = st.builds(
+        PartEvidence,
+        st.frozensets(st.sampled_from('123'), min_size=1),
+        st.frozensets(st.sampled_from(_PARTS), max_size=3),
+        st.floats(0, 5),
+    )
+
+    @_GENERATED
+    @over(
+        st.lists(st.tuples(st.sampled_from(_PARTS), evidence), max_size=10),
+        st.randoms(),
+    )
+    def check(known: list[tuple[str, PartEvidence]], order: Random) -> None:
+        shuffled = [*known, *known]
+        order.shuffle(shuffled)
+        assert _merged(known) == _merged(shuffled)
+
+    check()
+
+
+def _merged(reports: list[tuple[str, PartEvidence]]) -> object:
+    register = PartRegister()
+    for name, found in reports:
+        register.merge(name, found, _MERGED_S)
+    known = {
+        part: (evidence.crashes, evidence.companions)
+        for part, evidence in register.evidence.items()
+    }
+    return known, set(register.blamed(_MERGED_S))
+
+
+@then('its memory stays bounded over 20000 parts')
+def check_memory(context: Context) -> None:
+    register = PartRegister()
+    for number in range(20_000):
+        register.record_crash([f'part-{number}'], 'crash', 0)
+        register.record_begun([f'harmless-{number}'], 0)
+    assert len(list(register.reports(0))) <= 24
+    assert len(register.evidence) <= 4096
+    assert len(register.harmless) <= 4096
+
+
+@then('the lifetimes of evidence are limited')
+def check_lifetimes(context: Context) -> None:
+    assert SUSPECT_LIFETIME_S < BLAME_LIFETIME_S < 3600
--- /dev/null
+++ b/src/pimentohoist/_decisions/prompt_parts.py
@@ -0,0 +1,221 @@
+"""Parts of prompts that crash engines, found by what crashed requests have in common.
+
+A request on which an answer has begun proves its parts harmless. One that was in flight at
+a crash and had not begun makes those of its parts suspect that nothing has cleared. A part
+that is suspect at more than one crash is blamed, and requests with it are refused, except
+for trials that become rarer with each crash.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+from collections.abc import Collection, Iterable, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+CRASHES_TO_BLAME = 2
+MAX_REPORTS = 24
+HARMLESS_LIFETIME_S = 60.0
+SUSPECT_LIFETIME_S = 60.0
+BLAME_LIFETIME_S = 600.0
+"""Times after which evidence is forgotten: requests may change, and so may engines."""
+
+_MAX_PARTS = 4096
+_MAX_NAMES = 16
+_FIRST_TRIAL_S = 10.0
+_AMBIGUOUS_TRIAL_S = 1.0
+"""Time until the first trial of a part that was always suspect beside the same others."""
+
+_TRIAL_TIMEOUT_S = 3.0
+_SUSPECT_REPORT_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class PartEvidence:
+    """Crashes at which a part was suspect.
+
+    Attributes
+    ----------
+    crashes : frozenset of str
+        Incarnations of the engines that crashed.
+    companions : frozenset of str
+        Other parts that were suspect with it in each request, at each crash.
+    last_at : float
+        Monotonic time in seconds of the last crash.
+    """
+
+    crashes: frozenset[str]
+    companions: frozenset[str]
+    last_at: float
+
+    @property
+    def is_enough(self) -> bool:
+        """Return whether the part may be blamed."""
+        return len(self.crashes) >= CRASHES_TO_BLAME
+
+    def merged(self, other: PartEvidence) -> PartEvidence:
+        """Return the evidence of both."""
+        crashes = sorted(self.crashes | other.crashes)[:_MAX_NAMES]
+        return PartEvidence(
+            frozenset(crashes),
+            self.companions & other.companions,
+            max(self.last_at, other.last_at),
+        )
+
+    def includes(self, other: PartEvidence) -> bool:
+        """Return whether other evidence adds nothing."""
+        has_crashes = other.crashes <= self.crashes
+        return has_crashes and self.companions <= other.companions
+
+    def is_expired(self, now: float) -> bool:
+        """Return whether the evidence is too old to count."""
+        lifetime_s = BLAME_LIFETIME_S if self.is_enough else SUSPECT_LIFETIME_S
+        return now - self.last_at >= lifetime_s
+
+    def trial_at(self) -> float:
+        """Return when one request with the part may run again."""
+        doublings = len(self.crashes) - CRASHES_TO_BLAME
+        wait_s = math.ldexp(_FIRST_TRIAL_S, doublings)
+        return self.last_at + min(BLAME_LIFETIME_S, wait_s)
+
+
+@dataclass(frozen=True, slots=True)
+class PartsVerdict:
+    """Whether a request may run, judged by the parts of its prompt.
+
+    Attributes
+    ----------
+    blamed : tuple of str
+        Parts for which it is refused, unless it is a trial.
+    trial_at : float
+        Monotonic time in seconds from which on it may run as a trial.
+    """
+
+    blamed: tuple[str, ...] = ()
+    trial_at: float = 0
+
+
+class PartRegister:
+    """Evidence by part, for a limited time and in limited memory."""
+
+    def __init__(self) -> None:
+        self.evidence: OrderedDict[str, PartEvidence] = OrderedDict()
+        self.harmless: OrderedDict[str, float] = OrderedDict()
+        self._trials: dict[str, float] = {}
+
+    def record_begun(self, parts: Iterable[str], now: float) -> list[str]:
+        """Record that an answer has begun; return the parts that this clears."""
+        cleared = []
+        for part in parts:
+            self.harmless[part] = now
+            self.harmless.move_to_end(part)
+            if self.evidence.pop(part, None) is not None:
+                cleared.append(part)
+            self._trials.pop(part, None)
+        _trim(self.harmless)
+        return cleared
+
+    def record_crash(
+        self, parts: Collection[str], crash: str, now: float
+    ) -> tuple[str, ...]:
+        """Record a crash during a request that had not begun; return its suspect parts."""
+        suspects = tuple(part for part in parts if not self.is_harmless(part, now))
+        for part in suspects:
+            others = [other for other in suspects if other != part][:_MAX_NAMES]
+            evidence = PartEvidence(frozenset((crash,)), frozenset(others), now)
+            self._add(part, evidence, now)
+        return suspects
+
+    def merge(self, part: str, evidence: PartEvidence, now: float) -> bool:
+        """Add evidence of another daemon; return False if the part is harmless."""
+        if self.is_harmless(part, now):
+            return False
+        known = self._current(part, now)
+        if known is None or not known.includes(evidence):
+            self._add(part, evidence, now)
+        return True
+
+    def is_harmless(self, part: str, now: float) -> bool:
+        """Return whether an answer on the part has begun lately."""
+        begun_at = self.harmless.get(part)
+        return begun_at is not None and now - begun_at < HARMLESS_LIFETIME_S
+
+    def judge(self, parts: Collection[str], now: float) -> PartsVerdict:
+        """Return the verdict on a request with these parts."""
+        blamed = tuple(part for part in parts if self._is_blamed(part, now))
+        if not blamed:
+            return PartsVerdict()
+        trial_times = (self._trial_at(part, parts, now) for part in blamed)
+        return PartsVerdict(blamed, max(trial_times))
+
+    def begin_trial(self, parts: Iterable[str], now: float) -> None:
+        """Record a trial; until it times out there is no other of the same parts."""
+        self._trials.update(dict.fromkeys(parts, now))
+
+    def reports(self, now: float) -> Iterator[tuple[str, PartEvidence]]:
+        """Yield the evidence to share: blamed parts first, then the newest suspects."""
+        current = [(part, self._current(part, now)) for part in tuple(self.evidence)]
+        known = [(part, found) for part, found in current if found is not None]
+        ranked = sorted(
+            known,
+            key=lambda entry: (entry[1].is_enough, entry[1].last_at),
+            reverse=True,
+        )
+        for part, evidence in ranked[:MAX_REPORTS]:
+            if evidence.is_enough or now - evidence.last_at < _SUSPECT_REPORT_S:
+                yield part, evidence
+
+    def blamed(self, now: float) -> list[str]:
+        """Return the parts that are blamed."""
+        return [part for part in tuple(self.evidence) if self._is_blamed(part, now)]
+
+    def _add(self, part: str, evidence: PartEvidence, now: float) -> None:
+        known = self._current(part, now)
+        self.evidence[part] = evidence if known is None else known.merged(evidence)
+        self.evidence.move_to_end(part)
+        _trim(self.evidence)
+
+    def _current(self, part: str, now: float) -> PartEvidence | None:
+        evidence = self.evidence.get(part)
+        if evidence is not None and evidence.is_expired(now):
+            self.evidence.pop(part)
+            return None
+        return evidence
+
+    def _is_blamed(self, part: str, now: float) -> bool:
+        evidence = self._current(part, now)
+        if evidence is None or not evidence.is_enough:
+            return False
+        # Another part, blamed for itself, explains all crashes of this one.
+        return not any(
+            self._explains(other, evidence, now) for other in evidence.companions
+        )
+
+    def _explains(self, part: str, explained: PartEvidence, now: float) -> bool:
+        evidence = self._current(part, now)
+        if evidence is None or not evidence.is_enough:
+            return False
+        is_alone = not self._open_companions(evidence, now)
+        return is_alone and explained.crashes <= evidence.crashes
+
+    def _open_companions(self, evidence: PartEvidence, now: float) -> set[str]:
+        return {
+            other for other in evidence.companions if not self.is_harmless(other, now)
+        }
+
+    def _trial_at(self, part: str, parts: Collection[str], now: float) -> float:
+        evidence = self.evidence[part]
+        trial_at = evidence.trial_at()
+        if self._open_companions(evidence, now).difference(parts):
+            # A request without the other suspects tells the guilty one.
+            trial_at = min(trial_at, evidence.last_at + _AMBIGUOUS_TRIAL_S)
+        begun_at = self._trials.get(part)
+        if begun_at is None:
+            return trial_at
+        return max(trial_at, begun_at + _TRIAL_TIMEOUT_S)
+
+
+def _trim(entries: OrderedDict[str, Any]) -> None:
+    while len(entries) > _MAX_PARTS:
+        entries.popitem(last=False)
--- a/src/pimentohoist/_entry/connections.py
+++ b/src/pimentohoist/_entry/connections.py
@@ -16,7 +16,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass
-from enum import StrEnum
+from enum import Enum, StrEnum, auto
 from typing import cast
 
 from pimentohoist import _clock
@@ -125,6 +125,14 @@
         return is_empty
 
 
+class Reach(Enum):
+    """Whether an address accepts connections; `SILENT` if nothing tells."""
+
+    OPEN = auto()
+    REFUSED = auto()
+    SILENT = auto()
+
+
 class Framing(StrEnum):
     """What tells the end of a response's body."""
 
@@ -403,14 +411,15 @@
             ) from error
         return exchange
 
-    def can_reach(self, address: str) -> bool:
+    def check_reach(self, address: str) -> Reach:
         """Return whether a connection can be opened; it goes to the pool."""
         try:
             connection = self._open(address)
-        except PeerConnectError:
-            return False
+        except PeerConnectError as error:
+            is_refused = isinstance(error.__cause__, ConnectionRefusedError)
+            return Reach.REFUSED if is_refused else Reach.SILENT
         self.release(connection)
-        return True
+        return Reach.OPEN
 
     def release(self, connection: _Connection) -> None:
         """Return a connection to the pool, or close it if the pool is full."""
--- a/src/pimentohoist/_entry/dispatch.py
+++ b/src/pimentohoist/_entry/dispatch.py
@@ -25,6 +25,7 @@
 )
 from pimentohoist._entry.retry_budgets import GroupRetryBudgets
 from pimentohoist._entry.in_flight_requests import InFlightRequests
+from pimentohoist._entry.part_quarantine import PartQuarantine
 from pimentohoist._entry.stream_relay import StreamRelay
 from pimentohoist.entry_models import ForwardingMetadata, ExecutionPolicy
 from pimentohoist.exceptions import PeerError, PimentohoistError
@@ -49,12 +50,14 @@
         self,
         chooser: EndpointChooser,
         retry_policy: RetryPolicy,
+        part_quarantine: PartQuarantine,
         connections: ConnectionPool,
         retry_budgets: GroupRetryBudgets,
         in_flight: InFlightRequests,
     ) -> None:
         self.chooser = chooser
         self.retry_policy = retry_policy
+        self.part_quarantine = part_quarantine
         self.connections = connections
         self.retry_budgets = retry_budgets
         self.in_flight = in_flight
@@ -79,6 +82,8 @@
 
     def _attempt(self, context: RequestContext) -> EntryResponse:
         chosen = self._choose(context)
+        # A part may have been blamed during the wait for an adapter.
+        self.part_quarantine(context)
         exchange = self._send(context, chosen, None)
         try:
             return self._receive(context, exchange)
@@ -166,7 +171,13 @@
         self, context: RequestContext, exchange: UpstreamExchange, head: ResponseHead
     ) -> EntryResponse:
         """Wait for the first event, then relay the stream as it arrives."""
-        relay = StreamRelay(context, exchange, EventSplitter(), self._resume)
+        relay = StreamRelay(
+            context,
+            exchange,
+            EventSplitter(),
+            self._resume,
+            lambda: self.part_quarantine.record_begun(context),
+        )
         first = relay.first_events()
         self.retry_policy.check_response(context, exchange, head)
         headers = response_headers(head.headers.items())
@@ -185,10 +196,7 @@
         context = relay.context
         context.failure = error
         if not context.monitored.is_cancelled:
-            endpoint_id = relay.exchange.endpoint.endpoint_id
-            self.retry_policy.endpoints.health_of(endpoint_id).record_failure(
-                _clock.now()
-            )
+            self._record_break(relay)
         if not self.retry_policy.may_resume(context):
             raise StreamBrokenError(str(error))
         while True:
@@ -203,6 +211,13 @@
             except PimentohoistError as failure:
                 raise StreamBrokenError(str(failure)) from failure
 
+    def _record_break(self, relay: StreamRelay) -> None:
+        endpoint = relay.exchange.endpoint
+        health = self.retry_policy.endpoints.health_of(endpoint.endpoint_id)
+        health.record_failure(_clock.now())
+        if not relay.has_begun:
+            self.retry_policy.detect_crash(relay.context, endpoint)
+
     def _send_resumption(
         self, context: RequestContext, last_event_id: str | None
     ) -> UpstreamExchange:
--- a/src/pimentohoist/_entry/members.py
+++ b/src/pimentohoist/_entry/members.py
@@ -54,6 +54,11 @@
         Fingerprints of requests that crash endpoints.
     draining_endpoints : list of str
         Incarnations of endpoints that it recently read as draining.
+    part_reports : list of list
+        Parts of prompts that may crash engines: id, seconds since the last crash, crashed
+        incarnations, other parts that were always suspect with it.
+    cleared_parts : list of str
+        Such parts that are known to be harmless.
     declarations_read_age_s : float or None
         Time since the store last answered its reads of the operators' records.
     store_era : int
@@ -76,6 +81,8 @@
     draining_endpoints: list[str] = field(default_factory=list)
     declarations_read_age_s: float | None = None
     store_era: int = 0
+    part_reports: list[list[Any]] = field(default_factory=list)
+    cleared_parts: list[str] = field(default_factory=list)
 
     def ownership(self) -> Ownership:
         """Return which partitions the daemon claims."""
--- /dev/null
+++ b/src/pimentohoist/_entry/part_quarantine.py
@@ -0,0 +1,179 @@
+"""Refuses requests with a part of the prompt that crashes engines.
+
+Evidence is shared by heartbeats. After a crash a daemon sends one at once, since the next
+request with the part may come at any daemon.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import logging
+import threading
+from collections.abc import Mapping
+from typing import Any
+
+from pimentohoist import _clock
+from pimentohoist._decisions.prompt_parts import (
+    MAX_REPORTS,
+    PartEvidence,
+    PartRegister,
+)
+from pimentohoist._entry.filters import add_jitter
+from pimentohoist._entry.members import Heartbeat, MembersController
+from pimentohoist._entry.request_context import RequestContext, log_fields
+from pimentohoist._rendezvous import rank_names
+from pimentohoist.entry_models import Endpoint
+from pimentohoist.exceptions import UnavailableError
+
+_STEP = 'quarantine'
+_DIGEST_BYTES = 4
+_SHARE_DELAY_S = 0.02
+"""A crash cuts many requests within a few milliseconds, which share one heartbeat."""
+
+_CLEARED_REPORT_S = 5.0
+
+_logger = logging.getLogger(__name__)
+
+
+class PartQuarantine:
+    """Keeps this daemon's evidence on parts, and that of the other daemons."""
+
+    def __init__(self, members: MembersController) -> None:
+        self.members = members
+        self.register = PartRegister()
+        self._cleared_at: dict[str, float] = {}
+        self._lock = threading.Lock()
+        self._is_sharing = False
+        members.on_heartbeat.append(self._record_heartbeat)
+
+    def __call__(self, context: RequestContext) -> None:
+        """Raise UnavailableError for a request with a blamed part, unless it is a trial."""
+        parts = context.request.shared_parts
+        if context.is_trial or not parts:
+            return
+        now = _clock.now()
+        with self._lock:
+            verdict = self.register.judge(parts, now)
+            if not verdict.blamed:
+                return
+            is_trial = now >= verdict.trial_at and self._may_try(verdict.blamed[0])
+            if is_trial:
+                self.register.begin_trial(verdict.blamed, now)
+        extra = {**log_fields(context), 'parts': verdict.blamed}
+        context.is_trial = is_trial
+        if is_trial:
+            _logger.warning('request with a blamed part tried', extra=extra)
+            return
+        raise UnavailableError(
+            f'requests with part {verdict.blamed[0]} of the prompt crash engines',
+            step=_STEP,
+            retry_after_s=add_jitter(verdict.trial_at - now),
+        )
+
+    def record_begun(self, context: RequestContext) -> None:
+        """Record that the answer to a request has begun."""
+        now = _clock.now()
+        with self._lock:
+            cleared = self.register.record_begun(context.request.shared_parts, now)
+            self._cleared_at.update(dict.fromkeys(cleared, now))
+        if cleared:
+            extra = {**log_fields(context), 'parts': cleared}
+            _logger.info('suspect parts of a prompt are harmless', extra=extra)
+            self._share_soon()
+
+    def record_crash(self, context: RequestContext, endpoint: Endpoint) -> None:
+        """Record that an endpoint crashed before it began to answer a request."""
+        digest = hashlib.blake2b(
+            endpoint.incarnation.encode(), digest_size=_DIGEST_BYTES
+        )
+        now = _clock.now()
+        with self._lock:
+            suspects = self.register.record_crash(
+                context.request.shared_parts, digest.hexdigest(), now
+            )
+            blamed = self.register.judge(suspects, now).blamed
+        if not suspects:
+            return
+        extra = {
+            **log_fields(context),
+            'endpoint': endpoint.incarnation,
+            'suspects': suspects,
+            'blamed': blamed,
+        }
+        _logger.warning('parts of a prompt are suspect', extra=extra)
+        self._share_soon()
+
+    def reports(self) -> list[list[Any]]:
+        """Return the evidence for this daemon's heartbeats."""
+        now = _clock.now()
+        with self._lock:
+            return [
+                [
+                    part,
+                    round(now - evidence.last_at, 3),
+                    sorted(evidence.crashes),
+                    sorted(evidence.companions),
+                ]
+                for part, evidence in self.register.reports(now)
+            ]
+
+    def cleared_parts(self) -> list[str]:
+        """Return the parts that were suspect and that this daemon knows to be harmless."""
+        now = _clock.now()
+        with self._lock:
+            self._cleared_at = {
+                part: at
+                for part, at in self._cleared_at.items()
+                if now - at < _CLEARED_REPORT_S
+            }
+            return list(self._cleared_at)[-MAX_REPORTS:]
+
+    def blamed_count(self) -> int:
+        """Return how many parts are blamed."""
+        with self._lock:
+            return len(self.register.blamed(_clock.now()))
+
+    def dump(self) -> Mapping[str, Any]:
+        """Return the blamed parts."""
+        with self._lock:
+            return {'blamed': self.register.blamed(_clock.now())}
+
+    def _may_try(self, part: str) -> bool:
+        """Return whether this daemon is the one that tries requests with a part."""
+        live = (heartbeat.member for heartbeat in self.members.live())
+        return rank_names(part, [self.members.member, *live])[0] == self.members.member
+
+    def _share_soon(self) -> None:
+        with self._lock:
+            if self._is_sharing:
+                return
+            self._is_sharing = True
+        timer = threading.Timer(_SHARE_DELAY_S, self._share)
+        timer.daemon = True
+        timer.start()
+
+    def _share(self) -> None:
+        with self._lock:
+            self._is_sharing = False
+        self.members.send_now()
+
+    def _record_heartbeat(
+        self, heartbeat: Heartbeat, previous: Heartbeat | None
+    ) -> None:
+        if not heartbeat.part_reports and not heartbeat.cleared_parts:
+            return
+        now = _clock.now()
+        with self._lock:
+            self.register.record_begun(heartbeat.cleared_parts, now)
+            before = set(self.register.blamed(now))
+            for part, age_s, crashes, companions in heartbeat.part_reports:
+                evidence = PartEvidence(
+                    frozenset(crashes), frozenset(companions), now - age_s
+                )
+                if not self.register.merge(part, evidence, now):
+                    # The sender doesn't know yet that the part is harmless.
+                    self._cleared_at[part] = now
+            blamed = sorted(set(self.register.blamed(now)) - before)
+        if blamed:
+            extra = {'step': _STEP, 'source': heartbeat.member, 'parts': blamed}
+            _logger.warning('parts of prompts are blamed', extra=extra)
--- a/src/pimentohoist/_entry/request_context.py
+++ b/src/pimentohoist/_entry/request_context.py
@@ -60,6 +60,8 @@
         Error of the last failed attempt.
     framing : str
         How the body of the last response of an endpoint was framed; empty if none came.
+    is_trial : bool
+        Whether it runs to find out if a part of its prompt still crashes engines.
     cleanups : list of callable
         Called when an attempt has ended.
     """
@@ -75,6 +77,7 @@
     executions: int = 0
     failure: PimentohoistError | None = None
     framing: str = ''
+    is_trial: bool = False
     cleanups: list[Callable[[], None]] = field(default_factory=list)
 
     def remaining_s(self, now: float) -> float:
--- a/src/pimentohoist/_entry/retry_policy.py
+++ b/src/pimentohoist/_entry/retry_policy.py
@@ -9,12 +9,14 @@
 from pimentohoist._entry.endpoint_chooser import RETRY_AFTER_S
 from pimentohoist._entry.connections import (
     ConnectionPool,
+    Reach,
     UpstreamExchange,
     ResponseHead,
 )
 from pimentohoist._entry.crash_reports import CrashReportsController, fingerprint_of
 from pimentohoist._entry.endpoints import EndpointsController
 from pimentohoist._entry.filters import add_jitter
+from pimentohoist._entry.part_quarantine import PartQuarantine
 from pimentohoist._entry.request_context import (
     RESERVED_STATUSES,
     RequestContext,
@@ -52,11 +54,13 @@
         self,
         endpoints: EndpointsController,
         crash_reports: CrashReportsController,
+        part_quarantine: PartQuarantine,
         connections: ConnectionPool,
         retry_budgets: GroupRetryBudgets,
     ) -> None:
         self.endpoints = endpoints
         self.crash_reports = crash_reports
+        self.part_quarantine = part_quarantine
         self.connections = connections
         self.retry_budgets = retry_budgets
 
@@ -104,7 +108,7 @@
                 health.record_failure(_clock.now())
             return cancellation_error(context)
         health.record_failure(_clock.now())
-        self._detect_crash(context, endpoint)
+        self.detect_crash(context, endpoint)
         return _retryable(error) if self.may_retry(context) else error
 
     def may_retry(self, context: RequestContext) -> bool:
@@ -115,6 +119,32 @@
         """Return whether a broken stream may resume elsewhere; counts the retry."""
         return context.route.can_resume and self._take_retry(context)
 
+    def detect_crash(self, context: RequestContext, endpoint: Endpoint) -> None:
+        """Record a crash if an endpoint that broke off can no longer be reached.
+
+        The request had not begun to be answered, or hardly.
+        """
+        reach = self.connections.check_reach(endpoint.address)
+        if reach is Reach.OPEN:
+            return
+        self.endpoints.health_of(endpoint.endpoint_id).record_connect_failure(
+            _clock.now()
+        )
+        fingerprint = fingerprint_of(context.request)
+        count = self.crash_reports.record_crash(fingerprint, endpoint.endpoint_id)
+        extra = {
+            **log_fields(context),
+            'endpoint': endpoint.incarnation,
+            'fingerprint': fingerprint,
+            'crashes': count,
+            'shared_parts': context.request.shared_parts,
+            'framing': context.framing,
+        }
+        _logger.warning('endpoint crashed while it executed a request', extra=extra)
+        # An endpoint that is silent may be cut off or frozen.
+        if reach is Reach.REFUSED:
+            self.part_quarantine.record_crash(context, endpoint)
+
     def _take_retry(self, context: RequestContext) -> bool:
         is_below_limit = context.executions < context.route.max_executions
         is_allowed = is_below_limit and not context.monitored.is_cancelled
@@ -148,25 +178,6 @@
         has_attempts_left = len(context.tried_endpoints) < _MAX_UNEXECUTED_ATTEMPTS
         return _retryable(error) if has_attempts_left else failure
 
-    def _detect_crash(self, context: RequestContext, endpoint: Endpoint) -> None:
-        """Record a crash if an endpoint that broke off can no longer be reached."""
-        if self.connections.can_reach(endpoint.address):
-            return
-        self.endpoints.health_of(endpoint.endpoint_id).record_connect_failure(
-            _clock.now()
-        )
-        fingerprint = fingerprint_of(context.request)
-        count = self.crash_reports.record_crash(fingerprint, endpoint.endpoint_id)
-        extra = {
-            **log_fields(context),
-            'endpoint': endpoint.incarnation,
-            'fingerprint': fingerprint,
-            'crashes': count,
-            'shared_parts': context.request.shared_parts,
-            'framing': context.framing,
-        }
-        _logger.warning('endpoint crashed while it executed a request', extra=extra)
-
 
 def cancellation_error(context: RequestContext) -> PimentohoistError:
     """Return the error of a request that was cancelled, or has no time left to be sent."""
--- a/src/pimentohoist/_entry/stream_relay.py
+++ b/src/pimentohoist/_entry/stream_relay.py
@@ -26,6 +26,13 @@
     resume : callable
         Returns the exchange that continues after the last complete event, or raises
         StreamBrokenError.
+    on_begun : callable
+        Called once, when the stream goes on after its first events or ends.
+
+    Attributes
+    ----------
+    has_begun : bool
+        Whether the stream has gone on after its first events.
     """
 
     def __init__(
@@ -34,11 +41,14 @@
         exchange: UpstreamExchange,
         splitter: EventSplitter,
         resume: ResumeStream,
+        on_begun: Callable[[], None],
     ) -> None:
         self.context = context
         self.exchange = exchange
         self.splitter = splitter
         self.resume = resume
+        self.on_begun = on_begun
+        self.has_begun = False
         self._has_events = False
 
     def first_events(self) -> bytes:
@@ -86,11 +96,22 @@
         for part in self.exchange.parts():
             events = self._split(part)
             if events:
-                self._has_events = True
+                self._record_events()
                 yield events
         self._check_end()
+        self._record_begun()
         yield self.splitter.flush()
 
+    def _record_events(self) -> None:
+        if self._has_events:
+            self._record_begun()
+        self._has_events = True
+
+    def _record_begun(self) -> None:
+        if not self.has_begun:
+            self.has_begun = True
+            self.on_begun()
+
     def _check_end(self) -> None:
         """Raise PeerError if the stream has ended inside an event, or before the first.
 
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -30,6 +30,7 @@
 )
 from pimentohoist._entry.endpoints import EndpointsController
 from pimentohoist._entry.filters import Authenticate, ChargeQuota, RejectQuarantined
+from pimentohoist._entry.part_quarantine import PartQuarantine
 from pimentohoist._entry.ownership import OwnershipController
 from pimentohoist._entry.retry_policy import RetryPolicy
 from pimentohoist._entry.leaving_engines import LeavingEngines
@@ -98,6 +99,7 @@
         )
         self.quotas = QuotasController(self.members)
         self.crash_reports = CrashReportsController(self.members)
+        self.part_quarantine = PartQuarantine(self.members)
         self.declaration_sync = DeclarationSync(
             self.declarations, self.members, self.peers
         )
@@ -108,6 +110,7 @@
             Authenticate(),
             ChargeQuota(self.quotas),
             RejectQuarantined(self.crash_reports),
+            self.part_quarantine,
         )
         self.request_handler = RequestHandler(
             self.declarations,
@@ -207,6 +210,7 @@
             'requests_running': len(self.request_monitor),
             'configuration_version': self.declarations.version,
             'store_era': self.store.era.current,
+            'prompt_parts_blamed': self.part_quarantine.blamed_count(),
             'configuration_unconfirmed_seconds': (
                 -1 if unconfirmed_s is None else unconfirmed_s
             ),
@@ -224,6 +228,7 @@
             'places': self.owned_engines.dump(),
             'quotas': self.quotas.dump(),
             'crashes': self.crash_reports.dump(),
+            'parts': self.part_quarantine.dump(),
             'dispatch': self.dispatch.dump(),
         }
 
@@ -265,9 +270,20 @@
             self.endpoints, self.members, self.owned_engines, in_flight
         )
         retry_policy = RetryPolicy(
-            self.endpoints, self.crash_reports, connections, retry_budgets
+            self.endpoints,
+            self.crash_reports,
+            self.part_quarantine,
+            connections,
+            retry_budgets,
+        )
+        return Dispatch(
+            chooser,
+            retry_policy,
+            self.part_quarantine,
+            connections,
+            retry_budgets,
+            in_flight,
         )
-        return Dispatch(chooser, retry_policy, connections, retry_budgets, in_flight)
 
     def _make_heartbeat(self) -> Heartbeat:
         in_flight = self.dispatch.in_flight.snapshot()
@@ -292,6 +308,8 @@
             self.endpoints.notices.announced(),
             self.declarations.follower.status.unread_s(),
             self.store.era.current,
+            self.part_quarantine.reports(),
+            self.part_quarantine.cleared_parts(),
         )
 
     def _auxiliary_servers(self) -> tuple[HttpServer, ...]:
--- a/src/pimentohoist_standins/_threaded.py
+++ b/src/pimentohoist_standins/_threaded.py
@@ -74,6 +74,8 @@
 
     def crash(self) -> None:
         """Close the listener and cut the open connections."""
+        # A close alone has no effect while the loop waits for the listener.
+        self.socket.shutdown(socket.SHUT_RDWR)
         self.server_close()
         for connection in tuple(self._open):
             with suppress(OSError):
