Weigh crashes by the status line; let other daemons try a rare part (LOST)

A crash now counts twice if the engine had sent the status line of the request, which is what the cause shows and most others in flight don't; a part is blamed at two crashes of weight four, so at four crashes if no status line comes.

--- a/features/prompt_parts.feature
+++ b/features/prompt_parts.feature
@@ -29,6 +29,25 @@
     And a request with "first sound" is served
     And a request with "first other" is served
 
+  # Guards against blaming a rare part that was in flight at two crashes by chance.
+  Scenario: A rare sound part is in flight at two crashes
+    Given a register of parts
+    And an answer has begun on "first"
+    When an engine crashes with "first deadly" and "first rare" in flight
+    And an engine crashes with "first deadly" and "first rare" in flight
+    Then a request with "first deadly" is refused for "deadly"
+    And a request with "first rare" is served
+
+  # Guards against engines that crash before they send anything.
+  Scenario: Crashes before any status line
+    Given a register of parts
+    When an engine crashes on "deadly" before any status line
+    And an engine crashes on "deadly" before any status line
+    And an engine crashes on "deadly" before any status line
+    Then a request with "deadly" is served
+    When an engine crashes on "deadly" before any status line
+    Then a request with "deadly" is refused for "deadly"
+
   # Guards against blaming the companion of a part, and against blaming neither.
   Scenario: Two parts that always come together
     Given a register of parts
--- a/features/steps/prompt_parts.py
+++ b/features/steps/prompt_parts.py
@@ -44,20 +44,30 @@
     context.register.record_begun(parts.split(), context.now)
 
 
-@given('an engine crashed on "{parts}"')
 @when('an engine crashes on "{parts}"')
 def crash(context: Context, parts: str) -> None:
     context.crashes += 1
     context.now += 0.1
-    name = f'crash-{context.crashes}'
-    context.register.record_crash(parts.split(), name, context.now)
+    _record_crash(context, parts, is_answered=True)
+
+
+@when('an engine crashes on "{parts}" before any status line')
+def crash_early(context: Context, parts: str) -> None:
+    context.crashes += 1
+    context.now += 0.1
+    _record_crash(context, parts, is_answered=False)
 
 
 @when('an engine crashes with "{parts}" and "{others}" in flight')
 def crash_with_two(context: Context, parts: str, others: str) -> None:
     crash(context, parts)
-    name = f'crash-{context.crashes}'
-    context.register.record_crash(others.split(), name, context.now)
+    _record_crash(context, others, is_answered=False)
+
+
+def _record_crash(context: Context, parts: str, *, is_answered: bool) -> None:
+    context.register.record_crash(
+        parts.split(), f'crash-{context.crashes}', context.now, is_answered=is_answered
+    )
 
 
 @when('{duration_s:g} s pass')
@@ -123,7 +133,7 @@
             if kind == 'begun':
                 register.record_begun(parts, now)
             else:
-                register.record_crash(parts, f'{number}', now)
+                register.record_crash(parts, f'{number}', now, is_answered=True)
             assert naive.suspects().issuperset(register.blamed(now))
 
     check()
@@ -142,7 +152,7 @@
             if has_begun:
                 register.record_begun([companion], number)
             parts = ['shared', companion, 'deadly']
-            register.record_crash(parts, f'{number}', number)
+            register.record_crash(parts, f'{number}', number, is_answered=True)
             assert not number or register.judge(parts, number).blamed, requests
             assert not register.judge(['shared'], number).blamed
 
@@ -154,6 +164,7 @@
     evidence = st.builds(
         PartEvidence,
         st.frozensets(st.sampled_from('123'), min_size=1),
+        st.frozensets(st.sampled_from('123')),
         st.frozensets(st.sampled_from(_PARTS), max_size=3),
         st.floats(0, 5),
     )
@@ -186,7 +197,7 @@
 def check_memory(context: Context) -> None:
     register = PartRegister()
     for number in range(20_000):
-        register.record_crash([f'part-{number}'], 'crash', 0)
+        register.record_crash([f'part-{number}'], 'crash', 0, is_answered=True)
         register.record_begun([f'harmless-{number}'], 0)
     assert len(list(register.reports(0))) <= 24
     assert len(register.evidence) <= 4096
--- a/src/pimentohoist/_decisions/prompt_parts.py
+++ b/src/pimentohoist/_decisions/prompt_parts.py
@@ -15,6 +15,10 @@
 from typing import Any
 
 CRASHES_TO_BLAME = 2
+_WEIGHT_TO_BLAME = 4
+"""A crash counts twice if the engine had sent the status line of a request with the part: it
+crashes when it begins to answer, and most requests beside the cause have nothing yet."""
+
 MAX_REPORTS = 24
 HARMLESS_LIFETIME_S = 60.0
 SUSPECT_LIFETIME_S = 60.0
@@ -39,6 +43,8 @@
     ----------
     crashes : frozenset of str
         Incarnations of the engines that crashed.
+    answered : frozenset of str
+        Those of them that had sent the status line of a request with the part.
     companions : frozenset of str
         Other parts that were suspect with it in each request, at each crash.
     last_at : float
@@ -46,26 +52,28 @@
     """
 
     crashes: frozenset[str]
+    answered: frozenset[str]
     companions: frozenset[str]
     last_at: float
 
     @property
     def is_enough(self) -> bool:
         """Return whether the part may be blamed."""
-        return len(self.crashes) >= CRASHES_TO_BLAME
+        weight = len(self.crashes) + len(self.answered)
+        return len(self.crashes) >= CRASHES_TO_BLAME and weight >= _WEIGHT_TO_BLAME
 
     def merged(self, other: PartEvidence) -> PartEvidence:
         """Return the evidence of both."""
-        crashes = sorted(self.crashes | other.crashes)[:_MAX_NAMES]
         return PartEvidence(
-            frozenset(crashes),
+            _bounded(self.crashes | other.crashes),
+            _bounded(self.answered | other.answered),
             self.companions & other.companions,
             max(self.last_at, other.last_at),
         )
 
     def includes(self, other: PartEvidence) -> bool:
         """Return whether other evidence adds nothing."""
-        has_crashes = other.crashes <= self.crashes
+        has_crashes = other.crashes <= self.crashes and other.answered <= self.answered
         return has_crashes and self.companions <= other.companions
 
     def is_expired(self, now: float) -> bool:
@@ -117,13 +125,21 @@
         return cleared
 
     def record_crash(
-        self, parts: Collection[str], crash: str, now: float
+        self, parts: Collection[str], crash: str, now: float, *, is_answered: bool
     ) -> tuple[str, ...]:
-        """Record a crash during a request that had not begun; return its suspect parts."""
+        """Record a crash during a request that had not begun; return its suspect parts.
+
+        Parameters
+        ----------
+        is_answered : bool
+            Whether the engine had sent the status line.
+        """
+        crashes = frozenset((crash,))
         suspects = tuple(part for part in parts if not self.is_harmless(part, now))
         for part in suspects:
             others = [other for other in suspects if other != part][:_MAX_NAMES]
-            evidence = PartEvidence(frozenset((crash,)), frozenset(others), now)
+            answered = crashes if is_answered else frozenset()
+            evidence = PartEvidence(crashes, answered, frozenset(others), now)
             self._add(part, evidence, now)
         return suspects
 
@@ -216,6 +232,10 @@
         return max(trial_at, begun_at + _TRIAL_TIMEOUT_S)
 
 
+def _bounded(names: frozenset[str]) -> frozenset[str]:
+    return frozenset(sorted(names)[:_MAX_NAMES])
+
+
 def _trim(entries: OrderedDict[str, Any]) -> None:
     while len(entries) > _MAX_PARTS:
         entries.popitem(last=False)
--- a/src/pimentohoist/_entry/members.py
+++ b/src/pimentohoist/_entry/members.py
@@ -56,7 +56,8 @@
         Incarnations of endpoints that it recently read as draining.
     part_reports : list of list
         Parts of prompts that may crash engines: id, seconds since the last crash, crashed
-        incarnations, other parts that were always suspect with it.
+        incarnations, those of them that had begun an answer, other parts that were always
+        suspect with it.
     cleared_parts : list of str
         Such parts that are known to be harmless.
     declarations_read_age_s : float or None
--- a/src/pimentohoist/_entry/part_quarantine.py
+++ b/src/pimentohoist/_entry/part_quarantine.py
@@ -31,6 +31,8 @@
 """A crash cuts many requests within a few milliseconds, which share one heartbeat."""
 
 _CLEARED_REPORT_S = 5.0
+_TRIAL_STEP_S = 2.0
+"""Time between the daemons' turns to try a part: it includes the wait for an adapter."""
 
 _logger = logging.getLogger(__name__)
 
@@ -56,7 +58,7 @@
             verdict = self.register.judge(parts, now)
             if not verdict.blamed:
                 return
-            is_trial = now >= verdict.trial_at and self._may_try(verdict.blamed[0])
+            is_trial = now >= verdict.trial_at + self._trial_delay_s(verdict.blamed[0])
             if is_trial:
                 self.register.begin_trial(verdict.blamed, now)
         extra = {**log_fields(context), 'parts': verdict.blamed}
@@ -89,7 +91,10 @@
         now = _clock.now()
         with self._lock:
             suspects = self.register.record_crash(
-                context.request.shared_parts, digest.hexdigest(), now
+                context.request.shared_parts,
+                digest.hexdigest(),
+                now,
+                is_answered=bool(context.framing),
             )
             blamed = self.register.judge(suspects, now).blamed
         if not suspects:
@@ -112,6 +117,7 @@
                     part,
                     round(now - evidence.last_at, 3),
                     sorted(evidence.crashes),
+                    sorted(evidence.answered),
                     sorted(evidence.companions),
                 ]
                 for part, evidence in self.register.reports(now)
@@ -138,10 +144,11 @@
         with self._lock:
             return {'blamed': self.register.blamed(_clock.now())}
 
-    def _may_try(self, part: str) -> bool:
-        """Return whether this daemon is the one that tries requests with a part."""
+    def _trial_delay_s(self, part: str) -> float:
+        """Return how long this daemon leaves a trial to those that rank before it."""
         live = (heartbeat.member for heartbeat in self.members.live())
-        return rank_names(part, [self.members.member, *live])[0] == self.members.member
+        ranked = rank_names(part, [self.members.member, *live])
+        return ranked.index(self.members.member) * _TRIAL_STEP_S
 
     def _share_soon(self) -> None:
         with self._lock:
@@ -166,14 +173,17 @@
         with self._lock:
             self.register.record_begun(heartbeat.cleared_parts, now)
             before = set(self.register.blamed(now))
-            for part, age_s, crashes, companions in heartbeat.part_reports:
-                evidence = PartEvidence(
-                    frozenset(crashes), frozenset(companions), now - age_s
-                )
-                if not self.register.merge(part, evidence, now):
+            for part, *report in heartbeat.part_reports:
+                if not self.register.merge(part, _read_report(report, now), now):
                     # The sender doesn't know yet that the part is harmless.
                     self._cleared_at[part] = now
             blamed = sorted(set(self.register.blamed(now)) - before)
         if blamed:
             extra = {'step': _STEP, 'source': heartbeat.member, 'parts': blamed}
             _logger.warning('parts of prompts are blamed', extra=extra)
+
+
+def _read_report(report: list[Any], now: float) -> PartEvidence:
+    age_s, *names = report
+    crashes, answered, companions = map(frozenset, names)
+    return PartEvidence(crashes, answered, companions, now - age_s)
