--- a/features/soak.feature
+++ b/features/soak.feature
@@ -46,6 +46,16 @@
       | --network=127.98                | 127.98.5.1:9000   | Address already in use  |
       | --network=127.97                | 127.97.1.2:8000   | daemon 127.97.1.2       |
 
+  # Guards against tools that take the request for help for one of their settings.
+  Scenario Outline: A tool explains its settings
+    When <tool> is started with --help
+    Then it ends with status 0 and its help names <setting>
+
+    Examples:
+      | tool                    | setting |
+      | pimentohoist-soak       | seeds   |
+      | pimentohoist-experiment | faults  |
+
   # Guards against processes that outlast an interrupted run.
   Scenario Outline: An interrupt ends all processes of a run
     When the soak gets <signal> <delay_s> s after its start
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -179,3 +179,19 @@
     except SoakError as error:
         message = str(error)
     assert 'does not fit' in message
+
+
+@when('{tool} is started with --help')
+def ask_for_help(context: Context, tool: str) -> None:
+    program = Path(sys.executable).parent / tool
+    context.help = subprocess.run(
+        [program, '--help'], capture_output=True, text=True, timeout=20, check=False
+    )
+
+
+@then('it ends with status 0 and its help names {setting}')
+def check_help(context: Context, setting: str) -> None:
+    text = context.help.stdout + context.help.stderr
+    assert context.help.returncode == 0, text
+    assert f'--{setting}' in text, text
+    assert 'Traceback' not in text, text
--- a/src/pimentohoist_standins/experiment.py
+++ b/src/pimentohoist_standins/experiment.py
@@ -16,9 +16,8 @@
 from itertools import combinations
 from typing import Any
 
-import fire
-
 from pimentohoist.exceptions import PimentohoistError
+from pimentohoist_standins._command_line import run_command
 from pimentohoist_standins._experiment_load import LoadSender, sleep_until
 from pimentohoist_standins._experiment_plan import Experiment, arrivals
 from pimentohoist_standins._experiment_report import HEADER, ExperimentOutcome
@@ -134,4 +133,4 @@
 
 def main() -> None:
     """Run ``pimentohoist-experiment``."""
-    fire.Fire(run, name='pimentohoist-experiment')
+    run_command(run, 'pimentohoist-experiment')
--- a/src/pimentohoist_standins/soak.py
+++ b/src/pimentohoist_standins/soak.py
@@ -14,8 +14,7 @@
 from pathlib import Path
 from typing import Any
 
-import fire
-
+from pimentohoist_standins._command_line import run_command
 from pimentohoist_standins._soak.addresses import Network
 from pimentohoist_standins._soak.checks import run_checks
 from pimentohoist_standins._soak.errors import SoakError
@@ -153,4 +152,4 @@
 
 def main() -> None:
     """Run ``pimentohoist-soak``."""
-    fire.Fire(run, name='pimentohoist-soak')
+    run_command(run, 'pimentohoist-soak')
