--- a/features/soak_cases.py
+++ b/features/soak_cases.py
@@ -218,6 +218,8 @@
     replace(PROCESS, started_at=52, ready_at=58),
 )
 
+_ENDLESS_CUT = _cut(49, 51, {'ended_at': None})
+
 BROKEN: Mapping[str, dict[str, Observations]] = MappingProxyType(
     {
         'lost_at_stop': {
@@ -253,6 +255,19 @@
                 _cut(49, 51, {}),
             ),
             'cut 1 s after': _under(_NEW_ROUTES, _cut(49, 51, {})),
+            'its run has no end, its engine lives': _under(_NEW_ROUTES, _ENDLESS_CUT),
+            'its engine was killed before its run': _with(
+                _under(_NEW_ROUTES, _ENDLESS_CUT),
+                _fault('engine_crash', 'engine-1', 48, 48.5),
+            ),
+            'another engine was killed': _with(
+                _under(_NEW_ROUTES, _ENDLESS_CUT),
+                _fault('engine_crash', 'engine-2', 50.9, 55),
+            ),
+            'its run had ended when its engine was killed': _with(
+                _under(_NEW_ROUTES, _cut(49, 51, {})),
+                _fault('engine_crash', 'engine-1', 50.9, 55),
+            ),
         },
         'kept_connections': {'closed four times': _joined(*repeat(_KEPT_CUT, 4))},
         'gone_before_kill': {
@@ -420,6 +435,10 @@
                 _NEW_ROUTES, _cut(49, 51, {}, timeout_s=2.66)
             ),
             'not valid': _under(_INVALID, _cut(49, 51, {})),
+            'its engine was killed': _with(
+                _under(_NEW_ROUTES, _ENDLESS_CUT),
+                _fault('engine_crash', 'engine-1', 50.9, 55),
+            ),
         },
         'kept_connections': {
             'new connections': _joined(*repeat(_cut(100, 101, {}, status=0), 4)),
--- a/src/pimentohoist_standins/_soak/checks_stops.py
+++ b/src/pimentohoist_standins/_soak/checks_stops.py
@@ -15,6 +15,7 @@
     ProcessRecord,
     RequestKind,
     RunOutcome,
+    RunRecord,
 )
 
 _AFTER_PLANNED_WORK_S = 1.0
@@ -129,10 +130,22 @@
         return False
     arrivals = history.arrivals(caller)
     if arrivals:
-        return arrivals[-1].outcome is not RunOutcome.BROKEN_OFF
+        return not _is_broken_off(history, arrivals[-1], caller)
     return caller.ended_at - caller.read_at > history.bounds.loss_slack_s
 
 
+def _is_broken_off(history: History, run: RunRecord, caller: CallerRecord) -> bool:
+    """Return whether the endpoint broke off; a killed one records no end of its run."""
+    if run.outcome is RunOutcome.BROKEN_OFF:
+        return True
+    return run.ended_at is None and any(
+        fault.kind == 'engine_crash'
+        and fault.target == run.endpoint
+        and run.arrived_at <= fault.began_at <= caller.ended_at
+        for fault in history.observations.faults
+    )
+
+
 def _is_long_run(history: History, caller: CallerRecord, signalled_at: float) -> bool:
     """Return whether the endpoint was still at work when the grace period ran out."""
     grace_s = history.bounds.grace_s
