--- a/features/deadly_fleet.py
+++ b/features/deadly_fleet.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Self
 
-from entry_fleet import MODEL, EntryFleet
+from entry_fleet import MODEL, EntryFleet, Response
 
 from pimentohoist_standins.opaque_engine import OpaqueEngine
 
@@ -139,14 +139,18 @@
     def send(self, *parts: str) -> bool:
         """Send a request with these shared parts; return whether it was served."""
         number = next(self.numbers)
-        ids = ('first', *parts, f'own-{number}')
-        prefix = ','.join(f'{part}:30' for part in ids)
         with contextlib.suppress(OSError, http.client.HTTPException):
-            response = self.fleet.send_request(
-                daemon=number % len(self.fleet.daemons),
-                adapter=f'a{number % 6}',
-                body=f'{number}'.encode(),
-                Pimentohoist_Prompt_Prefix=prefix,
-            )
-            return response.status == http.HTTPStatus.OK
+            daemon = number % len(self.fleet.daemons)
+            return self.request(*parts, daemon=daemon).status == http.HTTPStatus.OK
         return False
+
+    def request(self, *parts: str, daemon: int) -> Response:
+        """Send a request with these shared parts and one of its own."""
+        number = next(self.numbers)
+        ids = ('first', *parts, f'own-{number}')
+        return self.fleet.send_request(
+            daemon=daemon,
+            adapter=f'a{number % 6}',
+            body=f'{number}'.encode(),
+            Pimentohoist_Prompt_Prefix=','.join(f'{part}:30' for part in ids),
+        )
--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -7,3 +7,11 @@
     When requests with that part come for 20 s beside sound ones
     Then at most 3 of them reach engines later than 3 s after the fifth crash
     And from 6 s after that crash on sound requests are served as often as before, or half
+
+  # Guards against a daemon that knows nothing of the crashes before its start.
+  Scenario: A daemon starts after a part was blamed
+    Given a fleet of 2 daemons with 5 engines that crash on a part of a prompt
+    When requests with that part come until all daemons blame it
+    And another daemon has started and is ready
+    Then it refuses 5 requests with the part and no engine gets one
+    And it serves a request without the part
--- a/features/steps/deadly_parts.py
+++ b/features/steps/deadly_parts.py
@@ -10,8 +10,8 @@
 from behave.runner import Context
 
 sys.path.append(str(Path(__file__).resolve().parent.parent))
-from deadly_fleet import CONTACT_S, DeadlyFleet  # noqa: E402
-from entry_fleet import EntryFleet, wait_for  # noqa: E402
+from deadly_fleet import CONTACT_S, DEADLY_PART, DeadlyFleet  # noqa: E402
+from entry_fleet import EntryFleet, EntryProcess, wait_for  # noqa: E402
 
 _QUIET_S = 3.0
 _COUNTED_CRASHES = 5
@@ -73,3 +73,39 @@
     share_beside = sum(sent.is_served for sent in beside) / len(beside)
     crashes = len(world.crashes())
     assert share_beside >= share_before / 2, (share_beside, share_before, crashes)
+
+
+@when('requests with that part come until all daemons blame it')
+def send_until_blamed(context: Context) -> None:
+    world = context.world
+    assert world.send('subject-0')
+    world.deadly.set()
+    wait_for(lambda: all(map(_blames_part, world.fleet.daemons)), 10)
+    world.deadly.clear()
+
+
+@when('another daemon has started and is ready')
+def start_another(context: Context) -> None:
+    fleet = context.world.fleet
+    fleet.start()
+    wait_for(fleet.daemons[-1].is_ready, 15)
+
+
+@then('it refuses {count:d} requests with the part and no engine gets one')
+def check_refusals(context: Context, count: int) -> None:
+    world = context.world
+    arrivals = len(world.deadly_arrivals())
+    for _ in range(count):
+        response = world.request('subject-0', DEADLY_PART, daemon=-1)
+        assert response.status == 503, response
+        assert float(response.headers['Retry-After']) > 0, response
+    assert len(world.deadly_arrivals()) == arrivals
+
+
+@then('it serves a request without the part')
+def check_sound_request(context: Context) -> None:
+    wait_for(lambda: context.world.request('subject-0', daemon=-1).status == 200, 5)
+
+
+def _blames_part(daemon: EntryProcess) -> bool:
+    return daemon.state()['parts']['blamed'] == [DEADLY_PART]
