Soak: read the network as text

--network=127.131 was taken for a number, which ended every call of the stand-in store, so that all requests of a run got 503 and its checks hardly applied; 127.130 would have become 127.13.

--- a/src/pimentohoist_standins/soak.py
+++ b/src/pimentohoist_standins/soak.py
@@ -14,6 +14,8 @@
 from pathlib import Path
 from typing import Any
 
+from fire.decorators import SetParseFns
+
 from pimentohoist_standins._command_line import run_command
 from pimentohoist_standins._soak.addresses import Network
 from pimentohoist_standins._soak.checks import run_checks
@@ -152,4 +154,5 @@
 
 def main() -> None:
     """Run ``pimentohoist-soak``."""
-    run_command(run, 'pimentohoist-soak')
+    # Fire would read the network's name as a number.
+    run_command(SetParseFns(network=str)(run), 'pimentohoist-soak')
