Record the limit if a chunk size without an end arrives with its head

Cause: the library refuses a line above 65,536 bytes, and our limit on the framing of a body has the same size. Bytes of the line that arrived in one segment with the head aren't counted towards ours, so the library's limit came first, and its error was no limit to us. How the bytes arrive differs beside load.

The library's error now counts as the limit in force, with its record. The same limit of the client of the store ends as an error without that record: open.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -94,6 +94,11 @@
     Given a service that reads 64 KB of a request every 0.2 s
     Then a request of 12 MB that is aborted after 0.4 s ends within 1 s
 
+  # Guards against an answer given up without a record of the limit, if its first bytes arrive
+  # together with its head.
+  Scenario: A chunk size without an end arrives with its head
+    Then an endless chunk size that begins with the head exceeds the limit of framing
+
   # Guards against an event line of a model server that fills the memory.
   Scenario: A model server's event line without an end
     Then an event line without an end is given up at its limit
--- a/features/steps/endless_reads.py
+++ b/features/steps/endless_reads.py
@@ -28,7 +28,11 @@
     Endpoint,
     EntryRequest,
 )
-from pimentohoist.exceptions import PeerError, PimentohoistError  # noqa: E402
+from pimentohoist.exceptions import (  # noqa: E402
+    OversizedResponseError,
+    PeerError,
+    PimentohoistError,
+)
 from pimentohoist.platform import (  # noqa: E402
     EngineOrders,
     KeyedRecord,
@@ -50,6 +54,8 @@
 _START = ReadPosition(0, 0)
 _OFFSETS_BYTES = 16
 _RECORD_HEAD_BYTES = 5
+_RECEIVED_BYTES = 65_536
+_DIGITS = b'0' * 4000
 _INVALID_CHUNK = (
     b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n'
     b'Pimentohoist-Attempt-Id: r1\r\nPimentohoist-Response-Seal: 1\r\n\r\nsize\r\n'
@@ -171,6 +177,38 @@
     return _RECORD_HEAD_BYTES + len(record.key) + len(record.body or b'')
 
 
+@then('an endless chunk size that begins with the head exceeds the limit of framing')
+def check_chunk_size(context: Context) -> None:
+    listener = context.stack.enter_context(socket.create_server((_LOOPBACK, 0)))
+    threading.Thread(target=_send_chunk_size, args=(listener,), daemon=True).start()
+    address = f'{_LOOPBACK}:{listener.getsockname()[1]}'
+    endpoint = Endpoint('e', 's', address, 'a', 4, False, 1, 0)
+    request = EntryRequest('r1', 'GET', 'h', '/x', (), b'', '', None, None, None, 0)
+    exchange = ConnectionPool().send(endpoint, request, [('Host', 'h')], _ignore)
+    try:
+        exchange.read_head('r1')
+        exchange.read_body()
+    except OversizedResponseError as error:
+        assert 'framing' in error.message, error
+        return
+    finally:
+        exchange.close()
+    raise AssertionError('the response was read')
+
+
+def _send_chunk_size(listener: socket.socket) -> None:
+    connection, _ = listener.accept()
+    with connection, suppress(OSError):
+        connection.recv(_RECEIVED_BYTES)
+        connection.sendall(_INVALID_CHUNK.removesuffix(b'size\r\n') + _DIGITS)
+        while True:
+            connection.sendall(_DIGITS)
+
+
+def _ignore(exchange: UpstreamExchange) -> None:
+    """Do nothing with an exchange."""
+
+
 @given('a service that sends an invalid chunk size and keeps the connection open')
 def start_service(context: Context) -> None:
     listener = socket.create_server((_LOOPBACK, 0))
--- a/src/pimentohoist/_entry/connections.py
+++ b/src/pimentohoist/_entry/connections.py
@@ -345,8 +345,9 @@
     def _wrap_errors(self) -> Iterator[None]:
         try:
             yield
-        except ByteLimitError as error:
-            raise self.limit_failure(error) from error
+        except (ByteLimitError, http.client.LineTooLong) as error:
+            limits = self.connection.shared_socket.limits
+            raise self.limit_failure(_limit_error(limits, error)) from error
         except TimeoutError as error:
             raise PeerTimeoutError(
                 str(error), step=_STEP, peer=self.endpoint.address
@@ -478,6 +479,16 @@
     writer.endheaders(request.body or None)
 
 
+def _limit_error(
+    limits: LimitedReader, error: http.client.HTTPException
+) -> ByteLimitError:
+    """Return the error of our limit.
+
+    The library's limit on a line comes first if a part of the line came with the head.
+    """
+    return error if isinstance(error, ByteLimitError) else limits.limit_error()
+
+
 def _framing(response: http.client.HTTPResponse) -> Framing:
     if response.chunked:
         return Framing.CHUNKS
--- a/src/pimentohoist/_limited_reader.py
+++ b/src/pimentohoist/_limited_reader.py
@@ -72,6 +72,10 @@
         """Raise the limit for a body, since it has this many bytes of data more."""
         self._left_bytes += size * _FRAMING_FACTOR
 
+    def limit_error(self) -> ByteLimitError:
+        """Return the error of the limit that applies now."""
+        return ByteLimitError(self._limit, self._max_bytes)
+
     def readable(self) -> bool:
         """Return True."""
         return True
@@ -79,7 +83,7 @@
     def readinto(self, buffer: Any) -> int | None:
         """Read bytes into a buffer; raises ByteLimitError and TimeoutError."""
         if not self._left_bytes:
-            raise ByteLimitError(self._limit, self._max_bytes)
+            raise self.limit_error()
         if math.isfinite(self.deadline):
             self._set_socket_timeout()
         count = self.source.readinto(memoryview(buffer)[: self._left_bytes])
