Forget trials of parts that are over

Found by reading: a part that was tried and whose evidence expired kept an entry for good.

Before: trials of 100 parts left 100 entries; after: one. prompt_parts passes.

--- a/features/prompt_parts.feature
+++ b/features/prompt_parts.feature
@@ -101,4 +101,5 @@
     And in generated histories the deadly part is refused after its second crash
     And daemons that merge generated reports in any order blame the same parts
     And its memory stays bounded over 20000 parts
+    And trials of 100 parts, one each 10 s, leave one entry
     And the lifetimes of evidence are limited
--- a/features/steps/prompt_parts.py
+++ b/features/steps/prompt_parts.py
@@ -204,6 +204,14 @@
     assert len(register.harmless) <= 4096
 
 
+@then('trials of {count:d} parts, one each {interval_s:d} s, leave one entry')
+def check_trials(context: Context, count: int, interval_s: int) -> None:
+    register = PartRegister()
+    for number in range(count):
+        register.begin_trial([f'part-{number}'], number * interval_s)
+    assert len(register.trials) == 1, len(register.trials)
+
+
 @then('the lifetimes of evidence are limited')
 def check_lifetimes(context: Context) -> None:
     assert SUSPECT_LIFETIME_S < BLAME_LIFETIME_S < 3600
--- a/src/pimentohoist/_decisions/prompt_parts.py
+++ b/src/pimentohoist/_decisions/prompt_parts.py
@@ -110,7 +110,7 @@
     def __init__(self) -> None:
         self.evidence: OrderedDict[str, PartEvidence] = OrderedDict()
         self.harmless: OrderedDict[str, float] = OrderedDict()
-        self._trials: dict[str, float] = {}
+        self.trials: dict[str, float] = {}
 
     def record_begun(self, parts: Iterable[str], now: float) -> list[str]:
         """Record that an answer has begun; return the parts that this clears."""
@@ -120,7 +120,7 @@
             self.harmless.move_to_end(part)
             if self.evidence.pop(part, None) is not None:
                 cleared.append(part)
-            self._trials.pop(part, None)
+            self.trials.pop(part, None)
         _trim(self.harmless)
         return cleared
 
@@ -167,7 +167,12 @@
 
     def begin_trial(self, parts: Iterable[str], now: float) -> None:
         """Record a trial; until it times out there is no other of the same parts."""
-        self._trials.update(dict.fromkeys(parts, now))
+        self.trials = {
+            part: begun_at
+            for part, begun_at in self.trials.items()
+            if now - begun_at < _TRIAL_TIMEOUT_S
+        }
+        self.trials.update(dict.fromkeys(parts, now))
 
     def reports(self, now: float) -> Iterator[tuple[str, PartEvidence]]:
         """Yield the evidence to share: blamed parts first, then the newest suspects."""
@@ -226,7 +231,7 @@
         if self._open_companions(evidence, now).difference(parts):
             # A request without the other suspects tells the guilty one.
             trial_at = min(trial_at, evidence.last_at + _AMBIGUOUS_TRIAL_S)
-        begun_at = self._trials.get(part)
+        begun_at = self.trials.get(part)
         if begun_at is None:
             return trial_at
         return max(trial_at, begun_at + _TRIAL_TIMEOUT_S)
