Record the limit on a line in the client of the store and engines' orders

The same cause in the other client: the library's limit on a line came before ours, and the error was logged as any other broken response. Before, the test got PeerError LineTooLong; after, the error and the record of a limit.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -98,6 +98,7 @@
   # together with its head.
   Scenario: A chunk size without an end arrives with its head
     Then an endless chunk size that begins with the head exceeds the limit of framing
+    And it exceeds a limit of the client of the store too
 
   # Guards against an event line of a model server that fills the memory.
   Scenario: A model server's event line without an end
--- a/features/steps/endless_reads.py
+++ b/features/steps/endless_reads.py
@@ -196,6 +196,19 @@
     raise AssertionError('the response was read')
 
 
+@then('it exceeds a limit of the client of the store too')
+def check_client_chunk_size(context: Context) -> None:
+    listener = context.stack.enter_context(socket.create_server((_LOOPBACK, 0)))
+    threading.Thread(target=_send_chunk_size, args=(listener,), daemon=True).start()
+    address = f'{_LOOPBACK}:{listener.getsockname()[1]}'
+    client = HttpClient(address, timeout_s=_GUARD_S, step='store')
+    try:
+        client.request(HttpRequest('GET', '/'))
+    except OversizedResponseError:
+        return
+    raise AssertionError('the response was read')
+
+
 def _send_chunk_size(listener: socket.socket) -> None:
     connection, _ = listener.accept()
     with connection, suppress(OSError):
--- a/src/pimentohoist/_http_client.py
+++ b/src/pimentohoist/_http_client.py
@@ -37,6 +37,9 @@
 _MAX_REUSED_SILENCE_S = 5.0
 _MIN_SOCKET_TIMEOUT_S = 0.001
 _MAX_BODY_BYTES = 16_777_216
+_MAX_LINE_BYTES = 65_536
+"""Limit of `http.client`."""
+
 _MAX_QUOTED_BODY_BYTES = 200
 _KEEPALIVE_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -435,14 +438,25 @@
 
 def _peer_error(client: HttpClient, error: Exception) -> PeerError:
     text = f'{type(error).__name__}: {error}'
-    if isinstance(error, ByteLimitError):
+    limit_error = _limit_error(error)
+    if limit_error is not None:
         extra = {
             'step': client.step,
             'peer': client.address,
-            'limit': error.limit,
-            'max_bytes': error.max_bytes,
+            'limit': limit_error.limit,
+            'max_bytes': limit_error.max_bytes,
         }
         _logger.warning('response exceeds a limit', extra=extra)
         return OversizedResponseError(text, step=client.step, peer=client.address)
     error_class = PeerTimeoutError if isinstance(error, TimeoutError) else PeerError
     return error_class(text, step=client.step, peer=client.address)
+
+
+def _limit_error(error: Exception) -> ByteLimitError | None:
+    """Return the limit that an error is about; None if it is about none.
+
+    The library's limit on a line comes before ours if a part of the line came with the head.
+    """
+    if isinstance(error, http.client.LineTooLong):
+        return ByteLimitError('line', _MAX_LINE_BYTES)
+    return error if isinstance(error, ByteLimitError) else None
