--- a/features/deadly_fleet.py
+++ b/features/crashing_fleet.py
@@ -15,37 +15,37 @@
 
 from pimentohoist_standins.opaque_engine import OpaqueEngine
 
-DEADLY_PART = 'dead'
+CRASHING_PART = 'crashes'
 CONTACT_S = 3.0
 """The stated time until daemons have to have heard of an event."""
 
 _OUTAGE_S = 1.0
 _POLL_S = 0.02
-_DEADLY_INTERVAL_S = 0.2
+_CRASHING_INTERVAL_S = 0.2
 _CALLERS = 6
 _SUBJECTS = 60
 _SEED = 26
 
 
-class DeadlyEngine(OpaqueEngine):
-    """Records when requests with the deadly part arrived."""
+class CrashingEngine(OpaqueEngine):
+    """Records when requests with the crashing part arrived."""
 
     def __init__(self, address: tuple[str, int], engine_id: str) -> None:
         super().__init__(address, engine_id, MODEL)
-        self.faults.deadly_parts = frozenset((DEADLY_PART,))
-        self.deadly_arrivals: list[float] = []
+        self.faults.crashing_parts = frozenset((CRASHING_PART,))
+        self.crashing_arrivals: list[float] = []
 
     def record_arrival(
         self, path: str, headers: dict[str, str], client_host: str
     ) -> int:
-        if DEADLY_PART in headers.get('pimentohoist-prompt-prefix', ''):
-            self.deadly_arrivals.append(time.monotonic())
+        if CRASHING_PART in headers.get('pimentohoist-prompt-prefix', ''):
+            self.crashing_arrivals.append(time.monotonic())
         return 0
 
 
 @dataclass(frozen=True)
 class SoundRequest:
-    """When a request without the deadly part was sent, and whether it was served."""
+    """When a request without the crashing part was sent, and whether it was served."""
 
     sent_at: float
     subject: str
@@ -53,24 +53,24 @@
 
 
 @dataclass
-class DeadlyFleet:
+class CrashingFleet:
     """Engines that come back some time after a crash, and callers.
 
     Attributes
     ----------
-    engines : list of DeadlyEngine
+    engines : list of CrashingEngine
         All incarnations.
     sound : list of SoundRequest
         Requests that have ended.
     """
 
     fleet: EntryFleet
-    engines: list[DeadlyEngine] = field(default_factory=list)
+    engines: list[CrashingEngine] = field(default_factory=list)
     sound: list[SoundRequest] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.closed = threading.Event()
-        self.deadly = threading.Event()
+        self.crashing = threading.Event()
         self.threads: list[threading.Thread] = []
         self.numbers = itertools.count(1)
 
@@ -85,7 +85,7 @@
     def start(self, engines: int) -> None:
         for number in range(engines):
             self.add_engine((f'{self.fleet.network}.{10 + number}', 9000))
-        for target in (self.restart_engines, self.send_deadly):
+        for target in (self.restart_engines, self.send_crashing):
             self.start_thread(target)
 
     def start_callers(self) -> None:
@@ -97,8 +97,8 @@
         self.threads.append(thread)
         thread.start()
 
-    def add_engine(self, address: tuple[str, int]) -> DeadlyEngine:
-        engine = DeadlyEngine(address, f'engine-{len(self.engines)}')
+    def add_engine(self, address: tuple[str, int]) -> CrashingEngine:
+        engine = CrashingEngine(address, f'engine-{len(self.engines)}')
         self.fleet.stack.enter_context(engine)
         self.engines.append(engine)
         self.fleet.store.put('keyed.servers', engine.engine_id, engine.entry('models'))
@@ -108,8 +108,8 @@
         times = (engine.state.crashed_at for engine in self.engines)
         return sorted(at for at in times if at is not None)
 
-    def deadly_arrivals(self) -> list[float]:
-        return sorted(at for engine in self.engines for at in engine.deadly_arrivals)
+    def crashing_arrivals(self) -> list[float]:
+        return sorted(at for engine in self.engines for at in engine.crashing_arrivals)
 
     def restart_engines(self) -> None:
         """Start engines again at their addresses, under new ids and empty."""
@@ -123,11 +123,11 @@
                     host, _, port = engine.address.partition(':')
                     running.append(self.add_engine((host, int(port))))
 
-    def send_deadly(self) -> None:
+    def send_crashing(self) -> None:
         """Send requests with the part to each daemon in turn while they are wanted."""
-        while not self.closed.wait(_DEADLY_INTERVAL_S):
-            if self.deadly.is_set():
-                self.start_thread(self.send, 'subject-0', DEADLY_PART)
+        while not self.closed.wait(_CRASHING_INTERVAL_S):
+            if self.crashing.is_set():
+                self.start_thread(self.send, 'subject-0', CRASHING_PART)
 
     def send_sound(self, choice: random.Random) -> None:
         while not self.closed.wait(_POLL_S):
--- a/features/deadly_parts.feature
+++ b/features/crashing_parts.feature
@@ -9,9 +9,9 @@
     And from 6 s after that crash on sound requests are served as often as before, or half
 
   # Guards against a daemon that knows nothing of the crashes before its start.
-  Scenario: A daemon starts after a part was blamed
+  Scenario: A daemon starts after a part was quarantined
     Given a fleet of 2 daemons with 5 engines that crash on a part of a prompt
-    When requests with that part come until all daemons blame it
+    When requests with that part come until all daemons quarantine it
     And another daemon has started and is ready
     Then it refuses 5 requests with the part and no engine gets one
     And it serves a request without the part
--- a/features/steps/prompt_parts.py
+++ b/features/steps/prompt_parts.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from pimentohoist._decisions.prompt_parts import (
-    BLAME_LIFETIME_S,
+    QUARANTINE_LIFETIME_S,
     SUSPECT_LIFETIME_S,
     PartEvidence,
     PartRegister,
@@ -20,7 +20,7 @@
 _GENERATED = settings(max_examples=300, deadline=None)
 _START_S = 100
 _MERGED_S = 6
-_PARTS = ('shared', 'deadly', 'a', 'b', 'c', 'd')
+_PARTS = ('shared', 'crashing', 'a', 'b', 'c', 'd')
 _EVENTS = st.lists(
     st.tuples(
         st.lists(st.sampled_from(_PARTS), unique=True, max_size=4),
@@ -75,32 +75,32 @@
     context.now += duration_s
 
 
-@then('a request with "{parts}" is refused for "{blamed}"')
-def check_refused(context: Context, parts: str, blamed: str) -> None:
-    verdict = context.register.judge(parts.split(), context.now)
-    assert verdict.blamed == tuple(blamed.split()), verdict
-    assert context.now < verdict.trial_at, verdict
+@then('a request with "{parts}" is refused for "{quarantined}"')
+def check_refused(context: Context, parts: str, quarantined: str) -> None:
+    verdict = context.register.check(parts.split(), context.now)
+    assert verdict.quarantined == tuple(quarantined.split()), verdict
+    assert context.now < verdict.probe_at, verdict
 
 
 @then('a request with "{parts}" is served')
 def check_served(context: Context, parts: str) -> None:
-    assert not context.register.judge(parts.split(), context.now).blamed
+    assert not context.register.check(parts.split(), context.now).quarantined
 
 
 @then('one request with "{parts}" is tried and the next is refused')
-def check_trial(context: Context, parts: str) -> None:
-    verdict = context.register.judge(parts.split(), context.now)
-    assert verdict.blamed, verdict
-    assert context.now >= verdict.trial_at, verdict
-    context.register.begin_trial(verdict.blamed, context.now)
-    verdict = context.register.judge(parts.split(), context.now)
-    assert context.now < verdict.trial_at, verdict
+def check_probe(context: Context, parts: str) -> None:
+    verdict = context.register.check(parts.split(), context.now)
+    assert verdict.quarantined, verdict
+    assert context.now >= verdict.probe_at, verdict
+    context.register.begin_probe(verdict.quarantined, context.now)
+    verdict = context.register.check(parts.split(), context.now)
+    assert context.now < verdict.probe_at, verdict
 
 
-@then('nothing is blamed {duration_s:g} s later')
+@then('nothing is quarantined {duration_s:g} s later')
 def check_forgotten(context: Context, duration_s: float) -> None:
     context.now += duration_s
-    assert not context.register.blamed(context.now)
+    assert not context.register.quarantined(context.now)
 
 
 class _NaiveRegister:
@@ -120,7 +120,9 @@
         return {part for part, count in self.crashes.items() if count > 1}
 
 
-@then('in generated histories a part with an answer since its crashes is never blamed')
+@then(
+    'in generated histories a part with an answer since its crashes is never quarantined'
+)
 def check_begun(context: Context) -> None:
     @_GENERATED
     @over(_EVENTS)
@@ -134,13 +136,13 @@
                 register.record_begun(parts, now)
             else:
                 register.record_crash(parts, f'{number}', now, is_answered=True)
-            assert naive.suspects().issuperset(register.blamed(now))
+            assert naive.suspects().issuperset(register.quarantined(now))
 
     check()
 
 
-@then('in generated histories the deadly part is refused after its second crash')
-def check_deadly(context: Context) -> None:
+@then('in generated histories the crashing part is refused after its second crash')
+def check_crashing(context: Context) -> None:
     companions = st.tuples(st.sampled_from(_PARTS[2:]), st.booleans())
 
     @_GENERATED
@@ -151,15 +153,15 @@
         for number, (companion, has_begun) in enumerate(requests):
             if has_begun:
                 register.record_begun([companion], number)
-            parts = ['shared', companion, 'deadly']
+            parts = ['shared', companion, 'crashing']
             register.record_crash(parts, f'{number}', number, is_answered=True)
-            assert not number or register.judge(parts, number).blamed, requests
-            assert not register.judge(['shared'], number).blamed
+            assert not number or register.check(parts, number).quarantined, requests
+            assert not register.check(['shared'], number).quarantined
 
     check()
 
 
-@then('daemons that merge generated reports in any order blame the same parts')
+@then('daemons that merge generated reports in any order quarantine the same parts')
 def check_merge(context: Context) -> None:
     evidence = st.builds(
         PartEvidence,
@@ -190,7 +192,7 @@
         part: (evidence.crashes, evidence.companions)
         for part, evidence in register.evidence.items()
     }
-    return known, set(register.blamed(_MERGED_S))
+    return known, set(register.quarantined(_MERGED_S))
 
 
 @then('its memory stays bounded over 20000 parts')
@@ -198,20 +200,20 @@
     register = PartRegister()
     for number in range(20_000):
         register.record_crash([f'part-{number}'], 'crash', 0, is_answered=True)
-        register.record_begun([f'harmless-{number}'], 0)
+        register.record_begun([f'cleared-{number}'], 0)
     assert len(list(register.reports(0))) <= 24
     assert len(register.evidence) <= 4096
-    assert len(register.harmless) <= 4096
+    assert len(register.cleared) <= 4096
 
 
-@then('trials of {count:d} parts, one each {interval_s:d} s, leave one entry')
-def check_trials(context: Context, count: int, interval_s: int) -> None:
+@then('probes of {count:d} parts, one each {interval_s:d} s, leave one entry')
+def check_probes(context: Context, count: int, interval_s: int) -> None:
     register = PartRegister()
     for number in range(count):
-        register.begin_trial([f'part-{number}'], number * interval_s)
-    assert len(register.trials) == 1, len(register.trials)
+        register.begin_probe([f'part-{number}'], number * interval_s)
+    assert len(register.probes) == 1, len(register.probes)
 
 
 @then('the lifetimes of evidence are limited')
 def check_lifetimes(context: Context) -> None:
-    assert SUSPECT_LIFETIME_S < BLAME_LIFETIME_S < 3600
+    assert SUSPECT_LIFETIME_S < QUARANTINE_LIFETIME_S < 3600
--- a/src/pimentohoist/_decisions/prompt_parts.py
+++ b/src/pimentohoist/_decisions/prompt_parts.py
@@ -1,9 +1,9 @@
 """Parts of prompts that crash engines, found by what crashed requests have in common.
 
-A request on which an answer has begun proves its parts harmless. One that was in flight at
+A request on which an answer has begun clears its parts. One that was in flight at
 a crash and had not begun makes those of its parts suspect that nothing has cleared. A part
-that is suspect at more than one crash is blamed, and requests with it are refused, except
-for trials that become rarer with each crash.
+that is suspect at more than one crash is quarantined, and requests with it are refused, except
+for probes that become rarer with each crash.
 """
 
 from __future__ import annotations
@@ -14,24 +14,24 @@
 from dataclasses import dataclass
 from typing import Any
 
-CRASHES_TO_BLAME = 2
-_WEIGHT_TO_BLAME = 4
+MIN_CRASHES = 2
+_MIN_WEIGHT = 4
 """A crash counts twice if the engine had sent the status line of a request with the part: it
 crashes when it begins to answer, and most requests beside the cause have nothing yet."""
 
 MAX_REPORTS = 24
-HARMLESS_LIFETIME_S = 60.0
+CLEARED_LIFETIME_S = 60.0
 SUSPECT_LIFETIME_S = 60.0
-BLAME_LIFETIME_S = 600.0
+QUARANTINE_LIFETIME_S = 600.0
 """Times after which evidence is forgotten: requests may change, and so may engines."""
 
 _MAX_PARTS = 4096
 _MAX_NAMES = 16
-_FIRST_TRIAL_S = 10.0
-_AMBIGUOUS_TRIAL_S = 1.0
-"""Time until the first trial of a part that was always suspect beside the same others."""
+_FIRST_PROBE_S = 10.0
+_AMBIGUOUS_PROBE_S = 1.0
+"""Time until the first probe of a part that was always suspect beside the same others."""
 
-_TRIAL_TIMEOUT_S = 3.0
+_PROBE_TIMEOUT_S = 3.0
 _SUSPECT_REPORT_S = 10.0
 
 
@@ -58,9 +58,9 @@
 
     @property
     def is_enough(self) -> bool:
-        """Return whether the part may be blamed."""
+        """Return whether the part may be quarantined."""
         weight = len(self.crashes) + len(self.answered)
-        return len(self.crashes) >= CRASHES_TO_BLAME and weight >= _WEIGHT_TO_BLAME
+        return len(self.crashes) >= MIN_CRASHES and weight >= _MIN_WEIGHT
 
     def merged(self, other: PartEvidence) -> PartEvidence:
         """Return the evidence of both."""
@@ -78,14 +78,14 @@
 
     def is_expired(self, now: float) -> bool:
         """Return whether the evidence is too old to count."""
-        lifetime_s = BLAME_LIFETIME_S if self.is_enough else SUSPECT_LIFETIME_S
+        lifetime_s = QUARANTINE_LIFETIME_S if self.is_enough else SUSPECT_LIFETIME_S
         return now - self.last_at >= lifetime_s
 
-    def trial_at(self) -> float:
+    def probe_at(self) -> float:
         """Return when one request with the part may run again."""
-        doublings = len(self.crashes) - CRASHES_TO_BLAME
-        wait_s = math.ldexp(_FIRST_TRIAL_S, doublings)
-        return self.last_at + min(BLAME_LIFETIME_S, wait_s)
+        doublings = len(self.crashes) - MIN_CRASHES
+        wait_s = math.ldexp(_FIRST_PROBE_S, doublings)
+        return self.last_at + min(QUARANTINE_LIFETIME_S, wait_s)
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,14 +94,14 @@
 
     Attributes
     ----------
-    blamed : tuple of str
-        Parts for which it is refused, unless it is a trial.
-    trial_at : float
-        Monotonic time in seconds from which on it may run as a trial.
+    quarantined : tuple of str
+        Parts for which it is refused, unless it is a probe.
+    probe_at : float
+        Monotonic time in seconds from which on it may run as a probe.
     """
 
-    blamed: tuple[str, ...] = ()
-    trial_at: float = 0
+    quarantined: tuple[str, ...] = ()
+    probe_at: float = 0
 
 
 class PartRegister:
@@ -109,19 +109,19 @@
 
     def __init__(self) -> None:
         self.evidence: OrderedDict[str, PartEvidence] = OrderedDict()
-        self.harmless: OrderedDict[str, float] = OrderedDict()
-        self.trials: dict[str, float] = {}
+        self.cleared: OrderedDict[str, float] = OrderedDict()
+        self.probes: dict[str, float] = {}
 
     def record_begun(self, parts: Iterable[str], now: float) -> list[str]:
         """Record that an answer has begun; return the parts that this clears."""
         cleared = []
         for part in parts:
-            self.harmless[part] = now
-            self.harmless.move_to_end(part)
+            self.cleared[part] = now
+            self.cleared.move_to_end(part)
             if self.evidence.pop(part, None) is not None:
                 cleared.append(part)
-            self.trials.pop(part, None)
-        _trim(self.harmless)
+            self.probes.pop(part, None)
+        _trim(self.cleared)
         return cleared
 
     def record_crash(
@@ -135,7 +135,7 @@
             Whether the engine had sent the status line.
         """
         crashes = frozenset((crash,))
-        suspects = tuple(part for part in parts if not self.is_harmless(part, now))
+        suspects = tuple(part for part in parts if not self.is_cleared(part, now))
         for part in suspects:
             others = [other for other in suspects if other != part][:_MAX_NAMES]
             answered = crashes if is_answered else frozenset()
@@ -144,38 +144,38 @@
         return suspects
 
     def merge(self, part: str, evidence: PartEvidence, now: float) -> bool:
-        """Add evidence of another daemon; return False if the part is harmless."""
-        if self.is_harmless(part, now):
+        """Add evidence of another daemon; return False if the part is cleared."""
+        if self.is_cleared(part, now):
             return False
         known = self._current(part, now)
         if known is None or not known.includes(evidence):
             self._add(part, evidence, now)
         return True
 
-    def is_harmless(self, part: str, now: float) -> bool:
+    def is_cleared(self, part: str, now: float) -> bool:
         """Return whether an answer on the part has begun lately."""
-        begun_at = self.harmless.get(part)
-        return begun_at is not None and now - begun_at < HARMLESS_LIFETIME_S
+        begun_at = self.cleared.get(part)
+        return begun_at is not None and now - begun_at < CLEARED_LIFETIME_S
 
-    def judge(self, parts: Collection[str], now: float) -> PartsVerdict:
+    def check(self, parts: Collection[str], now: float) -> PartsVerdict:
         """Return the verdict on a request with these parts."""
-        blamed = tuple(part for part in parts if self._is_blamed(part, now))
-        if not blamed:
+        quarantined = tuple(part for part in parts if self._is_quarantined(part, now))
+        if not quarantined:
             return PartsVerdict()
-        trial_times = (self._trial_at(part, parts, now) for part in blamed)
-        return PartsVerdict(blamed, max(trial_times))
+        probe_times = (self._probe_at(part, parts, now) for part in quarantined)
+        return PartsVerdict(quarantined, max(probe_times))
 
-    def begin_trial(self, parts: Iterable[str], now: float) -> None:
-        """Record a trial; until it times out there is no other of the same parts."""
-        self.trials = {
+    def begin_probe(self, parts: Iterable[str], now: float) -> None:
+        """Record a probe; until it times out there is no other of the same parts."""
+        self.probes = {
             part: begun_at
-            for part, begun_at in self.trials.items()
-            if now - begun_at < _TRIAL_TIMEOUT_S
+            for part, begun_at in self.probes.items()
+            if now - begun_at < _PROBE_TIMEOUT_S
         }
-        self.trials.update(dict.fromkeys(parts, now))
+        self.probes.update(dict.fromkeys(parts, now))
 
     def reports(self, now: float) -> Iterator[tuple[str, PartEvidence]]:
-        """Yield the evidence to share: blamed parts first, then the newest suspects."""
+        """Yield the evidence to share: quarantined parts first, then the newest suspects."""
         current = [(part, self._current(part, now)) for part in tuple(self.evidence)]
         known = [(part, found) for part, found in current if found is not None]
         ranked = sorted(
@@ -187,9 +187,11 @@
             if evidence.is_enough or now - evidence.last_at < _SUSPECT_REPORT_S:
                 yield part, evidence
 
-    def blamed(self, now: float) -> list[str]:
-        """Return the parts that are blamed."""
-        return [part for part in tuple(self.evidence) if self._is_blamed(part, now)]
+    def quarantined(self, now: float) -> list[str]:
+        """Return the parts that are quarantined."""
+        return [
+            part for part in tuple(self.evidence) if self._is_quarantined(part, now)
+        ]
 
     def _add(self, part: str, evidence: PartEvidence, now: float) -> None:
         known = self._current(part, now)
@@ -204,11 +206,11 @@
             return None
         return evidence
 
-    def _is_blamed(self, part: str, now: float) -> bool:
+    def _is_quarantined(self, part: str, now: float) -> bool:
         evidence = self._current(part, now)
         if evidence is None or not evidence.is_enough:
             return False
-        # Another part, blamed for itself, explains all crashes of this one.
+        # Another part, quarantined for itself, explains all crashes of this one.
         return not any(
             self._explains(other, evidence, now) for other in evidence.companions
         )
@@ -222,19 +224,19 @@
 
     def _open_companions(self, evidence: PartEvidence, now: float) -> set[str]:
         return {
-            other for other in evidence.companions if not self.is_harmless(other, now)
+            other for other in evidence.companions if not self.is_cleared(other, now)
         }
 
-    def _trial_at(self, part: str, parts: Collection[str], now: float) -> float:
+    def _probe_at(self, part: str, parts: Collection[str], now: float) -> float:
         evidence = self.evidence[part]
-        trial_at = evidence.trial_at()
+        probe_at = evidence.probe_at()
         if self._open_companions(evidence, now).difference(parts):
             # A request without the other suspects tells the guilty one.
-            trial_at = min(trial_at, evidence.last_at + _AMBIGUOUS_TRIAL_S)
-        begun_at = self.trials.get(part)
+            probe_at = min(probe_at, evidence.last_at + _AMBIGUOUS_PROBE_S)
+        begun_at = self.probes.get(part)
         if begun_at is None:
-            return trial_at
-        return max(trial_at, begun_at + _TRIAL_TIMEOUT_S)
+            return probe_at
+        return max(probe_at, begun_at + _PROBE_TIMEOUT_S)
 
 
 def _bounded(names: frozenset[str]) -> frozenset[str]:
--- a/src/pimentohoist/_entry/dispatch.py
+++ b/src/pimentohoist/_entry/dispatch.py
@@ -82,7 +82,7 @@
 
     def _attempt(self, context: RequestContext) -> EntryResponse:
         chosen = self._choose(context)
-        # A part may have been blamed during the wait for an adapter.
+        # A part may have been quarantined during the wait for an adapter.
         self.part_quarantine(context)
         exchange = self._send(context, chosen, None)
         try:
@@ -115,7 +115,7 @@
             last_event_id,
             _priority(context) if context.group.engine else None,
         )
-        context.framing = ''
+        context.framing = None
         self._track(context, endpoint.endpoint_id)
         try:
             exchange = self.connections.send(
@@ -161,7 +161,7 @@
     ) -> ResponseHead:
         head = exchange.read_head(context.request.request_id)
         endpoint = exchange.endpoint
-        context.framing = head.framing.value
+        context.framing = head.framing
         headers = dict(head.headers.items())
         notice = decode_notice(endpoint.endpoint_id, head.status, headers)
         self.chooser.endpoints.notices.record(endpoint, notice)
--- a/src/pimentohoist/_entry/members.py
+++ b/src/pimentohoist/_entry/members.py
@@ -59,7 +59,7 @@
         incarnations, those of them that had begun an answer, other parts that were always
         suspect with it.
     cleared_parts : list of str
-        Such parts that are known to be harmless.
+        Parts that were suspect and are cleared.
     declarations_read_age_s : float or None
         Time since the store last answered its reads of the operators' records.
     store_era : int
--- a/src/pimentohoist/_entry/part_quarantine.py
+++ b/src/pimentohoist/_entry/part_quarantine.py
@@ -31,7 +31,7 @@
 """A crash cuts many requests within a few milliseconds, which share one heartbeat."""
 
 _CLEARED_REPORT_S = 5.0
-_TRIAL_STEP_S = 2.0
+_PROBE_STEP_S = 2.0
 """Time between the daemons' turns to try a part: it includes the wait for an adapter."""
 
 _logger = logging.getLogger(__name__)
@@ -49,27 +49,29 @@
         members.on_heartbeat.append(self._record_heartbeat)
 
     def __call__(self, context: RequestContext) -> None:
-        """Raise UnavailableError for a request with a blamed part, unless it is a trial."""
+        """Raise UnavailableError for a request with a quarantined part, unless it is a probe."""
         parts = context.request.shared_parts
-        if context.is_trial or not parts:
+        if context.is_probe or not parts:
             return
         now = _clock.now()
         with self._lock:
-            verdict = self.register.judge(parts, now)
-            if not verdict.blamed:
+            verdict = self.register.check(parts, now)
+            if not verdict.quarantined:
                 return
-            is_trial = now >= verdict.trial_at + self._trial_delay_s(verdict.blamed[0])
-            if is_trial:
-                self.register.begin_trial(verdict.blamed, now)
-        extra = {**log_fields(context), 'parts': verdict.blamed}
-        context.is_trial = is_trial
-        if is_trial:
-            _logger.warning('request with a blamed part tried', extra=extra)
+            is_probe = now >= verdict.probe_at + self._probe_delay_s(
+                verdict.quarantined[0]
+            )
+            if is_probe:
+                self.register.begin_probe(verdict.quarantined, now)
+        extra = {**log_fields(context), 'parts': verdict.quarantined}
+        context.is_probe = is_probe
+        if is_probe:
+            _logger.warning('probe of a quarantined part', extra=extra)
             return
         raise UnavailableError(
-            f'requests with part {verdict.blamed[0]} of the prompt crash engines',
+            f'requests with part {verdict.quarantined[0]} of the prompt crash engines',
             step=_STEP,
-            retry_after_s=add_jitter(verdict.trial_at - now),
+            retry_after_s=add_jitter(verdict.probe_at - now),
         )
 
     def record_begun(self, context: RequestContext) -> None:
@@ -80,7 +82,7 @@
             self._cleared_at.update(dict.fromkeys(cleared, now))
         if cleared:
             extra = {**log_fields(context), 'parts': cleared}
-            _logger.info('suspect parts of a prompt are harmless', extra=extra)
+            _logger.info('suspect parts of a prompt are cleared', extra=extra)
             self._share_soon()
 
     def record_crash(self, context: RequestContext, endpoint: Endpoint) -> None:
@@ -94,16 +96,16 @@
                 context.request.shared_parts,
                 digest.hexdigest(),
                 now,
-                is_answered=bool(context.framing),
+                is_answered=context.framing is not None,
             )
-            blamed = self.register.judge(suspects, now).blamed
+            quarantined = self.register.check(suspects, now).quarantined
         if not suspects:
             return
         extra = {
             **log_fields(context),
             'endpoint': endpoint.incarnation,
             'suspects': suspects,
-            'blamed': blamed,
+            'quarantined': quarantined,
         }
         _logger.warning('parts of a prompt are suspect', extra=extra)
         self._share_soon()
@@ -124,7 +126,7 @@
             ]
 
     def cleared_parts(self) -> list[str]:
-        """Return the parts that were suspect and that this daemon knows to be harmless."""
+        """Return the parts that were suspect and that this daemon knows to be cleared."""
         now = _clock.now()
         with self._lock:
             self._cleared_at = {
@@ -134,21 +136,21 @@
             }
             return list(self._cleared_at)[-MAX_REPORTS:]
 
-    def blamed_count(self) -> int:
-        """Return how many parts are blamed."""
+    def quarantined_count(self) -> int:
+        """Return how many parts are quarantined."""
         with self._lock:
-            return len(self.register.blamed(_clock.now()))
+            return len(self.register.quarantined(_clock.now()))
 
     def dump(self) -> Mapping[str, Any]:
-        """Return the blamed parts."""
+        """Return the quarantined parts."""
         with self._lock:
-            return {'blamed': self.register.blamed(_clock.now())}
+            return {'quarantined': self.register.quarantined(_clock.now())}
 
-    def _trial_delay_s(self, part: str) -> float:
-        """Return how long this daemon leaves a trial to those that rank before it."""
+    def _probe_delay_s(self, part: str) -> float:
+        """Return how long this daemon leaves a probe to those that rank before it."""
         live = (heartbeat.member for heartbeat in self.members.live())
         ranked = rank_names(part, [self.members.member, *live])
-        return ranked.index(self.members.member) * _TRIAL_STEP_S
+        return ranked.index(self.members.member) * _PROBE_STEP_S
 
     def _share_soon(self) -> None:
         with self._lock:
@@ -172,15 +174,15 @@
         now = _clock.now()
         with self._lock:
             self.register.record_begun(heartbeat.cleared_parts, now)
-            before = set(self.register.blamed(now))
+            before = set(self.register.quarantined(now))
             for part, *report in heartbeat.part_reports:
                 if not self.register.merge(part, _read_report(report, now), now):
-                    # The sender doesn't know yet that the part is harmless.
+                    # The sender doesn't know yet that the part is cleared.
                     self._cleared_at[part] = now
-            blamed = sorted(set(self.register.blamed(now)) - before)
-        if blamed:
-            extra = {'step': _STEP, 'source': heartbeat.member, 'parts': blamed}
-            _logger.warning('parts of prompts are blamed', extra=extra)
+            quarantined = sorted(set(self.register.quarantined(now)) - before)
+        if quarantined:
+            extra = {'step': _STEP, 'source': heartbeat.member, 'parts': quarantined}
+            _logger.warning('parts of prompts are quarantined', extra=extra)
 
 
 def _read_report(report: list[Any], now: float) -> PartEvidence:
--- a/src/pimentohoist/_entry/request_context.py
+++ b/src/pimentohoist/_entry/request_context.py
@@ -7,6 +7,7 @@
 from http import HTTPStatus
 from typing import Protocol
 
+from pimentohoist._entry.connections import Framing
 from pimentohoist._entry.request_monitor import MonitoredRequest
 from pimentohoist.entry_models import (
     EntryRequest,
@@ -58,9 +59,9 @@
         Attempts that may have run it.
     failure : PimentohoistError or None
         Error of the last failed attempt.
-    framing : str
-        How the body of the last response of an endpoint was framed; empty if none came.
-    is_trial : bool
+    framing : Framing or None
+        What tells the end of the last response of an endpoint; None if none came.
+    is_probe : bool
         Whether it runs to find out if a part of its prompt still crashes engines.
     cleanups : list of callable
         Called when an attempt has ended.
@@ -76,8 +77,8 @@
     tried_endpoints: list[str] = field(default_factory=list)
     executions: int = 0
     failure: PimentohoistError | None = None
-    framing: str = ''
-    is_trial: bool = False
+    framing: Framing | None = None
+    is_probe: bool = False
     cleanups: list[Callable[[], None]] = field(default_factory=list)
 
     def remaining_s(self, now: float) -> float:
--- a/src/pimentohoist/_entry/request_handler.py
+++ b/src/pimentohoist/_entry/request_handler.py
@@ -158,7 +158,7 @@
             'endpoints': context.tried_endpoints,
             'runs': context.executions,
             'status': status,
-            'framing': context.framing,
+            'framing': context.framing or '',
             'protocol': context.request.protocol,
             'took_ms': round(duration_s * _MS_PER_S),
             'outcome': 'answered' if error is None else str(error),
--- a/src/pimentohoist/_entry/retry_policy.py
+++ b/src/pimentohoist/_entry/retry_policy.py
@@ -138,7 +138,7 @@
             'fingerprint': fingerprint,
             'crashes': count,
             'shared_parts': context.request.shared_parts,
-            'framing': context.framing,
+            'framing': context.framing or '',
         }
         _logger.warning('endpoint crashed while it executed a request', extra=extra)
         # An endpoint that is silent may be cut off or frozen.
--- a/src/pimentohoist/_entry/stream_relay.py
+++ b/src/pimentohoist/_entry/stream_relay.py
@@ -119,7 +119,7 @@
         the body's, nothing tells such a body from one whose engine has failed.
         """
         is_inside_event = self.splitter.is_inside_event()
-        is_framed = self.context.framing != Framing.CONNECTION_END.value
+        is_framed = self.context.framing is not Framing.CONNECTION_END
         if not is_inside_event and (is_framed or self._has_events):
             return
         where = 'inside an event' if is_inside_event else 'before its first event'
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -210,7 +210,7 @@
             'requests_running': len(self.request_monitor),
             'configuration_version': self.declarations.version,
             'store_era': self.store.era.current,
-            'prompt_parts_blamed': self.part_quarantine.blamed_count(),
+            'prompt_parts_quarantined': self.part_quarantine.quarantined_count(),
             'configuration_unconfirmed_seconds': (
                 -1 if unconfirmed_s is None else unconfirmed_s
             ),
--- a/src/pimentohoist_standins/opaque_engine.py
+++ b/src/pimentohoist_standins/opaque_engine.py
@@ -83,7 +83,7 @@
         Sent to the next requests, as many as `endless_answers`.
     endless_reports : EndlessAnswer or None
         Sent to all orders, after they are carried out, and reads of the report.
-    deadly_parts : frozenset of str
+    crashing_parts : frozenset of str
         Parts of a prompt; the engine crashes when it begins to answer a request with one.
     is_silent : bool
         Whether executed requests stay unanswered; they are answered once it is false.
@@ -109,7 +109,7 @@
     broken_streams: list[BrokenStream] = field(default_factory=list)
     framing: str = 'chunks'
     event_end: bytes = b'\n'
-    deadly_parts: frozenset[str] = frozenset()
+    crashing_parts: frozenset[str] = frozenset()
     answer_bytes: int = 0
     endless_answer: EndlessAnswer | None = None
     endless_answers: int = 0
@@ -259,10 +259,10 @@
             return self.faults.endless_answers >= 0
 
     def crash_on(self, headers: dict[str, str]) -> None:
-        """Crash if a request has a deadly part."""
+        """Crash if a request has a part that crashes it."""
         parts = headers.get('pimentohoist-prompt-prefix', '').split(',')
         ids = {part.partition(':')[0] for part in parts[:-1]}
-        if ids & self.faults.deadly_parts and self.state.crashed_at is None:
+        if ids & self.faults.crashing_parts and self.state.crashed_at is None:
             self.state.crashed_at = time.monotonic()
             self.crash()
 
