--- a/features/steps/stream_ends.py
+++ b/features/steps/stream_ends.py
@@ -15,11 +15,8 @@
 sys.path.append(str(Path(__file__).resolve().parent.parent))
 from entry_fleet import KEY, MODEL, EntryFleet, wait_for  # noqa: E402
 
-from pimentohoist_standins.opaque_engine import (  # noqa: E402
-    WORK_MS,
-    BrokenStream,
-    event_bytes,
-)
+from pimentohoist_standins.opaque_engine import WORK_MS, event_bytes  # noqa: E402
+from pimentohoist_standins.opaque_engine_state import BrokenStream  # noqa: E402
 
 _STREAM = '/models/x'
 _RESUMED = '/resumed/x'
--- a/src/pimentohoist/_entry/connections.py
+++ b/src/pimentohoist/_entry/connections.py
@@ -1,34 +1,31 @@
-"""A pool of HTTP connections to endpoints, which carry requests unchanged.
+"""A pool of HTTP connections to endpoints, and exchanges of a request and its response.
 
-A connection has one reader for all its responses, so that the bytes of an unexpected
-response aren't lost in a closed reader: a response that names another request is dropped,
-and a connection with unread bytes isn't reused.
+A response that names another request is dropped, and a connection with unread bytes isn't
+reused.
 """
 
 from __future__ import annotations
 
 import http.client
-import io
 import logging
 import socket
 import threading
 from collections import defaultdict
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager, suppress
-from dataclasses import dataclass
-from enum import Enum, StrEnum, auto
+from contextlib import contextmanager
+from enum import Enum, auto
 from typing import cast
 
 from pimentohoist import _clock
-from pimentohoist._addresses import split_address
 from pimentohoist._entry.held_bytes import HeldBytes
+from pimentohoist._entry.response_head import ResponseHead, framing_of
 from pimentohoist._entry.response_memory import ResponseMemory
+from pimentohoist._entry.upstream_connection import UpstreamConnection
 from pimentohoist._limited_reader import (
     MAX_READ_BYTES,
     ByteLimitError,
     LimitedReader,
 )
-from pimentohoist._sockets import has_input
 from pimentohoist.entry_models import EntryRequest, Endpoint
 from pimentohoist.exceptions import (
     OversizedResponseError,
@@ -39,92 +36,15 @@
 from pimentohoist.platform import is_response_to
 
 _STEP = 'endpoint'
-_CONNECT_TIMEOUT_S = 0.6
-_UNACKNOWLEDGED_TIMEOUT_MS = 1500
-"""A connection whose data isn't acknowledged within this time is closed as lost."""
-
-_SOCKET_OPTIONS = (
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_TIMEOUT_MS),
-)
-"""Keepalive probes, since nothing else shows during a wait for a response that an
-endpoint has vanished without closing the connection."""
-
-_MAX_IDLE_S = 4.0
-_IDLE_MARGIN_S = 0.5
 _MAX_IDLE_CONNECTIONS = 64
 _MAX_RESPONSES_READ = 3
 _MAX_DROPPED_BYTES = 65_536
 _MAX_BODY_BYTES = 16_777_216
 _MAX_MEMORY_WAIT_S = 1.0
-_BODILESS = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 
 _logger = logging.getLogger(__name__)
 
 
-class _SharedReader(io.BufferedReader):
-    """Stays open when a response that was read from it is closed."""
-
-    def close(self) -> None:
-        """Do nothing; `_Connection.close` closes the socket."""
-
-
-class _SharedSocket:
-    """Gives all responses of a connection the same reader."""
-
-    def __init__(self, sock: socket.socket) -> None:
-        self.sock = sock
-        self.limits = LimitedReader(socket.SocketIO(sock, 'r'), sock)
-        self.reader = _SharedReader(self.limits)
-
-    def makefile(self, mode: str) -> io.BufferedReader:
-        return self.reader
-
-    def sendall(self, data: bytes) -> None:
-        self.sock.sendall(data)
-
-    def close(self) -> None:
-        """Leave the socket open: responses without a length end with the connection."""
-
-
-class _Connection:
-    """One connection to an endpoint."""
-
-    def __init__(self, address: str) -> None:
-        self.address = address
-        self.idle_since: float | None = None
-        self.max_idle_s = _MAX_IDLE_S
-        self.sock = socket.create_connection(split_address(address), _CONNECT_TIMEOUT_S)
-        self.sock.settimeout(None)
-        for level, option, setting in _SOCKET_OPTIONS:
-            self.sock.setsockopt(level, option, setting)
-        self.shared_socket = _SharedSocket(self.sock)
-
-    def abort(self) -> None:
-        """Shut the connection down; may be called from any thread."""
-        # The connection may be closed already.
-        with suppress(OSError):
-            self.sock.shutdown(socket.SHUT_RDWR)
-
-    def close(self) -> None:
-        """Close the connection."""
-        self.abort()
-        self.sock.close()
-
-    def is_reusable(self) -> bool:
-        """Return whether no bytes and no end have come since the last response."""
-        if has_input(self.sock):
-            return False
-        self.sock.settimeout(0)
-        self.shared_socket.limits.allow_head()
-        is_empty = not self.shared_socket.reader.peek(1)
-        self.sock.settimeout(None)
-        return is_empty
-
-
 class Reach(Enum):
     """Whether an address accepts connections; `SILENT` if nothing tells."""
 
@@ -133,31 +53,13 @@
     SILENT = auto()
 
 
-class Framing(StrEnum):
-    """What tells the end of a response's body."""
-
-    LENGTH = 'length'
-    CHUNKS = 'chunks'
-    CONNECTION_END = 'connection end'
-
-
-@dataclass(frozen=True, slots=True)
-class ResponseHead:
-    """Status and headers of an endpoint's response, and how its body is framed."""
-
-    status: int
-    reason: str
-    headers: http.client.HTTPMessage
-    framing: Framing
-
-
 class UpstreamExchange:
     """A request that was sent to an endpoint, and the response to it."""
 
     def __init__(
         self,
         connections: ConnectionPool,
-        connection: _Connection,
+        connection: UpstreamConnection,
         endpoint: Endpoint,
         request: EntryRequest,
     ) -> None:
@@ -192,7 +94,7 @@
                     response.status,
                     response.reason,
                     response.headers,
-                    _framing(response),
+                    framing_of(response),
                 )
             # This is a second response to an earlier request.
             self._drop(response)
@@ -281,7 +183,7 @@
         ):
             self.connection.close()
             return
-        self.connection.max_idle_s = _max_idle_s(response.headers)
+        self.connection.set_max_idle(response.headers)
         self.connections.release(self.connection)
 
     def silent_since(self) -> float:
@@ -373,7 +275,7 @@
         self.opened = 0
         self.received_at: dict[str, float] = {}
         self.memory = ResponseMemory()
-        self._idle: defaultdict[str, list[_Connection]] = defaultdict(list)
+        self._idle: defaultdict[str, list[UpstreamConnection]] = defaultdict(list)
         self._lock = threading.Lock()
 
     def send(
@@ -402,7 +304,7 @@
         exchange = UpstreamExchange(self, connection, endpoint, request)
         on_open(exchange)
         try:
-            _write_request(connection, request, headers)
+            connection.write_request(request, headers)
         except (OSError, http.client.HTTPException) as error:
             exchange.close()
             raise PeerError(
@@ -422,7 +324,7 @@
         self.release(connection)
         return Reach.OPEN
 
-    def release(self, connection: _Connection) -> None:
+    def release(self, connection: UpstreamConnection) -> None:
         """Return a connection to the pool, or close it if the pool is full."""
         connection.idle_since = _clock.now()
         with self._lock:
@@ -439,7 +341,7 @@
         for connection in idle:
             connection.close()
 
-    def _acquire(self, address: str) -> _Connection:
+    def _acquire(self, address: str) -> UpstreamConnection:
         while True:
             with self._lock:
                 idle = self._idle[address]
@@ -451,9 +353,9 @@
                 return connection
             connection.close()
 
-    def _open(self, address: str) -> _Connection:
+    def _open(self, address: str) -> UpstreamConnection:
         try:
-            connection = _Connection(address)
+            connection = UpstreamConnection(address)
         except OSError as error:
             raise PeerConnectError(
                 f'connection failed: {error}', step=_STEP, peer=address
@@ -462,23 +364,6 @@
         return connection
 
 
-def _write_request(
-    connection: _Connection, request: EntryRequest, headers: list[tuple[str, str]]
-) -> None:
-    writer = http.client.HTTPConnection(*split_address(connection.address))
-    writer.sock = connection.shared_socket
-    writer.putrequest(
-        request.method, request.target, skip_host=True, skip_accept_encoding=True
-    )
-    for name, text in headers:
-        writer.putheader(name, text)
-    if request.body:
-        writer.putheader('Content-Length', str(len(request.body)))
-    elif request.method not in _BODILESS:
-        writer.putheader('Content-Length', '0')
-    writer.endheaders(request.body or None)
-
-
 def _limit_error(
     limits: LimitedReader, error: http.client.HTTPException
 ) -> ByteLimitError:
@@ -487,18 +372,3 @@
     The library's limit on a line comes first if a part of the line came with the head.
     """
     return error if isinstance(error, ByteLimitError) else limits.limit_error()
-
-
-def _framing(response: http.client.HTTPResponse) -> Framing:
-    if response.chunked:
-        return Framing.CHUNKS
-    return Framing.CONNECTION_END if response.length is None else Framing.LENGTH
-
-
-def _max_idle_s(headers: http.client.HTTPMessage) -> float:
-    """Return how long the endpoint keeps an idle connection open, less a margin."""
-    for part in headers.get('Keep-Alive', '').split(','):
-        name, _, seconds = part.strip().partition('=')
-        if name.lower() == 'timeout' and seconds.isdecimal():
-            return min(_MAX_IDLE_S, int(seconds) - _IDLE_MARGIN_S)
-    return _MAX_IDLE_S
--- a/src/pimentohoist/_entry/dispatch.py
+++ b/src/pimentohoist/_entry/dispatch.py
@@ -7,11 +7,8 @@
 
 from pimentohoist import _clock
 from pimentohoist._entry.endpoint_chooser import EndpointChooser, ChosenEndpoint
-from pimentohoist._entry.connections import (
-    ConnectionPool,
-    UpstreamExchange,
-    ResponseHead,
-)
+from pimentohoist._entry.connections import ConnectionPool, UpstreamExchange
+from pimentohoist._entry.response_head import ResponseHead
 from pimentohoist._entry.event_stream import EventSplitter
 from pimentohoist._entry.retry_policy import (
     RetryPolicy,
--- a/src/pimentohoist/_entry/request_context.py
+++ b/src/pimentohoist/_entry/request_context.py
@@ -7,7 +7,7 @@
 from http import HTTPStatus
 from typing import Protocol
 
-from pimentohoist._entry.connections import Framing
+from pimentohoist._entry.response_head import Framing
 from pimentohoist._entry.request_monitor import MonitoredRequest
 from pimentohoist.entry_models import (
     EntryRequest,
--- a/src/pimentohoist/_entry/retry_policy.py
+++ b/src/pimentohoist/_entry/retry_policy.py
@@ -11,8 +11,8 @@
     ConnectionPool,
     Reach,
     UpstreamExchange,
-    ResponseHead,
 )
+from pimentohoist._entry.response_head import ResponseHead
 from pimentohoist._entry.crash_reports import CrashReportsController, fingerprint_of
 from pimentohoist._entry.endpoints import EndpointsController
 from pimentohoist._entry.filters import add_jitter
--- a/src/pimentohoist/_entry/stream_relay.py
+++ b/src/pimentohoist/_entry/stream_relay.py
@@ -5,7 +5,8 @@
 import logging
 from collections.abc import Callable, Generator, Iterator
 
-from pimentohoist._entry.connections import Framing, UpstreamExchange
+from pimentohoist._entry.connections import UpstreamExchange
+from pimentohoist._entry.response_head import Framing
 from pimentohoist._entry.event_stream import EventSplitter
 from pimentohoist._entry.request_context import RequestContext, log_fields
 from pimentohoist._limited_reader import ByteLimitError
