Refuse within a second though the owners of a workspace's shares are silent

Cause: limits on time that add up. A charge calls the owners (0.25 s each if they are silent), waits 0.8 s more for one that didn't answer, and calls again, once the pause after a silence is over.

Evidence: a test without load, with owners that never answer: a refusal took 1.62 s. So load was only what made an owner silent.

--- a/features/limit_guards.feature
+++ b/features/limit_guards.feature
@@ -57,3 +57,8 @@
 
   Scenario: A burst that was lowered while grants are open
     Then tokens returned to a share never fill it above its new burst, nor are they granted again
+
+  # Guards against limits on time that add up: a call to an owner, and a wait after it.
+  Scenario: The owners of all shares are silent
+    Given a daemon whose calls to the owners of shares time out
+    Then a request is refused within 1 s, after a call to each owner
--- a/features/steps/limit_guards.py
+++ b/features/steps/limit_guards.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 import sys
+import time
+from contextlib import suppress
 from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+from unittest.mock import Mock
 
 from behave import given, then, when
 from behave.runner import Context
@@ -15,6 +20,7 @@
 from limit_takers import RecoveringTaker  # noqa: E402
 from limit_world import LimitWorld  # noqa: E402
 
+from pimentohoist._controllers.limits import LimitsController  # noqa: E402
 from pimentohoist._decisions.grants import GrantPool, ShareOwner  # noqa: E402
 from pimentohoist._decisions.share_placement import (  # noqa: E402
     share_owner,
@@ -41,7 +47,11 @@
     OwnershipHistory,
 )
 from pimentohoist._view_fold import JoinRecord, LeaveRecord, ViewFold  # noqa: E402
-from pimentohoist.exceptions import LimitExceededError  # noqa: E402
+from pimentohoist.configuration import Workspace  # noqa: E402
+from pimentohoist.exceptions import (  # noqa: E402
+    LimitExceededError,
+    PeerTimeoutError,
+)
 from pimentohoist.models import LogRecord  # noqa: E402
 
 _SHARE_ID = ShareId('house', 0)
@@ -285,3 +295,36 @@
     bucket.record_uses((GrantUse('g', 0, is_closed=True),), 1)
     assert bucket.total_tokens <= 3
     assert bucket.grant(GrantOrder('h', 30), 1).tokens <= 3
+
+
+@given('a daemon whose calls to the owners of shares time out')
+def start_silent_owners(context: Context) -> None:
+    context.calls = []
+
+    def call(address: str, method: str, request: object, *, timeout_s: float) -> None:
+        context.calls.append(address)
+        time.sleep(timeout_s)
+        raise PeerTimeoutError('no reply', step='test')
+
+    peers: Any = SimpleNamespace(call=call)
+    controller = LimitsController(Mock(), Mock(), peers, Mock())
+    owners = [SimpleNamespace(incarnation=name, peer_address=name) for name in 'abc']
+    client: Any = controller.share_client
+    client.view = SimpleNamespace(incarnation='own', epoch=1, members=lambda: owners)
+    client.owned_shares = SimpleNamespace(
+        term=lambda share_id: SimpleNamespace(owner='abc'[share_id.share]),
+        clock=time.monotonic,
+    )
+    context.limits = controller
+
+
+@then('a request is refused within {limit_s:g} s, after a call to each owner')
+def check_silent_owners(context: Context, limit_s: float) -> None:
+    workspace = Workspace('calm', rate_tokens_per_s=60, burst_tokens=90)
+    started_at = time.monotonic()
+    with suppress(LimitExceededError):
+        context.limits.charge(workspace, 1)
+        raise AssertionError('the request was admitted')
+    took_s = time.monotonic() - started_at
+    assert took_s < limit_s, took_s
+    assert set(context.calls) == set('abc'), context.calls
--- a/src/pimentohoist/_controllers/limits.py
+++ b/src/pimentohoist/_controllers/limits.py
@@ -16,7 +16,7 @@
 from pimentohoist._controllers.exit_prober import ExitProber
 from pimentohoist._controllers.owned_shares import OwnedShares
 from pimentohoist._controllers.share_messages import ShareService
-from pimentohoist._controllers.share_client import ShareClient
+from pimentohoist._controllers.share_client import CALL_TIMEOUT_S, ShareClient
 from pimentohoist._controllers.view import ViewController
 from pimentohoist._decisions.grants import (
     Charge,
@@ -38,7 +38,9 @@
 _TICK_S = 0.1
 _REFUSAL_CACHE_S = 0.05
 _MIN_RETRY_AFTER_S = 0.1
-_MAX_SHARE_WAIT_S = 0.8
+_MAX_CHARGE_S = 0.9
+"""Time for a charge with all its calls: a refusal has to arrive within a second."""
+
 _FLOOD_WINDOW_S = 5.0
 _MAX_WAITING_REQUESTS = 4
 _MAX_GRANT_ORDERS = 40
@@ -147,13 +149,14 @@
                 step=_STEP,
             )
         account = self._account(workspace.name)
+        deadline = self.clock() + _MAX_CHARGE_S
         with self._lock:
             account.demand.add(tokens, self.clock())
             charges = account.pool.charge(tokens, self.clock())
         if charges is None and not account.is_refusing(tokens, self.clock()):
             charges = self._take_and_charge(workspace.name, account, tokens)
         if charges is None and account.may_wait(self.clock()):
-            charges = self._wait_for_shares(workspace.name, account, tokens)
+            charges = self._wait_for_shares(workspace.name, account, tokens, deadline)
         if charges is None:
             self._refuse(workspace, account, tokens)
         return charges or ()
@@ -232,24 +235,24 @@
         return None
 
     def _wait_for_shares(
-        self, workspace: str, account: _Account, tokens: int
+        self, workspace: str, account: _Account, tokens: int, deadline: float
     ) -> tuple[Charge, ...] | None:
         """Retry for a short time, since a share that didn't answer may have tokens."""
         if not account.wait_permits.acquire(blocking=False):
             return None
         try:
-            return self._retry_until_answered(workspace, account, tokens)
+            return self._retry_until_answered(workspace, account, tokens, deadline)
         finally:
             account.wait_permits.release()
 
     def _retry_until_answered(
-        self, workspace: str, account: _Account, tokens: int
+        self, workspace: str, account: _Account, tokens: int, deadline: float
     ) -> tuple[Charge, ...] | None:
-        deadline = self.clock() + _MAX_SHARE_WAIT_S
         charges: tuple[Charge, ...] | None = None
         while charges is None and account.has_unanswered_share:
             is_closed = self._closed.wait(_TICK_S)
-            if is_closed or self.clock() >= deadline:
+            # The calls of another round have to end in time too.
+            if is_closed or self.clock() + CALL_TIMEOUT_S > deadline:
                 break
             charges = self._take_and_charge(workspace, account, tokens)
         return charges
--- a/src/pimentohoist/_controllers/share_client.py
+++ b/src/pimentohoist/_controllers/share_client.py
@@ -24,7 +24,7 @@
 from pimentohoist.protocols import Peers
 
 _STEP = 'limits'
-_CALL_TIMEOUT_S = 0.25
+CALL_TIMEOUT_S = 0.25
 _SILENT_OWNER_PAUSE_S = 1.0
 _MS_PER_S = 1000
 
@@ -181,7 +181,7 @@
             )
         try:
             return self.peers.call(
-                member.peer_address, method, request, timeout_s=_CALL_TIMEOUT_S
+                member.peer_address, method, request, timeout_s=CALL_TIMEOUT_S
             )
         except PeerRefusedError:
             raise
