Bound all of a charge's calls to the owners of shares in time

Cause: the time of a charge was checked only between rounds. Within a round, the calls to slow owners come one after another, up to 40 of them, and before it the orders of many requests queue for 16 threads, both without a limit.

An order begins within 0.6 s of its charge, wherever it comes from, and a charge waits at most 0.25 s more, the timeout of a call. An order that waits for a thread by then is not sent; the grant of one that was sent goes to the pool as before. A share whose order wasn't sent counts as unanswered.

--- a/features/limit_guards.feature
+++ b/features/limit_guards.feature
@@ -62,3 +62,8 @@
   Scenario: The owners of all shares are silent
     Given a daemon whose calls to the owners of shares time out
     Then a request is refused within 1 s, after a call to each owner
+
+  # Guards against calls one after another, or in a queue for threads, that add up.
+  Scenario: The owners of all shares are slow and have no tokens
+    Given a daemon whose calls to the owners of shares take 0.2 s and grant nothing
+    Then 40 requests at once are each refused within 1 s
--- a/features/steps/limit_guards.py
+++ b/features/steps/limit_guards.py
@@ -4,6 +4,8 @@
 
 import sys
 import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
 from pathlib import Path
 from types import SimpleNamespace
@@ -46,6 +48,7 @@
     OwnershipTerm,
     OwnershipHistory,
 )
+from pimentohoist._generated import peer_pb2  # noqa: E402
 from pimentohoist._view_fold import JoinRecord, LeaveRecord, ViewFold  # noqa: E402
 from pimentohoist.configuration import Workspace  # noqa: E402
 from pimentohoist.exceptions import (  # noqa: E402
@@ -306,6 +309,24 @@
         time.sleep(timeout_s)
         raise PeerTimeoutError('no reply', step='test')
 
+    context.limits = make_controller(call)
+
+
+@given(
+    'a daemon whose calls to the owners of shares take {call_s:g} s and grant nothing'
+)
+def start_slow_owners(context: Context, call_s: float) -> None:
+    def call(
+        address: str, method: str, request: Any, *, timeout_s: float
+    ) -> peer_pb2.GrantReply:
+        time.sleep(call_s)
+        return peer_pb2.GrantReply(grant_id=request.grant_id)
+
+    context.limits = make_controller(call)
+
+
+def make_controller(call: Callable[..., Any]) -> LimitsController:
+    """Return a controller of three shares, whose owners are called by `call`."""
     peers: Any = SimpleNamespace(call=call)
     controller = LimitsController(Mock(), Mock(), peers, Mock())
     owners = [SimpleNamespace(incarnation=name, peer_address=name) for name in 'abc']
@@ -315,7 +336,7 @@
         term=lambda share_id: SimpleNamespace(owner='abc'[share_id.share]),
         clock=time.monotonic,
     )
-    context.limits = controller
+    return controller
 
 
 @then('a request is refused within {limit_s:g} s, after a call to each owner')
@@ -328,3 +349,20 @@
     took_s = time.monotonic() - started_at
     assert took_s < limit_s, took_s
     assert set(context.calls) == set('abc'), context.calls
+
+
+@then('{count:d} requests at once are each refused within {limit_s:g} s')
+def check_refusals_at_once(context: Context, count: int, limit_s: float) -> None:
+    def measure_refusal(number: int) -> float:
+        # A request of many tokens isn't covered by the refusal of one with fewer.
+        workspace = Workspace('calm', rate_tokens_per_s=60, burst_tokens=90)
+        started_at = time.monotonic()
+        try:
+            context.limits.charge(workspace, count - number)
+        except LimitExceededError:
+            return time.monotonic() - started_at
+        raise AssertionError('the request was admitted')
+
+    with ThreadPoolExecutor(count) as pool:
+        took_s = max(pool.map(measure_refusal, range(count)))
+    assert took_s < limit_s, took_s
--- a/src/pimentohoist/_controllers/limits.py
+++ b/src/pimentohoist/_controllers/limits.py
@@ -8,7 +8,7 @@
 import time
 from collections import deque
 from collections.abc import Callable, Mapping
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import ThreadPoolExecutor, wait
 from dataclasses import dataclass, field
 from typing import Any, Self
 
@@ -38,8 +38,9 @@
 _TICK_S = 0.1
 _REFUSAL_CACHE_S = 0.05
 _MIN_RETRY_AFTER_S = 0.1
-_MAX_CHARGE_S = 0.9
-"""Time for a charge with all its calls: a refusal has to arrive within a second."""
+_MAX_ORDERS_S = 0.6
+"""Time in which a charge may send orders. With the timeout of the last one and the time
+to read and answer the request, a refusal arrives within a second."""
 
 _FLOOD_WINDOW_S = 5.0
 _MAX_WAITING_REQUESTS = 4
@@ -149,14 +150,14 @@
                 step=_STEP,
             )
         account = self._account(workspace.name)
-        deadline = self.clock() + _MAX_CHARGE_S
+        orders_until = self.clock() + _MAX_ORDERS_S
         with self._lock:
             account.demand.add(tokens, self.clock())
             charges = account.pool.charge(tokens, self.clock())
         if charges is None and not account.is_refusing(tokens, self.clock()):
-            charges = self._take_and_charge(workspace.name, account, tokens)
+            charges = self._take_and_charge(workspace.name, tokens, orders_until)
         if charges is None and account.may_wait(self.clock()):
-            charges = self._wait_for_shares(workspace.name, account, tokens, deadline)
+            charges = self._wait_for_shares(workspace.name, tokens, orders_until)
         if charges is None:
             self._refuse(workspace, account, tokens)
         return charges or ()
@@ -209,16 +210,16 @@
         )
 
     def _take_and_charge(
-        self, workspace: str, account: _Account, tokens: int
+        self, workspace: str, tokens: int, orders_until: float
     ) -> tuple[Charge, ...] | None:
+        account = self._account(workspace)
         with self._lock:
             account.rotation += 1
             account.has_unanswered_share = False
             missing = tokens - account.pool.available(self.clock())
             needs = split_need(max(0, missing), account.rotation)
-        self._take_from_all(
-            workspace, tuple(GrantOrder(_new_grant_id(), need) for need in needs)
-        )
+        orders = tuple(GrantOrder(_new_grant_id(), need) for need in needs)
+        self._take_from_all(workspace, orders, orders_until)
         # Other requests may charge what was granted for this one, so a share that granted
         # the whole need is asked again.
         shares = deque(range(SHARES_PER_WORKSPACE))
@@ -228,6 +229,9 @@
                 missing = tokens - account.pool.available(self.clock())
             if charges is not None or not shares:
                 return charges
+            if self.clock() > orders_until:
+                account.has_unanswered_share = True
+                break
             order = GrantOrder(_new_grant_id(), max(1, missing))
             share = shares.popleft()
             if self._take_from(ShareId(workspace, share), order) >= order.need_tokens:
@@ -235,36 +239,39 @@
         return None
 
     def _wait_for_shares(
-        self, workspace: str, account: _Account, tokens: int, deadline: float
+        self, workspace: str, tokens: int, orders_until: float
     ) -> tuple[Charge, ...] | None:
         """Retry for a short time, since a share that didn't answer may have tokens."""
+        account = self._account(workspace)
         if not account.wait_permits.acquire(blocking=False):
             return None
+        charges: tuple[Charge, ...] | None = None
         try:
-            return self._retry_until_answered(workspace, account, tokens, deadline)
+            while charges is None and account.has_unanswered_share:
+                is_closed = self._closed.wait(_TICK_S)
+                if is_closed or self.clock() > orders_until:
+                    break
+                charges = self._take_and_charge(workspace, tokens, orders_until)
         finally:
             account.wait_permits.release()
-
-    def _retry_until_answered(
-        self, workspace: str, account: _Account, tokens: int, deadline: float
-    ) -> tuple[Charge, ...] | None:
-        charges: tuple[Charge, ...] | None = None
-        while charges is None and account.has_unanswered_share:
-            is_closed = self._closed.wait(_TICK_S)
-            # The calls of another round have to end in time too.
-            if is_closed or self.clock() + CALL_TIMEOUT_S > deadline:
-                break
-            charges = self._take_and_charge(workspace, account, tokens)
         return charges
 
-    def _take_from_all(self, workspace: str, orders: tuple[GrantOrder, ...]) -> None:
+    def _take_from_all(
+        self, workspace: str, orders: tuple[GrantOrder, ...], orders_until: float
+    ) -> None:
         """Send the orders to all shares in parallel."""
         futures = [
             self._pool.submit(self._take_from, ShareId(workspace, share), order)
             for share, order in enumerate(orders)
             if order.need_tokens or order.extra_tokens
         ]
-        for future in futures:
+        timeout_s = max(0, orders_until + CALL_TIMEOUT_S - self.clock())
+        done, pending = wait(futures, timeout_s)
+        for future in pending:
+            # One that waits for a thread isn't sent; the grant of one that was is used.
+            future.cancel()
+            self._account(workspace).has_unanswered_share = True
+        for future in done:
             future.result()
 
     def _take_from(self, share_id: ShareId, order: GrantOrder) -> int:
@@ -330,7 +337,7 @@
             extras = split_need(wanted, account.rotation)
         if wanted:
             orders = (GrantOrder(_new_grant_id(), 0, extra) for extra in extras)
-            self._take_from_all(workspace, tuple(orders))
+            self._take_from_all(workspace, tuple(orders), now + _MAX_ORDERS_S)
 
 
 def _new_grant_id() -> str:
