Stop on a signal that another thread than the main one gets

Suspected cause: the handler of pimentohoistd and of the stand-ins is Python code, which runs in the main thread only. That waits for an event without a timeout, and a signal that the kernel delivers to another thread doesn't wake it.

Evidence for the fault itself: a test that delivers SIGTERM to another thread. The process never stopped before; it does now.

The interpreter writes each signal to a pipe in whatever thread it comes (signal.set_wakeup_fd), and a thread of ours reads it. The test that fails prints the daemon's log from now on, so that another cause would show.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -49,3 +49,8 @@
   Scenario: A signal to stop that interrupts a check for it isn't lost
     When SIGTERM comes while the main thread holds the lock of the event that it sets
     Then the process stops
+
+  # Guards against a handler that waits for the main thread, which that signal doesn't wake.
+  Scenario: A signal to stop that another thread than the main one gets isn't lost
+    When SIGTERM is delivered to another thread while the main thread waits
+    Then the process stops
--- a/features/steps/leaving.py
+++ b/features/steps/leaving.py
@@ -194,10 +194,15 @@
 def signal_twice(context: Context, daemon: str) -> None:
     process = context.fleet.processes[daemon]
     process.signal(signal.SIGTERM)
-    wait_for(
-        lambda: context.fleet.state(daemon)['drain']['is_announced'],
-        'the stop is announced',
-    )
+    try:
+        wait_for(
+            lambda: context.fleet.state(daemon)['drain']['is_announced'],
+            'the stop is announced',
+        )
+    except AssertionError as error:
+        raise AssertionError(
+            f'{error}; its log: {context.fleet.logs(daemon)}'
+        ) from error
     time.sleep(_LIST_UPDATE_LIMIT_S + _ENTRIES_MAX_AGE_S)
     assert process.is_running()
     process.signal(signal.SIGTERM)
@@ -236,6 +241,15 @@
     time.sleep(0.1)
 raise SystemExit(0 if stopped.wait(5) else 1)
 """
+_OTHER_THREAD_SCRIPT = """
+import signal, threading
+from pimentohoist._signals import stop_event
+stopped = stop_event()
+def get_signal():
+    signal.pthread_kill(threading.get_ident(), signal.SIGTERM)
+threading.Timer(0.5, get_signal).start()
+stopped.wait()
+"""
 _REQUEST_S = 0.3
 
 
@@ -289,6 +303,11 @@
     context.process = subprocess.Popen([sys.executable, '-c', _STOP_SCRIPT])
 
 
+@when('SIGTERM is delivered to another thread while the main thread waits')
+def signal_other_thread(context: Context) -> None:
+    context.process = subprocess.Popen([sys.executable, '-c', _OTHER_THREAD_SCRIPT])
+
+
 @then('the process stops')
 def check_process_stops(context: Context) -> None:
     try:
--- a/src/pimentohoist/_signals.py
+++ b/src/pimentohoist/_signals.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from types import FrameType
 
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 
 def stop_event() -> threading.Event:
     """Return an event that SIGTERM and SIGINT set; call it in the main thread."""
@@ -19,18 +21,23 @@
 def call_on_stop(callback: Callable[[], None]) -> None:
     """Call `callback` in a thread at each SIGTERM and SIGINT; call it in the main thread.
 
-    The handler only writes to a pipe: a callback that takes a lock would wait forever for
-    one that the interrupted main thread holds.
+    The interpreter writes each signal to a pipe, whichever thread the kernel delivers it
+    to. Python handlers run in the main thread only, which isn't woken by a signal that
+    another thread got, and may hold a lock that the callback takes.
     """
     read_end, write_end = os.pipe()
-
-    def stop(number: int, frame: FrameType | None) -> None:  # noqa: WPS430
-        os.write(write_end, b'.')
+    os.set_blocking(write_end, False)
 
     def run() -> None:  # noqa: WPS430
-        while os.read(read_end, 1):
-            callback()
+        while number := os.read(read_end, 1):
+            if number[0] in _STOP_SIGNALS:
+                callback()
 
     threading.Thread(target=run, name='signals', daemon=True).start()
-    signal.signal(signal.SIGTERM, stop)
-    signal.signal(signal.SIGINT, stop)
+    signal.set_wakeup_fd(write_end, warn_on_full_buffer=False)
+    for number in _STOP_SIGNALS:
+        signal.signal(number, _ignore)
+
+
+def _ignore(number: int, frame: FrameType | None) -> None:
+    """Let the interpreter write the signal; SIG_IGN would discard it."""
