Test of the soak's interrupts: restore SIGINT, which background jobs ignore

The soak went on to its end with status 0.

Cause: a shell without job control starts background jobs with SIGINT ignored; children inherit that, and the interpreter then installs no handler. The soak is right to follow it; the test has to say what it starts with.

--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -45,9 +45,15 @@
         stdout=subprocess.PIPE,
         stderr=subprocess.PIPE,
         text=True,
+        # A shell's background jobs ignore SIGINT, which their children inherit.
+        preexec_fn=_restore_interrupt,
     )
 
 
+def _restore_interrupt() -> None:
+    signal.signal(signal.SIGINT, signal.SIG_DFL)
+
+
 def finish_soak(context: Context, process: subprocess.Popen) -> None:
     context.output, context.errors = process.communicate(timeout=_TIMEOUT_S)
     context.status = process.returncode
