Soak: find a daemon that accepts every request during its stop

Cause: nothing in flight outlasted a stop. Work above 2 s was drawn once in a thousand requests, and callers left a stopping daemon once its connection ended, so it was idle and gone after 2.5 s.

One stream in ten now works for 2 to 4.5 s with the longest deadline, and callers that stay use a daemon, on new connections too, until it fails.

--- a/src/pimentohoist_standins/_soak/caller_directory.py
+++ b/src/pimentohoist_standins/_soak/caller_directory.py
@@ -37,16 +37,20 @@
             self.read_at = time.monotonic()
         return self.named
 
-    def choose(self) -> str:
-        """Return a host at random, if possible one that hasn't failed of late."""
-        since = time.monotonic() - _FAILURE_S
-        working = [host for host in self.named if self.failed_at.get(host, 0) < since]
+    def choose(self, preferred: str = '') -> str:
+        """Return the preferred host, else one at random; none that failed of late."""
+        if preferred and self._is_working(preferred):
+            return preferred
+        working = [host for host in self.named if self._is_working(host)]
         return self.source.choice(working or self.named)
 
     def record_failure(self, host: str) -> None:
         """Record that a host gave no whole response."""
         self.failed_at[host] = time.monotonic()
 
+    def _is_working(self, host: str) -> bool:
+        return self.failed_at.get(host, 0) < time.monotonic() - _FAILURE_S
+
     def _answers(self) -> Iterator[tuple[str, ...]]:
         known = tuple(dict.fromkeys((*self.named, *self.known)))
         for host in self.source.sample(known, min(_MAX_ASKED, len(known))):
--- a/src/pimentohoist_standins/_soak/caller_requests.py
+++ b/src/pimentohoist_standins/_soak/caller_requests.py
@@ -33,6 +33,10 @@
 _MEDIAN_WORK_MS = 120
 _WORK_SPREAD = 0.9
 _MAX_WORK_MS = 4500
+_LONG_STREAM_SHARE = 0.1
+_LONG_STREAM_WORK_MS = (2000, _MAX_WORK_MS)
+"""Longer than what is left when a stop has lasted most of its grace period."""
+
 _DEADLINES_S = (1.5, 3.0, 4.0, 4.0, 8.0)
 _EXTRA_SHARE = 0.05
 _PROMPT_TOKENS = (500, 3000)
@@ -98,7 +102,11 @@
     if kind is RequestKind.SAFE and source.random() < _EXTRA_SHARE:
         route = f'extra-{source.randint(1, EXTRA_ROUTES)}'
     adapter = f'a{int(ADAPTERS * source.random() ** 2)}' if is_generation else ''
-    work_ms = _MEDIAN_WORK_MS * source.lognormvariate(0, _WORK_SPREAD)
+    work_ms = int(_MEDIAN_WORK_MS * source.lognormvariate(0, _WORK_SPREAD))
+    deadline_s = source.choice(_DEADLINES_S)
+    if is_generation and source.random() < _LONG_STREAM_SHARE:
+        work_ms = source.randint(*_LONG_STREAM_WORK_MS)
+        deadline_s = max(_DEADLINES_S)
     return CallerRequest(
         route,
         kind,
@@ -106,6 +114,6 @@
         adapter,
         source.randint(*_PROMPT_TOKENS) if is_generation else 0,
         source.randint(*_OUTPUT_TOKENS) if is_generation else 0,
-        min(_MAX_WORK_MS, int(work_ms)),
-        source.choice(_DEADLINES_S),
+        min(_MAX_WORK_MS, work_ms),
+        deadline_s,
     )
--- a/src/pimentohoist_standins/_soak/callers.py
+++ b/src/pimentohoist_standins/_soak/callers.py
@@ -53,7 +53,7 @@
     is_keeping : bool
         Whether it sends many requests on one connection.
     is_staying : bool
-        Whether it keeps a connection although the directory no longer names its address.
+        Whether it uses a daemon until that fails, although the directory no longer names it.
     keeps_copy_s : float
         Time for which it keeps a copy of the directory.
     leaves, reads_slowly : float
@@ -96,6 +96,7 @@
         self.directory = DirectoryCopy(daemons, self.habits.keeps_copy_s, source)
         self.records = records
         self.connection: CallerConnection | None = None
+        self.last_host = ''
         self.attempts = 0
 
     def run(self, until: float) -> None:
@@ -155,7 +156,8 @@
         self._drop_connection()
         if not hosts:
             return None
-        host = self.directory.choose()
+        host = self.directory.choose(self.last_host if self.habits.is_staying else '')
+        self.last_host = host
         address = (self.network.callers_link(slot_of(host)), CALLERS_PORT)
         self.connection = CallerConnection(host, address)
         return self.connection
