Soak: end with the stacks of a process that doesn't reply

A call of a process now fails after 60 s. The process writes the stacks of its threads to its log on SIGUSR1, the error names that log, and the folder with all logs stays.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -68,6 +68,12 @@
       | SIGINT  | 6       |
       | SIGTERM | 6       |
 
+  # Guards against a soak that waits for a hung process without an end.
+  Scenario: A process of the soak hangs
+    Given callers of the soak that go on for a minute
+    When the soak waits 0.5 s for their end
+    Then its error names the log, which has the stacks of their threads
+
   # Guards against plans that a seed doesn't fix, and replays of another plan.
   Scenario: A seed fixes the plan, and a report holds it
     Then each of 50 seeds gives the same plan twice
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -17,11 +17,13 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from pimentohoist_standins._soak.errors import SoakError
+from pimentohoist_standins._soak.errors import NoReplyError, SoakError
 from pimentohoist_standins._soak.plan import SoakOptions, draw_plan, read_plan
+from pimentohoist_standins._soak.role_process import RoleProcess
 
 _START = 'from pimentohoist_standins.soak import main; main()'
 _MARK = 'PIMENTOHOIST_SOAK_TEST'
+_MINUTE_S = 60
 _TIMEOUT_S = 150
 _KINDS = MappingProxyType(
     {
@@ -201,3 +203,38 @@
     assert context.help.returncode == 0, text
     assert f'--{setting}' in text, text
     assert 'Traceback' not in text, text
+
+
+@given('callers of the soak that go on for a minute')
+def start_endless_callers(context: Context) -> None:
+    folder = Path(context.stack.enter_context(TemporaryDirectory()))
+    context.role = RoleProcess(
+        'callers',
+        folder / 'callers.log',
+        prefix='127.96',
+        seed=1,
+        numbers=[1],
+        daemons=['127.96.1.1'],
+        path=str(folder / 'callers.records'),
+    )
+    context.stack.enter_context(context.role)
+    context.role.wait_ready()
+    context.role.call('start', until=time.monotonic() + _MINUTE_S)
+
+
+@when('the soak waits {wait_s:g} s for their end')
+def wait_for_callers(context: Context, wait_s: float) -> None:
+    context.role.reply_timeout_s = wait_s
+    try:
+        context.role.call('join')
+    except NoReplyError as error:
+        context.error = str(error)
+    else:
+        raise AssertionError('the callers ended')
+
+
+@then('its error names the log, which has the stacks of their threads')
+def check_stacks(context: Context) -> None:
+    assert str(context.role.log) in context.error, context.error
+    stacks = context.role.log.read_text()
+    assert 'callers.py' in stacks and 'in join' in stacks, stacks
--- a/src/pimentohoist_standins/_soak/role.py
+++ b/src/pimentohoist_standins/_soak/role.py
@@ -5,8 +5,10 @@
 
 from __future__ import annotations
 
+import faulthandler
 import importlib
 import json
+import signal
 import sys
 from types import MappingProxyType
 from typing import Any
@@ -23,6 +25,7 @@
 
 def main(role_name: str, options: str) -> None:
     """Run a role until standard input ends."""
+    faulthandler.register(signal.SIGUSR1)
     module_name, _, class_name = _ROLES[role_name].partition('.')
     # A process imports its own role only, so that many start in little time.
     module = importlib.import_module(f'pimentohoist_standins._soak.{module_name}')
--- a/src/pimentohoist_standins/_soak/role_process.py
+++ b/src/pimentohoist_standins/_soak/role_process.py
@@ -4,24 +4,38 @@
 
 import json
 import os
+import select
 import signal
 import subprocess
 import sys
 import threading
+import time
 from contextlib import suppress
 from pathlib import Path
 from typing import Any, Self
 
-from pimentohoist_standins._soak.errors import SoakError
+from pimentohoist_standins._soak.errors import NoReplyError, SoakError
 
 _MODULE = 'pimentohoist_standins._soak.role'
 _CLOCK_TICKS_PER_S = os.sysconf('SC_CLK_TCK')
+_REPLY_TIMEOUT_S = 60.0
+_STACKS_S = 0.5
+"""Time for a process to write the stacks of its threads."""
+
 _USER_TIME_FIELD = 11
 """Index of the user time in ``/proc/PID/stat`` after the command; system time follows."""
 
 
 class RoleProcess:
-    """Context manager that runs one role in a process and calls its methods."""
+    """Context manager that runs one role in a process and calls its methods.
+
+    Attributes
+    ----------
+    reply_timeout_s : float
+        Time after which a method that hasn't returned counts as hung.
+    """
+
+    reply_timeout_s = _REPLY_TIMEOUT_S
 
     def __init__(self, role: str, log: Path, **options: Any) -> None:
         self.role = role
@@ -84,6 +98,11 @@
 
     def _read_reply(self) -> Any:
         assert self.popen.stdout is not None
+        if not any(select.select((self.popen.stdout,), (), (), self.reply_timeout_s)):
+            self.popen.send_signal(signal.SIGUSR1)
+            time.sleep(_STACKS_S)
+            wait = f'no reply for {self.reply_timeout_s:g} s'
+            raise NoReplyError(f'{self.role}: {wait}; stacks are in {self.log}')
         line = self.popen.stdout.readline()
         if not line:
             log = self.log.read_text().strip().splitlines() or ['no output']
--- a/src/pimentohoist_standins/soak.py
+++ b/src/pimentohoist_standins/soak.py
@@ -19,7 +19,7 @@
 from pimentohoist_standins._command_line import run_command
 from pimentohoist_standins._soak.addresses import Network
 from pimentohoist_standins._soak.checks import run_checks
-from pimentohoist_standins._soak.errors import SoakError
+from pimentohoist_standins._soak.errors import NoReplyError, SoakError
 from pimentohoist_standins._soak.plan import (
     KINDS,
     SoakOptions,
@@ -83,11 +83,14 @@
     """Play a plan and report it; return whether a promise was broken."""
     prefix = network or f'127.{_FIRST_NETWORK + os.getpid() % _NETWORKS}'
     soak = SoakRun(plan, Network(prefix))
-    document: dict[str, Any] = {}
+    is_kept = False
     try:
         document = _play_and_check(soak)
+        is_kept = bool(document['violations'])
+    except NoReplyError:
+        is_kept = True
+        raise
     finally:
-        is_kept = bool(document.get('violations'))
         if not is_kept:
             shutil.rmtree(soak.folder)
     for line in summary_lines(document):
