--- a/features/slot_world.py
+++ b/features/slot_world.py
@@ -94,9 +94,9 @@
         """Run what is due."""
         while self._events and self._events[0][0] <= end:
             at, _, daemon, function = heapq.heappop(self._events)
-            thaws_at = self.world.thaws_at(daemon, at)
-            if thaws_at > at:
-                self.call_at(thaws_at, daemon, function)
+            resumes_at = self.world.resumes_at(daemon, at)
+            if resumes_at > at:
+                self.call_at(resumes_at, daemon, function)
                 continue
             self.world.now = at
             function()
@@ -252,19 +252,19 @@
         if world.is_engine_silent:
             world.threads.sleep(timeout_s)
             raise PeerTimeoutError('no answer', step='order', peer=self.address)
-        fate = world.order_fate()
+        outcome = world.order_outcome()
         if request.method == 'GET':
             body = world.engine.report(world.now)
             world.threads.sleep(world.one_way_s())
             return HttpResponse(HTTPStatus.OK, {}, body)
         order = json.loads(request.body)
-        if fate == 'late':
+        if outcome == 'late':
             at = world.now + world.random.uniform(0, _MAX_LATE_ORDER_S)
             world.threads.call_at(at, -1, lambda: world.engine.order(order, world.now))
         status = HTTPStatus.OK
-        if fate != 'late':
+        if outcome != 'late':
             status = world.engine.order(order, world.now)
-        if fate != 'answered':
+        if outcome != 'answered':
             world.threads.sleep(timeout_s)
             raise PeerTimeoutError('no answer', step='order', peer=self.address)
         world.threads.sleep(world.one_way_s())
@@ -358,8 +358,8 @@
                 return fault
         return None
 
-    def thaws_at(self, daemon: int, now: float) -> float:
-        """Return when a daemon that is frozen goes on."""
+    def resumes_at(self, daemon: int, now: float) -> float:
+        """Return when a frozen daemon resumes."""
         for fault in self.faults:
             starts_at = self.began_at + fault.start_s
             ends_at = starts_at + fault.duration_s
@@ -372,8 +372,8 @@
         """Return how long a message takes."""
         return self.random.uniform(0, _MAX_ONE_WAY_S)
 
-    def order_fate(self) -> str:
-        """Return what becomes of an order."""
+    def order_outcome(self) -> str:
+        """Return whether an order is answered, unanswered, or late and unanswered."""
         if not self.fault_of('late_orders'):
             return 'answered'
         return self.random.choice(('answered', 'answered', 'unanswered', 'late'))
@@ -418,7 +418,7 @@
         super()._strike()
 
     def _join(self, daemon: OwnershipController, number: int, tick: int) -> None:
-        if self.thaws_at(number, self.now) > self.now:
+        if self.resumes_at(number, self.now) > self.now:
             return
         generation = daemon.own.generation
         is_changing = self.now - self._changed_at.get(number, 0) < _REBALANCE_S
@@ -432,7 +432,7 @@
 
     def _order(self, daemon: OwnershipController) -> None:
         number = self.daemons.index(daemon)
-        if self.thaws_at(number, self.now) > self.now:
+        if self.resumes_at(number, self.now) > self.now:
             return
         member = daemon.own.member
         owner = self.owners.get(member)
--- a/features/soak_cases.py
+++ b/features/soak_cases.py
@@ -1,4 +1,4 @@
-"""Cases by hand for the checks of the fault soak."""
+"""Hand-written cases for the checks of the fault soak."""
 
 from __future__ import annotations
 
@@ -102,7 +102,7 @@
     return FaultRecord(kind, target, began_at, ended_at or began_at)
 
 
-def _seen(
+def _observations(
     callers: Sequence[CallerRecord] = (),
     runs: Sequence[RunRecord] = (),
     faults: Sequence[FaultRecord] = (),
@@ -113,13 +113,15 @@
     return replace(base, faults=tuple(faults), **{**common, **others})
 
 
-def _ran(*runs: Mapping[str, Any], **caller: Any) -> Observations:
+def _attempt(*runs: Mapping[str, Any], **caller: Any) -> Observations:
     """One attempt and its runs, each with changes."""
-    return _seen([replace(CALLER, **caller)], [replace(RUN, **one) for one in runs])
+    return _observations(
+        [replace(CALLER, **caller)], [replace(RUN, **one) for one in runs]
+    )
 
 
 def _refused(status: int, *runs: Mapping[str, Any], **caller: Any) -> Observations:
-    return _ran(*runs, status=status, has_seal=False, events=(), **caller)
+    return _attempt(*runs, status=status, has_seal=False, events=(), **caller)
 
 
 def _cut(
@@ -129,7 +131,7 @@
     span = {'sent_at': sent_at, 'read_at': sent_at, 'ended_at': ended_at}
     cancelled = {'arrived_at': sent_at, 'ended_at': ended_at}
     closed = {'is_whole': False, 'end': ConnectionEnd.CLOSED}
-    records = _ran(
+    records = _attempt(
         *({**cancelled, 'outcome': RunOutcome.CANCELLED, **one} for one in runs),
         **{**span, **closed, **caller},
     )
@@ -143,24 +145,26 @@
     return replace(_cut(sent_at, ended_at, *runs, **caller), processes=(_KILLED,))
 
 
-def _with(observations: Observations, *faults: FaultRecord) -> Observations:
+def _with_faults(observations: Observations, *faults: FaultRecord) -> Observations:
     return replace(observations, faults=faults)
 
 
-def _under(configurations: Any, observations: Observations) -> Observations:
+def _with_configurations(
+    configurations: Any, observations: Observations
+) -> Observations:
     return replace(observations, configurations=tuple(configurations))
 
 
 def _ended(*faults: FaultRecord, **changes: Any) -> Observations:
-    return _seen(faults=faults, processes=(replace(PROCESS, **changes),))
+    return _observations(faults=faults, processes=(replace(PROCESS, **changes),))
 
 
 def _ordered(*changes: Mapping[str, Any]) -> Observations:
     orders = [replace(_ORDER, **change) for change in changes]
-    return _seen([replace(CALLER, daemon='front-2')], orders=tuple(orders))
+    return _observations([replace(CALLER, daemon='front-2')], orders=tuple(orders))
 
 
-def _joined(*parts: Observations) -> Observations:
+def _combined(*parts: Observations) -> Observations:
     callers = [
         replace(part.callers[0], request_id=f'a-{number}')
         for number, part in enumerate(parts)
@@ -173,19 +177,21 @@
     return replace(parts[0], callers=tuple(callers), runs=tuple(runs))
 
 
-def _spent(tokens: int, sent_at: float = 100) -> Observations:
+def _tokens_used(tokens: int, sent_at: float = 100) -> Observations:
     """Two runs of 1600 and some tokens; 8 s allow 1000 x 1.1 and the slack."""
-    second = _ran({'arrived_at': sent_at + 0.1}, tokens=tokens, sent_at=sent_at)
-    return _under([_QUOTA], _joined(_ran({}, tokens=1600), second))
+    second = _attempt({'arrived_at': sent_at + 0.1}, tokens=tokens, sent_at=sent_at)
+    return _with_configurations([_QUOTA], _combined(_attempt({}, tokens=1600), second))
 
 
 def _moved_back(sent_at: float) -> Observations:
     """A run at the new group at 51 s, then a request at the old group."""
-    new = _ran(
+    new = _attempt(
         {'arrived_at': 51, **_AT_SECOND}, sent_at=50.5, read_at=50.5, ended_at=51.2
     )
-    old = _ran({'arrived_at': 51.5}, sent_at=sent_at, read_at=sent_at, ended_at=51.7)
-    return _under(_MOVED, _joined(new, old))
+    old = _attempt(
+        {'arrived_at': 51.5}, sent_at=sent_at, read_at=sent_at, ended_at=51.7
+    )
+    return _with_configurations(_MOVED, _combined(new, old))
 
 
 def _repeated(repeats: int, requests_at: float = 100) -> Observations:
@@ -194,12 +200,14 @@
         replace(CALLER, request_id=f'b-{number}', sent_at=requests_at)
         for number in range(100)
     )
-    repeated = _ran({}, *({'arrived_at': 101, **_REFUSED} for _ in range(repeats)))
+    repeated = _attempt({}, *({'arrived_at': 101, **_REFUSED} for _ in range(repeats)))
     return replace(repeated, callers=(*repeated.callers, *others))
 
 
 def _drained(*runs: Mapping[str, Any], began_at: float = 90) -> Observations:
-    return _with(_ran(*runs), _fault('engine_leaves', 'engine-1', began_at, 110))
+    return _with_faults(
+        _attempt(*runs), _fault('engine_leaves', 'engine-1', began_at, 110)
+    )
 
 
 _KEPT_CUT = _cut(100, 101, {}, status=0, is_kept=True)
@@ -226,13 +234,13 @@
             'sent 2.9 s after SIGTERM, cut before the last sixth': _stop(
                 102.9, 106.6, {}
             ),
-            'paused long before and long after': _with(
+            'paused long before and long after': _with_faults(
                 _stop(104, 105, {}),
                 replace(_PAUSE, began_at=90, ended_at=91),
                 _LATER_PAUSE,
             ),
             'its run has never ended': _stop(103.1, 108, {'ended_at': None}),
-            'unsafe while the links of the store are cut': _with(
+            'unsafe while the links of the store are cut': _with_faults(
                 _stop(104, 105, {}, **_UNSAFE), _fault('link_cut', 'store', 101, 106)
             ),
             'sent 6.3 s after SIGTERM, cut by the kill': _stop(106.3, 108, {}),
@@ -240,61 +248,63 @@
             'sent 2.9 s after SIGTERM, cut 5 s after it': _stop(102.9, 105, {}),
             'closed 0.3 s after its last byte': _stop(104, 104.3),
             'cut after one engine broke off': _stop(104, 105, _BROKEN_OFF, {}),
-            'unsafe while the store is down': _with(
+            'unsafe while the store is down': _with_faults(
                 _stop(104, 105, {}, **_UNSAFE), _STORE_DOWN
             ),
-            'another daemon paused': _with(
-                _joined(_stop(104, 105, {}), _ran({}, daemon='front-2')),
+            'another daemon paused': _with_faults(
+                _combined(_stop(104, 105, {}), _attempt({}, daemon='front-2')),
                 replace(_PAUSE, target='front-2'),
             ),
         },
-        'lost_at_reload': {'sent before SIGHUP': _with(_cut(99, 101, {}), _HUP)},
+        'lost_at_reload': {'sent before SIGHUP': _with_faults(_cut(99, 101, {}), _HUP)},
         'lost_at_configuration': {
-            'never acknowledged': _under(
+            'never acknowledged': _with_configurations(
                 (CONFIGURATION, replace(_SECOND, acknowledged_at=None)),
                 _cut(49, 51, {}),
             ),
-            'cut 1 s after': _under(_NEW_ROUTES, _cut(49, 51, {})),
-            'its run has no end, its engine lives': _under(_NEW_ROUTES, _ENDLESS_CUT),
-            'its engine was killed before its run': _with(
-                _under(_NEW_ROUTES, _ENDLESS_CUT),
+            'cut 1 s after': _with_configurations(_NEW_ROUTES, _cut(49, 51, {})),
+            'its run has no end, its engine lives': _with_configurations(
+                _NEW_ROUTES, _ENDLESS_CUT
+            ),
+            'its engine was killed before its run': _with_faults(
+                _with_configurations(_NEW_ROUTES, _ENDLESS_CUT),
                 _fault('engine_crash', 'engine-1', 48, 48.5),
             ),
-            'another engine was killed': _with(
-                _under(_NEW_ROUTES, _ENDLESS_CUT),
+            'another engine was killed': _with_faults(
+                _with_configurations(_NEW_ROUTES, _ENDLESS_CUT),
                 _fault('engine_crash', 'engine-2', 50.9, 55),
             ),
-            'its run had ended when its engine was killed': _with(
-                _under(_NEW_ROUTES, _cut(49, 51, {})),
+            'its run had ended when its engine was killed': _with_faults(
+                _with_configurations(_NEW_ROUTES, _cut(49, 51, {})),
                 _fault('engine_crash', 'engine-1', 50.9, 55),
             ),
         },
-        'kept_connections': {'closed four times': _joined(*repeat(_KEPT_CUT, 4))},
+        'kept_connections': {'closed four times': _combined(*repeat(_KEPT_CUT, 4))},
         'gone_before_kill': {
-            'another daemon paused': _seen(
+            'another daemon paused': _observations(
                 [], [], [_fault('pause', 'front-2', 101)], processes=(_KILLED,)
             ),
-            'a link slow': _seen(
+            'a link slow': _observations(
                 [], [], [_fault('link_slow', 'front-1', 101)], processes=(_KILLED,)
             ),
-            'killed after the grace period': _seen(processes=(_KILLED,)),
+            'killed after the grace period': _observations(processes=(_KILLED,)),
             'outlives the grace period': _ended(signalled_at=100),
-            'paused only before SIGTERM': _with(
-                _seen(processes=(_KILLED,)), _fault('pause', 'front-1', 90, 99)
+            'paused only before SIGTERM': _with_faults(
+                _observations(processes=(_KILLED,)), _fault('pause', 'front-1', 90, 99)
             ),
         },
         'exit_codes': {
-            'code 1': _seen(processes=(replace(_STOPPED, exit_code=1),)),
+            'code 1': _observations(processes=(replace(_STOPPED, exit_code=1),)),
             'ended by itself': _ended(ended_at=100, exit_code=0),
         },
         'ready_after_start': {
             'ready after 6 s': _ended(ready_at=6),
             'never ready': _ended(ready_at=None),
-            'ready 6 s after a kill': _seen(processes=_RESTARTED_AFTER_KILL),
+            'ready 6 s after a kill': _observations(processes=_RESTARTED_AFTER_KILL),
         },
         'runs_once': {
-            'unsafe at two engines': _ran({}, {'endpoint': 'engine-2'}, **_UNSAFE),
-            'a stream at one engine twice': _ran(_BROKEN_OFF, {}),
+            'unsafe at two engines': _attempt({}, {'endpoint': 'engine-2'}, **_UNSAFE),
+            'a stream at one engine twice': _attempt(_BROKEN_OFF, {}),
         },
         'true_refusals': {
             '503 after a broken run': _refused(503, _BROKEN_OFF),
@@ -302,19 +312,19 @@
             '503 after a run and a refusal': _refused(503, _FAILED, _REFUSED, **_SAFE),
         },
         'runs_asked_for': {
-            'unknown id': _seen([], [RUN]),
-            'other adapter': _ran({'adapter': 'other'}),
+            'unknown id': _observations([], [RUN]),
+            'other adapter': _attempt({'adapter': 'other'}),
         },
-        'keys_stay_inside': {'key passed on': _ran({'has_key': True})},
+        'keys_stay_inside': {'key passed on': _attempt({'has_key': True})},
         'workspace_of_key': {
-            'other workspace': _ran({'workspace': 'office'}),
-            'key never configured': _ran({}, key='key-9'),
+            'other workspace': _attempt({'workspace': 'office'}),
+            'key never configured': _attempt({}, key='key-9'),
         },
         'group_of_route': {
-            'other group': _ran({'group': 'group-9'}),
-            'route never configured': _ran({}, route='look'),
-            'before its configuration was sent': _under(
-                (CONFIGURATION, replace(_MOVED[1], sent_at=100.5)), _ran(_AT_SECOND)
+            'other group': _attempt({'group': 'group-9'}),
+            'route never configured': _attempt({}, route='look'),
+            'before its configuration was sent': _with_configurations(
+                (CONFIGURATION, replace(_MOVED[1], sent_at=100.5)), _attempt(_AT_SECOND)
             ),
         },
         'drain': {
@@ -322,12 +332,18 @@
             'refused as full': _drained({'status': 503, **_REFUSED}),
         },
         'configuration_in_force': {
-            'withdrawn key answered without a run': _under(_NEW_KEYS, _ran()),
-            'withdrawn key served': _under(_NEW_KEYS, _ran({})),
-            'new key refused': _under(_NEW_KEYS, _refused(401, key='key-2')),
-            'new route unknown': _under(_NEW_ROUTES, _refused(404, route='look')),
-            'old group': _under(_MOVED, _ran({})),
-            'former holder': _under(_OTHER_HOLDER, _ran({})),
+            'withdrawn key answered without a run': _with_configurations(
+                _NEW_KEYS, _attempt()
+            ),
+            'withdrawn key served': _with_configurations(_NEW_KEYS, _attempt({})),
+            'new key refused': _with_configurations(
+                _NEW_KEYS, _refused(401, key='key-2')
+            ),
+            'new route unknown': _with_configurations(
+                _NEW_ROUTES, _refused(404, route='look')
+            ),
+            'old group': _with_configurations(_MOVED, _attempt({})),
+            'former holder': _with_configurations(_OTHER_HOLDER, _attempt({})),
         },
         'no_rollback': {
             'in a process that ends later': replace(
@@ -336,30 +352,32 @@
             'old group sent 0.4 s after the new': _moved_back(51.4),
         },
         'whole_successes': {
-            'no seal': _ran({}, has_seal=False),
-            'whole though its run broke off': _ran(_BROKEN_OFF),
+            'no seal': _attempt({}, has_seal=False),
+            'whole though its run broke off': _attempt(_BROKEN_OFF),
         },
         'sealed_failures': {
-            'other status': _ran({'status': 404, **_FAILED}, status=500)
+            'other status': _attempt({'status': 404, **_FAILED}, status=500)
         },
         'event_order': {
-            'gap': _ran({}, events=(1, 3)),
-            'no first event': _ran({}, events=(2, 3)),
-            'doubled': _ran({}, events=(1, 2, 2, 3)),
-            'whole without the last event': _ran({}, events=(1, 2)),
-            'joined wrongly': _ran(
+            'gap': _attempt({}, events=(1, 3)),
+            'no first event': _attempt({}, events=(2, 3)),
+            'doubled': _attempt({}, events=(1, 2, 2, 3)),
+            'whole without the last event': _attempt({}, events=(1, 2)),
+            'joined wrongly': _attempt(
                 _BROKEN_OFF, _RESUMED, **_RESUMABLE, events=(1, 3, 3)
             ),
         },
         'resumptions': {
-            'resumed from nothing': _ran({'last_event_id': 2}, events=(3,)),
-            'not allowed': _ran(_BROKEN_OFF, _RESUMED),
-            'begun anew later': _ran({}, _RESUMED, {'arrived_at': 102}, **_RESUMABLE),
+            'resumed from nothing': _attempt({'last_event_id': 2}, events=(3,)),
+            'not allowed': _attempt(_BROKEN_OFF, _RESUMED),
+            'begun anew later': _attempt(
+                {}, _RESUMED, {'arrived_at': 102}, **_RESUMABLE
+            ),
         },
         'resumed_runs_apart': {
-            'both at work': _ran({'ended_at': 102}, _RESUMED, **_RESUMABLE)
+            'both at work': _attempt({'ended_at': 102}, _RESUMED, **_RESUMABLE)
         },
-        'answers_in_time': {'0.6 s late': _ran({}, timeout_s=0.39)},
+        'answers_in_time': {'0.6 s late': _attempt({}, timeout_s=0.39)},
         'cancellations': {
             'goes on for 2 s': _cut(100, 101, {'ended_at': 103}, **_LEFT),
             'never ends': _cut(100, 101, {'ended_at': None}, **_LEFT),
@@ -371,9 +389,9 @@
         'one_holder_per_fence': {'two holders': _ordered({}, {'holder': 'front-2'})},
         'fences_rise': {'lower obeyed': _ordered({}, {'fence': 4, 'arrived_at': 101})},
         'quotas': {
-            'one token over': _spent(_SLACK_TOKENS - 499),
-            'over a quota lowered long ago': _under(
-                (_QUOTA, _LOW_QUOTA), _spent(_SLACK_TOKENS - 500)
+            'one token over': _tokens_used(_SLACK_TOKENS - 499),
+            'over a quota lowered long ago': _with_configurations(
+                (_QUOTA, _LOW_QUOTA), _tokens_used(_SLACK_TOKENS - 500)
             ),
         },
         'retry_budget': {
@@ -387,12 +405,12 @@
     {
         'lost_at_stop': {
             'sent 2.9 s after SIGTERM, cut in the last sixth': _stop(102.9, 106.7, {}),
-            'paused twice, the longer one first': _with(
+            'paused twice, the longer one first': _with_faults(
                 _stop(105, 106, {}),
                 replace(_PAUSE, ended_at=104),
                 replace(_PAUSE, began_at=102),
             ),
-            'a link of nothing known': _with(
+            'a link of nothing known': _with_faults(
                 _stop(104, 105, {}), _fault('link_cut', 'link-7', 101)
             ),
             'sent 2.9 s after SIGTERM, at work in the last sixth': _stop(
@@ -409,211 +427,238 @@
             'sent to a process that is gone': _stop(108.1, 108.5),
             'the engine broke off': _stop(104, 105, _BROKEN_OFF),
             'deadline reached': _stop(104, 105, {}, timeout_s=1),
-            'the daemon was paused': _with(_stop(104, 105, {}), _PAUSE),
-            'unknown fault': _with(_stop(104, 105, {}), _fault('disk_full', 'x', 101)),
-            'a stream while the store is down': _with(_stop(104, 105, {}), _STORE_DOWN),
+            'the daemon was paused': _with_faults(_stop(104, 105, {}), _PAUSE),
+            'unknown fault': _with_faults(
+                _stop(104, 105, {}), _fault('disk_full', 'x', 101)
+            ),
+            'a stream while the store is down': _with_faults(
+                _stop(104, 105, {}), _STORE_DOWN
+            ),
             'answered 503': replace(_refused(503), processes=(_KILLED,)),
         },
         'lost_at_reload': {
-            'paused': _with(_cut(99, 101, {}), _HUP, _fault('pause', 'front-1', 98)),
-            'cut before SIGHUP': _with(_cut(98, 99.9, {}), _HUP),
-            'sent 2.1 s after SIGHUP': _with(_cut(102.1, 103, {}), _HUP),
-            'other daemon': _with(_cut(99, 101, {}, daemon='front-2'), _HUP),
+            'paused': _with_faults(
+                _cut(99, 101, {}), _HUP, _fault('pause', 'front-1', 98)
+            ),
+            'cut before SIGHUP': _with_faults(_cut(98, 99.9, {}), _HUP),
+            'sent 2.1 s after SIGHUP': _with_faults(_cut(102.1, 103, {}), _HUP),
+            'other daemon': _with_faults(_cut(99, 101, {}, daemon='front-2'), _HUP),
         },
         'lost_at_configuration': {
-            'stopping': _under(
+            'stopping': _with_configurations(
                 _NEW_ROUTES, replace(_cut(49, 51, {}), processes=(_STOPPED_EARLY,))
             ),
-            'paused': _with(
-                _under(_NEW_ROUTES, _cut(49, 51, {})), _fault('pause', 'front-1', 48)
+            'paused': _with_faults(
+                _with_configurations(_NEW_ROUTES, _cut(49, 51, {})),
+                _fault('pause', 'front-1', 48),
             ),
-            'cut 4 s after': _under(_NEW_ROUTES, _cut(53, 54, {})),
-            'as often as at other times': _under(
-                _NEW_ROUTES, _joined(_cut(49, 51, {}), _cut(70, 71, {}))
+            'cut 4 s after': _with_configurations(_NEW_ROUTES, _cut(53, 54, {})),
+            'as often as at other times': _with_configurations(
+                _NEW_ROUTES, _combined(_cut(49, 51, {}), _cut(70, 71, {}))
             ),
-            'three quarters of its time used': _under(
+            'three quarters of its time used': _with_configurations(
                 _NEW_ROUTES, _cut(49, 51, {}, timeout_s=2.66)
             ),
-            'not valid': _under(_INVALID, _cut(49, 51, {})),
-            'its engine was killed': _with(
-                _under(_NEW_ROUTES, _ENDLESS_CUT),
+            'not valid': _with_configurations(_INVALID, _cut(49, 51, {})),
+            'its engine was killed': _with_faults(
+                _with_configurations(_NEW_ROUTES, _ENDLESS_CUT),
                 _fault('engine_crash', 'engine-1', 50.9, 55),
             ),
         },
         'kept_connections': {
-            'new connections': _joined(*repeat(_cut(100, 101, {}, status=0), 4)),
-            'begun answers': _joined(*repeat(_cut(100, 101, {}, is_kept=True), 4)),
-            'closed three times': _joined(*repeat(_KEPT_CUT, 3)),
-            'engine crashed': _with(
-                _joined(*repeat(_KEPT_CUT, 4)),
+            'new connections': _combined(*repeat(_cut(100, 101, {}, status=0), 4)),
+            'begun answers': _combined(*repeat(_cut(100, 101, {}, is_kept=True), 4)),
+            'closed three times': _combined(*repeat(_KEPT_CUT, 3)),
+            'engine crashed': _with_faults(
+                _combined(*repeat(_KEPT_CUT, 4)),
                 _fault('engine_crash', 'engine-1', 100.5),
             ),
         },
         'gone_before_kill': {
-            'gone after 7.9 s': _seen(processes=(_STOPPED,)),
-            'paused after SIGTERM': _seen([], [], [_PAUSE], processes=(_KILLED,)),
+            'gone after 7.9 s': _observations(processes=(_STOPPED,)),
+            'paused after SIGTERM': _observations(
+                [], [], [_PAUSE], processes=(_KILLED,)
+            ),
             'killed by a fault after 1 s': _ended(
                 signalled_at=100, killed_at=101, ended_at=101, exit_code=-9
             ),
             'the run ends first': _ended(signalled_at=199),
         },
         'exit_codes': {
-            'code 0': _seen(processes=(_STOPPED,)),
-            'killed': _seen(processes=(_KILLED,)),
+            'code 0': _observations(processes=(_STOPPED,)),
+            'killed': _observations(processes=(_KILLED,)),
         },
         'ready_after_start': {
             'paused': _ended(_fault('pause', 'front-1', 1, 2), ready_at=6),
-            'ready after 1 s': _seen(),
+            'ready after 1 s': _observations(),
             'stopped before': _ended(ready_at=None, signalled_at=4, ended_at=5),
             'store down': _ended(_fault('store_down', 'store', 1, 8), ready_at=9),
         },
         'runs_once': {
-            'refused, then run': _ran(_REFUSED, {'endpoint': 'engine-2'}, **_UNSAFE),
-            'safe at two engines': _ran(_FAILED, {'endpoint': 'engine-2'}, **_SAFE),
+            'refused, then run': _attempt(
+                _REFUSED, {'endpoint': 'engine-2'}, **_UNSAFE
+            ),
+            'safe at two engines': _attempt(_FAILED, {'endpoint': 'engine-2'}, **_SAFE),
         },
         'true_refusals': {
             '503 after refusals': _refused(503, _REFUSED, _REFUSED),
             '502 after a broken run': _refused(502, _BROKEN_OFF),
         },
-        'runs_asked_for': {'as sent': _ran({})},
-        'keys_stay_inside': {'no key': _ran({})},
+        'runs_asked_for': {'as sent': _attempt({})},
+        'keys_stay_inside': {'no key': _attempt({})},
         'workspace_of_key': {
-            'key moved': _under(_OTHER_HOLDER, _ran({'workspace': 'office'})),
-            'no key': _ran({'workspace': ''}, **_NO_KEY),
+            'key moved': _with_configurations(
+                _OTHER_HOLDER, _attempt({'workspace': 'office'})
+            ),
+            'no key': _attempt({'workspace': ''}, **_NO_KEY),
         },
-        'group_of_route': {'former group': _under(_MOVED, _ran({}))},
+        'group_of_route': {'former group': _with_configurations(_MOVED, _attempt({}))},
         'drain': {
-            'engine was frozen': _with(
+            'engine was frozen': _with_faults(
                 _drained({}),
                 *_drained({}).faults,
                 _fault('engine_freeze', 'engine-1', 98),
             ),
-            'daemon was paused': _with(
+            'daemon was paused': _with_faults(
                 _drained({}), *_drained({}).faults, _fault('pause', 'front-1', 98)
             ),
-            'engine fails but stays': _with(
-                _ran({}), _fault('engine_fail', 'engine-1', 90)
+            'engine fails but stays': _with_faults(
+                _attempt({}), _fault('engine_fail', 'engine-1', 90)
             ),
             '1.9 s after': _drained({}, began_at=98.2),
             'misdirected': _drained({'status': 421, **_REFUSED}),
-            'link was cut': _with(_drained({}), *_drained({}).faults, _LINK_CUT),
-            'store was slow': _with(
+            'link was cut': _with_faults(_drained({}), *_drained({}).faults, _LINK_CUT),
+            'store was slow': _with_faults(
                 _drained({}),
                 *_drained({}).faults,
                 _fault('store_slow', 'store', 85, 89),
             ),
         },
         'configuration_in_force': {
-            'no key': _under(_NEW_KEYS, _ran({'workspace': ''}, **_NO_KEY)),
-            'no key refused': _under(_NEW_KEYS, _refused(401, **_NO_KEY)),
-            'never acknowledged': _under(
-                (CONFIGURATION, replace(_NEW_KEYS[1], acknowledged_at=None)), _ran({})
+            'no key': _with_configurations(
+                _NEW_KEYS, _attempt({'workspace': ''}, **_NO_KEY)
             ),
-            'store down': _with(
-                _under(_NEW_KEYS, _ran({})), _fault('store_down', 'x', 98)
+            'no key refused': _with_configurations(_NEW_KEYS, _refused(401, **_NO_KEY)),
+            'never acknowledged': _with_configurations(
+                (CONFIGURATION, replace(_NEW_KEYS[1], acknowledged_at=None)),
+                _attempt({}),
+            ),
+            'store down': _with_faults(
+                _with_configurations(_NEW_KEYS, _attempt({})),
+                _fault('store_down', 'x', 98),
             ),
             'started 2 s before': replace(
-                _under(_NEW_KEYS, _ran({})),
+                _with_configurations(_NEW_KEYS, _attempt({})),
                 processes=(replace(PROCESS, started_at=98),),
             ),
-            'withdrawn key refused': _under(_NEW_KEYS, _refused(401)),
-            '1.5 s after': _under(_NEW_KEYS, _ran({}, sent_at=51.6, ended_at=52)),
-            'the engine answers 404': _under(
-                _NEW_ROUTES, _ran({}, route='look', status=404)
+            'withdrawn key refused': _with_configurations(_NEW_KEYS, _refused(401)),
+            '1.5 s after': _with_configurations(
+                _NEW_KEYS, _attempt({}, sent_at=51.6, ended_at=52)
+            ),
+            'the engine answers 404': _with_configurations(
+                _NEW_ROUTES, _attempt({}, route='look', status=404)
             ),
-            'paused': _with(
-                _under(_NEW_KEYS, _ran({})), _fault('pause', 'front-1', 90, 98)
+            'paused': _with_faults(
+                _with_configurations(_NEW_KEYS, _attempt({})),
+                _fault('pause', 'front-1', 90, 98),
             ),
-            'sent meanwhile': _under(
-                (CONFIGURATION, replace(_MOVED[1], sent_at=100.05)), _ran(_AT_SECOND)
+            'sent meanwhile': _with_configurations(
+                (CONFIGURATION, replace(_MOVED[1], sent_at=100.05)),
+                _attempt(_AT_SECOND),
             ),
         },
         'no_rollback': {
             'process unknown': replace(_moved_back(51.4), processes=()),
             'old group sent 0.2 s after the new': _moved_back(51.2),
             'another process': replace(_moved_back(51.4), processes=_RESTARTED),
-            'paused': _with(_moved_back(51.4), _fault('pause', 'front-1', 50)),
+            'paused': _with_faults(_moved_back(51.4), _fault('pause', 'front-1', 50)),
         },
         'whole_successes': {'broken run': _cut(100, 101, _BROKEN_OFF)},
         'sealed_failures': {
             'own answer': _refused(502, {'status': 500, **_FAILED}),
-            'success of a repeat': _ran(
+            'success of a repeat': _attempt(
                 {'status': 500, **_FAILED}, {'status': 0}, **_SAFE
             ),
             'no answer': _cut(100, 101, {'status': 500}, status=0),
-            'same status': _ran({'status': 500, **_FAILED}, status=500),
+            'same status': _attempt({'status': 500, **_FAILED}, status=500),
         },
         'event_order': {
-            'no stream': _ran({}, **_SAFE, events=()),
-            'failed stream': _ran({}, status=500, events=(7,)),
+            'no stream': _attempt({}, **_SAFE, events=()),
+            'failed stream': _attempt({}, status=500, events=(7,)),
             'cut after its run': _cut(
                 100, 101, {'outcome': RunOutcome.COMPLETED}, events=(1,)
             ),
-            'last event not recorded': _ran({'last_event': None}, events=(1, 2)),
+            'last event not recorded': _attempt({'last_event': None}, events=(1, 2)),
             'broken stream': _cut(100, 101, _BROKEN_OFF, events=(1, 2)),
-            'resumed by its caller': _ran(_RESUMED, **_RESUMABLE, events=(3,)),
+            'resumed by its caller': _attempt(_RESUMED, **_RESUMABLE, events=(3,)),
         },
         'resumptions': {
-            'run once': _ran({}),
-            'allowed': _ran(_BROKEN_OFF, _RESUMED, **_RESUMABLE),
+            'run once': _attempt({}),
+            'allowed': _attempt(_BROKEN_OFF, _RESUMED, **_RESUMABLE),
         },
         'resumed_runs_apart': {
-            'ended before': _ran({}, _RESUMED, **_RESUMABLE),
-            'engine frozen': _with(
-                _ran({'ended_at': None}, _RESUMED, **_RESUMABLE),
+            'ended before': _attempt({}, _RESUMED, **_RESUMABLE),
+            'engine frozen': _with_faults(
+                _attempt({'ended_at': None}, _RESUMED, **_RESUMABLE),
                 _fault('engine_freeze', 'engine-1', 100.5, 104),
             ),
         },
         'answers_in_time': {
-            'left': _ran({}, timeout_s=0.39, **_LEFT),
-            'sent in part': _ran({}, timeout_s=0.39, read_at=None),
-            '0.4 s late': _ran({}, timeout_s=0.6),
-            'paused': _with(
-                _ran({}, timeout_s=0.39), _fault('pause', 'front-1', 100.5)
+            'left': _attempt({}, timeout_s=0.39, **_LEFT),
+            'sent in part': _attempt({}, timeout_s=0.39, read_at=None),
+            '0.4 s late': _attempt({}, timeout_s=0.6),
+            'paused': _with_faults(
+                _attempt({}, timeout_s=0.39), _fault('pause', 'front-1', 100.5)
             ),
-            'slow caller': _with(
-                _ran({}, timeout_s=0.39), _fault('caller_slow', 'a-1', 100, 101)
+            'slow caller': _with_faults(
+                _attempt({}, timeout_s=0.39), _fault('caller_slow', 'a-1', 100, 101)
             ),
         },
         'cancellations': {
             'closed by the daemon': _cut(100, 101, {'ended_at': 103}),
-            'daemon paused': _with(
+            'daemon paused': _with_faults(
                 _cut(100, 101, {'ended_at': 103}, **_LEFT),
                 _fault('pause', 'front-1', 101),
             ),
-            'engine frozen': _with(
+            'engine frozen': _with_faults(
                 _cut(100, 101, {'ended_at': 103}, **_LEFT),
                 _fault('engine_freeze', 'engine-1', 101),
             ),
             'cancelled after 0.3 s': _cut(100, 101, {'ended_at': 101.3}, **_LEFT),
             'unsafe': _cut(100, 101, {'ended_at': 103}, **_LEFT, **_UNSAFE),
-            'link cut': _with(_cut(100, 101, {'ended_at': 103}, **_LEFT), _LINK_CUT),
+            'link cut': _with_faults(
+                _cut(100, 101, {'ended_at': 103}, **_LEFT), _LINK_CUT
+            ),
         },
         'adapter_slots': {'4 in 4': _ordered({'held': 4})},
         'one_holder_per_fence': {'one holder': _ordered({}, {'arrived_at': 101})},
         'fences_rise': {
             'refused': _ordered({}, {'fence': 4, 'status': 412, 'arrived_at': 101}),
-            'after a crash': _with(
+            'after a crash': _with_faults(
                 _ordered({}, {'fence': 4, 'arrived_at': 110}),
                 _fault('engine_crash', 'engine-1', 105),
             ),
-            'paused holder': _with(
+            'paused holder': _with_faults(
                 _ordered({}, {'holder': 'front-2', 'fence': 4, 'arrived_at': 101}),
                 _fault('pause', 'front-2', 95, 100),
             ),
         },
         'quotas': {
-            'lowered while a daemon was paused': _with(
-                _under((_QUOTA, _LOW_QUOTA), _spent(_SLACK_TOKENS - 500)),
+            'lowered while a daemon was paused': _with_faults(
+                _with_configurations(
+                    (_QUOTA, _LOW_QUOTA), _tokens_used(_SLACK_TOKENS - 500)
+                ),
                 _fault('pause', 'front-1', 51, 88),
             ),
-            'all used': _spent(_SLACK_TOKENS - 500),
-            'spread over 9 s': _spent(_SLACK_TOKENS, sent_at=109),
-            'lowered shortly before': _under(
+            'all used': _tokens_used(_SLACK_TOKENS - 500),
+            'spread over 9 s': _tokens_used(_SLACK_TOKENS, sent_at=109),
+            'lowered shortly before': _with_configurations(
                 (_QUOTA, replace(_LOW_QUOTA, sent_at=85, acknowledged_at=90)),
-                _spent(_SLACK_TOKENS - 500),
+                _tokens_used(_SLACK_TOKENS - 500),
+            ),
+            'none': _with_configurations(
+                [CONFIGURATION], _tokens_used(2 * _SLACK_TOKENS)
             ),
-            'none': _under([CONFIGURATION], _spent(2 * _SLACK_TOKENS)),
         },
         'retry_budget': {
             '74 repeats': _repeated(74),
