Test: an engine crashes between two events of a stream without a length

What callers see: three of six events, framed as complete.

The kernel of a crashed engine closes its connections in order, so the bytes look like those of a stream that its engine has ended.

--- a/features/steps/stream_ends.py
+++ b/features/steps/stream_ends.py
@@ -28,6 +28,7 @@
     for size in (1, 4, 12, len(_EVENTS[events]) - 1)
 )
 _EMPTY = (BrokenStream(0),)
+_CRASHED = BrokenStream(3, is_crash=True)
 _RECEIVE_BYTES = 65_536
 _SLOW_STREAM_MS = 2000
 _RESET = (
@@ -107,6 +108,16 @@
     _check_resumed(context.fleet, _EMPTY)
 
 
+@then('a stream whose engine crashes between two events is incomplete')
+def check_crash(context: Context) -> None:
+    _check_broken(context.fleet, (_CRASHED,))
+
+
+@then('one that may resume is whole')
+def check_crash_resumed(context: Context) -> None:
+    _check_resumed(context.fleet, (_CRASHED,))
+
+
 @then('a stream without an event is complete')
 def check_empty(context: Context) -> None:
     assert _send(context.fleet, _STREAM, _EMPTY[0]) == (200, b'', True)
--- a/features/stream_ends.feature
+++ b/features/stream_ends.feature
@@ -43,6 +43,14 @@
     And engines whose streams end with their connection
     Then a stream that closes before its first event fails or is run again
 
+  # Guards against taking the end of a connection, which the kernel of a crashed engine
+  # closes in order, for the end of the stream.
+  Scenario: An engine crashes between two events of a stream without a length or chunks
+    Given a fleet of 1 daemon with 3 engines
+    And engines whose streams end with their connection
+    Then a stream whose engine crashes between two events is incomplete
+    And one that may resume is whole
+
   # Guards against failing an empty stream that its engine has ended.
   Scenario: A stream in chunks has no event
     Given a fleet of 1 daemon with 2 engines
--- a/src/pimentohoist_standins/opaque_engine.py
+++ b/src/pimentohoist_standins/opaque_engine.py
@@ -391,7 +391,9 @@
     if broken.part:
         handler.send_chunk(broken.part)
     handler.close_connection = True
-    if broken.is_reset:
+    if broken.is_crash:
+        handler.engine.crash()
+    elif broken.is_reset:
         _reset(handler.connection)
     elif broken.is_body_ended:
         handler.send_chunk(b'')
--- a/src/pimentohoist_standins/opaque_engine_state.py
+++ b/src/pimentohoist_standins/opaque_engine_state.py
@@ -23,12 +23,15 @@
         Whether the connection is reset; else it is closed.
     is_body_ended : bool
         Whether a chunked body ends with its last chunk before the connection closes.
+    is_crash : bool
+        Whether the engine crashes: it refuses connections, and closes those that are open.
     """
 
     events: int
     part: bytes = b''
     is_reset: bool = False
     is_body_ended: bool = True
+    is_crash: bool = False
 
 
 @dataclass(slots=True)
