Cut off a body that ends with the connection of a crashed endpoint

What callers saw: an engine or service that crashed after a complete event, or inside an answer of a plain service, left a short body that was passed on as complete, if the body had neither a length nor chunks.

The kernel of a crashed process closes its connections in order, so the bytes don't tell; recognised an end inside an event only.

After such a body a connection to the endpoint is opened. Refused means that it crashed: the body is cut off, so a stream resumes or is cut and an answer fails or runs again. Silence tells nothing, and the body counts as complete.

Not recognised: an endpoint that accepts connections again at once. A whole last stream of an endpoint that ends in the same moment is cut.

--- a/features/steps/stream_ends.py
+++ b/features/steps/stream_ends.py
@@ -143,6 +143,14 @@
     assert len(ledger.state.executed_requests) == executed + 1
 
 
+@then('an answer whose service crashes inside it fails')
+def check_service_crash(context: Context) -> None:
+    fleet, ledger = context.fleet, context.fleet.ledger
+    ledger.faults.broken_streams = [BrokenStream(0, b'answer', is_crash=True)]
+    assert fleet.send_request('/pay/1').status == 502
+    assert not ledger.faults.broken_streams
+
+
 @given('engines whose lines end in {line_end}')
 def set_line_end(context: Context, line_end: str) -> None:
     context.line_end = {'CR': b'\r', 'CR LF': b'\r\n'}[line_end]
--- a/features/stream_ends.feature
+++ b/features/stream_ends.feature
@@ -88,3 +88,9 @@
     Given a fleet of 1 daemon with 1 engine
     And a plain service whose answers end with their connection
     Then an answer that is closed is complete, and one that is reset fails
+
+  # Guards against a short answer of a crashed service that looks complete.
+  Scenario: A plain service crashes inside an answer without a length
+    Given a fleet of 1 daemon with 1 engine
+    And a plain service whose answers end with their connection
+    Then an answer whose service crashes inside it fails
--- a/src/pimentohoist/_entry/connections.py
+++ b/src/pimentohoist/_entry/connections.py
@@ -18,7 +18,7 @@
 
 from pimentohoist import _clock
 from pimentohoist._entry.held_bytes import HeldBytes
-from pimentohoist._entry.response_head import ResponseHead, framing_of
+from pimentohoist._entry.response_head import Framing, ResponseHead, framing_of
 from pimentohoist._entry.response_memory import ResponseMemory
 from pimentohoist._entry.upstream_connection import UpstreamConnection
 from pimentohoist._limited_reader import (
@@ -132,6 +132,10 @@
         with self._wrap_errors():
             # A body of known length has been read, but only this closes the response.
             response.read()
+        if framing_of(response) is Framing.CONNECTION_END:
+            # The kernel of an endpoint that has crashed closes its connections in order.
+            if self.connections.check_reach(self.endpoint.address) is Reach.REFUSED:
+                raise self._failure('body cut off: its endpoint refuses connections')
         self._is_complete = True
 
     def hold(self, size: int) -> None:
