Test: a stopping daemon without another cuts a stream that takes longer than usual

Its log record: needed_s 0.766, the time that its route usually took; all daemons were stopping, so that none was an alternative.

--- a/features/entry_stop.feature
+++ b/features/entry_stop.feature
@@ -22,6 +22,15 @@
     Then each is answered whole or surely not run
     And the daemon is gone before the kill
 
+  # Guards against accepting a stream by the time that others took: a stream that has begun
+  # can't end with an error.
+  Scenario: Streams that take longer than usual aren't cut off while no other daemon is ready
+    Given a stopping fleet of 1 daemon whose streams take 0.2 s
+    And it has answered 25 streams before they take 3.5 s
+    When a stream is sent 2.3 s after SIGTERM, and others on new connections from 3.8 s on
+    Then each is answered whole or surely not run
+    And the daemon is gone before the kill
+
   # Guards against an end without an answer for requests that outlast the grace period.
   Scenario: Requests that outlast the grace period get an answer before the kill
     Given a stopping fleet of 2 daemons whose streams take 60 s
--- a/features/steps/entry_stop.py
+++ b/features/steps/entry_stop.py
@@ -48,7 +48,13 @@
 
 @seed(22)
 @settings(max_examples=500, database=None, deadline=None)
-@over(_GRACES_S, st.floats(0, 60), _DURATIONS_S, st.lists(_DURATIONS_S), st.booleans())
+@over(
+    _GRACES_S,
+    st.floats(0, 60),
+    _DURATIONS_S,
+    st.lists(_DURATIONS_S),
+    st.booleans(),
+)
 def check_accepted(
     grace_s: float,
     now: float,
@@ -61,7 +67,8 @@
     for duration_s in answered_s:
         recent.record(duration_s)
     usual_s = recent.usual_max_s()
-    if not schedule.may_begin(now, ExpectedTimes(limit_s, usual_s, has_alternative)):
+    times = ExpectedTimes(limit_s, usual_s, has_alternative)
+    if not schedule.may_begin(now, times):
         return
     is_renewed = now > _RENEWAL_S + 1 and has_alternative
     is_limit_needed = usual_s is None or is_renewed
@@ -114,6 +121,14 @@
     context.stop = Stop(context.fleet.daemons[0])
 
 
+@given('it has answered {count:d} streams before they take {stream_s:g} s')
+def answer_streams(context: Context, count: int, stream_s: float) -> None:
+    for _ in range(count):
+        assert context.fleet.send_request(adapter='a0').status == 200
+    for engine in context.fleet.engines:
+        engine.faults.event_s = stream_s / _EVENTS
+
+
 @when(
     'streams are sent on kept connections each {step_s:g} s '
     'from {first_s:g} s to {last_s:g} s after SIGTERM'
@@ -159,6 +174,22 @@
     stop.join()
 
 
+@when(
+    'a stream is sent {first_s:g} s after SIGTERM, '
+    'and others on new connections from {later_s:g} s on'
+)
+def send_late(context: Context, first_s: float, later_s: float) -> None:
+    stop = context.stop
+    stop.begin()
+    time.sleep(first_s)
+    # It keeps the daemon from ending.
+    stop.start_thread(Caller(stop).send, _STREAM, 'first')
+    time.sleep(later_s - first_s)
+    for number in range(_STREAM_CALLERS):
+        stop.start_thread(call_until_gone, stop, f'late-{number}', _STREAM, 0.1)
+    stop.join()
+
+
 @when('a request and a stream without a first event run as SIGTERM comes')
 def stop_with_long_requests(context: Context) -> None:
     stop = context.stop
