Refuse streams that may outlast a stop, though no other daemon is ready

Cause: with no other daemon ready, a stopping one accepted what usually ends in time. At the end of the stop other requests get an error, which is a whole answer; a stream that has begun can only be cut.

--- a/features/steps/ctl_explain_entry.py
+++ b/features/steps/ctl_explain_entry.py
@@ -20,6 +20,7 @@
 from pimentohoist._entry.request_monitor import MonitoredRequest  # noqa: E402
 from pimentohoist._entry.shutdown import Shutdown  # noqa: E402
 from pimentohoist._logs import BoundedLogs  # noqa: E402
+from pimentohoist.entry_models import ExecutionPolicy, Route  # noqa: E402
 from pimentohoist.exceptions import UnavailableError  # noqa: E402
 
 _QUIET_S = 10
@@ -28,6 +29,19 @@
 
 _GRACE_S = 8
 _OTHER_LOAD = 'adapter of a leaving engine requested'
+_ROUTE = Route(
+    'models',
+    host='house.example',
+    prefix='/models',
+    execution_policy=ExecutionPolicy.STREAM,
+    timeout_s=4,
+    latency_target_s=1,
+    priority=0,
+    weighted_groups=(),
+    max_executions=1,
+    is_public=False,
+    can_resume=False,
+)
 
 
 @given(
@@ -67,7 +81,7 @@
             time.sleep(0.01)
         shutdown.close()
         with suppress(UnavailableError):
-            shutdown.check('late-1', 'models', 4, None)
+            shutdown.check('late-1', _ROUTE, 4, None)
         extra = {'endpoint': 'engine-0', 'adapter': 'm1/other'}
         logging.getLogger('test').info(_OTHER_LOAD, extra=extra)
         shutdown.record_cut([_running('cut-1', 'engine-0'), _running('cut-2', '')])
--- a/features/steps/entry_stop.py
+++ b/features/steps/entry_stop.py
@@ -54,6 +54,7 @@
     _DURATIONS_S,
     st.lists(_DURATIONS_S),
     st.booleans(),
+    st.booleans(),
 )
 def check_accepted(
     grace_s: float,
@@ -61,16 +62,17 @@
     limit_s: float,
     answered_s: list[float],
     has_alternative: bool,
+    is_stream: bool,
 ) -> None:
     schedule = ShutdownSchedule(0, grace_s)
     recent = RecentDurations()
     for duration_s in answered_s:
         recent.record(duration_s)
     usual_s = recent.usual_max_s()
-    times = ExpectedTimes(limit_s, usual_s, has_alternative)
+    times = ExpectedTimes(limit_s, usual_s, has_alternative, is_stream)
     if not schedule.may_begin(now, times):
         return
-    is_renewed = now > _RENEWAL_S + 1 and has_alternative
+    is_renewed = now > _RENEWAL_S + 1 and (has_alternative or is_stream)
     is_limit_needed = usual_s is None or is_renewed
     longest_s = limit_s if is_limit_needed else min(limit_s, max(answered_s[-100:]))
     assert now + longest_s <= schedule.answers_end_at
--- a/src/pimentohoist/_decisions/shutdown_schedule.py
+++ b/src/pimentohoist/_decisions/shutdown_schedule.py
@@ -29,11 +29,14 @@
         Seconds that requests of its route usually take at most; None if unknown.
     has_alternative : bool
         Whether another daemon can serve it.
+    is_stream : bool
+        Whether it is cut when its time is over; others can still get an error.
     """
 
     limit_s: float
     usual_s: float | None
     has_alternative: bool = True
+    is_stream: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,9 +75,10 @@
         Until callers have renewed their copies of the directory, or if no other daemon
         can serve them, a request is given the time that its route usually takes. Those
         that come later can reach another daemon at once, so they are given the time
-        that they may take at most.
+        that they may take at most; so are streams, which would be cut.
         """
-        is_strict = now >= self.renewed_at and request.has_alternative
+        is_renewed = now >= self.renewed_at
+        is_strict = is_renewed and (request.has_alternative or request.is_stream)
         if request.usual_s is None or is_strict:
             return request.limit_s
         return min(request.limit_s, request.usual_s)
--- a/src/pimentohoist/_entry/request_handler.py
+++ b/src/pimentohoist/_entry/request_handler.py
@@ -89,7 +89,7 @@
             timeout_s = min(timeout_s, request.timeout_s)
         self.shutdown.check(
             request.request_id,
-            route.name,
+            route,
             timeout_s,
             self.metrics.usual_max_s(route.name),
         )
--- a/src/pimentohoist/_entry/shutdown.py
+++ b/src/pimentohoist/_entry/shutdown.py
@@ -11,6 +11,7 @@
 from pimentohoist._decisions.shutdown_schedule import ExpectedTimes, ShutdownSchedule
 from pimentohoist._entry.filters import add_jitter
 from pimentohoist._entry.request_monitor import MonitoredRequest
+from pimentohoist.entry_models import ExecutionPolicy, Route
 from pimentohoist.exceptions import UnavailableError
 
 _STEP = 'stop'
@@ -57,7 +58,7 @@
         self.is_closed = True
 
     def check(
-        self, request_id: str, route: str, limit_s: float, usual_s: float | None
+        self, request_id: str, route: Route, limit_s: float, usual_s: float | None
     ) -> None:
         """Raise UnavailableError if a request may outlast the daemon.
 
@@ -72,13 +73,14 @@
         if schedule is None:
             return
         now = _clock.now()
-        times = ExpectedTimes(limit_s, usual_s, self.has_alternative())
+        is_stream = route.execution_policy is ExecutionPolicy.STREAM
+        times = ExpectedTimes(limit_s, usual_s, self.has_alternative(), is_stream)
         needed_s = schedule.needed_s(now, times)
         is_accepted = not self.is_closed and schedule.may_begin(now, times)
         extra = {
             **self._extra(),
             'id': request_id,
-            'route': route,
+            'route': route.name,
             'needed_s': round(needed_s, 3),
             'is_closed': self.is_closed,
             'outcome': 'accepted' if is_accepted else 'refused',
