Accept the connections that wait as a server closes, and answer them

Cause: closing a listener resets the connections that the kernel has accepted and the server hasn't. Waitress accepts one a round of its loop, so they pile up on a busy machine.

Evidence: a server that accepts nothing for 0.3 s gets 20 requests and closes.

--- a/features/closing_servers.feature
+++ b/features/closing_servers.feature
@@ -15,6 +15,12 @@
     When it closes between accepting a connection and registering it
     Then the connection is answered or closed within 0.2 s
 
+  # Guards against resetting connections that the kernel has accepted and the server hasn't.
+  Scenario: Requests that wait to be accepted as a server closes get an answer
+    Given a server that accepts no connections for 0.3 s
+    When 20 requests are sent on new connections and it closes
+    Then each of them gets a whole answer
+
   # Guards against closing by the time of day, which may jump, while a response is sent.
   Scenario: A response that is being sent survives a jump of the time of day
     Given a server whose responses are larger than the buffers of a connection
--- a/features/steps/closing_servers.py
+++ b/features/steps/closing_servers.py
@@ -104,6 +104,44 @@
     assert context.took_s <= limit_s, (context.took_s, context.received)
 
 
+@given('a server that accepts no connections for {busy_s:g} s')
+def start_busy_acceptor(context: Context, busy_s: float) -> None:
+    def app(environ: dict, start_response: object) -> Iterable[bytes]:
+        start_response('200 OK', [('Content-Length', '0')])
+        return [b'']
+
+    is_busy = threading.Event()
+
+    def wait() -> None:
+        is_busy.set()
+        time.sleep(busy_s)
+
+    context.server = HttpServer(app, _ADDRESS, threads=4)
+    context.server.__enter__()
+    context.server._server.trigger.pull_trigger(wait)
+    assert is_busy.wait(_READ_TIMEOUT_S)
+
+
+@when('{count:d} requests are sent on new connections and it closes')
+def close_before_accepting(context: Context, count: int) -> None:
+    context.sockets = []
+    for _ in range(count):
+        sock = context.stack.enter_context(socket.create_connection((_HOST, _PORT)))
+        sock.settimeout(_READ_TIMEOUT_S)
+        sock.sendall(_REQUEST)
+        context.sockets.append(sock)
+    context.server.__exit__()
+
+
+@then('each of them gets a whole answer')
+def check_all_answered(context: Context) -> None:
+    answers = [http.client.HTTPResponse(sock) for sock in context.sockets]
+    for answer in answers:
+        answer.begin()
+        answer.read()
+    assert {answer.status for answer in answers} <= {200, 503}
+
+
 @given('a server whose responses are larger than the buffers of a connection')
 def start_large_server(context: Context) -> None:
     context.body = _BODY
--- a/src/pimentohoist/_http_server.py
+++ b/src/pimentohoist/_http_server.py
@@ -256,7 +256,14 @@
         return not any(map(is_busy, tuple(self._server.active_channels.values())))
 
     def _stop_listening(self) -> None:
-        """Close the listener; called by the thread that polls it."""
+        """Close the listener; called by the thread that polls it.
+
+        That resets the connections that wait to be accepted, so they are accepted first.
+        """
+        for _ in range(self._server.adj.backlog):
+            if not has_input(self._server.socket):
+                break
+            self._server.handle_accept()
         wasyncore.dispatcher.close(self._server)
         self._has_stopped_listening.set()
 
