--- a/src/pimentohoist/_controllers/limits.py
+++ b/src/pimentohoist/_controllers/limits.py
@@ -248,8 +248,8 @@
         charges: tuple[Charge, ...] | None = None
         try:
             while charges is None and account.has_unanswered_share:
-                is_closed = self._closed.wait(_TICK_S)
-                if is_closed or self.clock() > orders_until:
+                is_late = self.clock() + _TICK_S > orders_until
+                if is_late or self._closed.wait(_TICK_S):
                     break
                 charges = self._take_and_charge(workspace, tokens, orders_until)
         finally:
