Soak: don't blame daemons for engines that are killed at the end of their leave

Trace: its run has no end in the records, since its engine was killed: the leave of models-1.2 lasted from 16.10 to 19.25 s, the cut came at 19.15 s.

The rule doesn't count what the engine broke off, and a killed one records no end. So a run without an end whose cut falls into the leave of its engine counts as broken off; a run that has an end, or a cut after the leave, is judged as before. soak_checks has a case of each; the first failed before. 31 passed; lint clean.

--- a/features/soak_cases.py
+++ b/features/soak_cases.py
@@ -270,6 +270,10 @@
                 _with_configurations(_NEW_ROUTES, _ENDLESS_CUT),
                 _fault('engine_crash', 'engine-1', 48, 48.5),
             ),
+            'its engine had left before': _with_faults(
+                _with_configurations(_NEW_ROUTES, _ENDLESS_CUT),
+                _fault('engine_leaves', 'engine-1', 46, 48.5),
+            ),
             'another engine was killed': _with_faults(
                 _with_configurations(_NEW_ROUTES, _ENDLESS_CUT),
                 _fault('engine_crash', 'engine-2', 50.9, 55),
@@ -464,6 +468,10 @@
                 _with_configurations(_NEW_ROUTES, _ENDLESS_CUT),
                 _fault('engine_crash', 'engine-1', 50.9, 55),
             ),
+            'its engine was killed at the end of its leave': _with_faults(
+                _with_configurations(_NEW_ROUTES, _ENDLESS_CUT),
+                _fault('engine_leaves', 'engine-1', 48, 51.2),
+            ),
         },
         'kept_connections': {
             'new connections': _combined(*repeat(_cut(100, 101, {}, status=0), 4)),
--- a/src/pimentohoist_standins/_soak/checks_stops.py
+++ b/src/pimentohoist_standins/_soak/checks_stops.py
@@ -12,6 +12,7 @@
 from pimentohoist_standins._soak.records import (
     CallerRecord,
     ConnectionEnd,
+    FaultRecord,
     ProcessRecord,
     RequestKind,
     RunOutcome,
@@ -139,13 +140,21 @@
     if run.outcome is RunOutcome.BROKEN_OFF:
         return True
     return run.ended_at is None and any(
-        fault.kind == 'engine_crash'
-        and fault.target == run.endpoint
-        and run.arrived_at <= fault.began_at <= caller.ended_at
+        _is_kill(fault, run, caller)
         for fault in history.observations.faults
+        if fault.target == run.endpoint
     )
 
 
+def _is_kill(fault: FaultRecord, run: RunRecord, caller: CallerRecord) -> bool:
+    """Return whether a fault killed the endpoint during the run."""
+    if fault.kind == 'engine_leaves':
+        # The endpoint is killed as the fault ends.
+        return fault.began_at <= caller.ended_at <= fault.ended_at
+    is_crash = fault.kind == 'engine_crash'
+    return is_crash and run.arrived_at <= fault.began_at <= caller.ended_at
+
+
 def _is_long_run(history: History, caller: CallerRecord, signalled_at: float) -> bool:
     """Return whether the endpoint was still at work when the grace period ran out."""
     grace_s = history.bounds.grace_s
