--- a/src/pimentohoist/_entry/dispatch.py
+++ b/src/pimentohoist/_entry/dispatch.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Mapping
 from http import HTTPStatus
+from typing import cast
 
 from pimentohoist import _clock
 from pimentohoist._entry.endpoint_chooser import EndpointChooser, ChosenEndpoint
@@ -26,7 +28,12 @@
 from pimentohoist._entry.stream_relay import StreamRelay
 from pimentohoist.entry_models import ForwardingMetadata, ExecutionPolicy
 from pimentohoist.exceptions import PeerError, PimentohoistError
-from pimentohoist.platform import decode_notice, forwarded_headers, response_headers
+from pimentohoist.platform import (
+    decode_notice,
+    forwarded_headers,
+    is_not_executed,
+    response_headers,
+)
 
 _STEP = 'dispatch'
 _MAX_PRIORITY = 9
@@ -159,9 +166,12 @@
         head = exchange.read_head(context.request.request_id)
         endpoint = exchange.endpoint
         context.framing = head.framing
-        headers = dict(head.headers.items())
+        headers = cast('Mapping[str, str]', head.headers)
         notice = decode_notice(endpoint.endpoint_id, head.status, headers)
-        self.chooser.endpoints.notices.record(endpoint, notice)
+        endpoints = self.chooser.endpoints
+        endpoints.notices.record(endpoint, notice)
+        if not is_not_executed(head.status, head.headers):
+            endpoints.limits.record_response(endpoint, notice, exchange.sent_at)
         return head
 
     def _stream(
--- a/src/pimentohoist/_entry/endpoints.py
+++ b/src/pimentohoist/_entry/endpoints.py
@@ -10,6 +10,7 @@
 
 from pimentohoist import _clock
 from pimentohoist._decisions.endpoint_health import EndpointHealth
+from pimentohoist._entry.endpoint_limits import EndpointLimits
 from pimentohoist._entry.endpoint_notices import EndpointNotices
 from pimentohoist._entry.topic_follower import TopicFollower, PollTiming
 from pimentohoist._entry.members import Heartbeat, MembersController
@@ -49,6 +50,7 @@
         self.endpoints: dict[str, Endpoint] = {}
         self.health: dict[str, EndpointHealth] = {}
         self.notices = EndpointNotices()
+        self.limits = EndpointLimits()
         self.follower = TopicFollower(
             store, ENDPOINT_RECORDS, self._poll_timing, self._apply_records
         )
@@ -142,6 +144,7 @@
                 'group': endpoint.group,
                 'is_leaving': self.notices.is_leaving(endpoint),
                 'quiet_s': round(self.notices.quiet_s(endpoint), 3),
+                'limit_per_s': self.limits.limit_per_s(endpoint.incarnation),
                 'failure_share': self.health_of(endpoint.endpoint_id).failure_share(
                     now
                 ),
--- a/src/pimentohoist/entry_models.py
+++ b/src/pimentohoist/entry_models.py
@@ -342,7 +342,13 @@
         Whether the endpoint wants no new work, from any daemon.
     quiet_s : float or None
         Seconds for which it wants no requests from this daemon.
+    limit_per_s : float or None
+        Requests a second that it takes from all daemons together; None without a limit.
+    is_limit_readable : bool
+        Whether the response names no limit, or one that could be read.
     """
 
     is_leaving: bool = False
     quiet_s: float | None = None
+    limit_per_s: float | None = None
+    is_limit_readable: bool = True
--- a/src/pimentohoist/platform/_headers.py
+++ b/src/pimentohoist/platform/_headers.py
@@ -31,6 +31,9 @@
 LAST_EVENT_ID = 'Last-Event-Id'
 SERVER_LEAVING = 'Server-Leaving'
 RETRY_AFTER = 'Retry-After'
+SERVER_LIMIT = 'Server-Limit'
+"""Requests a second that the endpoint takes from all daemons together."""
+
 STORE_ERA = 'Store-Era'
 """Rises by one each time the store comes back from an older copy of itself."""
 
@@ -72,6 +75,12 @@
 """Headers that concern a single connection, and those that the HTTP library sets."""
 
 
+def find_all(headers: Mapping[str, str], name: str) -> list[str]:
+    """Return the values of a header that may be repeated, whatever the case of its name."""
+    lowered = name.lower()
+    return [text.strip() for key, text in headers.items() if key.lower() == lowered]
+
+
 def find(headers: Mapping[str, str], name: str) -> str | None:
     """Return the value of a header, whatever the case of its name; None without it."""
     lowered = name.lower()
--- a/src/pimentohoist/platform/_notices.py
+++ b/src/pimentohoist/platform/_notices.py
@@ -13,6 +13,10 @@
 _MAX_QUIET_S = 120.0
 _SECONDS = re.compile(r'[0-9]{1,6}(\.[0-9]{1,6})?')
 _LEAVING = '1'
+_REQUESTS_PER_S = re.compile(r'[0-9]{1,9}(\.[0-9]{1,20})?')
+_MIN_LIMIT_PER_S = 0.1
+"""An endpoint that allows less still gets a request at times, whose response shows when
+its limit has ended."""
 
 _logger = logging.getLogger(__name__)
 _logged_endpoints: set[tuple[str, str]] = set()
@@ -29,7 +33,9 @@
     quiet_s = None
     if status == HTTPStatus.SERVICE_UNAVAILABLE:
         quiet_s = _decode_quiet_s(endpoint_id, headers)
-    return EndpointNotice(leaving == _LEAVING, quiet_s)
+    return EndpointNotice(
+        leaving == _LEAVING, quiet_s, *_decode_limit(endpoint_id, headers)
+    )
 
 
 def _decode_quiet_s(endpoint_id: str, headers: Mapping[str, str]) -> float | None:
@@ -42,6 +48,23 @@
     return None
 
 
+def _decode_limit(
+    endpoint_id: str, headers: Mapping[str, str]
+) -> tuple[float | None, bool]:
+    """Return the limit, None without one, and whether it could be read."""
+    texts = set(header_names.find_all(headers, header_names.SERVER_LIMIT))
+    if not texts:
+        return None, True
+    text = texts.pop()
+    is_readable = not texts and _REQUESTS_PER_S.fullmatch(text) is not None
+    limit_per_s = float(text) if is_readable else None
+    if not limit_per_s:
+        _log_invalid(endpoint_id, header_names.SERVER_LIMIT, ', '.join((text, *texts)))
+    if limit_per_s is None:
+        return None, False
+    return max(_MIN_LIMIT_PER_S, limit_per_s), True
+
+
 def _log_invalid(endpoint_id: str, header: str, text: str | None) -> None:
     key = (endpoint_id, header)
     if key in _logged_endpoints or len(_logged_endpoints) >= _MAX_LOGGED_ENDPOINTS:
