--- a/src/pimentohoist_standins/opaque_engine.py
+++ b/src/pimentohoist_standins/opaque_engine.py
@@ -209,6 +209,8 @@
     def end_headers(self) -> None:
         if self.engine.faults.is_leaving:
             self.send_header('Server-Leaving', '1')
+        for limit in tuple(self.engine.faults.limits):
+            self.send_header('Server-Limit', limit)
         super().end_headers()
 
     def send_state(self, status: HTTPStatus, body: bytes) -> None:
--- a/src/pimentohoist_standins/opaque_engine_state.py
+++ b/src/pimentohoist_standins/opaque_engine_state.py
@@ -75,6 +75,8 @@
         Whether all responses say that the engine leaves.
     quiet_s : float or None
         Requests are refused, and the responses ask for no requests for this time.
+    limits : list of str
+        Requests a second that all responses name as the engine's limit, one header each.
     load_s : float
         Time to load an adapter, in seconds.
     event_s : float
@@ -98,6 +100,7 @@
     endless_answer: EndlessAnswer | None = None
     endless_answers: int = 0
     endless_reports: EndlessAnswer | None = None
+    limits: list[str] = field(default_factory=list)
     load_s: float = 0.05
     event_s: float = 0.005
 
