Share the limits that endpoints name, and send no more than they allow

Cause: a demand on all daemons together was kept by none. Statements on limits now travel in heartbeats with the time of the request that they answer, and an endpoint's owner grants a permit for each request. Without one a request goes to another engine or is refused at once.

--- a/features/limited_fleet.py
+++ b/features/limited_fleet.py
@@ -84,9 +84,10 @@
         """Return the engine that has got most requests."""
         return max(self.fleet.engines, key=lambda engine: len(engine.state.arrivals))
 
-    def most_in_window(self, engine: OpaqueEngine) -> int:
-        """Return the most arrivals in a window that ends while the limit binds."""
-        arrivals = [at for at in engine.state.arrivals if at <= self.ended_at]
+    def most_in_window(self, engine: OpaqueEngine, since: float) -> int:
+        """Return the most arrivals after a time in a window that ends while the limit binds."""
+        times = engine.state.arrivals
+        arrivals = [at for at in times if since < at <= self.ended_at]
         first = bisect_right(arrivals, self.named_at + CONTACT_S)
         counts = (
             index + 1 - bisect_right(arrivals, arrivals[index] - WINDOW_S)
--- a/features/steps/endpoint_limits.py
+++ b/features/steps/endpoint_limits.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import random
 import signal
 import sys
 import time
+from bisect import bisect_right
 from pathlib import Path
-from types import MappingProxyType
+from types import MappingProxyType, SimpleNamespace
+from unittest import mock
 
 from behave import given, then, when
 from behave.runner import Context
@@ -15,11 +18,20 @@
 from hypothesis import strategies as st
 
 sys.path.append(str(Path(__file__).resolve().parent.parent))
-from limited_fleet import CONTACT_S, LimitedFleet  # noqa: E402
+from limited_fleet import CONTACT_S, WINDOW_S, LimitedFleet  # noqa: E402
 
+from pimentohoist import _clock  # noqa: E402
+from pimentohoist._decisions.rate_grants import RateGranter, RatePacer  # noqa: E402
+from pimentohoist._entry.endpoint_limits import EndpointLimits  # noqa: E402
+from pimentohoist.entry_models import EndpointNotice  # noqa: E402
 from pimentohoist.platform import decode_notice  # noqa: E402
 
+_SEED = 29
+_INCARNATION = 'engine-1#1'
 _SETTLE_S = 3.0
+_KNOWN_S = 0.5
+"""The stated time after which an answer binds the daemon that passed it on."""
+
 _PATHS = MappingProxyType({'streams': '/models/x', 'look-ups': '/look/x'})
 _MANY_DIGITS = ''.ljust(400, '9')
 _UNREADABLE = ('-1', 'nan', 'inf', '1e3', '', '12 a second', _MANY_DIGITS)
@@ -79,11 +91,13 @@
     'from {delay_s:d} s on each gets no more in 4 s than one and a half times that and 5'
 )
 def check_windows(context: Context, delay_s: int) -> None:
-    world = context.world
     assert delay_s == CONTACT_S
-    most = [world.most_in_window(engine) for engine in world.limited]
-    assert max(most) <= world.allowed_in_window(), (most, world.allowed_in_window())
-    assert min(most) > 0, most
+    _check_windows(context.world, 0)
+
+
+@then('once it is known each gets no more in 4 s than one and a half times that and 5')
+def check_windows_once_known(context: Context) -> None:
+    _check_windows(context.world, context.world.named_at + _KNOWN_S)
 
 
 @then('at least {share:g} of the callers are served')
@@ -175,6 +189,116 @@
     check()
 
 
+@given(
+    '{daemons:d} daemons that all want to send 5 requests a second for {duration_s:d} s'
+)
+def make_demand(context: Context, daemons: int, duration_s: int) -> None:
+    source = random.Random(_SEED)
+    context.demand = sorted(
+        (source.uniform(0, duration_s), daemon)
+        for daemon in range(daemons)
+        for _ in range(5 * duration_s)
+    )
+    context.daemons = daemons
+    context.duration_s = duration_s
+
+
+@when('the owner grants permits for an endpoint that takes {per_s:g} a second')
+def grant_permits(context: Context, per_s: float) -> None:
+    granter = RateGranter(per_s, running=0, now=0)
+    blocked_until: dict[int, float] = {}
+    context.per_s, context.granted, context.asked = per_s, [], 0
+    for now, daemon in context.demand:
+        if now < blocked_until.get(daemon, 0):
+            continue
+        context.asked += 1
+        wait_s = granter.take(str(daemon), now)
+        blocked_until[daemon] = now + wait_s
+        if not wait_s:
+            context.granted.append(now)
+
+
+@when('each paces itself by its share of {per_s:g} a second')
+def pace_permits(context: Context, per_s: float) -> None:
+    pacers = [RatePacer() for _ in range(context.daemons)]
+    context.per_s = per_s
+    context.granted = [
+        now
+        for now, daemon in context.demand
+        if not pacers[daemon].take(per_s / context.daemons, now)
+    ]
+
+
+@then('no 4 s have more permits than one and a half times that and 5')
+def check_permits(context: Context) -> None:
+    granted = context.granted
+    most = max(
+        index + 1 - bisect_right(granted, at - WINDOW_S)
+        for index, at in enumerate(granted)
+    )
+    assert most <= 1.5 * WINDOW_S * context.per_s + 5, most
+
+
+@then(
+    'at least {share:g} of the limit is granted with at most {calls:d} calls a permit'
+)
+def check_grants(context: Context, share: float, calls: int) -> None:
+    granted = len(context.granted)
+    assert granted >= share * context.per_s * context.duration_s, granted
+    extra = context.daemons
+    assert context.asked <= calls * granted + extra, (context.asked, granted)
+
+
+@when("an endpoint's responses say, in this order of arrival")
+def record_responses(context: Context) -> None:
+    members = SimpleNamespace(on_heartbeat=[], send_soon=list)
+    context.members = members
+    context.limits = EndpointLimits(members)  # type: ignore[arg-type]
+    context.now = _clock.now()
+    context.listed, context.known = [], []
+    endpoint = SimpleNamespace(incarnation=_INCARNATION)
+    for row in context.table:
+        text = row['limit']
+        limit = None if text in {'none', '?'} else float(text)
+        notice = EndpointNotice(limit_per_s=limit, is_limit_readable=text != '?')
+        sent_at = context.now + float(row['sent at'])
+        context.limits.record_response(endpoint, notice, sent_at)
+        context.known.append(str(context.limits.limit_per_s(_INCARNATION)).lower())
+        context.listed.append(row['known limit'])
+
+
+@then('each time the limit is the one that is listed')
+def check_known(context: Context) -> None:
+    known = [text.removesuffix('.0') for text in context.known]
+    assert known == context.listed, (known, context.listed)
+
+
+@then('a heartbeat whose statement is older changes nothing, and a newer one does')
+def check_heartbeats(context: Context) -> None:
+    limits, now = context.limits, context.now
+    with mock.patch.object(_clock, 'now', lambda: now + 16):
+        for age_s, per_s, expected in (
+            (1.5, None, 0.5),
+            (0.5, 4, 4),
+            (0.1, None, None),
+        ):
+            entry = [_INCARNATION, per_s, age_s]
+            heartbeat = SimpleNamespace(member='other', endpoint_limits=[entry])
+            context.members.on_heartbeat[0](heartbeat, None)
+            assert limits.limit_per_s(_INCARNATION) == expected, entry
+
+
+@then('another incarnation of the endpoint has no limit')
+def check_incarnation(context: Context) -> None:
+    assert context.limits.limit_per_s(f'{_INCARNATION}0') is None
+
+
+def _check_windows(world: LimitedFleet, since: float) -> None:
+    most = [world.most_in_window(engine, since) for engine in world.limited]
+    assert max(most) <= world.allowed_in_window(), (most, world.allowed_in_window())
+    assert min(most) > 0, most
+
+
 def _limit(context: Context, engines: list, limit: str, duration_s: int) -> None:
     world = context.world
     world.name_limit(engines, limit)
--- a/src/pimentohoist/_decisions/endpoint_choice.py
+++ b/src/pimentohoist/_decisions/endpoint_choice.py
@@ -34,6 +34,8 @@
         Whether the request's adapter is loaded there.
     free_adapter_slots : int
         Adapter slots that are free or hold an evictable adapter.
+    is_limited : bool
+        Whether it limits the requests of all daemons.
     """
 
     endpoint_id: str
@@ -44,6 +46,7 @@
     is_in_own_domain: bool
     has_adapter: bool = False
     free_adapter_slots: int = 0
+    is_limited: bool = False
 
     @property
     def load(self) -> float:
@@ -81,13 +84,21 @@
     return [candidate.endpoint_id for candidate in ordered]
 
 
-def _drawbacks(candidate: Candidate) -> tuple[bool, bool, bool, bool]:
+def _drawbacks(candidate: Candidate) -> tuple[bool, ...]:
     """Return the reasons to prefer other engines, the most serious first."""
     is_failing = candidate.cost_factor > _FAILING_COST_FACTOR
     is_overloaded = candidate.load > _MAX_PREFERRED_LOAD
     # An owner without a free adapter slot would have to wait for a request to end.
     has_no_free_slot = not candidate.has_adapter and candidate.free_adapter_slots <= 0
-    return (is_failing, is_overloaded, not candidate.has_adapter, has_no_free_slot)
+    # Its few requests are for the adapters that it has.
+    is_reserved = candidate.is_limited and not candidate.has_adapter
+    return (
+        is_failing,
+        is_reserved,
+        is_overloaded,
+        not candidate.has_adapter,
+        has_no_free_slot,
+    )
 
 
 def _expected_cost(candidate: Candidate) -> float:
--- a/src/pimentohoist/_entry/endpoint_chooser.py
+++ b/src/pimentohoist/_entry/endpoint_chooser.py
@@ -13,6 +13,7 @@
     choose_engines,
     rank_services,
 )
+from pimentohoist._entry.endpoint_permits import EndpointPermits
 from pimentohoist._entry.endpoints import EndpointsController
 from pimentohoist._entry.filters import add_jitter
 from pimentohoist._entry.members import Heartbeat, MembersController
@@ -50,6 +51,25 @@
     adapter_version: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class _HoldAttempt:
+    """How to ask an engine's owner for an adapter.
+
+    Attributes
+    ----------
+    wait_s : float
+        Longest wait in seconds.
+    fail_fast : bool
+        Refuse at once if no load can begin.
+    is_holder : bool
+        Whether the engine probably has the adapter.
+    """
+
+    wait_s: float
+    fail_fast: bool
+    is_holder: bool
+
+
 class EndpointChooser:
     """Chooses among the endpoints that may get requests."""
 
@@ -59,11 +79,13 @@
         members: MembersController,
         owned_engines: OwnedEnginesController,
         in_flight: InFlightRequests,
+        permits: EndpointPermits,
     ) -> None:
         self.endpoints = endpoints
         self.members = members
         self.owned_engines = owned_engines
         self.in_flight = in_flight
+        self.permits = permits
 
     def choose(self, context: RequestContext) -> ChosenEndpoint:
         """Return the endpoint of the next attempt; raises UnavailableError."""
@@ -72,14 +94,14 @@
             endpoint.endpoint_id: endpoint
             for endpoint in self.endpoints.usable(context.group.name)
             if endpoint.endpoint_id not in context.tried_endpoints
+            and not self.permits.blocked_s(endpoint)
         }
         if adapter is not None and context.group.engine is not None:
             usable = _filter_by_model(usable, adapter.model)
         if not usable:
             raise self._unavailable(context)
         if context.group.engine is None or adapter is None or not adapter.name:
-            ranked = rank_services(self._candidates(usable, adapter), random.random())
-            return ChosenEndpoint(usable[ranked[0]])
+            return self._choose_service(context, adapter, usable)
         return self._choose_engine(context, adapter, usable)
 
     def candidates_for(self, group: str, adapter: AdapterKey) -> list[Candidate]:
@@ -89,6 +111,18 @@
         }
         return self._candidates(_filter_by_model(usable, adapter.model), adapter)
 
+    def _choose_service(
+        self,
+        context: RequestContext,
+        adapter: AdapterKey | None,
+        usable: dict[str, Endpoint],
+    ) -> ChosenEndpoint:
+        candidates = self._candidates(usable, adapter)
+        for endpoint_id in rank_services(candidates, random.random()):
+            if self.permits.take(usable[endpoint_id]):
+                return ChosenEndpoint(usable[endpoint_id])
+        raise self._unavailable(context)
+
     def _unavailable(self, context: RequestContext) -> PimentohoistError:
         group = context.group.name
         quiet_s = self.endpoints.quiet_s(group)
@@ -98,12 +132,24 @@
                 step=_STEP,
                 retry_after_s=quiet_s + add_jitter(RETRY_AFTER_S),
             )
+        blocked_s = self._blocked_s(group)
+        if blocked_s:
+            return UnavailableError(
+                f'the endpoints of group {group} get what their limits allow',
+                step=_STEP,
+                retry_after_s=blocked_s + add_jitter(RETRY_AFTER_S),
+            )
         return context.failure or UnavailableError(
             f'no endpoint available in group {group}',
             step=_STEP,
             retry_after_s=add_jitter(RETRY_AFTER_S),
         )
 
+    def _blocked_s(self, group: str) -> float:
+        """Return the seconds until a usable endpoint of a group may take a request."""
+        usable = self.endpoints.usable(group)
+        return min((self.permits.blocked_s(endpoint) for endpoint in usable), default=0)
+
     def _choose_engine(
         self, context: RequestContext, adapter: AdapterKey, usable: dict[str, Endpoint]
     ) -> ChosenEndpoint:
@@ -115,12 +161,32 @@
             wait_s = _max_wait_s(context)
             if wait_s <= 0:
                 break
-            is_holder = endpoint_id in holders
-            version = self._hold(context, endpoint_id, wait_s, fail_fast, is_holder)
-            # What the endpoint asks may have changed during the wait.
-            if version is not None and self.endpoints.may_get_work(usable[endpoint_id]):
-                return ChosenEndpoint(usable[endpoint_id], version or None)
-        raise UnavailableError(
+            attempt = _HoldAttempt(wait_s, fail_fast, endpoint_id in holders)
+            chosen = self._try_engine(context, usable[endpoint_id], attempt)
+            if chosen is not None:
+                return chosen
+        raise self._not_provided(context, usable)
+
+    def _try_engine(
+        self, context: RequestContext, endpoint: Endpoint, attempt: _HoldAttempt
+    ) -> ChosenEndpoint | None:
+        # A request that would get no permit must not wait for its adapter.
+        if not self.permits.take(endpoint):
+            return None
+        version = self._hold(context, endpoint.endpoint_id, attempt)
+        # What the endpoint asks may have changed during the wait.
+        if version is not None and self.endpoints.may_get_work(endpoint):
+            return ChosenEndpoint(endpoint, version or None)
+        self.permits.give_back(endpoint)
+        return None
+
+    def _not_provided(
+        self, context: RequestContext, usable: dict[str, Endpoint]
+    ) -> PimentohoistError:
+        if all(self.permits.blocked_s(endpoint) for endpoint in usable.values()):
+            return self._unavailable(context)
+        adapter = context.request.adapter
+        return UnavailableError(
             f'no engine could provide adapter {adapter}: {context.failure}',
             step=_STEP,
             retry_after_s=add_jitter(RETRY_AFTER_S),
@@ -130,9 +196,7 @@
         self,
         context: RequestContext,
         endpoint_id: str,
-        wait_s: float,
-        fail_fast: bool,
-        is_holder: bool,
+        attempt: _HoldAttempt,
     ) -> int | None:
         """Pin the adapter on an engine; return its version, or None if that failed.
 
@@ -141,7 +205,7 @@
         adapter = context.request.adapter or AdapterKey('')
         try:
             return self.owned_engines.load_and_pin(
-                endpoint_id, adapter, wait_s, fail_fast=fail_fast
+                endpoint_id, adapter, attempt.wait_s, fail_fast=attempt.fail_fast
             )
         except PimentohoistError as error:
             context.failure = error
@@ -149,7 +213,7 @@
             _logger.info('adapter not available on engine: %s', error, extra=extra)
             # Without its owner an engine evicts nothing; it refuses the request if the
             # adapter is missing.
-            if is_holder and isinstance(error, _NO_OWNER_ERRORS):
+            if attempt.is_holder and isinstance(error, _NO_OWNER_ERRORS):
                 return self.owned_engines.declarations.version_of(adapter)
             return None
 
@@ -195,6 +259,7 @@
             endpoint.failure_domain == self.members.settings.failure_domain,
             adapter in held,
             free,
+            self.endpoints.limits.limit_per_s(endpoint.incarnation) is not None,
         )
 
 
--- a/src/pimentohoist/_entry/endpoint_limits.py
+++ b/src/pimentohoist/_entry/endpoint_limits.py
@@ -1,17 +1,35 @@
-"""Which endpoints have named a limit on the requests of all daemons together."""
+"""Which endpoints have named a limit on the requests of all daemons together.
+
+Statements are shared by heartbeats, at once when a limit begins or ends, so that it binds
+daemons that get no response of the endpoint, and those that start later.
+"""
 
 from __future__ import annotations
 
 import logging
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 from pimentohoist import _clock
+from pimentohoist._entry.members import Heartbeat, MembersController
 from pimentohoist.entry_models import Endpoint, EndpointNotice
 
 _MAX_AGE_S = 600.0
 """Long after an incarnation that nothing is heard of has ended."""
 
+_ANNOUNCED_S = 5.0
+"""Several heartbeats; older statements may have been replaced by ones that were missed."""
+
+_MAX_ANNOUNCED = 100
+_TRANSIT_S = 0.25
+"""The age of a reported statement doesn't include its time in transit, so a limit ends only
+by a report that seems newer by this."""
+
+_FASTER_SHARE = 0.8
+"""A limit that falls below this share of the known one is shared at once."""
+
 _logger = logging.getLogger(__name__)
 
 
@@ -33,11 +51,20 @@
 
 
 class EndpointLimits:
-    """The limits that incarnations of endpoints have named."""
+    """The limits that incarnations of endpoints have named.
 
-    def __init__(self) -> None:
+    Attributes
+    ----------
+    on_end : list of callable
+        Called with an incarnation whose limit has ended.
+    """
+
+    def __init__(self, members: MembersController) -> None:
+        self.members = members
+        self.on_end: list[Callable[[str], None]] = []
         self._statements: dict[str, LimitStatement] = {}
         self._lock = threading.Lock()
+        members.on_heartbeat.append(self._record_heartbeat)
 
     def record_response(
         self, endpoint: Endpoint, notice: EndpointNotice, sent_at: float
@@ -45,36 +72,64 @@
         """Record what the response to a request says; one without a limit ends it."""
         if notice.is_limit_readable:
             statement = LimitStatement(notice.limit_per_s, sent_at)
-            self.record(endpoint.incarnation, statement, 'response')
-
-    def record(
-        self, incarnation: str, statement: LimitStatement, source: str
-    ) -> LimitStatement | None:
-        """Record a statement unless a later one is known.
-
-        Returns
-        -------
-        LimitStatement or None
-            The statement that it replaces.
-        """
+            if self.record(endpoint.incarnation, statement, 'response'):
+                self.members.send_soon()
+
+    def record(self, incarnation: str, statement: LimitStatement, source: str) -> bool:
+        """Record a statement; return whether it changes what daemons may send."""
         with self._lock:
             known = self._statements.get(incarnation)
             if known is None and statement.per_s is None:
-                return None
-            if known is not None and known.sent_at >= statement.sent_at:
-                return known
+                return False
+            if known is not None and statement.sent_at <= known.sent_at:
+                return False
             if known is None:
                 self._drop_old()
             self._statements[incarnation] = statement
-        if known is None or known.per_s != statement.per_s:
-            _log(incarnation, statement, source)
-        return known
+        before = None if known is None else known.per_s
+        if before == statement.per_s:
+            return False
+        _log(incarnation, statement, source)
+        if statement.per_s is None:
+            for listener in self.on_end:
+                listener(incarnation)
+            return True
+        return before is None or statement.per_s < before * _FASTER_SHARE
+
+    def statement(self, incarnation: str) -> LimitStatement | None:
+        """Return the newest statement of an incarnation; None if it never named a limit."""
+        return self._statements.get(incarnation)
 
     def limit_per_s(self, incarnation: str) -> float | None:
         """Return the requests a second that an incarnation takes; None without a limit."""
         statement = self._statements.get(incarnation)
         return None if statement is None else statement.per_s
 
+    def limited_count(self) -> int:
+        """Return how many incarnations are known to have a limit."""
+        statements = tuple(self._statements.values())
+        return sum(statement.per_s is not None for statement in statements)
+
+    def announced(self) -> list[list[Any]]:
+        """Return the statements of the last seconds for this daemon's heartbeats."""
+        now = _clock.now()
+        recent = [
+            [incarnation, statement.per_s, round(now - statement.sent_at, 3)]
+            for incarnation, statement in tuple(self._statements.items())
+            if now - statement.sent_at < _ANNOUNCED_S
+        ]
+        return recent[-_MAX_ANNOUNCED:]
+
+    def _record_heartbeat(
+        self, heartbeat: Heartbeat, previous: Heartbeat | None
+    ) -> None:
+        now = _clock.now()
+        for incarnation, per_s, age_s in heartbeat.endpoint_limits:
+            sent_at = now - age_s
+            if per_s is None:
+                sent_at -= _TRANSIT_S
+            self.record(incarnation, LimitStatement(per_s, sent_at), heartbeat.member)
+
     def _drop_old(self) -> None:
         since = _clock.now() - _MAX_AGE_S
         self._statements = {
--- a/src/pimentohoist/_entry/endpoints.py
+++ b/src/pimentohoist/_entry/endpoints.py
@@ -50,7 +50,7 @@
         self.endpoints: dict[str, Endpoint] = {}
         self.health: dict[str, EndpointHealth] = {}
         self.notices = EndpointNotices()
-        self.limits = EndpointLimits()
+        self.limits = EndpointLimits(members)
         self.follower = TopicFollower(
             store, ENDPOINT_RECORDS, self._poll_timing, self._apply_records
         )
--- a/src/pimentohoist/_entry/members.py
+++ b/src/pimentohoist/_entry/members.py
@@ -30,6 +30,9 @@
 DEPARTED_TIMEOUT_S = 10.0
 """After this silence a daemon has departed, and its share is split among the others."""
 
+_JOIN_DELAY_S = 0.02
+"""A crash cuts many requests within a few milliseconds, which share one heartbeat."""
+
 _MAX_DATAGRAM_BYTES = 65_000
 _MAX_ADDRESS_AGE_S = 120.0
 
@@ -60,6 +63,9 @@
         suspect with it.
     cleared_parts : list of str
         Parts that were suspect and are cleared.
+    endpoint_limits : list of list
+        Newest statements of endpoints on their limits: incarnation, requests a second or
+        None, seconds since the request was sent.
     declarations_read_age_s : float or None
         Time since the store last answered its reads of the operators' records.
     store_era : int
@@ -84,6 +90,7 @@
     store_era: int = 0
     part_reports: list[list[Any]] = field(default_factory=list)
     cleared_parts: list[str] = field(default_factory=list)
+    endpoint_limits: list[list[Any]] = field(default_factory=list)
 
     def ownership(self) -> Ownership:
         """Return which partitions the daemon claims."""
@@ -135,6 +142,8 @@
             store, settings.name, settings.control_address, lambda: not self.received
         )
         self.incarnation = os.urandom(6).hex()
+        self._is_sending_soon = False
+        self._lock = threading.Lock()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._closed = threading.Event()
         self._threads = [
@@ -201,6 +210,16 @@
         for host in self._hosts():
             self._send(data, host)
 
+    def send_soon(self) -> None:
+        """Send a heartbeat after a moment, in which further news may join it."""
+        with self._lock:
+            if self._is_sending_soon:
+                return
+            self._is_sending_soon = True
+        timer = threading.Timer(_JOIN_DELAY_S, self._send_joined)
+        timer.daemon = True
+        timer.start()
+
     def dump(self) -> Mapping[str, Any]:
         """Return the age of each daemon's newest heartbeat, in seconds."""
         now = _clock.now()
@@ -209,6 +228,11 @@
             for entry in self._received_heartbeats()
         }
 
+    def _send_joined(self) -> None:
+        with self._lock:
+            self._is_sending_soon = False
+        self.send_now()
+
     def _received_heartbeats(self) -> list[ReceivedHeartbeat]:
         return list(self.received.values())
 
--- a/src/pimentohoist/_entry/owned_engines.py
+++ b/src/pimentohoist/_entry/owned_engines.py
@@ -18,7 +18,12 @@
 from pimentohoist._entry.members import Heartbeat, MembersController
 from pimentohoist._generated import peer_pb2
 from pimentohoist._peers import PeerClients
-from pimentohoist.entry_models import AdapterKey, Endpoint, EngineLimits
+from pimentohoist.entry_models import (
+    AdapterKey,
+    Endpoint,
+    EndpointNotice,
+    EngineLimits,
+)
 from pimentohoist.exceptions import NotOwnerError, PimentohoistError, UnavailableError
 
 _STEP = 'hold_adapter'
@@ -287,7 +292,9 @@
         owner = EngineOwner(
             endpoint, capacity, models[0] if models else '', lease, self.loaders
         )
-        owner.session.orders.on_notice = partial(notices.record, endpoint)
+        owner.session.orders.on_notice = partial(
+            _record_order_notice, self.endpoints, endpoint
+        )
         return owner
 
     def _stop_owner(self, endpoint_id: str, engine: EngineOwner) -> None:
@@ -316,3 +323,15 @@
 def _parse_adapter(name: str) -> AdapterKey:
     model, _, adapter = name.partition('/')
     return AdapterKey(model, adapter)
+
+
+def _record_order_notice(
+    endpoints: EndpointsController, endpoint: Endpoint, notice: EndpointNotice
+) -> None:
+    """Record what an engine's response to an order or to a read of its report asks.
+
+    Its limit is on requests, so such a response may name it and doesn't end it.
+    """
+    endpoints.notices.record(endpoint, notice)
+    if notice.limit_per_s is not None:
+        endpoints.limits.record_response(endpoint, notice, _clock.now())
--- a/src/pimentohoist/_entry/part_quarantine.py
+++ b/src/pimentohoist/_entry/part_quarantine.py
@@ -27,9 +27,6 @@
 
 _STEP = 'quarantine'
 _DIGEST_BYTES = 4
-_SHARE_DELAY_S = 0.02
-"""A crash cuts many requests within a few milliseconds, which share one heartbeat."""
-
 _CLEARED_REPORT_S = 5.0
 _PROBE_STEP_S = 2.0
 """Time between the daemons' turns to try a part: it includes the wait for an adapter."""
@@ -45,7 +42,6 @@
         self.register = PartRegister()
         self._cleared_at: dict[str, float] = {}
         self._lock = threading.Lock()
-        self._is_sharing = False
         members.on_heartbeat.append(self._record_heartbeat)
 
     def __call__(self, context: RequestContext) -> None:
@@ -83,7 +79,7 @@
         if cleared:
             extra = {**log_fields(context), 'parts': cleared}
             _logger.info('suspect parts of a prompt are cleared', extra=extra)
-            self._share_soon()
+            self.members.send_soon()
 
     def record_crash(self, context: RequestContext, endpoint: Endpoint) -> None:
         """Record that an endpoint crashed before it began to answer a request."""
@@ -108,7 +104,7 @@
             'quarantined': quarantined,
         }
         _logger.warning('parts of a prompt are suspect', extra=extra)
-        self._share_soon()
+        self.members.send_soon()
 
     def reports(self) -> list[list[Any]]:
         """Return the evidence for this daemon's heartbeats."""
@@ -152,20 +148,6 @@
         ranked = rank_names(part, [self.members.member, *live])
         return ranked.index(self.members.member) * _PROBE_STEP_S
 
-    def _share_soon(self) -> None:
-        with self._lock:
-            if self._is_sharing:
-                return
-            self._is_sharing = True
-        timer = threading.Timer(_SHARE_DELAY_S, self._share)
-        timer.daemon = True
-        timer.start()
-
-    def _share(self) -> None:
-        with self._lock:
-            self._is_sharing = False
-        self.members.send_now()
-
     def _record_heartbeat(
         self, heartbeat: Heartbeat, previous: Heartbeat | None
     ) -> None:
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -28,6 +28,7 @@
     RequestsApp,
     RefusalApp,
 )
+from pimentohoist._entry.endpoint_permits import EndpointPermits
 from pimentohoist._entry.endpoints import EndpointsController
 from pimentohoist._entry.filters import Authenticate, ChargeQuota, RejectQuarantined
 from pimentohoist._entry.part_quarantine import PartQuarantine
@@ -133,6 +134,7 @@
         methods = {
             **self.owned_engines.peer_methods(),
             **self.declaration_sync.peer_methods(),
+            **self.permits.peer_methods(),
         }
         with ExitStack() as stack:
             components: tuple[Any, ...] = (
@@ -210,6 +212,7 @@
             'requests_running': len(self.request_monitor),
             'configuration_version': self.declarations.version,
             'store_era': self.store.era.current,
+            'endpoints_limited': self.endpoints.limits.limited_count(),
             'prompt_parts_quarantined': self.part_quarantine.quarantined_count(),
             'configuration_unconfirmed_seconds': (
                 -1 if unconfirmed_s is None else unconfirmed_s
@@ -266,8 +269,15 @@
         in_flight = InFlightRequests()
         connections = ConnectionPool()
         retry_budgets = GroupRetryBudgets(self.members)
+        self.permits = EndpointPermits(
+            self.endpoints.limits,
+            self.members,
+            self.ownership,
+            self.peers,
+            in_flight,
+        )
         chooser = EndpointChooser(
-            self.endpoints, self.members, self.owned_engines, in_flight
+            self.endpoints, self.members, self.owned_engines, in_flight, self.permits
         )
         retry_policy = RetryPolicy(
             self.endpoints,
@@ -310,6 +320,7 @@
             self.store.era.current,
             self.part_quarantine.reports(),
             self.part_quarantine.cleared_parts(),
+            self.endpoints.limits.announced(),
         )
 
     def _auxiliary_servers(self) -> tuple[HttpServer, ...]:
