Try a service that hasn't answered yet, however fast the others are

Cause: 1 ms was assumed of an endpoint without an answer, so one that answers in less always seemed better, and a new endpoint got nothing until the load rose. Half of the least known latency is assumed now, which is always tried first.

--- a/features/entry_decisions.feature
+++ b/features/entry_decisions.feature
@@ -100,6 +100,12 @@
     When 3 adapters of another engine are prepared there one after the other
     Then one is loaded and the popular ones stay
 
+  # Guards against a service that never gets a request, since another answers in less time
+  # than is assumed of it.
+  Scenario: A service that hasn't answered yet is tried soon
+    Given a service that answers in 0.5 ms and one that hasn't answered yet
+    Then the next request is sent to the latter
+
   Scenario: The retry budget holds for the whole fleet
     Then in generated histories 7 daemons stay within the stated retry budget
 
--- a/features/steps/entry_choice.py
+++ b/features/steps/entry_choice.py
@@ -32,6 +32,19 @@
     context.sent = []
 
 
+@given("a service that answers in {latency_ms:g} ms and one that hasn't answered yet")
+def make_untried_service(context: Context, latency_ms: float) -> None:
+    known = Candidate('known', 6, 0, latency_ms / 1000, 1, is_in_own_domain=True)
+    untried = Candidate('untried', 6, 0, 0, 1, is_in_own_domain=False)
+    context.candidates = [known, untried]
+
+
+@then('the next request is sent to the latter')
+def check_untried_first(context: Context) -> None:
+    for jitter in (0, 0.9):
+        assert rank_services(context.candidates, jitter)[0] == 'untried'
+
+
 @when('{count:d} requests are sent')
 def send_requests(context: Context, count: int) -> None:
     chooser = random.Random(3)
--- a/src/pimentohoist/_decisions/endpoint_choice.py
+++ b/src/pimentohoist/_decisions/endpoint_choice.py
@@ -10,8 +10,9 @@
 _REMOTE_COST_FACTOR = 1.05
 """Breaks ties in favour of the own failure domain, whose traffic is cheaper."""
 
-_UNKNOWN_LATENCY_S = 0.001
-"""Assumed of an endpoint that has not answered yet, so that it is tried soon."""
+_UNKNOWN_LATENCY_SHARE = 0.5
+"""Share of the least known latency that is assumed of an endpoint that has not answered
+yet, so that it is tried soon."""
 
 _MAX_PREFERRED_LOAD = 0.6
 """Load above which another engine gets a copy; up to it batches hardly slow down."""
@@ -66,7 +67,9 @@
     count = len(candidates)
     offset = int(jitter * count)
     rotated = [*candidates[offset:], *candidates[:offset]]
-    ranked = sorted(rotated, key=_expected_cost)
+    known = (candidate.latency_s for candidate in candidates if candidate.latency_s)
+    assumed_s = min(known, default=1) * _UNKNOWN_LATENCY_SHARE
+    ranked = sorted(rotated, key=lambda entry: _expected_cost(entry, assumed_s))
     return [candidate.endpoint_id for candidate in ranked]
 
 
@@ -101,8 +104,8 @@
     )
 
 
-def _expected_cost(candidate: Candidate) -> float:
+def _expected_cost(candidate: Candidate, assumed_latency_s: float) -> float:
     queue_factor = 1 + candidate.in_flight / max(1, candidate.slots)
     domain_factor = 1 if candidate.is_in_own_domain else _REMOTE_COST_FACTOR
-    latency_s = candidate.latency_s or _UNKNOWN_LATENCY_S
+    latency_s = candidate.latency_s or assumed_latency_s
     return queue_factor**2 * latency_s * candidate.cost_factor * domain_factor
