--- a/features/steps/entry_decisions.py
+++ b/features/steps/entry_decisions.py
@@ -140,6 +140,7 @@
         'service': 's',
         'address': '10.0.0.1:80',
         'zone': 'a',
+        'version': 'v1',
         'slots': 4,
         'state': 'ready',
         'born': 5,
@@ -167,6 +168,7 @@
                 ('address', 'nowhere'),
                 ('address', '10.0.0.1:x'),
                 ('slots', '4'),
+                ('version', 2),
                 ('state', 'dreaming'),
                 ('born', 1.5),
                 ('seq', None),
@@ -176,11 +178,11 @@
         ),
         *(
             json.dumps({**_VALID_RECORD, field: None}).encode()
-            for field in ('service', 'address', 'zone', 'slots', 'state')
+            for field in ('service', 'address', 'zone', 'version', 'slots', 'state')
         ),
         *(
             json.dumps(record_without(field)).encode()
-            for field in ('service', 'address', 'zone', 'slots', 'state')
+            for field in ('service', 'address', 'zone', 'version', 'slots', 'state')
         ),
     ]
     for text in invalid_records:
--- a/src/pimentohoist/_entry/dispatch.py
+++ b/src/pimentohoist/_entry/dispatch.py
@@ -187,6 +187,9 @@
         )
         first = relay.first_events()
         self.retry_policy.check_response(context, exchange, head)
+        context.stream_version = exchange.endpoint.software_version
+        if context.request.last_event_id:
+            _log_resumed('stream taken up by its caller', context, exchange)
         headers = response_headers(head.headers.items())
         return EntryResponse(
             head.status, head.reason, headers, relay.events(first), None
@@ -205,6 +208,12 @@
         if not context.monitored.is_cancelled:
             self._record_break(relay)
         if not self.retry_policy.may_resume(context):
+            extra = {
+                **log_fields(context),
+                'runs': context.executions,
+                'max_runs': context.route.max_executions,
+            }
+            _logger.info('stream not resumed: no attempt is left', extra=extra)
             raise StreamBrokenError(str(error))
         while True:
             try:
@@ -216,6 +225,9 @@
                     extra=log_fields(context),
                 )
             except PimentohoistError as failure:
+                _logger.info(
+                    'stream not resumed: %s', failure, extra=log_fields(context)
+                )
                 raise StreamBrokenError(str(failure)) from failure
 
     def _record_break(self, relay: StreamRelay) -> None:
@@ -235,6 +247,7 @@
             exchange.close()
             context.run_cleanups()
             raise
+        _log_resumed('stream resumed', context, exchange)
         return exchange
 
     def _check_resumption(
@@ -255,6 +268,19 @@
             )
 
 
+def _log_resumed(
+    message: str, context: RequestContext, exchange: UpstreamExchange
+) -> None:
+    extra = {
+        **log_fields(context),
+        'endpoint': exchange.endpoint.endpoint_id,
+        'software_version': exchange.endpoint.software_version,
+        'began_at_version': context.stream_version,
+        'resumed_id': context.request.resumed_id,
+    }
+    _logger.info(message, extra=extra)
+
+
 def _is_stream(context: RequestContext, head: ResponseHead) -> bool:
     return (
         context.route.execution_policy is ExecutionPolicy.STREAM
--- a/src/pimentohoist/_entry/endpoints.py
+++ b/src/pimentohoist/_entry/endpoints.py
@@ -232,5 +232,6 @@
         'group': endpoint.group,
         'address': endpoint.address,
         'is_leaving': endpoint.is_draining,
+        'software_version': endpoint.software_version,
         'started_ms': endpoint.started_ms,
     }
--- a/src/pimentohoist/_entry/request_context.py
+++ b/src/pimentohoist/_entry/request_context.py
@@ -61,6 +61,8 @@
         Error of the last failed attempt.
     framing : Framing or None
         What tells the end of the last response of an endpoint; None if none came.
+    stream_version : str or None
+        Software version of the engine that began its stream; None before the first event.
     is_probe : bool
         Whether it runs to find out if a part of its prompt still crashes engines.
     cleanups : list of callable
@@ -78,6 +80,7 @@
     executions: int = 0
     failure: PimentohoistError | None = None
     framing: Framing | None = None
+    stream_version: str | None = None
     is_probe: bool = False
     cleanups: list[Callable[[], None]] = field(default_factory=list)
 
--- a/src/pimentohoist/entry_models.py
+++ b/src/pimentohoist/entry_models.py
@@ -228,6 +228,8 @@
         Unix time of its start in milliseconds; with the id it names the incarnation.
     accepted_orders : int
         Orders that it had accepted since its start when it wrote the record.
+    software_version : str
+        Version of its software; streams can't go on at another one.
     models : tuple of str
         Names of the base models that it holds.
     adapters : mapping of AdapterKey to int
@@ -244,6 +246,7 @@
     accepted_orders: int
     models: tuple[str, ...] = ()
     adapters: Mapping[AdapterKey, int] = field(default_factory=dict)
+    software_version: str = ''
 
     @property
     def incarnation(self) -> str:
@@ -288,6 +291,10 @@
         Version of HTTP that the caller speaks.
     shared_parts : tuple of str
         Ids of the parts of the prompt that it may share with other requests.
+    last_event_id : str
+        Event after which the caller takes a stream up again; empty for a new one.
+    resumed_id : str
+        Id of the caller's attempt that brought the first event of that stream.
     """
 
     request_id: str
@@ -303,6 +310,8 @@
     arrived_at: float
     protocol: str = 'HTTP/1.1'
     shared_parts: tuple[str, ...] = ()
+    last_event_id: str = ''
+    resumed_id: str = ''
 
     @property
     def path(self) -> str:
--- a/src/pimentohoist/platform/_documents.py
+++ b/src/pimentohoist/platform/_documents.py
@@ -106,6 +106,7 @@
         _integer(document, 'seq'),
         held_models,
         adapters,
+        _text(document, 'version'),
     )
 
 
--- a/src/pimentohoist/platform/_headers.py
+++ b/src/pimentohoist/platform/_headers.py
@@ -29,6 +29,9 @@
 
 NOT_EXECUTED = 'Pimentohoist-Not-Executed'
 LAST_EVENT_ID = 'Last-Event-Id'
+RESUMED_ATTEMPT = 'Resumes'
+"""Id of the caller's attempt that brought the first event of a stream."""
+
 SERVER_LEAVING = 'Server-Leaving'
 RETRY_AFTER = 'Retry-After'
 SERVER_LIMIT = 'Server-Limit'
--- a/src/pimentohoist/platform/_requests.py
+++ b/src/pimentohoist/platform/_requests.py
@@ -14,6 +14,7 @@
 _STEP = 'decode_request'
 _MS_PER_S = 1000
 _MAX_PART_ID_LENGTH = 32
+_MAX_ATTEMPT_ID_LENGTH = 128
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -50,6 +51,8 @@
         arrived_at,
         raw.protocol,
         _parse_shared_parts(found.get(header_names.PROMPT_PARTS.lower(), '')),
+        found.get(header_names.LAST_EVENT_ID.lower(), ''),
+        found.get(header_names.RESUMED_ATTEMPT.lower(), '')[:_MAX_ATTEMPT_ID_LENGTH],
     )
 
 
