--- /dev/null
+++ b/features/steps/stream_versions.py
@@ -0,0 +1,194 @@
+"""Steps on streams over engines of several software versions."""
+
+from __future__ import annotations
+
+import signal
+import sys
+import time
+from http import HTTPStatus
+from pathlib import Path
+
+from behave import given, then, when
+from behave.runner import Context
+
+sys.path.append(str(Path(__file__).resolve().parent.parent))
+from entry_fleet import EntryFleet, EntryProcess, wait_for  # noqa: E402
+from versioned_fleet import EVENTS, StreamCall, VersionedFleet  # noqa: E402
+
+_ADAPTERS = 4
+_AFTER_EVENTS = 3
+_TAKEOVER_S = 15.0
+
+
+@given('a fleet of {daemons:d} daemon and engines of the versions {versions}')
+@given('a fleet of {daemons:d} daemons and engines of the versions {versions}')
+def start_versions(context: Context, daemons: int, versions: str) -> None:
+    fleet = context.stack.enter_context(EntryFleet())
+    fleet.declare(3, attempts=3)
+    world = VersionedFleet(fleet)
+    world.add_engines(versions.split(', '))
+    fleet.start_ready(daemons)
+    context.world = world
+
+
+@when('{count:d} streams are broken off by their engines after {events:d} events')
+def break_off(context: Context, count: int, events: int) -> None:
+    world = context.world
+    world.break_streams(events, count)
+    for number in range(count):
+        call = _new_call(context, number)
+        world.send(call)
+
+
+@when(
+    'callers leave {count:d} streams after {events:d} events'
+    ' and the engines that began them are busy'
+)
+def leave_streams(context: Context, count: int, events: int) -> None:
+    world = context.world
+    calls = [_new_call(context, number) for number in range(count)]
+    for call in calls:
+        world.send(call, stop_after=events)
+    assert all(len(call.events) == events for call in calls), calls
+
+
+@when('they take them up at other daemons')
+def take_up(context: Context) -> None:
+    world = context.world
+    daemons = len(context.world.fleet.daemons)
+    for call in world.calls:
+        call.daemon = (call.daemon + 1) % daemons
+        _take_up(context, call)
+
+
+@when('{count:d} streams at one daemon have brought {events:d} events and it is killed')
+def kill_daemon(context: Context, count: int, events: int) -> None:
+    world = context.world
+    calls = [_new_call(context, number) for number in range(count)]
+    for call in calls:
+        call.daemon = 0
+        world.send(call, stop_after=events)
+    assert all(len(call.events) == events for call in calls), calls
+    world.fleet.daemons[0].popen.send_signal(signal.SIGKILL)
+    survivors = world.fleet.daemons[1:]
+    wait_for(lambda: _owned_count(survivors) == len(world.fleet.engines), _TAKEOVER_S)
+
+
+@when(
+    'the engines that began them are busy'
+    ' as callers take the streams up at other daemons'
+)
+def take_up_after_kill(context: Context) -> None:
+    for number, call in enumerate(context.world.calls):
+        call.daemon = 1 + number % (len(context.world.fleet.daemons) - 1)
+        _take_up(context, call)
+
+
+@when('a caller takes up a stream that no daemon knows')
+def take_up_unknown(context: Context) -> None:
+    context.responses = []
+    for number in range(4):
+        began_at = time.monotonic()
+        response = context.world.take_up_unknown(number)
+        context.responses.append((response, time.monotonic() - began_at))
+
+
+@when(
+    'callers leave {count:d} streams after {events:d} events'
+    ' and the engines of {version} are gone from the store'
+)
+def remove_version(context: Context, count: int, events: int, version: str) -> None:
+    leave_streams(context, count, events)
+    world = context.world
+    context.gone = version
+    context.began_there = [
+        call for call in world.calls if world.versions_of(call) == {version}
+    ]
+    assert context.began_there, 'no stream began there'
+    for engine in world.fleet.engines:
+        if engine.version == version:
+            world.fleet.store.put('keyed.servers', engine.engine_id, None)
+    kept = {one.engine_id for one in world.fleet.engines if one.version != version}
+    wait_for(lambda: _known_engines(world) <= kept, 5)
+
+
+@when(
+    '{count:d} streams of adapters that one engine has'
+    ' are broken off {delay_s:g} s after their start'
+)
+def break_late(context: Context, count: int, delay_s: float) -> None:
+    world = context.world
+    for engine in world.fleet.engines:
+        engine.faults.event_s = delay_s / _AFTER_EVENTS
+    world.break_streams(_AFTER_EVENTS, count)
+    world.send_all([_new_call(context, number) for number in range(count)])
+
+
+@then('no stream has events of two versions')
+def check_versions(context: Context) -> None:
+    world = context.world
+    mixed = [call for call in world.calls if len(world.versions_of(call)) > 1]
+    doubled = [call for call in world.calls if len(set(call.events)) < len(call.events)]
+    assert not mixed, f'{len(mixed)} of {len(world.calls)}'
+    assert not doubled, doubled
+
+
+@then('at least {count:d} of them go on')
+def check_whole(context: Context, count: int) -> None:
+    whole = [call for call in context.world.calls if call.is_whole()]
+    assert len(whole) >= count, [
+        (call.status, call.events) for call in context.world.calls
+    ]
+
+
+@then('it is refused within {limit_s:g} s as not run')
+def check_refused(context: Context, limit_s: float) -> None:
+    statuses = [response.status for response, _ in context.responses]
+    assert set(statuses) == {HTTPStatus.SERVICE_UNAVAILABLE}, statuses
+    assert max(took_s for _, took_s in context.responses) < limit_s
+
+
+@then('it goes on')
+def check_goes_on(context: Context) -> None:
+    responses = [response for response, _ in context.responses]
+    assert {response.status for response in responses} == {HTTPStatus.OK}, responses
+    assert all(response.body.startswith(b'id: 4') for response in responses)
+
+
+@then('streams that began at {version} are refused within {limit_s:g} s as not run')
+def check_gone_version(context: Context, version: str, limit_s: float) -> None:
+    assert version == context.gone
+    statuses = [call.status for call in context.began_there]
+    assert set(statuses) == {HTTPStatus.SERVICE_UNAVAILABLE}, statuses
+    assert max(call.took_s for call in context.began_there) < limit_s
+    others = [call for call in context.world.calls if call not in context.began_there]
+    whole = [call.is_whole() for call in others]
+    assert all(whole), others
+
+
+def _new_call(context: Context, number: int) -> StreamCall:
+    daemons = len(context.world.fleet.daemons)
+    call = StreamCall(f's{number}', f'a{number % _ADAPTERS}', number % daemons)
+    context.world.calls.append(call)
+    return call
+
+
+def _take_up(context: Context, call: StreamCall) -> None:
+    """Take a stream up while the engine that began it refuses it."""
+    began_at = context.world.engines_of(call)[0]
+    began_at.faults.statuses = [HTTPStatus.SERVICE_UNAVAILABLE]
+    context.world.send(call, stop_after=EVENTS)
+    began_at.faults.statuses = []
+
+
+def _owned_count(daemons: list[EntryProcess]) -> int:
+    return sum(len(daemon.state()['places']) for daemon in daemons)
+
+
+def _known_engines(world: VersionedFleet) -> set[str]:
+    return {
+        endpoint_id
+        for daemon in world.fleet.daemons
+        for endpoint_id in daemon.state()['endpoints']
+        if endpoint_id.startswith('engine')
+    }
--- a/src/pimentohoist_standins/opaque_engine.py
+++ b/src/pimentohoist_standins/opaque_engine.py
@@ -39,6 +39,7 @@
         super().__init__(address, _handler(self))
         self.engine_id = engine_id
         self.model = model
+        self.version = 'v1'
         self.faults = EngineFaults()
         self.state = EngineState()
         self.lock = threading.Lock()
@@ -49,7 +50,7 @@
             'service': group,
             'address': self.address,
             'zone': 'a',
-            'version': 'v1',
+            'version': self.version,
             'slots': 8,
             'state': state,
             'cold-ms': 0,
