Resume streams that break later than their first event was wanted

Cause: no daemon waits for an adapter after the latency target, which is over for a stream that has begun; the choice ended before the first engine was asked. A stream that has begun waits up to 1 s for an engine instead.

--- a/src/pimentohoist/_entry/endpoint_chooser.py
+++ b/src/pimentohoist/_entry/endpoint_chooser.py
@@ -38,6 +38,9 @@
 _MAX_WAITING_HOLDS = 2
 """Engines on which the adapter is then waited for."""
 
+_MAX_EVENT_GAP_S = 1.0
+"""Callers leave a stream after 2 s without an event, and reading the prompt takes time."""
+
 _NO_OWNER_ERRORS = (NotOwnerError, PeerError)
 
 _logger = logging.getLogger(__name__)
@@ -278,10 +281,16 @@
 
 
 def _max_wait_s(context: RequestContext) -> float:
-    """Return how long to wait for an adapter: to the deadline or the latency target."""
+    """Return how long to wait for an adapter.
+
+    A new request waits until its latency target or deadline. The target says nothing of a
+    stream that has begun; its caller waits for the next event.
+    """
     if context.monitored.is_cancelled:
         return 0
     now = _clock.now()
+    if context.stream_version is not None:
+        return min(context.remaining_s(now), _MAX_EVENT_GAP_S)
     until_target_s = context.request.arrived_at + context.route.latency_target_s - now
     return min(context.remaining_s(now), until_target_s)
 
