Soak: engines name limits and have several software versions

Engines have one of two versions; the fault engine_limit has an endpoint name 3 a second for 4 to 7 s. Two checks: streams go on at one version, and limits hold in each 4 s, 3 s after they were named, for daemons that are in touch. A fault's end resets only what it has set.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -3,10 +3,12 @@
 
   # Guards against daemons that break a promise while several faults overlap.
   Scenario: Seeded runs with all kinds of faults break no promise
-    When seed 194 is played for 24 s with all kinds of faults
+    When seed 194 is played for 24 s with all kinds of faults but limits
     Then the soak ends with status 0
     When seed 80 is played for 26 s with planned work only
     Then the soak ends with status 0
+    When seed 29 is played for 24 s with limits of endpoints
+    Then the soak ends with status 0
     And no promise is broken
     And each check has applied in some run
     And nothing of the soak is left running
--- a/features/soak_cases.py
+++ b/features/soak_cases.py
@@ -145,6 +145,18 @@
     return replace(_cut(sent_at, ended_at, *runs, **caller), processes=(_KILLED,))
 
 
+def _limited(
+    arrivals: int, named_at: float = 95, ended_at: float = 110
+) -> Observations:
+    """Requests within 4 s at an engine that names a limit."""
+    runs = (
+        replace(RUN, request_id=f'a-{number}', arrived_at=100 + number / 10)
+        for number in range(arrivals)
+    )
+    fault = _fault('engine_limit', 'engine-1', named_at, ended_at)
+    return _observations(runs=tuple(runs), faults=[fault])
+
+
 def _with_faults(observations: Observations, *faults: FaultRecord) -> Observations:
     return replace(observations, faults=faults)
 
@@ -381,6 +393,11 @@
         'resumed_runs_apart': {
             'both at work': _attempt({'ended_at': 102}, _RESUMED, **_RESUMABLE)
         },
+        'one_software_version': {
+            'went on at another': _attempt(
+                {}, {**_RESUMED, 'software_version': 'v2'}, **_RESUMABLE
+            )
+        },
         'answers_in_time': {'0.6 s late': _attempt({}, timeout_s=0.39)},
         'cancellations': {
             'goes on for 2 s': _cut(100, 101, {'ended_at': 103}, **_LEFT),
@@ -403,6 +420,7 @@
             'requests 21 s before': _repeated(55, requests_at=79),
             'requests after the window': _repeated(55, requests_at=112),
         },
+        'endpoint_limits': {'24 in 4 s': _limited(24)},
     }
 )
 KEPT: Mapping[str, dict[str, Observations]] = MappingProxyType(
@@ -604,6 +622,20 @@
             'run once': _attempt({}),
             'allowed': _attempt(_BROKEN_OFF, _RESUMED, **_RESUMABLE),
         },
+        'one_software_version': {
+            'went on at its own': _attempt({}, _RESUMED, **_RESUMABLE),
+            'begun anew at another': _attempt(
+                {}, {'software_version': 'v2'}, **_RESUMABLE
+            ),
+        },
+        'endpoint_limits': {
+            '23 in 4 s': _limited(23),
+            'before it was known': _limited(40, named_at=101.5),
+            'after it ended': _limited(40, named_at=80, ended_at=90),
+            'daemon was paused': _with_faults(
+                _limited(40), *_limited(40).faults, _fault('pause', 'front-1', 98)
+            ),
+        },
         'resumed_runs_apart': {
             'ended before': _attempt({}, _RESUMED, **_RESUMABLE),
             'engine frozen': _with_faults(
--- a/features/soak_checks.feature
+++ b/features/soak_checks.feature
@@ -55,6 +55,7 @@
       | event_order        | events are missing, doubled or joined wrongly           |
       | resumptions        | a stream is resumed that may not be                     |
       | resumed_runs_apart | a stream goes on while the run before still works       |
+      | one_software_version | a stream goes on at another software version          |
       | answers_in_time    | a request is held beyond its time                       |
       | cancellations      | a run goes on after its caller left                     |
 
@@ -76,6 +77,7 @@
       | check        | failure                                                       |
       | quotas       | a workspace spends more than its quota                        |
       | retry_budget | a group gets more repeats than its budget                     |
+      | endpoint_limits | an endpoint gets more requests than it allows              |
 
   # Guards against a check that is added without a case that it must find.
   Scenario: No check lacks cases
--- a/features/soak_histories.py
+++ b/features/soak_histories.py
@@ -85,6 +85,7 @@
             FaultRecord('hup', 'front-2', 100, 100),
             FaultRecord('pause', 'front-3', _PAUSE_S, _PAUSE_END_S),
             FaultRecord('engine_leaves', _LEAVING, self.leaves_at, self.leaves_at + 20),
+            FaultRecord('engine_limit', 'engine-9', 30, 40),
         )
         return Observations(
             seed=1,
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -18,7 +18,7 @@
 from behave.runner import Context
 
 from pimentohoist_standins._soak.errors import NoReplyError, SoakError
-from pimentohoist_standins._soak.plan import SoakOptions, draw_plan, read_plan
+from pimentohoist_standins._soak.plan import KINDS, SoakOptions, draw_plan, read_plan
 from pimentohoist_standins._soak.role_process import RoleProcess
 
 _START = 'from pimentohoist_standins.soak import main; main()'
@@ -27,7 +27,10 @@
 _TIMEOUT_S = 150
 _KINDS = MappingProxyType(
     {
-        'all kinds of faults': '',
+        'all kinds of faults but limits': ','.join(
+            kind for kind in KINDS if kind != 'engine_limit'
+        ),
+        'limits of endpoints': 'engine_limit,engine_cut,hup',
         'planned work only': (
             'term,hup,engine_leaves,config_storm,key_withdrawn,engine_cut'
         ),
--- a/src/pimentohoist_standins/_soak/checks.py
+++ b/src/pimentohoist_standins/_soak/checks.py
@@ -36,6 +36,7 @@
     checks_answers.event_order,
     checks_answers.resumptions,
     checks_answers.resumed_runs_apart,
+    checks_answers.one_software_version,
     checks_answers.answers_in_time,
     checks_answers.cancellations,
     checks_orders.adapter_slots,
@@ -43,6 +44,7 @@
     checks_orders.fences_rise,
     checks_budgets.quotas,
     checks_budgets.retry_budget,
+    checks_budgets.endpoint_limits,
 )
 
 
--- a/src/pimentohoist_standins/_soak/checks_answers.py
+++ b/src/pimentohoist_standins/_soak/checks_answers.py
@@ -91,6 +91,17 @@
                 yield Verdict.on_run(later, text, is_kept=is_kept)
 
 
+def one_software_version(history: History) -> Iterator[Verdict]:
+    """A stream goes on only at a software version that has sent events of it."""
+    for _, runs in history.callers_with_runs():
+        versions = [run.software_version for run in runs if run.last_event]
+        for run in runs[1:]:
+            if run.last_event_id:
+                text = f'begun at {versions[0]}, went on at {run.software_version}'
+                is_kept = run.software_version == versions[0]
+                yield Verdict.on_run(run, text, is_kept=is_kept)
+
+
 def answers_in_time(history: History) -> Iterator[Verdict]:
     """An attempt has its answer or its end shortly after its time is over."""
     slow_callers = {
--- a/src/pimentohoist_standins/_soak/checks_budgets.py
+++ b/src/pimentohoist_standins/_soak/checks_budgets.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator
 
 from pimentohoist_standins._soak.history import History, Verdict
-from pimentohoist_standins._soak.records import Bounds
+from pimentohoist_standins._soak.records import LIMIT_PER_S, Bounds, FaultRecord
 from pimentohoist_standins._soak.versions import Versions
 
 
@@ -33,6 +33,18 @@
             yield Verdict(repeated <= allowed, at, text)
 
 
+def endpoint_limits(history: History) -> Iterator[Verdict]:
+    """Endpoints get no more requests than the limit allows that they have named."""
+    bounds = history.bounds
+    allowed = bounds.limit_over * LIMIT_PER_S * bounds.limit_window_s
+    for fault in history.observations.faults:
+        if fault.kind == 'engine_limit':
+            most = _most_in_window(history, fault)
+            text = f'{fault.target} got {most} requests; it allows {allowed:.0f}'
+            is_kept = most <= allowed + bounds.limit_slack
+            yield Verdict(is_kept, fault.ended_at, text)
+
+
 class _Limits:
     """The limits of workspaces, per window."""
 
@@ -88,6 +100,34 @@
         yield first_at, total
 
 
+def _most_in_window(history: History, fault: FaultRecord) -> int:
+    """Return the most arrivals in a window that ends while a limit binds.
+
+    Arrivals count from daemons that have been told and are in touch.
+    """
+    bounds = history.bounds
+    # Another fault of the kind that ends first ends this one's limit, too.
+    ended_at = min(
+        other.ended_at
+        for other in history.observations.faults
+        if (other.kind, other.target) == (fault.kind, fault.target)
+        and other.ended_at > fault.began_at
+    )
+    times = sorted(
+        run.arrived_at
+        for run in history.observations.runs
+        if run.endpoint == fault.target
+        and fault.began_at + bounds.told_s <= run.arrived_at <= ended_at
+        and history.disruptions.is_in_touch(run.daemon, fault.began_at, run.arrived_at)
+    )
+    counts = (
+        index + 1 - bisect_left(times, at - bounds.limit_window_s)
+        for index, at in enumerate(times)
+        if at >= fault.began_at + bounds.contact_s
+    )
+    return max(counts, default=0)
+
+
 def _arrivals_by_group(
     history: History,
 ) -> tuple[dict[str, list[float]], dict[str, list[float]]]:
--- a/src/pimentohoist_standins/_soak/disruptions.py
+++ b/src/pimentohoist_standins/_soak/disruptions.py
@@ -16,7 +16,7 @@
 _HARMLESS_KINDS = frozenset(
     'term hup restart roll new_address key_withdrawn config_change config_storm '
     'config_invalid caller_leaves caller_slow engine_fail engine_twice engine_leaves '
-    'engine_quiet engine_endless engine_cut'.split(),
+    'engine_quiet engine_limit engine_endless engine_cut'.split(),
 )
 _STORE_KINDS = frozenset(
     'store_down store_slow store_lost store_restored store_silent store_lose_calls '
--- a/src/pimentohoist_standins/_soak/endpoint_role.py
+++ b/src/pimentohoist_standins/_soak/endpoint_role.py
@@ -18,10 +18,17 @@
     """An endpoint that writes a record of each request and order."""
 
     def __init__(
-        self, host: str, port: int, endpoint_id: str, group: str, model: str, path: str
+        self,
+        address: list[Any],
+        endpoint_id: str,
+        group: str,
+        model: str,
+        version: str,
+        path: str,
     ) -> None:
-        super().__init__((host, port), endpoint_id, model)
+        super().__init__((address[0], address[1]), endpoint_id, model)
         self.group = group
+        self.version = version
         self.records = RecordFile(path)
         self.arrivals: dict[int, RunRecord] = {}
 
@@ -83,6 +90,7 @@
             time.monotonic(),
             None,
             RunOutcome.CANCELLED,
+            software_version=self.version,
         )
         number = self.records.next_number()
         self.arrivals[number] = record
--- a/src/pimentohoist_standins/_soak/endpoints.py
+++ b/src/pimentohoist_standins/_soak/endpoints.py
@@ -16,6 +16,7 @@
 from pimentohoist_standins._soak.role_process import RoleProcess
 
 _TOPIC = 'keyed.servers'
+_VERSIONS = 2
 
 
 class EndpointProcess:
@@ -118,11 +119,11 @@
         process = RoleProcess(
             'endpoint',
             self.folder / f'{name}.log',
-            host=self.network.endpoint(endpoint.number),
-            port=SERVICE_PORT,
+            address=[self.network.endpoint(endpoint.number), SERVICE_PORT],
             endpoint_id=name,
             group=endpoint.group,
             model=MODEL if endpoint.group == ENGINE_GROUP else '',
+            version=f'v{endpoint.number % _VERSIONS}',
             path=str(self.folder / f'{name}.records'),
         )
         with self._lock:
--- a/src/pimentohoist_standins/_soak/faults.py
+++ b/src/pimentohoist_standins/_soak/faults.py
@@ -17,7 +17,7 @@
 from pimentohoist_standins._soak.links import Links
 from pimentohoist_standins._soak.operator import Operator
 from pimentohoist_standins._soak.plan import ROLL_PAUSE_S, PlannedFault
-from pimentohoist_standins._soak.records import FaultRecord
+from pimentohoist_standins._soak.records import LIMIT_PER_S, FaultRecord
 from pimentohoist_standins._soak.role_process import RoleProcess
 
 _LEAVE_S = 2.0
@@ -54,10 +54,15 @@
         'engine_twice': {'extra_responses': 3},
         'engine_cut': {'cut_after_events': 3},
         'engine_quiet': {'quiet_s': 0.5},
+        'engine_limit': {'limits': [str(LIMIT_PER_S)]},
     }
 )
 _ENDPOINT_CALM: Mapping[str, Any] = MappingProxyType(
-    {'is_silent': False, 'quiet_s': None}
+    {
+        'engine_silent': {'is_silent': False},
+        'engine_quiet': {'quiet_s': None},
+        'engine_limit': {'limits': []},
+    }
 )
 
 
@@ -242,7 +247,7 @@
                 time.sleep(_CUT_PAUSE_S)
             time.sleep(fault.duration_s)
             if fault.duration_s:
-                process.call('configure', **_ENDPOINT_CALM)
+                process.call('configure', **_ENDPOINT_CALM[fault.kind])
     return [endpoint_id]
 
 
--- a/src/pimentohoist_standins/_soak/plan.py
+++ b/src/pimentohoist_standins/_soak/plan.py
@@ -56,6 +56,7 @@
         (_ENDPOINT, _MOMENT_S, 'engine_fail engine_twice engine_cut'),
         (_ENDPOINT, _SHORT_S, 'engine_crash engine_leaves engine_quiet'),
         (_ENDPOINT, _LONG_S, 'engine_freeze engine_silent'),
+        (_ENDPOINT, (4, 7), 'engine_limit'),
         ('operator', _MOMENT_S, 'config_storm'),
         ('operator', _LONG_S, 'key_withdrawn config_invalid'),
     ):
--- a/src/pimentohoist_standins/_soak/records.py
+++ b/src/pimentohoist_standins/_soak/records.py
@@ -39,6 +39,10 @@
     CANCELLED = 'cancelled'
 
 
+LIMIT_PER_S = 3
+"""Requests a second that an endpoint names as its limit."""
+
+
 @dataclass(frozen=True, slots=True)
 class CallerRecord:
     """One attempt of a caller.
@@ -107,6 +111,8 @@
         The status that the endpoint answered; 0 if it isn't known.
     last_event : int or None
         Number of the last event that the endpoint sent; None if it isn't known.
+    software_version : str
+        Version of the endpoint's software.
     """
 
     request_id: str
@@ -125,6 +131,7 @@
     outcome: RunOutcome
     status: int = 0
     last_event: int | None = None
+    software_version: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -229,6 +236,10 @@
     quota_over: float = 0.1
     quota_slack_tokens: float = 110_000
     cancel_s: float = 0.5
+    limit_window_s: float = 4.0
+    limit_over: float = 1.5
+    limit_slack: float = 5
+    told_s: float = 0.5
 
 
 @dataclass(frozen=True, slots=True)
