Forget the permits of endpoints whose limits are long gone

A limit of an engine that ended with it was dropped after ten minutes, its granter and pacer never: a few hundred bytes each for every such incarnation, without a bound in time. Dropping a statement now ends it for all that keep something by incarnation.

--- a/src/pimentohoist/_entry/endpoint_limits.py
+++ b/src/pimentohoist/_entry/endpoint_limits.py
@@ -27,8 +27,8 @@
 """The age of a reported statement doesn't include its time in transit, so a limit ends only
 by a report that seems newer by this."""
 
-_FASTER_SHARE = 0.8
-"""A limit that falls below this share of the known one is shared at once."""
+_MAX_UNANNOUNCED_SHARE = 0.8
+"""A limit that falls below this share of the known one is sent to all at once."""
 
 _logger = logging.getLogger(__name__)
 
@@ -56,7 +56,7 @@
     Attributes
     ----------
     on_end : list of callable
-        Called with an incarnation whose limit has ended.
+        Called with an incarnation whose limit has ended, or that is long gone.
     """
 
     def __init__(self, members: MembersController) -> None:
@@ -91,10 +91,9 @@
             return False
         _log(incarnation, statement, source)
         if statement.per_s is None:
-            for listener in self.on_end:
-                listener(incarnation)
+            self._end(incarnation)
             return True
-        return before is None or statement.per_s < before * _FASTER_SHARE
+        return before is None or statement.per_s < before * _MAX_UNANNOUNCED_SHARE
 
     def statement(self, incarnation: str) -> LimitStatement | None:
         """Return the newest statement of an incarnation; None if it never named a limit."""
@@ -132,11 +131,18 @@
 
     def _drop_old(self) -> None:
         since = _clock.now() - _MAX_AGE_S
-        self._statements = {
-            incarnation: statement
+        old = [
+            incarnation
             for incarnation, statement in self._statements.items()
-            if statement.sent_at >= since
-        }
+            if statement.sent_at < since
+        ]
+        for incarnation in old:
+            self._statements.pop(incarnation)
+            self._end(incarnation)
+
+    def _end(self, incarnation: str) -> None:
+        for listener in self.on_end:
+            listener(incarnation)
 
 
 def _log(incarnation: str, statement: LimitStatement, source: str) -> None:
