Name the reply of a daemon that isn't the owner; keep only recent versions

is_no_home of the new call becomes is_not_owner. The versions that were seen in a group were never dropped, one string for each software version; those older than 30 s are now.

--- a/src/pimentohoist/_entry/endpoint_permits.py
+++ b/src/pimentohoist/_entry/endpoint_permits.py
@@ -122,7 +122,7 @@
             _logger.info('owner grants no permits: %s', error, extra=extra)
             self._owner_failed_at[endpoint.incarnation] = _clock.now()
             return self._take_own_share(endpoint.incarnation)
-        if reply.is_no_home:
+        if reply.is_not_owner:
             return self._take_own_share(endpoint.incarnation)
         return 0 if reply.is_granted else reply.wait_ms / _MS_PER_S
 
@@ -130,7 +130,7 @@
         self, request: peer_pb2.PermitRequest
     ) -> peer_pb2.PermitReply:
         if not self.ownership.is_owner(request.endpoint):
-            return peer_pb2.PermitReply(is_no_home=True)
+            return peer_pb2.PermitReply(is_not_owner=True)
         sent_at = _clock.now() - request.statement_age_ms / _MS_PER_S
         statement = LimitStatement(request.limit_per_s, sent_at)
         self.limits.record(request.incarnation, statement, request.member)
--- a/src/pimentohoist/_entry/stream_versions.py
+++ b/src/pimentohoist/_entry/stream_versions.py
@@ -25,8 +25,8 @@
 _STEP = 'stream_version'
 _COPIES = 2
 _MAX_ASKED = 4
-"""The daemons with copies, and those that have them if some aren't live at one of the two
-daemons that rank them."""
+"""Both daemons with copies, and the next two: the daemon that told them may have ranked
+others as live."""
 
 _VERSION_KEPT_S = 30.0
 """Callers take up streams for about this time after an engine has gone."""
@@ -60,7 +60,7 @@
         Raises
         ------
         UnavailableError
-            The version isn't known, and engines of several serve.
+            The version isn't known, and engines of several have served lately.
         """
         request = context.request
         if not (request.last_event_id and context.route.can_resume):
@@ -106,15 +106,16 @@
         """Return the versions of a group's engines, those lately gone included."""
         now = _clock.now()
         with self._lock:
-            seen_at = self._seen_at.setdefault(group, {})
+            seen_at = {
+                version: at
+                for version, at in self._seen_at.get(group, {}).items()
+                if at >= now - _VERSION_KEPT_S
+            }
             for endpoint in self.endpoints.alive():
                 if endpoint.group == group:
                     seen_at[endpoint.software_version] = now
-            return {
-                version
-                for version, at in seen_at.items()
-                if at >= now - _VERSION_KEPT_S
-            }
+            self._seen_at[group] = seen_at
+            return set(seen_at)
 
     def _record(self, stream: str, version: str) -> None:
         with self._lock:
