Soak: a run of an engine that was killed as it left has ended when its stream goes on

Trace: the leave of models-3.2 lasted from 14.56 to 17.82 s, and its run has no end in the records: the soak kills an engine at the end of its leave. Such streams broke for good before, which resumes them, so the check met none. A run without an end counts as ended if the stream goes on within the last second of the leave; earlier it is judged as before. soak_checks has a case of each; the first failed before. 33 passed.

--- a/features/soak_cases.py
+++ b/features/soak_cases.py
@@ -391,7 +391,11 @@
             ),
         },
         'resumed_runs_apart': {
-            'both at work': _attempt({'ended_at': 102}, _RESUMED, **_RESUMABLE)
+            'both at work': _attempt({'ended_at': 102}, _RESUMED, **_RESUMABLE),
+            'long before the leave ends': _with_faults(
+                _attempt({'ended_at': None}, _RESUMED, **_RESUMABLE),
+                _fault('engine_leaves', 'engine-1', 99, 104),
+            ),
         },
         'one_software_version': {
             'went on at another': _attempt(
@@ -638,6 +642,10 @@
         },
         'resumed_runs_apart': {
             'ended before': _attempt({}, _RESUMED, **_RESUMABLE),
+            'engine killed as it left': _with_faults(
+                _attempt({'ended_at': None}, _RESUMED, **_RESUMABLE),
+                _fault('engine_leaves', 'engine-1', 98, 101.5),
+            ),
             'engine frozen': _with_faults(
                 _attempt({'ended_at': None}, _RESUMED, **_RESUMABLE),
                 _fault('engine_freeze', 'engine-1', 100.5, 104),
--- a/src/pimentohoist_standins/_soak/checks_answers.py
+++ b/src/pimentohoist_standins/_soak/checks_answers.py
@@ -17,6 +17,8 @@
 _LATE_ANSWER_S = 0.5
 # A run that goes on elsewhere may overlap the one before it by this much.
 _TAKEOVER_OVERLAP_S = 0.4
+# A leave ends with the kill of the endpoint and the start of the next one.
+_REPLACEMENT_S = 1.0
 # Between the end of a connection and the records of its two sides.
 _RECORD_SLACK_S = 0.25
 _STREAM_KINDS = frozenset((RequestKind.STREAM, RequestKind.RESUMABLE))
@@ -87,7 +89,9 @@
                 earlier.endpoint, earlier.arrived_at, at
             ):
                 text = f'went on at {later.endpoint} while {earlier.endpoint} ran it'
-                is_kept = _is_ended_by(earlier, at + _TAKEOVER_OVERLAP_S)
+                is_kept = _is_ended_by(
+                    earlier, at + _TAKEOVER_OVERLAP_S
+                ) or _is_killed_by(history, earlier, at)
                 yield Verdict.on_run(later, text, is_kept=is_kept)
 
 
@@ -151,5 +155,15 @@
     ]
 
 
+def _is_killed_by(history: History, run: RunRecord, at: float) -> bool:
+    """Return whether its endpoint, which records no end then, was killed as it left."""
+    return run.ended_at is None and any(
+        fault.kind == 'engine_leaves'
+        and fault.target == run.endpoint
+        and fault.ended_at - _REPLACEMENT_S <= at <= fault.ended_at
+        for fault in history.observations.faults
+    )
+
+
 def _is_ended_by(run: RunRecord, at: float) -> bool:
     return run.ended_at is not None and run.ended_at <= at
