--- a/src/pimentohoist/_decisions/rate_grants.py
+++ b/src/pimentohoist/_decisions/rate_grants.py
@@ -22,7 +22,7 @@
 _MAX_LATENESS_S = 1.0
 """A permit that isn't used by then is lost."""
 
-_PACED_SHARE = 0.75
+_PACED_SHARE = 0.5
 """The moments at which many daemons send are random, so some fall close together."""
 
 
