--- a/features/owner_world.py
+++ b/features/owner_world.py
@@ -123,7 +123,7 @@
         with mock.patch('pimentohoist._clock.now', lambda: self.now):
             for tick in range(round(end_s / TICK_S)):
                 self.now = self.began_at + tick * TICK_S
-                self._strike()
+                self._end_due_faults()
                 if not tick % _HEARTBEAT_TICKS:
                     self._announced = [daemon.own for daemon in self.daemons]
                 for number, daemon in enumerate(self.daemons):
@@ -205,7 +205,7 @@
         copy = (group.generation, tuple(group.members), tuple(group.holders.items()))
         self._copies = [*self._copies, copy][-_COPIES_KEPT:]
 
-    def _strike(self) -> None:
+    def _end_due_faults(self) -> None:
         elapsed_s = self.now - self.began_at
         for fault in tuple(self._pending_faults):
             if elapsed_s >= fault.start_s + fault.duration_s:
--- a/features/slot_world.py
+++ b/features/slot_world.py
@@ -6,15 +6,10 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
 import json
 import random
-import sys
-import threading
-from collections.abc import Callable, Iterator
-from contextlib import ExitStack, contextmanager, suppress
-from dataclasses import dataclass, field
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
 from http import HTTPStatus
 from types import SimpleNamespace
 from typing import Any
@@ -23,6 +18,8 @@
 from entry_engine import key
 from entry_group import PartitionGroup
 from owner_world import LEASE_S, OwnerFault, OwnerWorld
+from slot_engine import SlotEngine
+from virtual_threads import VirtualLock, VirtualThreads
 
 from pimentohoist._entry.engine_owner import EngineOwner
 from pimentohoist._entry.ownership import OwnershipController
@@ -35,11 +32,8 @@
 _ADAPTERS = 20
 _WAIT_S = 1.0
 _MAX_RUN_S = 1.0
-_LOAD_S = 0.25
-_REPORT_AGE_S = 0.13
 _MAX_ONE_WAY_S = 0.03
 _FAST_ONE_WAY_S = 0.002
-_LOCK_RETRY_S = 0.001
 _ORDER_TIMEOUT_S = 0.2
 _MEMBER_TIMEOUT_S = 2.5
 _HEARTBEAT_TICKS = 3
@@ -48,194 +42,6 @@
 _MAX_LATE_ORDER_S = 12.0
 
 
-class VirtualThreads:
-    """Runs jobs in threads of which one at a time runs, in order of a virtual clock."""
-
-    def __init__(self, world: SlotWorld) -> None:
-        self.world = world
-        self.is_closed = False
-        self._events: list[tuple[float, int, int, Callable[[], Any]]] = []
-        self._numbers = itertools.count()
-        self._control = threading.Semaphore(0)
-        self._local = threading.local()
-        self._turns: list[threading.Semaphore] = []
-
-    def call_at(self, at: float, daemon: int, function: Callable[[], Any]) -> None:
-        """Call a function at a time, or later if the daemon is frozen then."""
-        heapq.heappush(self._events, (at, next(self._numbers), daemon, function))
-
-    def start(self, daemon: int, function: Callable[..., None], *args: Any) -> None:
-        """Start a job of a daemon."""
-        turn = threading.Semaphore(0)
-        self._turns.append(turn)
-
-        def run() -> None:
-            self._local.turn, self._local.daemon = turn, daemon
-            turn.acquire()
-            with suppress(SystemExit):
-                if not self.is_closed:
-                    function(*args)
-            self._control.release()
-
-        threading.Thread(target=run, daemon=True).start()
-        self.call_at(self.world.now, daemon, lambda: self._resume(turn))
-
-    def sleep(self, seconds: float) -> None:
-        """Block the job that calls this."""
-        turn = self._local.turn
-        at = self.world.now + seconds
-        self.call_at(at, self._local.daemon, lambda: self._resume(turn))
-        self._control.release()
-        turn.acquire()
-        if self.is_closed:
-            sys.exit()
-
-    def run_until(self, end: float) -> None:
-        """Run what is due."""
-        while self._events and self._events[0][0] <= end:
-            at, _, daemon, function = heapq.heappop(self._events)
-            resumes_at = self.world.resumes_at(daemon, at)
-            if resumes_at > at:
-                self.call_at(resumes_at, daemon, function)
-                continue
-            self.world.now = at
-            function()
-        self.world.now = end
-
-    def close(self) -> None:
-        """End all jobs."""
-        self.is_closed = True
-        for turn in self._turns:
-            turn.release()
-
-    def _resume(self, turn: threading.Semaphore) -> None:
-        turn.release()
-        self._control.acquire()
-
-
-class VirtualLock:
-    """A lock of jobs on a virtual clock."""
-
-    def __init__(self, threads: VirtualThreads) -> None:
-        self.threads = threads
-        self._is_held = False
-
-    def __enter__(self) -> None:
-        """Wait until no other job holds the lock."""
-        while self._is_held:
-            self.threads.sleep(_LOCK_RETRY_S)
-        self._is_held = True
-
-    def __exit__(self, *exc_info: object) -> None:
-        """Release the lock."""
-        self._is_held = False
-
-
-@dataclass
-class SlotEngine:
-    """Test double of an engine that answers and counts orders as the platform does.
-
-    A load of an adapter that is being loaded is answered as begun whatever count it
-    names, and isn't counted; an unload of an adapter that isn't held isn't counted.
-
-    Attributes
-    ----------
-    most_held : int
-        Largest number of adapters held or being loaded at any time.
-    orders_ahead : list of dict
-        Orders that named more orders than the engine had accepted.
-    absent_unloads : int
-        Number of unloads of adapters that weren't held, which aren't counted.
-    """
-
-    accepted_orders: int = 0
-    fence: int = 0
-    most_held: int = 0
-    held: dict[AdapterKey, int] = field(default_factory=dict)
-    loading: dict[AdapterKey, float] = field(default_factory=dict)
-    leaving: set[AdapterKey] = field(default_factory=set)
-    runs: list[tuple[AdapterKey, float]] = field(default_factory=list)
-    history: list[tuple[float, bytes]] = field(default_factory=list)
-    orders_ahead: list[dict[str, Any]] = field(default_factory=list)
-    absent_unloads: int = 0
-
-    def order(self, document: dict[str, Any], now: float) -> HTTPStatus:
-        """Execute an order."""
-        self.advance(now)
-        if document['fence'] < self.fence:
-            return HTTPStatus.PRECONDITION_FAILED
-        self.fence = document['fence']
-        if document['expect'] > self.accepted_orders:
-            self.orders_ahead.append(document)
-        adapter = AdapterKey(document['model'], document['adapter'])
-        if document['opcode'] == 'load' and adapter in self.loading:
-            return HTTPStatus.ACCEPTED
-        if document['expect'] != self.accepted_orders or self.leaving:
-            return HTTPStatus.CONFLICT
-        if (document['opcode'] == 'load') == (adapter in self.held):
-            self.absent_unloads += document['opcode'] == 'unload'
-            return HTTPStatus.OK
-        status = self._execute(document['opcode'], adapter, now)
-        self._record(now)
-        return status
-
-    def run(self, adapter: AdapterKey, ends_at: float) -> None:
-        """Begin a request for an adapter."""
-        if adapter in self.held and adapter not in self.leaving:
-            self.runs.append((adapter, ends_at))
-
-    def report(self, now: float) -> bytes:
-        """Return the state of some time ago."""
-        self.advance(now)
-        older = [text for at, text in self.history if at <= now - _REPORT_AGE_S]
-        return older[-1] if older else self._text(0, {}, ())
-
-    def advance(self, now: float) -> None:
-        """Finish the loads and requests that are due."""
-        self.runs = [run for run in self.runs if run[1] > now]
-        used = {adapter for adapter, _ in self.runs}
-        left = self.leaving - used
-        due = {adapter for adapter, at in self.loading.items() if at <= now}
-        for adapter in due:
-            self.loading.pop(adapter)
-            self.held[adapter] = 1
-        for gone in left:
-            self.held.pop(gone)
-        self.leaving -= left
-        if due or left:
-            self._record(now)
-
-    def _execute(self, opcode: str, adapter: AdapterKey, now: float) -> HTTPStatus:
-        if opcode == 'unload' and adapter in self.loading:
-            return HTTPStatus.OK
-        self.accepted_orders += 1
-        if opcode == 'load':
-            self.loading[adapter] = now + _LOAD_S
-            self.most_held = max(self.most_held, len(self.held) + len(self.loading))
-            return HTTPStatus.ACCEPTED
-        if any(adapter == used for used, _ in self.runs):
-            self.leaving.add(adapter)
-            return HTTPStatus.ACCEPTED
-        self.held.pop(adapter)
-        return HTTPStatus.OK
-
-    def _record(self, now: float) -> None:
-        text = self._text(self.accepted_orders, self.held, self.loading)
-        self.history.append((now, text))
-
-    def _text(self, accepted_orders: int, held: Any, loading: Any) -> bytes:
-        adapters = [f'{adapter.name}@1' for adapter in held]
-        models = [{'name': 'm', 'adapters': adapters}]
-        coming = [f'm/{adapter.name}@1' for adapter in loading]
-        document = {
-            'born': 1,
-            'seq': accepted_orders,
-            'models': models,
-            'coming': coming,
-        }
-        return json.dumps(document).encode()
-
-
 class _EngineClient:
     """Takes a daemon's orders to the engine in place of its HTTP client."""
 
@@ -412,10 +218,10 @@
         daemon.store.client = client
         return daemon
 
-    def _strike(self) -> None:
+    def _end_due_faults(self) -> None:
         self.threads.run_until(self.now)
         self.engine.advance(self.now)
-        super()._strike()
+        super()._end_due_faults()
 
     def _join(self, daemon: OwnershipController, number: int, tick: int) -> None:
         if self.resumes_at(number, self.now) > self.now:
--- a/features/soak_histories.py
+++ b/features/soak_histories.py
@@ -6,7 +6,7 @@
 from random import Random
 from types import MappingProxyType
 
-from soak_cases import BOUNDS, CALLER, CONFIGURATION, PROCESS, RUN
+from soak_records import BOUNDS, CALLER, CONFIGURATION, PROCESS, RUN
 
 from pimentohoist_standins._soak.records import (
     CallerRecord,
--- a/features/steps/soak_checks.py
+++ b/features/steps/soak_checks.py
@@ -10,7 +10,8 @@
 from hypothesis import given as for_generated
 from hypothesis import seed, settings
 from hypothesis import strategies as st
-from soak_cases import BROKEN, KEPT
+from soak_broken_cases import BROKEN
+from soak_kept_cases import KEPT
 from soak_histories import make_history
 
 from pimentohoist_standins._soak.checks import run_checks
