--- a/features/steps/stream_ends.py
+++ b/features/steps/stream_ends.py
@@ -15,7 +15,7 @@
 sys.path.append(str(Path(__file__).resolve().parent.parent))
 from entry_fleet import KEY, MODEL, EntryFleet, wait_for  # noqa: E402
 
-from pimentohoist_standins.opaque_engine import WORK_MS, event_bytes  # noqa: E402
+from pimentohoist_standins.opaque_engine_handler import WORK_MS, event_bytes  # noqa: E402
 from pimentohoist_standins.opaque_engine_state import BrokenStream  # noqa: E402
 
 _STREAM = '/models/x'
--- a/src/pimentohoist_standins/_experiment_load.py
+++ b/src/pimentohoist_standins/_experiment_load.py
@@ -9,7 +9,7 @@
 from http import HTTPStatus
 from typing import Any
 
-from pimentohoist._http_client import HttpResponse, HttpRequest
+from pimentohoist._http_connection import HttpRequest, HttpResponse
 from pimentohoist._openai import END_EVENT
 from pimentohoist.exceptions import PeerConnectError, PeerError, RunState
 from pimentohoist_standins._experiment_plan import Arrival, Experiment
--- a/src/pimentohoist_standins/_invariants.py
+++ b/src/pimentohoist_standins/_invariants.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator, Mapping, Sequence
 from typing import Any
 
-from pimentohoist._http_client import HttpRequest
+from pimentohoist._http_connection import HttpRequest
 from pimentohoist._openai import count_tokens
 from pimentohoist.exceptions import RunState
 from pimentohoist_standins._experiment_load import Result
--- a/src/pimentohoist_standins/_measured_fleet.py
+++ b/src/pimentohoist_standins/_measured_fleet.py
@@ -12,7 +12,8 @@
 from types import MappingProxyType
 from typing import Any
 
-from pimentohoist._http_client import HttpClient, HttpRequest
+from pimentohoist._http_client import HttpClient
+from pimentohoist._http_connection import HttpRequest
 from pimentohoist.configuration import (
     Adapter,
     Configuration,
--- a/src/pimentohoist_standins/_operator_faults.py
+++ b/src/pimentohoist_standins/_operator_faults.py
@@ -7,7 +7,8 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import replace
 
-from pimentohoist._http_client import HttpClient, HttpRequest
+from pimentohoist._http_client import HttpClient
+from pimentohoist._http_connection import HttpRequest
 from pimentohoist._publisher import PublishResult
 from pimentohoist.configuration import Configuration, Workspace
 from pimentohoist.exceptions import PimentohoistError
--- a/src/pimentohoist_standins/_poison_fault.py
+++ b/src/pimentohoist_standins/_poison_fault.py
@@ -7,7 +7,7 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any
 
-from pimentohoist._http_client import HttpRequest
+from pimentohoist._http_connection import HttpRequest
 from pimentohoist.exceptions import PeerError
 from pimentohoist_standins._experiment_load import Result
 from pimentohoist_standins._experiment_plan import workspace_name
--- a/src/pimentohoist_standins/_soak/caller_requests.py
+++ b/src/pimentohoist_standins/_soak/caller_requests.py
@@ -7,7 +7,7 @@
 from types import MappingProxyType
 
 from pimentohoist_standins._soak.records import RequestKind
-from pimentohoist_standins.opaque_engine import WORK_MS
+from pimentohoist_standins.opaque_engine_handler import WORK_MS
 
 MODEL = 'm1'
 ADAPTERS = 12
--- a/src/pimentohoist_standins/bench_requests.py
+++ b/src/pimentohoist_standins/bench_requests.py
@@ -17,7 +17,8 @@
 
 from hdrh.histogram import HdrHistogram
 
-from pimentohoist._http_client import HttpClient, HttpRequest
+from pimentohoist._http_client import HttpClient
+from pimentohoist._http_connection import HttpRequest
 from pimentohoist.exceptions import PeerError
 from pimentohoist_standins._measured_fleet import (
     ADAPTER_COUNT,
--- a/src/pimentohoist_standins/demo.py
+++ b/src/pimentohoist_standins/demo.py
@@ -9,7 +9,7 @@
 from dataclasses import replace
 from http import HTTPStatus
 
-from pimentohoist._http_client import HttpResponse, HttpRequest
+from pimentohoist._http_connection import HttpRequest, HttpResponse
 from pimentohoist.configuration import (
     Adapter,
     Configuration,
--- a/src/pimentohoist_standins/engine.py
+++ b/src/pimentohoist_standins/engine.py
@@ -14,7 +14,8 @@
 
 from werkzeug.wrappers import Request, Response
 
-from pimentohoist._http_client import HttpClient, HttpRequest
+from pimentohoist._http_client import HttpClient
+from pimentohoist._http_connection import HttpRequest
 from pimentohoist.exceptions import PeerError
 from pimentohoist_standins.faults import StandIn, json_response
 
--- a/src/pimentohoist_standins/fleet.py
+++ b/src/pimentohoist_standins/fleet.py
@@ -17,7 +17,8 @@
 import tomli_w
 
 from pimentohoist._addresses import split_address
-from pimentohoist._http_client import HttpClient, HttpResponse, HttpRequest
+from pimentohoist._http_client import HttpClient
+from pimentohoist._http_connection import HttpRequest, HttpResponse
 from pimentohoist._platform_clients.log import HttpLog
 from pimentohoist._publisher import Publisher, PublishResult
 from pimentohoist.configuration import Configuration
--- a/src/pimentohoist_standins/partition.py
+++ b/src/pimentohoist_standins/partition.py
@@ -17,7 +17,8 @@
 from werkzeug.wrappers import Request, Response
 
 from pimentohoist._addresses import split_address
-from pimentohoist._http_client import HttpClient, HttpRequest
+from pimentohoist._http_client import HttpClient
+from pimentohoist._http_connection import HttpRequest
 from pimentohoist._http_server import HttpServer
 from pimentohoist._peers import PeerClients
 from pimentohoist._platform_clients.log import HttpLog
