--- a/features/callers.py
+++ b/features/callers.py
@@ -8,7 +8,7 @@
 from dataclasses import replace
 from typing import Any
 
-from pimentohoist._http_client import HttpResponse, HttpRequest
+from pimentohoist._http_connection import HttpRequest, HttpResponse
 from pimentohoist.configuration import Configuration
 from pimentohoist.keys import create_key
 from pimentohoist_standins.demo import demo_sections
--- a/features/owner_world.py
+++ b/features/owner_world.py
@@ -16,7 +16,7 @@
 
 from pimentohoist._decisions.ownership import Ownership
 from pimentohoist._entry.ownership import OwnershipController
-from pimentohoist._http_client import HttpRequest, HttpResponse
+from pimentohoist._http_connection import HttpRequest, HttpResponse
 from pimentohoist.exceptions import PeerTimeoutError
 from pimentohoist.platform import Store
 
--- a/features/serving_fleet.py
+++ b/features/serving_fleet.py
@@ -11,7 +11,7 @@
 from callers import Caller, wait_for
 from callers import runs as all_runs
 
-from pimentohoist._http_client import HttpResponse, HttpRequest
+from pimentohoist._http_connection import HttpRequest, HttpResponse
 from pimentohoist._rendezvous import rank_names
 from pimentohoist.configuration import (
     Adapter,
--- a/features/slot_world.py
+++ b/features/slot_world.py
@@ -23,7 +23,7 @@
 
 from pimentohoist._entry.engine_owner import EngineOwner
 from pimentohoist._entry.ownership import OwnershipController
-from pimentohoist._http_client import HttpRequest, HttpResponse
+from pimentohoist._http_connection import HttpRequest, HttpResponse
 from pimentohoist.entry_models import AdapterKey
 from pimentohoist.exceptions import PeerTimeoutError, PimentohoistError
 
--- a/features/steps/actions.py
+++ b/features/steps/actions.py
@@ -13,7 +13,7 @@
 from callers import wait_for
 
 from pimentohoist._claims_fold import CLAIMS_STREAM
-from pimentohoist._http_client import HttpResponse, HttpRequest
+from pimentohoist._http_connection import HttpRequest, HttpResponse
 from pimentohoist._platform_clients.log import HttpLog
 from pimentohoist._view_fold import VIEW_STREAM, ExpireRecord
 from pimentohoist.configuration import Configuration
--- a/features/steps/claims_retention.py
+++ b/features/steps/claims_retention.py
@@ -12,7 +12,7 @@
 from callers import wait_for
 
 from pimentohoist._claims_fold import CLAIMS_STREAM
-from pimentohoist._http_client import HttpResponse, HttpRequest
+from pimentohoist._http_connection import HttpRequest, HttpResponse
 from pimentohoist._platform_clients.log import HttpLog
 from pimentohoist.configuration import Configuration
 from pimentohoist.exceptions import OffsetExpiredError
--- a/features/steps/configuration_processes.py
+++ b/features/steps/configuration_processes.py
@@ -14,7 +14,8 @@
 from callers import wait_for
 
 from pimentohoist._addresses import split_address
-from pimentohoist._http_client import HttpClient, HttpResponse, HttpRequest
+from pimentohoist._http_client import HttpClient
+from pimentohoist._http_connection import HttpRequest, HttpResponse
 from pimentohoist._platform_clients.log import HttpLog
 from pimentohoist._snapshots import Snapshot, chunk_records, snapshots_stream
 from pimentohoist.configuration import Configuration, Workspace
--- a/features/steps/ctl.py
+++ b/features/steps/ctl.py
@@ -15,7 +15,8 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from pimentohoist._http_client import HttpClient, HttpRequest
+from pimentohoist._http_client import HttpClient
+from pimentohoist._http_connection import HttpRequest
 from pimentohoist.configuration import Configuration, Workspace, parse_sections
 from pimentohoist.keys import create_key, is_secret_of, split_authorization
 from pimentohoist_standins.fleet import Fleet
--- a/features/steps/endless_reads.py
+++ b/features/steps/endless_reads.py
@@ -22,7 +22,8 @@
     ConnectionPool,
     UpstreamExchange,
 )
-from pimentohoist._http_client import HttpClient, HttpRequest  # noqa: E402
+from pimentohoist._http_client import HttpClient  # noqa: E402
+from pimentohoist._http_connection import HttpRequest  # noqa: E402
 from pimentohoist.entry_models import (  # noqa: E402
     AdapterKey,
     Endpoint,
--- a/features/steps/experiment.py
+++ b/features/steps/experiment.py
@@ -12,7 +12,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from pimentohoist._http_client import HttpResponse, HttpRequest
+from pimentohoist._http_connection import HttpRequest, HttpResponse
 from pimentohoist._publisher import PublishResult
 from pimentohoist.configuration import Configuration, Workspace
 from pimentohoist_standins._experiment_report import (
--- a/features/steps/leaving.py
+++ b/features/steps/leaving.py
@@ -18,7 +18,7 @@
 
 from pimentohoist._controllers.drain import DrainController
 from pimentohoist._decisions.draining import DrainProgress, is_drained
-from pimentohoist._http_client import HttpResponse, HttpRequest
+from pimentohoist._http_connection import HttpRequest, HttpResponse
 from pimentohoist_standins.fleet import Fleet
 
 _MODEL = 'batch-summary@1'
--- a/features/steps/limits.py
+++ b/features/steps/limits.py
@@ -14,7 +14,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from pimentohoist._http_client import HttpResponse, HttpRequest
+from pimentohoist._http_connection import HttpRequest, HttpResponse
 from pimentohoist._openai import count_tokens
 from pimentohoist.configuration import (
     Adapter,
--- a/features/steps/open_routes.py
+++ b/features/steps/open_routes.py
@@ -10,7 +10,7 @@
 from callers import wait_for
 
 from pimentohoist._filters.watch_key import WatchKey
-from pimentohoist._http_client import HttpResponse, HttpRequest
+from pimentohoist._http_connection import HttpRequest, HttpResponse
 from pimentohoist.configuration import (
     Configuration,
     Endpoint,
--- a/features/steps/plain_services.py
+++ b/features/steps/plain_services.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from pimentohoist._http_client import HttpResponse, HttpRequest
+from pimentohoist._http_connection import HttpRequest, HttpResponse
 from pimentohoist.configuration import (
     Configuration,
     Endpoint,
--- a/features/steps/quarantine.py
+++ b/features/steps/quarantine.py
@@ -21,7 +21,7 @@
     suspect_order,
 )
 from pimentohoist._filters.quarantine import request_fingerprint
-from pimentohoist._http_client import HttpResponse
+from pimentohoist._http_connection import HttpResponse
 from pimentohoist.configuration import Workspace
 from pimentohoist.exchanges import CallerRequest, Exchange, RequestKind
 from pimentohoist.models import AdapterVersion
--- a/features/steps/regions.py
+++ b/features/steps/regions.py
@@ -15,7 +15,7 @@
 from behave.runner import Context
 from callers import wait_for
 
-from pimentohoist._http_client import HttpResponse, HttpRequest
+from pimentohoist._http_connection import HttpRequest, HttpResponse
 from pimentohoist._openai import count_tokens
 from pimentohoist._platform_clients.log import HttpLog
 from pimentohoist._publisher import Publisher
--- a/features/steps/response_limits.py
+++ b/features/steps/response_limits.py
@@ -20,7 +20,8 @@
 from pimentohoist._entry.connections import ConnectionPool, UpstreamExchange
 from pimentohoist._entry.event_stream import EventSplitter
 from pimentohoist._entry.response_memory import ResponseMemory
-from pimentohoist._http_client import HttpClient, HttpRequest
+from pimentohoist._http_client import HttpClient
+from pimentohoist._http_connection import HttpRequest
 from pimentohoist._limited_reader import ByteLimitError, LimitedResponse
 from pimentohoist._platform_clients.engine import EventReader
 from pimentohoist.entry_models import Endpoint, EntryRequest
--- a/features/steps/retry.py
+++ b/features/steps/retry.py
@@ -27,7 +27,8 @@
     MAX_ATTEMPTS,
     RetryBudget,
 )
-from pimentohoist._http_client import HttpClient, HttpRequest
+from pimentohoist._http_client import HttpClient
+from pimentohoist._http_connection import HttpRequest
 from pimentohoist._filters.generation_run import GenerationRun
 from pimentohoist._filters.retry_dependencies import RetryDependencies
 from pimentohoist.configuration import Endpoint, EndpointGroup, GroupKind
--- a/features/steps/serving_owners.py
+++ b/features/steps/serving_owners.py
@@ -24,7 +24,7 @@
     submit,
 )
 
-from pimentohoist._http_client import HttpRequest
+from pimentohoist._http_connection import HttpRequest
 from pimentohoist._platform_clients.log import HttpLog
 
 _TOKENS = 4
--- a/features/steps/silence.py
+++ b/features/steps/silence.py
@@ -16,7 +16,8 @@
 
 from pimentohoist._addresses import split_address
 from pimentohoist._generated import peer_pb2
-from pimentohoist._http_client import HttpClient, HttpResponse, HttpRequest
+from pimentohoist._http_client import HttpClient
+from pimentohoist._http_connection import HttpRequest, HttpResponse
 from pimentohoist._peers import PeerClients, PeerServer
 from pimentohoist.configuration import Configuration
 from pimentohoist.exceptions import PeerError, PeerTimeoutError
--- a/features/steps/thin_path.py
+++ b/features/steps/thin_path.py
@@ -11,7 +11,7 @@
 from behave.runner import Context
 from callers import expected_text, wait_for
 
-from pimentohoist._http_client import HttpResponse, HttpRequest
+from pimentohoist._http_connection import HttpRequest, HttpResponse
 from pimentohoist._platform_clients.log import HttpLog
 from pimentohoist.configuration import Adapter, Configuration, Workspace
 from pimentohoist.keys import create_key
--- a/src/pimentohoist/_commands/command_io.py
+++ b/src/pimentohoist/_commands/command_io.py
@@ -13,7 +13,8 @@
 from typing import Any, NoReturn
 
 from pimentohoist._addresses import split_address
-from pimentohoist._http_client import HttpClient, HttpRequest
+from pimentohoist._http_client import HttpClient
+from pimentohoist._http_connection import HttpRequest
 from pimentohoist.configuration import Configuration
 from pimentohoist.exceptions import (
     PeerError,
--- a/src/pimentohoist/_http_client.py
+++ b/src/pimentohoist/_http_client.py
@@ -9,22 +9,28 @@
 from __future__ import annotations
 
 import http.client
-import json
 import logging
 import math
 import socket
 import threading
 import time
-from collections.abc import Iterator, Mapping
-from contextlib import AbstractContextManager, ExitStack, closing, contextmanager
-from dataclasses import dataclass, field, replace
+from collections.abc import Iterator
+from contextlib import ExitStack, closing, contextmanager
+from dataclasses import replace
 from http import HTTPStatus
 from typing import Any, Self, cast
 
 from pimentohoist._addresses import split_address
-from pimentohoist._limited_reader import ByteLimitError, LimitedResponse
+from pimentohoist._http_connection import (
+    Http10Connection,
+    HttpConnection,
+    HttpRequest,
+    HttpResponse,
+    OpenConnection,
+)
+from pimentohoist._http_errors import closing_peer_errors, translate_errors
+from pimentohoist._limited_reader import LimitedResponse
 from pimentohoist.exceptions import (
-    OversizedResponseError,
     PeerConnectError,
     PeerError,
     PeerRefusedError,
@@ -35,11 +41,7 @@
 _MAX_CONNECTION_AGE_S = 30.0
 _CONNECT_TIMEOUT_S = 1.0
 _MAX_REUSED_SILENCE_S = 5.0
-_MIN_SOCKET_TIMEOUT_S = 0.001
 _MAX_BODY_BYTES = 16_777_216
-_MAX_LINE_BYTES = 65_536
-"""Limit of `http.client`."""
-
 _MAX_QUOTED_BODY_BYTES = 200
 _KEEPALIVE_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -52,90 +54,6 @@
 _logger = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class HttpRequest:
-    """A request to a peer.
-
-    Attributes
-    ----------
-    is_repeatable : bool
-        Whether it may be sent again after a failure that leaves unknown whether it was
-        executed; only then is an idle connection reused, since that may be dead.
-    wait_s : float
-        How long the peer may deliberately delay its response, in seconds.
-    """
-
-    method: str
-    path: str
-    body: bytes = field(default=b'', repr=False)
-    headers: Mapping[str, str] = field(default_factory=dict, repr=False)
-    is_repeatable: bool = True
-    wait_s: float = 0
-
-    @classmethod
-    def from_json(cls, method: str, path: str, document: Any = None) -> HttpRequest:
-        """Return a request with a JSON body."""
-        body = b'' if document is None else json.dumps(document).encode()
-        return cls(method, path, body, {'Content-Type': 'application/json'})
-
-
-@dataclass(frozen=True, slots=True)
-class HttpResponse:
-    """A peer's complete response."""
-
-    status: int
-    headers: Mapping[str, str]
-    body: bytes
-
-    def document(self) -> Any:
-        """Return the parsed JSON body; raises ValueError."""
-        return json.loads(self.body)
-
-
-@dataclass(slots=True)
-class _Connection:
-    http: http.client.HTTPConnection
-    opened_at: float
-    is_reused: bool = False
-    deadline: float = float('inf')
-    sock: socket.socket | None = None
-
-    def start_response_timeout(self, timeout_s: float) -> None:
-        """Start the timeout for the complete response."""
-        self.deadline = time.monotonic() + timeout_s
-        self.sock = self.http.sock
-        self._set_socket_timeout()
-
-    def send(self, request: HttpRequest) -> None:
-        """Send a request."""
-        self.http.request(
-            request.method, request.path, request.body, dict(request.headers)
-        )
-
-    def receive(self) -> LimitedResponse:
-        """Return the response, whose body is read before the connection's deadline."""
-        self._set_socket_timeout()
-        return cast(LimitedResponse, self.http.getresponse())
-
-    def _set_socket_timeout(self) -> None:
-        if self.sock is not None:
-            remaining_s = self.deadline - time.monotonic()
-            self.sock.settimeout(max(_MIN_SOCKET_TIMEOUT_S, remaining_s))
-
-
-class _HttpConnection(http.client.HTTPConnection):
-    """A connection whose responses have limits on their bytes and their time."""
-
-    response_class = LimitedResponse
-
-
-class _Http10Connection(_HttpConnection):
-    """A connection for one request, whose response isn't chunked."""
-
-    _http_vsn = 10
-    _http_vsn_str = 'HTTP/1.0'
-
-
 class HttpClient:
     """Client of one peer; many threads may use it at once.
 
@@ -159,7 +77,7 @@
         self.timeout_s = timeout_s
         self.step = step
         self.max_body_bytes = max_body_bytes
-        self._idle: list[_Connection] = []
+        self._idle: list[OpenConnection] = []
         self._lock = threading.Lock()
 
     def request(
@@ -215,7 +133,7 @@
         The request uses HTTP/1.0, so that the body isn't chunked and a read of data that
         has arrived never waits for more.
         """
-        connection = self._open(_Http10Connection)
+        connection = self._open(Http10Connection)
         with closing(connection.http):
             with translate_errors(self):
                 connection.start_response_timeout(timeout_s)
@@ -236,7 +154,7 @@
             The request may have taken effect.
         """
         connection = self._open()
-        with _peer_errors(self, connection.http):
+        with closing_peer_errors(self, connection.http):
             connection.start_response_timeout(self.timeout_s)
             connection.send(request)
         return SentRequest(self, connection)
@@ -264,7 +182,7 @@
 
     def _send(
         self, request: HttpRequest, timeout_s: float
-    ) -> tuple[_Connection, LimitedResponse]:
+    ) -> tuple[OpenConnection, LimitedResponse]:
         connection = self._acquire(request)
         if not connection.is_reused:
             return connection, self._send_on(connection, request, timeout_s)
@@ -294,7 +212,7 @@
         }
         _logger.info('reused connection failed, request sent again', extra=extra)
 
-    def _reopen_after(self, error: PeerError) -> _Connection:
+    def _reopen_after(self, error: PeerError) -> OpenConnection:
         """Open a connection; if that fails, raise `error`, as the request may have run."""
         try:
             return self._open()
@@ -302,14 +220,14 @@
             raise error from None
 
     def _send_on(
-        self, connection: _Connection, request: HttpRequest, timeout_s: float
+        self, connection: OpenConnection, request: HttpRequest, timeout_s: float
     ) -> LimitedResponse:
-        with _peer_errors(self, connection.http):
+        with closing_peer_errors(self, connection.http):
             connection.start_response_timeout(timeout_s)
             connection.send(request)
             return connection.receive()
 
-    def _acquire(self, request: HttpRequest) -> _Connection:
+    def _acquire(self, request: HttpRequest) -> OpenConnection:
         min_opened_at = time.monotonic() - _MAX_CONNECTION_AGE_S
         with self._lock:
             while request.is_repeatable and self._idle:
@@ -321,8 +239,8 @@
         return self._open()
 
     def _open(
-        self, connection_class: type[_HttpConnection] = _HttpConnection
-    ) -> _Connection:
+        self, connection_class: type[HttpConnection] = HttpConnection
+    ) -> OpenConnection:
         host, port = split_address(self.address)
         connection = connection_class(host, port, timeout=_CONNECT_TIMEOUT_S)
         try:
@@ -333,10 +251,10 @@
             ) from error
         for level, option, setting in _KEEPALIVE_OPTIONS:
             connection.sock.setsockopt(level, option, setting)
-        return _Connection(connection, time.monotonic())
+        return OpenConnection(connection, time.monotonic())
 
     def _release(
-        self, connection: _Connection, response: http.client.HTTPResponse
+        self, connection: OpenConnection, response: http.client.HTTPResponse
     ) -> None:
         is_reusable = response.isclosed() and connection.http.sock is not None
         with self._lock:
@@ -356,7 +274,7 @@
         Readable when the response has begun to arrive or the connection has failed.
     """
 
-    def __init__(self, client: HttpClient, connection: _Connection) -> None:
+    def __init__(self, client: HttpClient, connection: OpenConnection) -> None:
         self.client = client
         self.socket: socket.socket = connection.http.sock
         self._connection = connection
@@ -389,7 +307,7 @@
         Readable when data has arrived.
     """
 
-    def __init__(self, client: HttpClient, connection: _Connection) -> None:
+    def __init__(self, client: HttpClient, connection: OpenConnection) -> None:
         self.client = client
         self.socket: socket.socket = connection.http.sock
         self._http = connection.http
@@ -417,46 +335,3 @@
         response.reader.deadline = math.inf
         self.socket.setblocking(False)
         return bool(response.peek(1))
-
-
-def translate_errors(client: HttpClient) -> AbstractContextManager[None]:
-    """Return a context that converts errors of reading a response to `PeerError`."""
-    return _peer_errors(client)
-
-
-@contextmanager
-def _peer_errors(
-    client: HttpClient, connection: http.client.HTTPConnection | None = None
-) -> Iterator[None]:
-    try:
-        yield
-    except (OSError, http.client.HTTPException) as error:
-        if connection is not None:
-            connection.close()
-        raise _peer_error(client, error) from error
-
-
-def _peer_error(client: HttpClient, error: Exception) -> PeerError:
-    text = f'{type(error).__name__}: {error}'
-    limit_error = _limit_error(error)
-    if limit_error is not None:
-        extra = {
-            'step': client.step,
-            'peer': client.address,
-            'limit': limit_error.limit,
-            'max_bytes': limit_error.max_bytes,
-        }
-        _logger.warning('response exceeds a limit', extra=extra)
-        return OversizedResponseError(text, step=client.step, peer=client.address)
-    error_class = PeerTimeoutError if isinstance(error, TimeoutError) else PeerError
-    return error_class(text, step=client.step, peer=client.address)
-
-
-def _limit_error(error: Exception) -> ByteLimitError | None:
-    """Return the limit that an error is about; None if it is about none.
-
-    The library's limit on a line comes before ours if a part of the line came with the head.
-    """
-    if isinstance(error, http.client.LineTooLong):
-        return ByteLimitError('line', _MAX_LINE_BYTES)
-    return error if isinstance(error, ByteLimitError) else None
--- a/src/pimentohoist/_platform_clients/engine.py
+++ b/src/pimentohoist/_platform_clients/engine.py
@@ -9,12 +9,9 @@
 from http import HTTPStatus
 from typing import Any
 
-from pimentohoist._http_client import (
-    HttpClient,
-    HttpRequest,
-    PendingResponse,
-    translate_errors,
-)
+from pimentohoist._http_client import HttpClient, PendingResponse
+from pimentohoist._http_connection import HttpRequest
+from pimentohoist._http_errors import translate_errors
 from pimentohoist._limited_reader import ByteLimitError, LimitedResponse
 from pimentohoist.exceptions import PeerError, PeerRefusedError
 from pimentohoist.exchanges import ReadReadiness
--- a/src/pimentohoist/_platform_clients/instances.py
+++ b/src/pimentohoist/_platform_clients/instances.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from pimentohoist._http_client import HttpClient, HttpRequest
+from pimentohoist._http_client import HttpClient
+from pimentohoist._http_connection import HttpRequest
 from pimentohoist.models import InstanceEntry
 
 _STEP = 'instance_list'
--- a/src/pimentohoist/_platform_clients/log.py
+++ b/src/pimentohoist/_platform_clients/log.py
@@ -7,7 +7,8 @@
 from dataclasses import replace
 from typing import Any
 
-from pimentohoist._http_client import HttpClient, HttpRequest
+from pimentohoist._http_client import HttpClient
+from pimentohoist._http_connection import HttpRequest
 from pimentohoist.exceptions import (
     AppendUnknownError,
     LogError,
--- a/src/pimentohoist/_publisher.py
+++ b/src/pimentohoist/_publisher.py
@@ -16,7 +16,8 @@
     SectionChange,
     PublishRecord,
 )
-from pimentohoist._http_client import HttpClient, HttpRequest
+from pimentohoist._http_client import HttpClient
+from pimentohoist._http_connection import HttpRequest
 from pimentohoist.configuration import Configuration, section_text
 from pimentohoist.exceptions import (
     AppendUnknownError,
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -4,13 +4,11 @@
 
 import logging
 import os
-import signal
 import sys
 import threading
 import time
 from collections.abc import Iterator
 from contextlib import ExitStack
-from types import FrameType
 from typing import Any, Self
 
 from pimentohoist import _clock
@@ -38,6 +36,7 @@
 from pimentohoist._entry.members import Heartbeat, MembersController
 from pimentohoist._entry.owned_engines import OwnedEnginesController
 from pimentohoist._entry.quotas import QuotasController
+from pimentohoist._entry.received_signals import ReceivedSignals
 from pimentohoist._entry.request_handler import RequestHandler
 from pimentohoist._entry.stream_versions import StreamVersions
 from pimentohoist._entry.retry_budgets import GroupRetryBudgets
@@ -347,7 +346,7 @@
 
 def serve(settings_path: str) -> None:
     """Run a daemon until SIGTERM."""
-    signals = _Signals()
+    signals = ReceivedSignals()
     try:
         settings = read_entry_settings(settings_path)
     except SettingsError as error:
@@ -361,36 +360,8 @@
     os._exit(0)
 
 
-class _Signals:
-    """The signals that have come; handled from before the daemon starts.
-
-    The handlers set attributes only: an event's lock may be held by the thread that they
-    interrupt.
-
-    Attributes
-    ----------
-    stopped_at : float or None
-        Time of `_clock.now` in seconds of the first signal to stop.
-    is_reload_requested : bool
-        Whether the settings are to be read again.
-    """
-
-    def __init__(self) -> None:
-        self.stopped_at: float | None = None
-        self.is_reload_requested = False
-        signal.signal(signal.SIGTERM, self._stop)
-        signal.signal(signal.SIGHUP, self._reload)
-
-    def _stop(self, number: int, frame: FrameType | None) -> None:
-        if self.stopped_at is None:
-            self.stopped_at = _clock.now()
-
-    def _reload(self, number: int, frame: FrameType | None) -> None:
-        self.is_reload_requested = True
-
-
 def _run_until_stopped(
-    daemon: EntryDaemon, signals: _Signals, settings_path: str
+    daemon: EntryDaemon, signals: ReceivedSignals, settings_path: str
 ) -> None:
     _logger.info('started', extra={'step': 'start'})
     while signals.stopped_at is None:
--- a/src/pimentohoist/platform/_orders.py
+++ b/src/pimentohoist/platform/_orders.py
@@ -10,7 +10,8 @@
 from http import HTTPStatus
 from types import MappingProxyType
 
-from pimentohoist._http_client import HttpClient, HttpResponse, HttpRequest
+from pimentohoist._http_client import HttpClient
+from pimentohoist._http_connection import HttpRequest, HttpResponse
 from pimentohoist.entry_models import AdapterKey, EndpointNotice, EngineReport
 from pimentohoist.exceptions import PeerRefusedError, PeerTimeoutError
 from pimentohoist.platform import _headers as header_names
--- a/src/pimentohoist/platform/_store.py
+++ b/src/pimentohoist/platform/_store.py
@@ -12,12 +12,8 @@
 from typing import Any
 from urllib.parse import urlencode
 
-from pimentohoist._http_client import (
-    HttpClient,
-    HttpRequest,
-    HttpResponse,
-    SentRequest,
-)
+from pimentohoist._http_client import HttpClient, SentRequest
+from pimentohoist._http_connection import HttpRequest, HttpResponse
 from pimentohoist.exceptions import (
     OversizedResponseError,
     PeerError,
--- a/src/pimentohoist/sessions.py
+++ b/src/pimentohoist/sessions.py
@@ -19,7 +19,8 @@
 from typing import Any, Self
 
 from pimentohoist._decisions.address_selector import AddressSelector, AddressList
-from pimentohoist._http_client import HttpClient, HttpResponse, HttpRequest
+from pimentohoist._http_client import HttpClient
+from pimentohoist._http_connection import HttpRequest, HttpResponse
 from pimentohoist._rendezvous import rank_names
 from pimentohoist.exceptions import (
     PeerConnectError,
