--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,17 +1,21 @@
-"""Engines are replaced one after the other; the daemon keeps their closed connections."""
+"""After a drill of the store, streams of a frozen daemon can't be taken up at another one."""
 
 from __future__ import annotations
 
 import http.client
+import os
+import re
+import signal
 import sys
 import threading
 import time
-from collections import deque
+from dataclasses import dataclass, field
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from fleet import (  # noqa: E402
+    CONTACT_S,
     FRONT,
     HAS_TROUBLE,
     HOST,
@@ -20,185 +24,167 @@
     Fleet,
     Record,
     configuration,
-    open_connection,
     run_case,
 )
 
-PLAY_S = 104.0
-RELEASE_GAP_S = 0.75
-DRAIN_S = 2.0
-LINGER_S = 0.5
-ENGINES = 2
-STREAMS = 150
-STREAM_PERIOD_S = 1.0
-EVENT_S = 0.05
+HAS_DRILL = HAS_TROUBLE and os.environ.get('DRILL', '1') != '0'
+COPY_AGE_S = 3.0
+FREEZE_S = 4.0
+EVENT_S = 0.24
 ABANDON_S = 2.0
 """Gap after which callers leave: the longest of 2 s, four objectives and eight pauses."""
 
-CHECKERS = 12
-CHECK_PERIOD_S = 0.5
-TIMEOUT_S = 1.0
-GRACE_S = 0.5
-"""From the route's timeout to the moment at which the rule looks again."""
+STREAMS = 24
+RETRIES = 1
+LAST_EVENT = 6
+_EVENT_ID = re.compile(rb'^id: (\d+)\ndata: [^\n]*\n\n', re.MULTILINE)
 
-ENOUGH_LATE = 64
 
+@dataclass
+class Stream:
+    """One stream of a caller, over its attempts."""
 
-class Play:
-    """Callers of one daemon, and a rollout of engines that goes on all the while."""
+    name: str
+    attempts: list[str] = field(default_factory=list)
+    events: list[int] = field(default_factory=list)
+    statuses: list[int] = field(default_factory=list)
+
+    def is_whole(self) -> bool:
+        return self.events == list(range(1, LAST_EVENT + 1))
+
+
+class Callers:
+    """Sends streams as the pages say that callers do."""
 
     def __init__(self, fleet: Fleet, record: Record) -> None:
         self.fleet = fleet
         self.record = record
-        self.closed = threading.Event()
-        self.counts = {'stream 200': 0, 'check': 0}
-        self.unanswered_at_timeout = 0
-        self.late = 0
-        self.lock = threading.Lock()
-
-    def count(self, name: str) -> None:
-        with self.lock:
-            self.counts[name] = self.counts.get(name, 0) + 1
-
-    def stream(self, number: int) -> None:
-        """Send a stream at each tick, on a connection that is kept open."""
-        host = self.fleet.daemons[0].host
-        connection = http.client.HTTPConnection(host, FRONT, timeout=ABANDON_S)
-        began_at = time.monotonic()
-        turn = 0
-        while not self.closed.is_set():
-            turn += 1
-            retry_after_s = self.attempt(connection, f'stream-{number}-{turn}')
-            if retry_after_s is not None:
-                # A retry comes on a new connection, when the refusal says.
-                self.closed.wait(retry_after_s)
-                again = http.client.HTTPConnection(host, FRONT, timeout=ABANDON_S)
-                self.attempt(again, f'stream-{number}-{turn}-again')
-                again.close()
-            tick = began_at + turn * STREAM_PERIOD_S
-            self.closed.wait(max(0, tick - time.monotonic()))
-
-    def attempt(
-        self, connection: http.client.HTTPConnection, name: str
-    ) -> float | None:
-        """Send a stream; return after how many seconds to retry, None if it was served."""
+
+    def attempt(self, stream: Stream, daemon: int, leave_after: int = 99) -> float:
+        """Send or take up a stream; return the seconds after which to come back."""
+        name = f'{stream.name}-{len(stream.attempts)}'
+        stream.attempts.append(name)
         headers = {
             'Host': HOST,
             'Pimentohoist-Attempt-Id': name,
-            'Pimentohoist-Deadline-Ms': '5000',
+            'Pimentohoist-Deadline-Ms': '12000',
             'Api-Key': KEY,
             'Pimentohoist-Model': MODEL,
             'Pimentohoist-Token-Count': '10,70',
         }
+        if stream.events:
+            headers['Last-Event-Id'] = str(stream.events[-1])
+            headers['Resumes'] = stream.attempts[0]
+        host = self.fleet.daemons[daemon].host
+        connection = http.client.HTTPConnection(host, FRONT, timeout=ABANDON_S)
+        retry_after_s = 0.0
+        status, end = 0, 'complete'
         try:
             connection.request('POST', '/models/x', b'{}', headers)
             response = connection.getresponse()
-            response.read()
-            outcome = f'stream {response.status}'
+            status = response.status
+            retry_after_s = float(response.headers.get('Retry-After', '0'))
+            self.read_events(stream, response, leave_after)
         except (OSError, http.client.HTTPException) as error:
-            outcome = f'stream {type(error).__name__}'
-        self.count(outcome)
-        if outcome == 'stream 200':
-            return None
-        if outcome == 'stream 503':
-            return float(response.headers.get('Retry-After', '0'))
-        connection.close()
-        return 0
-
-    def check(self, number: int) -> None:
-        """Send an unsafe request on a new connection, again and again."""
-        turn = 0
-        while not self.closed.wait(CHECK_PERIOD_S):
-            turn += 1
-            self.check_once(f'check-{number}-{turn}')
-
-    def check_once(self, name: str) -> None:
-        host = self.fleet.daemons[0].host
-        try:
-            connection = open_connection(host, FRONT, 1.0)
-        except OSError as error:
-            self.record.write(f'{name}: not connected: {error!r}')
-            return
-        sent_at = time.monotonic()
-        request = (
-            f'POST /pay/x HTTP/1.1\r\nHost: {HOST}\r\nApi-Key: {KEY}\r\n'
-            f'Pimentohoist-Attempt-Id: {name}\r\nContent-Length: 2\r\n'
-            'Pimentohoist-Deadline-Ms: 1000\r\n\r\n{}'
-        )
-        answer = b''
-        try:
-            connection.settimeout(TIMEOUT_S + GRACE_S)
-            connection.sendall(request.encode())
-            answer = connection.recv(65_536)
-        except OSError as error:
-            self.record.write(f'{name}: {error!r}')
+            end = repr(error)
         finally:
             connection.close()
-        took_s = time.monotonic() - sent_at
-        self.count('check')
-        status = answer[9:12].decode() or 'none'
-        self.record.write(f'{name}: sent; status {status} after {took_s:.3f} s')
-        with self.lock:
-            self.unanswered_at_timeout += took_s > TIMEOUT_S
-            self.late += not answer and took_s > TIMEOUT_S
-
-    def release(self) -> None:
-        """Replace the engines one after the other, the new one first."""
-        serving = deque(self.fleet.engines[f'e-{number}'] for number in range(ENGINES))
-        number = ENGINES
-        leaving = deque()
-        while not self.closed.wait(RELEASE_GAP_S):
-            engine = self.fleet.add_engine(f'e-{number}', 'models')
-            engine.faults.event_s = EVENT_S
-            serving.append(engine)
-            old = serving.popleft()
-            old.faults.is_leaving = True
-            self.fleet.store.put(
-                'keyed.servers', old.engine_id, old.entry('models', 'draining')
-            )
-            leaving.append((time.monotonic() + DRAIN_S + LINGER_S, old))
-            while leaving[0][0] < time.monotonic():
-                _, gone = leaving.popleft()
-                self.fleet.store.put('keyed.servers', gone.engine_id, None)
-                gone.crash()
-                self.record.write(f'engine {gone.engine_id} has left')
-            number += 1
-
-    def run(self) -> bool:
-        targets = [(self.stream, number) for number in range(STREAMS)]
-        targets += [(self.check, number) for number in range(CHECKERS)]
-        threads = [
-            threading.Thread(target=target, args=(number,), daemon=True)
-            for target, number in targets
-        ]
-        if HAS_TROUBLE:
-            threads.append(threading.Thread(target=self.release, daemon=True))
-        ends_at = time.monotonic() + PLAY_S
-        for thread in threads:
-            thread.start()
-        while time.monotonic() < ends_at and self.late < ENOUGH_LATE:
-            time.sleep(1)
-            self.record.write(f'counts: {self.counts}')
-        self.closed.set()
+        stream.statuses.append(status)
         self.record.write(
-            f'requests without an answer at {TIMEOUT_S} s: '
-            f'{self.unanswered_at_timeout}; of these without one {GRACE_S} s later: '
-            f'{self.late}'
+            f'{name} at daemon {daemon}: status {status}, events {stream.events}, {end}'
         )
-        return self.late > CHECKERS and 2 * self.late > self.unanswered_at_timeout
+        return retry_after_s
+
+    def read_events(
+        self, stream: Stream, response: http.client.HTTPResponse, leave_after: int
+    ) -> None:
+        before = list(stream.events)
+        received = b''
+        while response.status == 200 and len(stream.events) < leave_after:
+            part = response.read1()
+            if not part:
+                return
+            received += part
+            stream.events = before + [int(each) for each in _EVENT_ID.findall(received)]
+
+    def stream_until_whole(self, stream: Stream, first: int, others: int) -> None:
+        """Send a stream; take it up at another daemon if it falls silent."""
+        self.attempt(stream, first)
+        for _ in range(1 + RETRIES):
+            if stream.is_whole() or not stream.events:
+                return
+            time.sleep(self.attempt(stream, others))
+
+
+def in_parallel(calls: list[threading.Thread]) -> None:
+    for call in calls:
+        call.start()
+
+
+def thread(target: object, *arguments: object) -> threading.Thread:
+    return threading.Thread(target=target, args=arguments, daemon=True)  # type: ignore[arg-type]
+
+
+def drill(fleet: Fleet, record: Record) -> None:
+    """Bring the store back from a copy that is some seconds old."""
+    fleet.store.save_copy()
+    time.sleep(COPY_AGE_S)
+    fleet.store.restore_copy()
+    # The operator and the engines write again.
+    fleet.store.put('keyed.op', 'config', configuration(1))
+    for name, engine in fleet.engines.items():
+        fleet.store.put('keyed.servers', name, engine.entry('models'))
+    record.write(f'the store is back from a copy, era {fleet.store.era}')
 
 
 def play(record: Record) -> bool:
     with Fleet(record) as fleet:
+        fleet.store.era = 1
         fleet.store.put('keyed.op', 'config', configuration(1))
-        for number in range(ENGINES):
+        for number in range(3):
             engine = fleet.add_engine(f'e-{number}', 'models')
             engine.faults.event_s = EVENT_S
-        for number in range(3):
-            fleet.add_engine(f'l-{number}', 'ledger', '')
-        fleet.add_daemons(1)
+        fleet.add_daemons(2)
         fleet.wait_ready()
-        return Play(fleet, record).run()
+        time.sleep(2)
+        callers = Callers(fleet, record)
+        # A caller whose connection has broken takes its stream up at the other daemon.
+        early = Stream('early')
+        callers.attempt(early, 0, leave_after=2)
+        callers.attempt(early, 1)
+        if HAS_DRILL:
+            drill(fleet, record)
+        time.sleep(2 * CONTACT_S)
+        streams = [Stream(f'stream-{number}') for number in range(STREAMS)]
+        calls = [thread(callers.stream_until_whole, each, 0, 1) for each in streams]
+        in_parallel(calls)
+        time.sleep(2 * EVENT_S)
+        if HAS_TROUBLE:
+            record.write('daemon 0 freezes')
+            fleet.daemons[0].signal(signal.SIGSTOP)
+            threading.Timer(FREEZE_S, thaw, (fleet, record)).start()
+        time.sleep(ABANDON_S)
+        fresh = [Stream(f'new-{number}') for number in range(STREAMS)]
+        calls += [thread(callers.attempt, each, 1) for each in fresh]
+        in_parallel(calls[STREAMS:])
+        for call in calls:
+            call.join(20)
+        taken_up = [each for each in streams if len(each.attempts) > 1]
+        went_on = sum(each.is_whole() for each in taken_up)
+        begun = sum(bool(each.events) for each in fresh)
+        versions = {engine.version for engine in fleet.engines.values()}
+        record.write(
+            f'{len(fleet.engines)} engines of software {sorted(versions)}; streams '
+            f'taken up: {len(taken_up)}, of these went on: {went_on}; new streams: '
+            f'{len(fresh)}, of these begun: {begun}'
+        )
+        share = went_on / max(1, len(taken_up))
+        return len(taken_up) >= 12 and share < begun / len(fresh) / 2
+
+
+def thaw(fleet: Fleet, record: Record) -> None:
+    fleet.daemons[0].signal(signal.SIGCONT)
+    record.write('daemon 0 goes on')
 
 
 if __name__ == '__main__':
