--- a/review/3/case.py
+++ b/review/3/case.py
@@ -24,6 +24,7 @@
     Record,
     configuration,
     run_case,
+    versions_held,
 )
 from pimentohoist_standins.opaque_engine import OpaqueEngine  # noqa: E402
 
@@ -133,16 +134,17 @@
 
 
 def versions_of(fleet: Fleet, stream: Stream, record: Record) -> set[str]:
-    found = set()
+    runs = []
     for engine in fleet.engines.values():
         for run in engine.state.executed_requests:
             if run.request_id in stream.attempts:
-                found.add(engine.version)
+                after = run.headers.get('last-event-id', '0')
+                runs.append((int(after), engine.version))
                 record.write(
                     f'{engine.engine_id} ({engine.version}) ran {run.request_id} '
-                    f'after event {run.headers.get("last-event-id", "0")}'
+                    f'after event {after}'
                 )
-    return found
+    return versions_held(runs, stream.events)
 
 
 def play(record: Record) -> bool:
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -48,6 +48,7 @@
     attempts: list[str] = field(default_factory=list)
     events: list[int] = field(default_factory=list)
     statuses: list[int] = field(default_factory=list)
+    held: int = 0
 
     def is_whole(self) -> bool:
         return self.events == list(range(1, LAST_EVENT + 1))
@@ -110,6 +111,7 @@
     def stream_until_whole(self, stream: Stream, first: int, others: int) -> None:
         """Send a stream; take it up at another daemon if it falls silent."""
         self.attempt(stream, first)
+        stream.held = len(stream.events)
         for _ in range(1 + RETRIES):
             if stream.is_whole() or not stream.events:
                 return
@@ -170,7 +172,7 @@
         for call in calls:
             call.join(20)
         taken_up = [each for each in streams if len(each.attempts) > 1]
-        went_on = sum(each.is_whole() for each in taken_up)
+        went_on = sum(len(each.events) > each.held for each in taken_up)
         begun = sum(bool(each.events) for each in fresh)
         versions = {engine.version for engine in fleet.engines.values()}
         record.write(
--- a/review/fleet.py
+++ b/review/fleet.py
@@ -40,6 +40,9 @@
 FILE_FDS = 200
 """Descriptors that the platform reserves for files."""
 
+LIMIT_S = 110.0
+"""A case that takes longer couldn't run; it has 120 s with the end of its processes."""
+
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 SEED = int(os.environ.get('SEED', '1'))
@@ -70,9 +73,17 @@
         self.host = host
         self.settings = settings
         self.log = log
+        self.is_ended = False
+        self._lock = threading.Lock()
         self.start()
 
     def start(self) -> None:
+        """Start the process, unless the case has ended meanwhile."""
+        with self._lock:
+            if not self.is_ended:
+                self._start()
+
+    def _start(self) -> None:
         role = tomllib.loads((ROOT / 'deploy' / 'system.toml').read_text())['roles']
         command = role['entry']['run'].split()
         kept = ('PATH', 'HOME', 'JAVA_HOME', 'LANG')
@@ -103,10 +114,12 @@
             connection.close()
 
     def end(self) -> None:
-        if self.process.poll() is None:
-            self.process.send_signal(signal.SIGCONT)
-            self.process.kill()
-        self.process.wait()
+        with self._lock:
+            self.is_ended = True
+            if self.process.poll() is None:
+                self.process.send_signal(signal.SIGCONT)
+                self.process.kill()
+            self.process.wait()
 
 
 def _limit_descriptors() -> None:
@@ -281,15 +294,38 @@
     }
 
 
+def versions_held(runs: list[tuple[int, str]], events: list[int]) -> set[str]:
+    """Return the versions of the engines whose events a caller holds.
+
+    Parameters
+    ----------
+    runs : list of tuple
+        For each run of the stream, the event after which it began and the engine's version.
+    """
+    starts = sorted({after for after, _ in runs})
+    held: set[str] = set()
+    for start, end in zip(starts, [*starts[1:], max(events, default=0)], strict=True):
+        versions = {version for after, version in runs if after == start}
+        # Runs of two versions that began at one event can't be told apart.
+        if len(versions) == 1 and any(start < event <= end for event in events):
+            held |= versions
+    return held
+
+
 def run_case(folder: str, play: Any) -> None:
-    """Play a case and exit with its status."""
+    """Play a case and exit with its status; end all processes, also after a failure."""
     record = Record(Path(folder))
     record.write(f'disruption: {HAS_TROUBLE}, seed {SEED}')
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(EXIT_NOT_RUN))
+    signal.signal(signal.SIGINT, lambda number, frame: sys.exit(EXIT_NOT_RUN))
+    watchdog = threading.Timer(LIMIT_S, os.kill, (os.getpid(), signal.SIGTERM))
+    watchdog.daemon = True
+    watchdog.start()
     try:
         is_broken = play(record)
-    except (NotRunError, OSError) as error:
+    except (Exception, SystemExit) as error:
         record.write(f'not run: {error!r}')
-        sys.exit(EXIT_NOT_RUN)
+        os._exit(EXIT_NOT_RUN)
     record.write('the rule was broken' if is_broken else 'the rule held')
     sys.stdout.flush()
     os._exit(EXIT_BROKEN if is_broken else EXIT_HELD)
