Streams: versions in service outlast the loss of all daemons

Cause: while a single version serves, nothing about it is written to the store. Daemons that come back take the versions they see for the only ones there have been. In two test fleets on the topic of streams was empty.

Change: daemons append the versions that they have seen, with their ages; one that starts reads what others saw before it. A stream that nobody knows was begun by a daemon that isn't live, or by one that knows a single version; only what those recorded counts.

--- a/features/entry_fleet.py
+++ b/features/entry_fleet.py
@@ -140,12 +140,16 @@
         settings = self.folder / f'{daemon.host}.toml'
         self.daemons[number] = EntryProcess(daemon.host, settings, self.folder)
 
-    def restart_all(self) -> None:
-        """Kill all daemons at once, and start them again at their addresses."""
+    def kill_all(self) -> None:
+        """Kill all daemons at once."""
         for daemon in self.daemons:
             daemon.popen.kill()
+        for killed in self.daemons:
+            killed.popen.wait()
+
+    def start_again(self) -> None:
+        """Start all daemons again at their addresses."""
         for number, daemon in enumerate(tuple(self.daemons)):
-            daemon.popen.wait()
             settings = self.folder / f'{daemon.host}.toml'
             self.daemons[number] = EntryProcess(daemon.host, settings, self.folder)
 
--- a/features/steps/missed_versions.py
+++ b/features/steps/missed_versions.py
@@ -11,12 +11,14 @@
 
 from pimentohoist import _clock
 from pimentohoist._decisions.stream_register import stream_digest
+from pimentohoist._decisions.version_history import VersionHistory, VersionRecord
 from pimentohoist._entry.stream_versions import StreamVersions
 from pimentohoist.exceptions import UnavailableError
 
 _UNKNOWN_STREAM = 'stream-unknown'
 _OWN_STREAM = 'stream-1'
 _STORED_STREAM = 'stream-2'
+_DEPARTED = VersionRecord('departed', 1, 50, {'models': {'v2': 0}})
 
 
 @given('a daemon that has run for 60 s and knows one version')
@@ -32,6 +34,7 @@
         on_applied=[],
     )
     context.members = SimpleNamespace(
+        incarnation='own',
         on_heartbeat=[],
         live=lambda: [],
         known_count=lambda: context.known,
@@ -41,16 +44,19 @@
     context.known, context.live_share = 2, 1.0
     members: Any = context.members
     register = SimpleNamespace(version=_stored_version)
-    history = SimpleNamespace(
-        register=register, versions={'models': {'v2'}}, has_lost_records=False
+    context.history = SimpleNamespace(
+        register=register, versions=VersionHistory(), has_lost_records=False
     )
     context.appended = []
     log: Any = SimpleNamespace(
-        read=lambda: history, append=lambda records: context.appended.extend(records)
+        read=lambda: context.history,
+        append=lambda records: context.appended.extend(records),
+        store=SimpleNamespace(era=SimpleNamespace(current=1)),
     )
     peers: Any = None
     context.versions = StreamVersions(endpoints, members, peers, log)
     context.now += 60
+    context.history.versions.apply(_DEPARTED, context.now)
     _hear(context)
     context.now += 1.2
     _hear(context)
@@ -126,7 +132,9 @@
 
 
 def _hear(context: Context, versions: dict[str, list[str]] | None = None) -> None:
-    heartbeat: Any = SimpleNamespace(software_versions=versions or {})
+    heartbeat: Any = SimpleNamespace(
+        software_versions=versions or {}, versions_recorded_age_s=None
+    )
     for listener in context.members.on_heartbeat:
         listener(heartbeat, None)
 
--- a/features/steps/stream_versions.py
+++ b/features/steps/stream_versions.py
@@ -127,9 +127,39 @@
             world.fleet.store.put('keyed.servers', engine.engine_id, None)
 
 
+@when(
+    'all daemons are killed, engines of the versions {versions} join'
+    ' and the daemons come back'
+)
+def join_while_down(context: Context, versions: str) -> None:
+    world = context.world
+    world.fleet.kill_all()
+    world.add_engines(versions.split(', '))
+    _start_again(context)
+
+
+@when(
+    'all daemons are killed, engines of the versions {versions} replace all others'
+    ' and the daemons come back'
+)
+def replace_while_down(context: Context, versions: str) -> None:
+    world = context.world
+    world.fleet.kill_all()
+    for engine in world.fleet.engines:
+        world.fleet.store.put('keyed.servers', engine.engine_id, None)
+    world.add_engines(versions.split(', '))
+    _start_again(context)
+
+
 @when('all daemons are killed, come back and the streams are taken up')
 def take_up_after_all_killed(context: Context) -> None:
-    _restart_all(context)
+    context.world.fleet.kill_all()
+    _start_again(context)
+    take_up_all(context)
+
+
+@when('the streams are taken up')
+def take_up_all(context: Context) -> None:
     for number, call in enumerate(context.world.calls):
         call.daemon = number % len(context.world.fleet.daemons)
         _take_up(context, call)
@@ -274,9 +304,9 @@
     began_at.faults.statuses = []
 
 
-def _restart_all(context: Context) -> None:
+def _start_again(context: Context) -> None:
     fleet = context.world.fleet
-    fleet.restart_all()
+    fleet.start_again()
     wait_for(lambda: all(daemon.is_ready() for daemon in fleet.daemons), _TAKEOVER_S)
     wait_for(lambda: _owned_count(fleet.daemons) >= _alive_count(fleet), _TAKEOVER_S)
 
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -74,6 +74,23 @@
     Then no stream has events of two versions
     And at least 27 of them go on
 
+  # Guards against a version that joins while no daemon runs and is taken for the one of all streams.
+  Scenario: A version joins the one of all streams while no daemon runs
+    Given a fleet of 3 daemons and engines of the versions v1, v1
+    When callers leave 30 streams after 3 events and the engines that began them are busy
+    And all daemons are killed, engines of the versions v2, v2 join and the daemons come back
+    And the streams are taken up
+    Then no stream has events of two versions
+    And at least 27 of them go on
+
+  Scenario: Engines of another version replace all others while no daemon runs
+    Given a fleet of 3 daemons and engines of the versions v1, v1
+    When callers leave 30 streams after 3 events and the engines that began them are busy
+    And all daemons are killed, engines of the versions v2, v2 replace all others and the daemons come back
+    And the streams are taken up
+    Then no stream has events of two versions
+    And no stream goes on
+
   # Guards against a guess by a daemon that can't read what others have recorded.
   Scenario: The store is down as all daemons come back
     Given a fleet of 2 daemons and engines of the versions v1, v2
--- a/src/pimentohoist/_entry/heartbeat.py
+++ b/src/pimentohoist/_entry/heartbeat.py
@@ -49,6 +49,9 @@
         Requests that brittle endpoints turned away: incarnation, seconds since the last.
     software_versions : mapping of str to list of str
         Versions of endpoints in service by group, of groups with several.
+    versions_recorded_age_s : float or None
+        Time since it recorded the versions in service in the store's era; None if it
+        hasn't, and from builds that don't.
     sequence : int
         Number of the heartbeat in its incarnation; 0 from builds that send none.
     """
@@ -77,6 +80,7 @@
     brittle_endpoints: list[list[Any]] = field(default_factory=list)
     room_rejections: list[list[Any]] = field(default_factory=list)
     software_versions: Mapping[str, list[str]] = field(default_factory=dict)
+    versions_recorded_age_s: float | None = None
 
     def ownership(self) -> Ownership:
         """Return which partitions the daemon claims."""
--- a/src/pimentohoist/_entry/stream_log.py
+++ b/src/pimentohoist/_entry/stream_log.py
@@ -1,21 +1,27 @@
 """The versions of streams in the store, where they outlast all daemons.
 
-Each daemon appends the streams that it began in batches, off the path of their events. A
-daemon that knows a stream neither itself nor from others reads what has been appended; the
-store keeps it for a limited time.
+Each daemon appends the streams that it began in batches, off the path of their events, and
+with them the versions that it has seen in service. A daemon that knows a stream neither
+itself nor from others reads what has been appended; the store keeps it for a limited time.
 """
 
 from __future__ import annotations
 
 import json
 import logging
+import math
 import threading
-from collections import defaultdict
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
+from typing import Any
 
 from pimentohoist import _clock
 from pimentohoist._decisions.stream_register import StreamRecord, StreamRegister
+from pimentohoist._decisions.version_history import (
+    VersionAges,
+    VersionHistory,
+    VersionRecord,
+)
 from pimentohoist.exceptions import DocumentError, PimentohoistError
 from pimentohoist.platform import (
     STREAM_RECORDS,
@@ -39,6 +45,9 @@
 _MAX_READS = 64
 _MAX_TEXT_LENGTH = 256
 _MAX_REJECTIONS_LOGGED = 8
+_NO_STREAM = ''
+_NAME_PREFIX = 'name:'
+"""Tells the name of a daemon of an earlier build from an incarnation."""
 
 _MALFORMED = (
     ValueError,
@@ -58,17 +67,14 @@
 
     Attributes
     ----------
+    versions : VersionHistory
+        The versions that daemons have seen in service.
     position : ReadPosition or None
         Where the next read goes on; None before the first one.
-    has_lost_records : bool
-        Whether there are records of an earlier era than the store's: later ones of that
-        era may have been lost.
     """
 
     register: StreamRegister = field(default_factory=StreamRegister)
-    versions: defaultdict[str, set[str]] = field(
-        default_factory=lambda: defaultdict(set)
-    )
+    versions: VersionHistory = field(default_factory=VersionHistory)
     position: ReadPosition | None = None
     eras: set[int] = field(default_factory=set)
 
@@ -78,6 +84,25 @@
         return len(self.eras) > 1
 
 
+@dataclass(frozen=True, slots=True)
+class AppendedVersions:
+    """The versions that this daemon has recorded in the store.
+
+    Attributes
+    ----------
+    at : float
+        When the append was sent, on the daemon's clock.
+    era : int
+        Era of the store that has them.
+    versions : frozenset of tuple
+        Pairs of group and version.
+    """
+
+    at: float = -math.inf
+    era: int = -1
+    versions: frozenset[tuple[str, str]] = frozenset()
+
+
 class StreamLog:
     """Appends versions of streams to the store, and reads those of all daemons.
 
@@ -85,16 +110,32 @@
     ----------
     member : str
         This daemon's name in the fleet.
+    incarnation : str
+        Name of this start of the daemon.
     fleet_size : callable
         Returns the number of daemons.
+
+    Attributes
+    ----------
+    version_ages : callable
+        Returns the versions that this daemon has seen in service.
+    appended : AppendedVersions
+        The last ones that the store has accepted.
     """
 
     def __init__(
-        self, store: Store, member: str, fleet_size: Callable[[], int]
+        self,
+        store: Store,
+        member: str,
+        incarnation: str,
+        fleet_size: Callable[[], int],
     ) -> None:
         self.store = store
         self.member = member
+        self.incarnation = incarnation
         self.fleet_size = fleet_size
+        self.version_ages: Callable[[], VersionAges] = dict
+        self.appended = AppendedVersions()
         self._pending: list[StreamRecord] = []
         self._is_append_due = False
         self._is_failing = False
@@ -109,7 +150,14 @@
         with self._lock:
             self._pending.extend(records)
             self._pending = self._pending[-_MAX_PENDING:]
-            if self._is_append_due or not self._pending:
+            if not self._pending:
+                return
+        self.append_versions()
+
+    def append_versions(self) -> None:
+        """Append the versions in service with the next batch, even if it has no streams."""
+        with self._lock:
+            if self._is_append_due:
                 return
             self._is_append_due = True
         interval_s = _APPEND_INTERVAL_PER_DAEMON_S * self.fleet_size()
@@ -136,11 +184,15 @@
         with self._lock:
             self._is_append_due = False
             pending, self._pending = self._pending, []
-        groups: defaultdict[str, defaultdict[str, list[str]]]
-        groups = defaultdict(lambda: defaultdict(list))
-        for record in pending:
-            groups[record.group][record.version].append(record.stream)
-        document = {'era': self.store.era.current, 'groups': groups}
+        sent_at, era = _clock.now(), self.store.era.current
+        ages = self.version_ages()
+        document = {
+            'era': era,
+            'groups': _grouped(pending, ages),
+            'incarnation': self.incarnation,
+            'clock_s': round(sent_at, 3),
+            'versions': ages,
+        }
         try:
             self.store.put(STREAM_RECORDS, self.member, document)
         except PimentohoistError as error:
@@ -151,6 +203,8 @@
             # A record that is appended twice does no harm.
             self.append(pending)
             return
+        pairs = ((group, version) for group in ages for version in ages[group])
+        self.appended = AppendedVersions(sent_at, era, frozenset(pairs))
         if self._is_failing:
             extra = {'step': _STEP, 'streams': len(pending)}
             _logger.info('streams are appended again', extra=extra)
@@ -190,15 +244,15 @@
 
     def _apply(self, record: KeyedRecord) -> None:
         try:
-            era, found = _decode(record.body or b'')
+            versions, found = _decode(record)
         except DocumentError as error:
             self._log_rejected(record.key, error)
             return
-        self._history.eras.add(era)
         now = _clock.now()
+        self._history.eras.add(versions.era)
+        self._history.versions.apply(versions, now)
         for stream in found:
             self._history.register.record(stream.stream, stream.version, now)
-            self._history.versions[stream.group].add(stream.version)
 
     def _log_rejected(self, key: str, error: DocumentError) -> None:
         self._rejections += 1
@@ -207,13 +261,55 @@
             _logger.warning('record of streams rejected', extra=extra)
 
 
-def _decode(body: bytes) -> tuple[int, list[StreamRecord]]:
-    """Return the era and the streams of a record; raises DocumentError."""
+def _grouped(
+    records: Sequence[StreamRecord], ages: VersionAges
+) -> dict[str, dict[str, list[str]]]:
+    """Return the streams by group and version.
+
+    Earlier builds learn of a version only by a stream that began at it.
+    """
+    groups = {
+        group: {version: [_NO_STREAM] for version in versions}
+        for group, versions in ages.items()
+    }
+    for record in records:
+        versions = groups.setdefault(record.group, {})
+        streams = versions.setdefault(record.version, [_NO_STREAM])
+        streams.append(record.stream)
+    return groups
+
+
+def _decode(record: KeyedRecord) -> tuple[VersionRecord, list[StreamRecord]]:
+    """Return the versions and the streams of a record; raises DocumentError."""
     try:
-        document = json.loads(body)
-        return int(document['era']), list(_streams(document['groups']))
+        document = json.loads(record.body or b'')
+        streams = list(_streams(document['groups']))
+        versions = _version_record(record.key, document)
     except _MALFORMED as error:
         raise DocumentError(f'record of streams: {error!r:.200}', step=_STEP) from error
+    return versions, [found for found in streams if found.stream != _NO_STREAM]
+
+
+def _version_record(key: str, document: Mapping[str, Any]) -> VersionRecord:
+    """Return the versions that a record names; earlier builds name those of streams."""
+    era = int(document['era'])
+    if 'incarnation' not in document:
+        ages = {
+            group: dict.fromkeys(versions, float())
+            for group, versions in document['groups'].items()
+        }
+        return VersionRecord(f'{_NAME_PREFIX}{key}', era, None, ages)
+    return VersionRecord(
+        _checked(document['incarnation']),
+        era,
+        _seconds(document['clock_s']),
+        {
+            _checked(group): {
+                _checked(version): _seconds(age_s) for version, age_s in ages.items()
+            }
+            for group, ages in document['versions'].items()
+        },
+    )
 
 
 def _streams(
@@ -226,7 +322,15 @@
             )
 
 
-def _checked(stream: object) -> str:
-    if not isinstance(stream, str) or len(stream) > _MAX_TEXT_LENGTH:
-        raise ValueError('expected the name of a stream')
-    return stream
+def _checked(name: object) -> str:
+    if not isinstance(name, str) or len(name) > _MAX_TEXT_LENGTH:
+        raise ValueError('expected a name')
+    return name
+
+
+def _seconds(number: object) -> float:
+    if isinstance(number, bool) or not isinstance(number, int | float):
+        raise TypeError('expected a number of seconds')
+    if not 0 <= number < math.inf:
+        raise ValueError('expected a finite number of seconds')
+    return float(number)
--- a/src/pimentohoist/_entry/stream_versions.py
+++ b/src/pimentohoist/_entry/stream_versions.py
@@ -3,7 +3,7 @@
 A daemon tells two others which version began a stream before the first event is passed on.
 Which two follows from the stream's name, so that any daemon knows whom to ask. While a
 group has engines of several versions, streams are appended to the store as well, since all
-daemons may be lost at once.
+daemons may be lost at once; the versions in service are always recorded there.
 """
 
 from __future__ import annotations
@@ -19,11 +19,13 @@
     StreamRegister,
     stream_digest,
 )
+from pimentohoist._decisions.version_history import VERSION_KEPT_S
 from pimentohoist._entry.endpoints import EndpointsController
 from pimentohoist._entry.filters import add_jitter
 from pimentohoist._entry.heartbeat import Heartbeat
 from pimentohoist._entry.members import MembersController
 from pimentohoist._entry.request_context import RequestContext, log_fields
+from pimentohoist._entry.service_versions import ServiceVersions
 from pimentohoist._entry.stream_log import StreamLog
 from pimentohoist._generated import peer_pb2
 from pimentohoist._peers import PeerClients
@@ -36,9 +38,6 @@
 """Both daemons with copies, and the next two: the daemon that told them may have ranked
 others as live."""
 
-_VERSION_KEPT_S = 30.0
-"""Callers take up streams for about this time after an engine has gone."""
-
 _MAX_READ_AGE_S = 2.5
 """A daemon reads the endpoints every 1.5 s at most."""
 
@@ -54,7 +53,6 @@
 _TIMEOUT_S = 0.15
 _RETRY_AFTER_S = 0.5
 
-_MAX_VERSIONS = 8
 _UNKNOWN = 'none'
 _Source = Callable[[str], tuple[str | None, str]]
 
@@ -76,15 +74,15 @@
         self.peers = peers
         self.stream_log = stream_log
         self.register = StreamRegister()
+        self.versions = ServiceVersions(endpoints, members, stream_log)
         self._started_at = _clock.now()
-        self._seen_at: dict[str, dict[str, float]] = {}
         self._appended_at: dict[str, float] = {}
         self._heard_at = float('-inf')
         self._unheard_until = float('-inf')
         self._lock = threading.Lock()
         members.on_stream_version = self._record
         members.on_heartbeat.append(self._record_heartbeat)
-        endpoints.on_applied.append(self._append_recent)
+        endpoints.on_applied.append(self._record_applied)
 
     def __call__(self, context: RequestContext) -> None:
         """Set the version at which a stream goes on that its caller takes up.
@@ -122,17 +120,6 @@
                 retry_after_s=add_jitter(_RETRY_AFTER_S),
             )
 
-    def announced(self) -> dict[str, list[str]]:
-        """Return the versions in service of groups with several, for heartbeats."""
-        versions: dict[str, set[str]] = {}
-        for endpoint in self.endpoints.alive():
-            versions.setdefault(endpoint.group, set()).add(endpoint.software_version)
-        return {
-            group: sorted(found)[:_MAX_VERSIONS]
-            for group, found in versions.items()
-            if len(found) > 1
-        }
-
     def peer_methods(self) -> Mapping[str, Any]:
         """Return the methods that other daemons call."""
         return {'FetchStreamVersion': self._handle_fetch}
@@ -145,41 +132,29 @@
         group = context.group.name
         stream = stream_digest(context.request.resumed_id or context.request.request_id)
         self._record(stream, version, group)
-        if len(self._versions_of(group)) > 1:
+        if len(self.versions.of_group(group)) > 1:
             ranked = rank_names(stream, self._others())
             self.members.send_stream_version(stream, version, ranked[:_COPIES])
             self.stream_log.append([StreamRecord(stream, version, group, 0)])
 
-    def _versions_of(self, group: str) -> set[str]:
-        """Return the versions of a group's engines, those lately gone included."""
-        now = _clock.now()
-        with self._lock:
-            seen_at = {
-                version: at
-                for version, at in self._seen_at.get(group, {}).items()
-                if at >= now - _VERSION_KEPT_S
-            }
-            for endpoint in self.endpoints.alive():
-                if endpoint.group == group:
-                    seen_at[endpoint.software_version] = now
-            self._seen_at[group] = seen_at
-            return set(seen_at)
+    def _record_applied(self) -> None:
+        self.versions.read_history()
+        self._append_recent()
+        self.versions.record_due()
 
     def _append_recent(self) -> None:
         """Append the streams that began before several versions were in service."""
         now = _clock.now()
-        groups = {endpoint.group for endpoint in self.endpoints.alive()}
-        for group in groups:
+        for group, versions in self.versions.ages().items():
             appended_at = self._appended_at.get(group, float('-inf'))
-            is_single = len(self._versions_of(group)) == 1
-            if is_single or now < appended_at + _REAPPEND_INTERVAL_S:
+            if len(versions) == 1 or now < appended_at + _REAPPEND_INTERVAL_S:
                 continue
             if group not in self._appended_at:
                 # The others may read of the versions later than this daemon.
                 self.members.send_soon()
             self._appended_at[group] = now
             with self._lock:
-                recent = self.register.recent(group, now - _VERSION_KEPT_S)
+                recent = self.register.recent(group, now - VERSION_KEPT_S)
             self.stream_log.append(recent)
 
     def _record(self, stream: str, version: str, group: str = '') -> None:
@@ -195,7 +170,7 @@
         if version is not None:
             return version, 'own'
         if not self._may_have_missed_versions():
-            if len(self._versions_of(group)) == 1:
+            if len(self.versions.of_group(group)) == 1:
                 return None, _UNKNOWN
             return self._first_answer(stream, self._ask_others, self._ask_store)
         return self._first_answer(stream, self._ask_store, self._ask_others)
@@ -209,14 +184,24 @@
         return None, _UNKNOWN
 
     def _candidates(self, group: str) -> set[str]:
-        """Return the versions at which a stream may have begun; empty if unknown."""
-        versions = self._versions_of(group)
+        """Return the versions at which a stream may have begun; empty if unknown.
+
+        If daemons have departed the stream was theirs, or that of one that knows a single
+        version: all others tell of their streams.
+        """
+        versions = self.versions.of_group(group)
         if not self._may_have_missed_versions():
             return versions
         history = self.stream_log.read()
         if history is None or history.has_lost_records:
             return set()
-        return versions | history.versions[group]
+        now = _clock.now()
+        live = self.versions.live_incarnations()
+        departed = set(history.versions.departed(live, now).get(group, ()))
+        singles = history.versions.only_versions(group, live, now)
+        if len(versions) == 1 or not departed:
+            departed |= versions
+        return departed | singles
 
     def _may_have_missed_versions(self) -> bool:
         """Return whether engines may have served that this daemon hasn't heard of.
@@ -224,7 +209,7 @@
         They came and went before it started, or joined while it stood still or was cut off.
         """
         now = _clock.now()
-        if now < self._started_at + _VERSION_KEPT_S:
+        if now < self._started_at + VERSION_KEPT_S:
             return True
         if not self.members.known_count():
             read_age_s = now - self.endpoints.follower.status.last_sent_at
@@ -244,13 +229,7 @@
         if now - self._heard_at > _MAX_HEARTBEAT_AGE_S:
             self._unheard_until = now
         self._heard_at = now
-        is_new = False
-        with self._lock:
-            for group, versions in heartbeat.software_versions.items():
-                seen_at = self._seen_at.setdefault(group, {})
-                is_new |= not seen_at.keys() >= set(versions)
-                seen_at.update(dict.fromkeys(versions, now))
-        if is_new:
+        if self.versions.record_heartbeat(heartbeat):
             self._append_recent()
 
     def _ask_store(self, stream: str) -> tuple[str | None, str]:
--- a/src/pimentohoist/_entry/topic_follower.py
+++ b/src/pimentohoist/_entry/topic_follower.py
@@ -27,7 +27,7 @@
 _logger = logging.getLogger(__name__)
 
 Sink = Callable[[Sequence[KeyedRecord], bool], None]
-"""Called with records, and whether they are the topic's whole content."""
+"""Called after each read with new records, and whether they are the topic's whole content."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,5 +181,4 @@
             self.topic, self._position, wait_s=poll_timing.wait_s
         )
         self.status.record_success()
-        if records:
-            self.sink(records, False)
+        self.sink(records, False)
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -130,7 +130,12 @@
             self.endpoints,
             self.members,
             self.peers,
-            StreamLog(stream_store, settings.name, self.members.known_count),
+            StreamLog(
+                stream_store,
+                settings.name,
+                self.members.incarnation,
+                self.members.known_count,
+            ),
         )
         self.dispatch = self._dispatch()
         self.leaving_engines = LeavingEngines(self.dispatch.chooser)
@@ -376,7 +381,8 @@
             lost_endpoints=self.links.lost_ids(),
             brittle_endpoints=self.endpoints.brittle.announced(),
             room_rejections=self.rooms.announced(),
-            software_versions=self.stream_versions.announced(),
+            software_versions=self.stream_versions.versions.announced(),
+            versions_recorded_age_s=self.stream_versions.versions.recorded_age_s(),
         )
 
     def _auxiliary_servers(self) -> tuple[HttpServer, ...]:
