Records: one that can't be handled holds up no other one

Cause: a record of another writer had a list as its state. The decoder's look-up raised TypeError, not DocumentError, and ended the batch at this record; each new read ended there again.

--- a/features/odd_records.feature
+++ b/features/odd_records.feature
@@ -16,6 +16,42 @@
       | good but for a huge count        |
       | good but for port 70000          |
       | good but for a host out of range |
+      | good but for a state in a list   |
+      | good but for a state in an object |
+
+  # Guards against an odd record that hides all records after it from daemons that start.
+  Scenario Outline: Daemons start after a record that is <odd>
+    Given a fleet of 1 daemon with 2 engines
+    When a record that is <odd> is written before theirs, and all daemons are killed and come back
+    Then requests are served at both engines
+    And the daemon has logged no unexpected error
+
+    Examples:
+      | odd                               |
+      | good but for a state in a list    |
+      | good but for a state in an object |
+      | good but for a nested zone        |
+
+  # Guards against a type of a field that a decoder doesn't expect.
+  Scenario: Each field of a record has each type that JSON has
+    Then each decoder of the platform's documents takes the document or raises its own error
+
+  Scenario: Each field of a record is nested as deeply as its text can be read
+    Then each decoder of the platform's documents takes the document or raises its own error, however deep
+
+  # Guards against a record that ends the handling of those beside it, whatever fails.
+  Scenario Outline: The handling of one of three <records> fails
+    Given a daemon's <records>, one of which can't be handled
+    When the records are applied
+    Then the two others are in force
+    And the failure is logged once, with the record's key
+
+    Examples:
+      | records      |
+      | endpoints    |
+      | declarations |
+      | members      |
+      | streams      |
 
   # Guards against requests that fail in the daemon since their only endpoint can't have its address.
   Scenario: The only endpoint of a group has a port out of range
--- a/src/pimentohoist/_entry/declarations.py
+++ b/src/pimentohoist/_entry/declarations.py
@@ -14,6 +14,7 @@
 from pimentohoist._entry.hedged_follower import HedgedFollower
 from pimentohoist._entry.heartbeat import Heartbeat
 from pimentohoist._entry.members import MembersController
+from pimentohoist._entry.topic_follower import apply_each
 from pimentohoist.entry_models import AdapterKey, Declaration
 from pimentohoist.exceptions import DocumentError
 from pimentohoist.platform import (
@@ -162,13 +163,15 @@
         self.follower.freshness.record_peer_answer(_clock.now() - age_s)
 
     def _apply_records(self, records: Sequence[KeyedRecord], is_whole: bool) -> None:
-        for record in records:
-            if record.body is None:
-                continue
-            if record.key == DECLARATION_KEY:
-                self.apply_newer(record.body, 'store')
-            elif record.key.startswith(ADAPTER_VERSION_KEYS):
-                self.apply_newer_version(record.body, 'store')
+        apply_each(records, OPERATOR_RECORDS, self._apply_record)
+
+    def _apply_record(self, record: KeyedRecord) -> None:
+        if record.body is None:
+            return
+        if record.key == DECLARATION_KEY:
+            self.apply_newer(record.body, 'store')
+        elif record.key.startswith(ADAPTER_VERSION_KEYS):
+            self.apply_newer_version(record.body, 'store')
 
 
 def _version_digest(adapter: AdapterKey, version: int) -> int:
--- a/src/pimentohoist/_entry/endpoints.py
+++ b/src/pimentohoist/_entry/endpoints.py
@@ -12,7 +12,7 @@
 from pimentohoist._decisions.endpoint_health import EndpointHealth
 from pimentohoist._entry.endpoint_limits import BRITTLE, EndpointLimits
 from pimentohoist._entry.endpoint_notices import EndpointNotices
-from pimentohoist._entry.topic_follower import TopicFollower, PollTiming
+from pimentohoist._entry.topic_follower import PollTiming, TopicFollower, apply_each
 from pimentohoist._entry.heartbeat import Heartbeat
 from pimentohoist._entry.members import MembersController
 from pimentohoist.entry_models import Endpoint
@@ -178,18 +178,18 @@
             for endpoint_id in tuple(self.endpoints):
                 if endpoint_id not in listed:
                     self._record_removed(endpoint_id)
-        for record in records:
-            if record.body is None:
-                self._record_removed(record.key)
-            else:
-                self._record_entry(record.key, record.body)
+        apply_each(records, ENDPOINT_RECORDS, self._apply_record)
         self._drop_removed()
         for listener in self.on_applied:
             listener()
 
-    def _record_entry(self, endpoint_id: str, body: bytes) -> None:
+    def _apply_record(self, record: KeyedRecord) -> None:
+        endpoint_id = record.key
+        if record.body is None:
+            self._record_removed(endpoint_id)
+            return
         try:
-            endpoint = decode_endpoint(endpoint_id, body)
+            endpoint = decode_endpoint(endpoint_id, record.body)
         except DocumentError as error:
             self._record_rejected(endpoint_id, error)
             return
--- a/src/pimentohoist/_entry/member_list.py
+++ b/src/pimentohoist/_entry/member_list.py
@@ -11,6 +11,7 @@
 from pimentohoist import _clock
 from pimentohoist._addresses import split_address
 from pimentohoist.exceptions import PimentohoistError
+from pimentohoist._entry.topic_follower import apply_each
 from pimentohoist.platform import MEMBER_RECORDS, KeyedRecord, Store
 
 _READ_INTERVAL_S = 30.0
@@ -84,8 +85,7 @@
             entry = {'at': self.address, 'domain': self.failure_domain}
             self._published_era = self.store.put(MEMBER_RECORDS, self.name, entry)
         records, _ = self.store.read_newest(MEMBER_RECORDS)
-        for record in records:
-            self._record_address(record)
+        apply_each(records, MEMBER_RECORDS, self._record_address)
 
     def _must_publish(self) -> bool:
         """Return whether the store may lack the record, as it does after a restore."""
--- a/src/pimentohoist/_entry/stream_log.py
+++ b/src/pimentohoist/_entry/stream_log.py
@@ -22,6 +22,7 @@
     VersionHistory,
     VersionRecord,
 )
+from pimentohoist._entry.topic_follower import apply_each
 from pimentohoist.exceptions import DocumentError, PimentohoistError
 from pimentohoist.platform import (
     STREAM_RECORDS,
@@ -213,8 +214,7 @@
     def _read_new(self) -> None:
         for _ in range(_MAX_READS):
             records = self._read_page()
-            for record in records:
-                self._apply(record)
+            apply_each(records, STREAM_RECORDS, self._apply)
             if not records:
                 self._history.eras.add(self.store.era.current)
                 return
--- a/src/pimentohoist/_entry/topic_follower.py
+++ b/src/pimentohoist/_entry/topic_follower.py
@@ -24,6 +24,8 @@
 _MAX_RETRY_DELAY_S = 0.6
 """Short against the two seconds in which a configuration must be in force."""
 
+_MAX_KEY = 256
+
 _logger = logging.getLogger(__name__)
 
 Sink = Callable[[Sequence[KeyedRecord], bool], None]
@@ -46,6 +48,18 @@
     pause_s: float
 
 
+def apply_each(
+    records: Sequence[KeyedRecord], topic: str, apply: Callable[[KeyedRecord], None]
+) -> None:
+    """Apply records one by one; one that can't be applied holds up no other one."""
+    for record in records:
+        try:
+            apply(record)
+        except Exception:
+            extra = {'step': 'follow', 'topic': topic, 'key': record.key[:_MAX_KEY]}
+            _logger.exception('record not applied', extra=extra)
+
+
 class ReadStatus:
     """Records and logs whether the store answers the reads of a topic.
 
--- a/src/pimentohoist/platform/__init__.py
+++ b/src/pimentohoist/platform/__init__.py
@@ -5,12 +5,11 @@
 """
 
 from pimentohoist.platform._directory import DIRECTORY_PATH, encode_directory
-from pimentohoist.platform._documents import (
+from pimentohoist.platform._declaration_documents import (
     decode_adapter_version,
     decode_declaration,
-    decode_endpoint,
-    decode_report,
 )
+from pimentohoist.platform._documents import decode_endpoint, decode_report
 from pimentohoist.platform._era import EraChangedError, EraTracker, StaleAnswerError
 from pimentohoist.platform._notices import decode_notice
 from pimentohoist.platform._orders import EngineOrders, OrderReply
