Streams: records count as lost only while they can matter

Cause: the set of eras in which records of streams were read never shrank. After a drill a daemon took records for lost until it ended, and refused all streams that it didn't know whenever it might have missed a version.

Change: records are missing only if a daemon that isn't live wrote in a former era and not in the present one, within the 30 s in which streams are taken up. Recent streams are appended again at once in a new era.

--- a/features/steps/missed_versions.py
+++ b/features/steps/missed_versions.py
@@ -44,9 +44,7 @@
     context.known, context.live_share = 2, 1.0
     members: Any = context.members
     register = SimpleNamespace(version=_stored_version)
-    context.history = SimpleNamespace(
-        register=register, versions=VersionHistory(), has_lost_records=False
-    )
+    context.history = SimpleNamespace(register=register, versions=VersionHistory())
     context.appended = []
     log: Any = SimpleNamespace(
         read=lambda: context.history,
--- a/features/steps/stream_versions.py
+++ b/features/steps/stream_versions.py
@@ -22,12 +22,18 @@
 _TAKEOVER_S = 15.0
 _JOIN_S = 5.0
 _RECORDED_S = 0.5
+_COPY_AGE_S = 1.0
+_RECORDED_AGAIN_S = 3.0
+_SILENT_S = 1.5
 
 
 @given('a fleet of {daemons:d} daemon and engines of the versions {versions}')
 @given('a fleet of {daemons:d} daemons and engines of the versions {versions}')
-def start_versions(context: Context, daemons: int, versions: str) -> None:
+def start_versions(
+    context: Context, daemons: int, versions: str, era: int | None = None
+) -> None:
     fleet = context.stack.enter_context(EntryFleet())
+    fleet.store.era = era
     fleet.declare(3, attempts=3)
     world = VersionedFleet(fleet)
     world.add_engines(versions.split(', '))
@@ -36,6 +42,14 @@
     context.is_first_engine_busy = True
 
 
+@given(
+    'a fleet of {daemons:d} daemons, a store that names its era'
+    ' and engines of the versions {versions}'
+)
+def start_with_era(context: Context, daemons: int, versions: str) -> None:
+    start_versions(context, daemons, versions, era=1)
+
+
 @when('{count:d} streams are broken off by their engines after {events:d} events')
 def break_off(context: Context, count: int, events: int) -> None:
     world = context.world
@@ -65,21 +79,55 @@
         _take_up(context, call)
 
 
-@when('{count:d} streams at one daemon have brought {events:d} events and it is killed')
-def kill_daemon(context: Context, count: int, events: int) -> None:
-    world = context.world
+def _send_to_first(context: Context, count: int, events: int) -> None:
     calls = [_new_call(context, number) for number in range(count)]
     for call in calls:
         call.daemon = 0
-        world.send(call, stop_after=events)
+        context.world.send(call, stop_after=events)
     assert all(len(call.events) == events for call in calls), calls
+
+
+@when('a daemon has read the records of streams and the store comes back from a copy')
+def read_and_restore(context: Context) -> None:
+    fleet = context.world.fleet
+    _assign_all(context, fleet.daemons[1])
+    # The daemons have started lately, so one that takes a stream up reads the store.
+    assert context.world.take_up_unknown(0, daemon=1).status == HTTPStatus.OK
+    fleet.store.save_copy()
+    time.sleep(_COPY_AGE_S)
+    fleet.store.restore_copy()
+    for engine in fleet.engines:
+        entry = engine.entry('models')
+        fleet.store.put('keyed.servers', engine.engine_id, entry)
+    _assign_all(context, fleet.daemons[1])
+    time.sleep(_RECORDED_AGAIN_S)
+
+
+@when(
+    '{count:d} streams at one daemon have brought {events:d} events and it stands still'
+)
+def stop_daemon(context: Context, count: int, events: int) -> None:
+    _send_to_first(context, count, events)
+    process = context.world.fleet.daemons[0].popen
+    process.send_signal(signal.SIGSTOP)
+    context.stack.callback(process.send_signal, signal.SIGCONT)
+    time.sleep(_SILENT_S)
+
+
+@when('{count:d} streams at one daemon have brought {events:d} events and it is killed')
+def kill_daemon(context: Context, count: int, events: int) -> None:
+    _send_to_first(context, count, events)
+    world = context.world
     world.fleet.daemons[0].popen.send_signal(signal.SIGKILL)
-    survivors = world.fleet.daemons[1:]
-    # The stand-in for the store reassigns partitions only when it is told to.
-    world.fleet.store.group.assign_all(f'{survivors[0].host}:8002')
-    # Another survivor may have owned the engines, and hasn't heard of the change yet.
-    new_owner = survivors[:1]
-    wait_for(lambda: _owned_count(new_owner) == len(world.fleet.engines), _TAKEOVER_S)
+    # The stand-in for the store reassigns partitions only when it is told to. Another
+    # survivor may have owned the engines, and hasn't heard of the change yet.
+    _assign_all(context, world.fleet.daemons[1])
+
+
+@when('callers take the streams up at other daemons')
+def take_up_elsewhere(context: Context) -> None:
+    context.is_first_engine_busy = False
+    take_up_after_kill(context)
 
 
 @when(
@@ -316,6 +364,12 @@
     return sum(name.startswith('engine') for name in listed)
 
 
+def _assign_all(context: Context, owner: EntryProcess) -> None:
+    world = context.world
+    world.fleet.store.group.assign_all(f'{owner.host}:8002')
+    wait_for(lambda: _owned_count([owner]) == len(world.fleet.engines), _TAKEOVER_S)
+
+
 def _owned_count(daemons: list[EntryProcess]) -> int:
     """Return how many engines have an owner that may order them already."""
     places = (
--- a/features/steps/version_history.py
+++ b/features/steps/version_history.py
@@ -93,6 +93,34 @@
     _record(context, 'c', 7, {'v1': 0})
 
 
+@when('the store comes back from a copy')
+def restore(context: Context) -> None:
+    context.era += 1
+    context.now += 1
+    read_again(context)
+
+
+@when('daemon a records v1 again')
+def record_again(context: Context) -> None:
+    _record(context, 'a', 103, {'v1': 0})
+
+
+@then('records may be missing')
+def check_missing(context: Context) -> None:
+    assert context.history.has_lost_records(_LIVE, context.era, context.now)
+
+
+@then('no record is missing')
+def check_complete(context: Context) -> None:
+    assert not context.history.has_lost_records(_LIVE, context.era, context.now)
+
+
+@then('none may be if daemon a is live')
+def check_live(context: Context) -> None:
+    live = frozenset(('a', 'b'))
+    assert not context.history.has_lost_records(live, context.era, context.now)
+
+
 @when('the log is read again')
 def read_again(context: Context) -> None:
     for record in tuple(context.records):
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -107,6 +107,15 @@
     And all daemons are killed, come back and the streams are taken up
     Then no stream has events of two versions
 
+  # Guards against a daemon that takes records for lost until it ends, once the store came back.
+  Scenario: The store comes back from a copy, and later a daemon stands still
+    Given a fleet of 2 daemons, a store that names its era and engines of the versions v1, v1
+    When a daemon has read the records of streams and the store comes back from a copy
+    And 18 streams at one daemon have brought 3 events and it stands still
+    And callers take the streams up at other daemons
+    Then no stream has events of two versions
+    And at least 18 of them go on
+
   # Guards against a daemon that ends, or believes, a record of streams that can't be read.
   Scenario: Malformed records of streams
     Given a fleet of 2 daemons and engines of the versions v1, v1, v2, v2
--- a/features/version_history.feature
+++ b/features/version_history.feature
@@ -39,6 +39,21 @@
     And the log is read again
     Then a stream of a daemon that isn't live began at none
 
+  # Guards against records that count as lost although their writers have recorded all again.
+  Scenario: The store comes back from a copy
+    Given a log in which daemon a has seen v1
+    When the store comes back from a copy
+    Then records may be missing
+    And none may be if daemon a is live
+    When daemon a records v1 again
+    Then no record is missing
+
+  Scenario: A daemon is lost before it can record again
+    Given a log in which daemon a has seen v1
+    When the store comes back from a copy
+    And no record comes for 31 s
+    Then no record is missing
+
   # Guards against builds that can't read each other's records while both run.
   Scenario: The former landing's records
     Given a log with a record of the former landing on a stream at v1
--- a/features/versioned_fleet.py
+++ b/features/versioned_fleet.py
@@ -107,9 +107,10 @@
         """Return the versions of the engines that ran attempts of a stream."""
         return {engine.version for engine in self.engines_of(call)}
 
-    def take_up_unknown(self, number: int) -> Response:
+    def take_up_unknown(self, number: int, daemon: int = 0) -> Response:
         """Take up a stream that no daemon knows."""
         return self.fleet.send_request(
+            daemon=daemon,
             path=_PATH,
             adapter=f'a{number}',
             Last_Event_Id='3',
--- a/src/pimentohoist/_decisions/version_history.py
+++ b/src/pimentohoist/_decisions/version_history.py
@@ -54,6 +54,7 @@
 class _Writer:
     """What is known of a daemon by its records."""
 
+    era: int
     clock_s: float | None
     written: _Moment
     seen: dict[tuple[str, str], tuple[_Moment, float]] = field(default_factory=dict)
@@ -75,10 +76,10 @@
         self._log_time_s = max(self._log_time_s, _log_time_s(writer, record))
         moment = _Moment(self._log_time_s, now)
         if writer is None:
-            writer = _Writer(record.clock_s, moment)
+            writer = _Writer(record.era, record.clock_s, moment)
             self._drop_expired(now)
             self._writers[record.writer] = writer
-        writer.clock_s, writer.written = record.clock_s, moment
+        writer.era, writer.clock_s, writer.written = record.era, record.clock_s, moment
         for group, ages in record.ages.items():
             for version, age_s in ages.items():
                 writer.seen[group, version] = moment, age_s
@@ -107,6 +108,17 @@
                 found |= versions
         return frozenset(found)
 
+    def has_lost_records(self, live: Set[str], era: int, now: float) -> bool:
+        """Return whether records may be missing since the store came back from a copy.
+
+        Daemons that run then record all that they know again, in the new era.
+        """
+        return any(
+            writer.era < era and self._age_s(writer.written, now) < VERSION_KEPT_S
+            for name, writer in self._writers.items()
+            if name not in live
+        )
+
     def _is_known(self, record: VersionRecord) -> bool:
         """Return whether a record was applied before: a new era's log is read anew."""
         if record.clock_s is None:
--- a/src/pimentohoist/_entry/stream_log.py
+++ b/src/pimentohoist/_entry/stream_log.py
@@ -77,12 +77,6 @@
     register: StreamRegister = field(default_factory=StreamRegister)
     versions: VersionHistory = field(default_factory=VersionHistory)
     position: ReadPosition | None = None
-    eras: set[int] = field(default_factory=set)
-
-    @property
-    def has_lost_records(self) -> bool:
-        """Return whether the store came back from a copy since some of the records."""
-        return len(self.eras) > 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -216,7 +210,6 @@
             records = self._read_page()
             apply_each(records, STREAM_RECORDS, self._apply)
             if not records:
-                self._history.eras.add(self.store.era.current)
                 return
         raise PimentohoistError(f'more than {_MAX_READS} pages', step=_STEP)
 
@@ -249,7 +242,6 @@
             self._log_rejected(record.key, error)
             return
         now = _clock.now()
-        self._history.eras.add(versions.era)
         self._history.versions.apply(versions, now)
         for stream in found:
             self._history.register.record(stream.stream, stream.version, now)
--- a/src/pimentohoist/_entry/stream_versions.py
+++ b/src/pimentohoist/_entry/stream_versions.py
@@ -76,7 +76,7 @@
         self.register = StreamRegister()
         self.versions = ServiceVersions(endpoints, members, stream_log)
         self._started_at = _clock.now()
-        self._appended_at: dict[str, float] = {}
+        self._appended_at: dict[tuple[str, int], float] = {}
         self._heard_at = float('-inf')
         self._unheard_until = float('-inf')
         self._lock = threading.Lock()
@@ -143,16 +143,20 @@
         self.versions.record_due()
 
     def _append_recent(self) -> None:
-        """Append the streams that began before several versions were in service."""
+        """Append the streams that began before several versions were in service.
+
+        In a new era of the store it may have lost them.
+        """
         now = _clock.now()
+        era = self.stream_log.store.era.current
         for group, versions in self.versions.ages().items():
-            appended_at = self._appended_at.get(group, float('-inf'))
+            appended_at = self._appended_at.get((group, era), float('-inf'))
             if len(versions) == 1 or now < appended_at + _REAPPEND_INTERVAL_S:
                 continue
-            if group not in self._appended_at:
+            if (group, era) not in self._appended_at:
                 # The others may read of the versions later than this daemon.
                 self.members.send_soon()
-            self._appended_at[group] = now
+            self._appended_at[group, era] = now
             with self._lock:
                 recent = self.register.recent(group, now - VERSION_KEPT_S)
             self.stream_log.append(recent)
@@ -193,10 +197,13 @@
         if not self._may_have_missed_versions():
             return versions
         history = self.stream_log.read()
-        if history is None or history.has_lost_records:
+        if history is None:
             return set()
         now = _clock.now()
         live = self.versions.live_incarnations()
+        era = self.stream_log.store.era.current
+        if history.versions.has_lost_records(live, era, now):
+            return set()
         departed = set(history.versions.departed(live, now).get(group, ()))
         singles = history.versions.only_versions(group, live, now)
         if len(versions) == 1 or not departed:
