--- a/src/pimentohoist_standins/opaque_engine_handler.py
+++ b/src/pimentohoist_standins/opaque_engine_handler.py
@@ -26,10 +26,13 @@
 
 
 class EngineHandler(AnsweringHandler):
+    _headers_buffer: list[bytes]
+
     def setup(self) -> None:
         self.status = 0
         self.last_event: int | None = None
         self.is_chunked = False
+        self.is_request = False
         super().setup()
 
     def do_GET(self) -> None:  # noqa: N802
@@ -65,8 +68,17 @@
             self.send_header('Server-Brittle', str(self.engine.faults.brittle))
         for limit in tuple(self.engine.faults.limits):
             self.send_header('Server-Limit', limit)
+        if self.is_request and self.engine.faults.cut_heads:
+            self.cut_head(self.engine.faults.cut_heads.pop(0))
         super().end_headers()
 
+    def cut_head(self, size: int) -> None:
+        """Send the beginning of a head and close the connection."""
+        self.wfile.write(b''.join(self._headers_buffer)[:size])
+        self._headers_buffer.clear()
+        self.close_connection = True
+        raise BrokenPipeError('head cut')
+
     def send_state(self, status: HTTPStatus, body: bytes) -> None:
         endless = self.engine.faults.endless_reports
         if endless is None:
@@ -100,10 +112,12 @@
         outcome = RunOutcome.CANCELLED
         self.status = 0
         self.last_event = None
+        self.is_request = True
         try:
             with engine.occupied() as has_room:
                 outcome = self.respond(headers, body, has_room=has_room)
         finally:
+            self.is_request = False
             engine.record_end(arrival, outcome, self.status, self.last_event)
 
     def respond(
--- a/src/pimentohoist_standins/opaque_engine_state.py
+++ b/src/pimentohoist_standins/opaque_engine_state.py
@@ -93,6 +93,9 @@
         named in all responses. None if it never falls over.
     room : int or None
         Requests that it executes or keeps waiting at once; None for any number.
+    cut_heads : list of int
+        After how many bytes of their heads the next responses to requests end with their
+        connections; engines may share the list.
     resumption : bytes or None
         Body of the responses to requests that take a stream up.
     load_s : float
@@ -106,6 +109,7 @@
     is_leaving: bool = False
     quiet_s: float | None = None
     cut_after_events: int | None = None
+    cut_heads: list[int] = field(default_factory=list)
     endless_after_events: int | None = None
     extra_responses: int = 0
     failures: int = 0
