Soak: all daemons lost beside odd records, and heads that are cut off

Kinds kill_all (all daemons at once, an engine gets newer software meanwhile), store_odd_entry and engine_cut_head; check served_after_loss. The stand-in store returns the newest records in the order of their keys, as the platform's does.

--- a/features/soak_broken_cases.py
+++ b/features/soak_broken_cases.py
@@ -274,6 +274,10 @@
         'served_without_links': {
             '20 of 40, others all': records.callers_without_links(20, 20),
         },
+        'served_after_loss': {
+            '9 of 40': records.callers_after_loss(9, 31),
+            'nobody': records.callers_after_loss(0, 24),
+        },
         'falls_of_brittle': {
             '3 falls of 4': records.falls_of_brittle_engines(98.5, 101, 104),
             '3 falls of the only one': records.falls_of_brittle_engines(
--- a/features/soak_checks.feature
+++ b/features/soak_checks.feature
@@ -59,6 +59,7 @@
       | answers_in_time    | a request is held beyond its time                       |
       | cancellations      | a run goes on after its caller left                     |
       | served_without_links | a daemon without links serves fewer than others       |
+      | served_after_loss  | daemons that were all lost don't serve again            |
       | runs_through_pauses | a request is cut as its endpoint is silent for a second |
 
   # Guards against two daemons that believe they own one engine.
--- a/features/soak_histories.py
+++ b/features/soak_histories.py
@@ -26,6 +26,9 @@
 _ENDING_WEIGHTS = (60, 8, 4, 2, 8, 10, 8)
 _RUN_END_S = 200
 _PAUSE_S = 120
+_MANY_ATTEMPTS = 100
+"""Of so many attempts, whose ends are drawn, a quarter or more is served."""
+
 _PAUSE_END_S = 122
 _RESTART_S = 9
 _LEAVING = 'engine-3'
@@ -90,6 +93,8 @@
             FaultRecord('engine_pause', 'engine-1', 45, 46.2),
             FaultRecord('engines_live', 'front-2', 60, 70),
         )
+        if attempts >= _MANY_ATTEMPTS:
+            faults += (FaultRecord('kill_all', 'front-2', 2, 4),)
         return Observations(
             seed=1,
             began_at=0,
--- a/features/soak_kept_answers.py
+++ b/features/soak_kept_answers.py
@@ -68,6 +68,10 @@
             'others serve nobody': records.callers_without_links(0, 40, 0),
             'the cut was over': records.callers_without_links(0, 40, ended_at=99),
         },
+        'served_after_loss': {
+            '10 of 40': records.callers_after_loss(10, 30),
+            'within the time to recover': records.callers_after_loss(0, 40, 90),
+        },
         'endpoint_limits': {
             '23 in 4 s': records.requests_at_limited_engine(23),
             'before it was known': records.requests_at_limited_engine(
--- a/features/soak_records.py
+++ b/features/soak_records.py
@@ -173,6 +173,17 @@
     return observed(callers, faults=[fault])
 
 
+def callers_after_loss(served: int, failed: int, lost_at: float = 80) -> Observations:
+    """Attempts at a daemon that was killed together with all others."""
+    refused = replace(CALLER, status=503, has_seal=False)
+    sent = (*(CALLER for _ in range(served)), *(refused for _ in range(failed)))
+    callers = [
+        replace(caller, request_id=f'a-{number}') for number, caller in enumerate(sent)
+    ]
+    loss = fault_record('kill_all', 'front-1', lost_at, lost_at + 2)
+    return observed(callers, faults=[loss])
+
+
 def falls_of_brittle_engines(*falls_at: float, endpoints: int = 4) -> Observations:
     """Falls of one of the engines that are brittle from 95 s to 110 s."""
     brittle = (
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -25,7 +25,10 @@
 _MARK = 'PIMENTOHOIST_SOAK_TEST'
 _MINUTE_S = 60
 _TIMEOUT_S = 150
-_LATER_KINDS = frozenset(('engine_limit', 'engine_brittle', 'engine_pause'))
+_LATER_KINDS = frozenset(
+    ('engine_limit', 'engine_brittle', 'engine_pause')
+    + ('kill_all', 'store_odd_entry', 'engine_cut_head')
+)
 """Kinds without which seeds that are played here keep their plans."""
 
 _KINDS = MappingProxyType(
@@ -34,6 +37,10 @@
             kind for kind in KINDS if kind not in _LATER_KINDS
         ),
         'engines that are brittle or silent for a second': 'engine_brittle,engine_pause',
+        'all daemons lost beside odd records and cut heads': (
+            'kill_all,store_odd_entry,engine_cut_head,engine_cut,hup,config_storm,'
+            'key_withdrawn,engine_twice,engine_fail,engine_quiet,config_invalid'
+        ),
         'limits of endpoints': 'engine_limit,engine_cut,hup',
         'planned work only': (
             'term,hup,engine_leaves,config_storm,key_withdrawn,engine_cut'
--- a/src/pimentohoist_standins/_soak/checks.py
+++ b/src/pimentohoist_standins/_soak/checks.py
@@ -48,6 +48,7 @@
     checks_budgets.retry_budget,
     checks_budgets.endpoint_limits,
     checks_reach.served_without_links,
+    checks_reach.served_after_loss,
     checks_endpoints.falls_of_brittle,
     checks_endpoints.runs_through_pauses,
 )
--- a/src/pimentohoist_standins/_soak/checks_reach.py
+++ b/src/pimentohoist_standins/_soak/checks_reach.py
@@ -1,4 +1,4 @@
-"""Check of how callers fare at daemons that lost their links to all endpoints."""
+"""Checks of how callers fare at daemons that lost all links, or were all lost."""
 
 from __future__ import annotations
 
@@ -8,6 +8,8 @@
 from pimentohoist_standins._soak.history import History, Verdict, is_success
 from pimentohoist_standins._soak.records import CallerRecord, FaultRecord
 
+_LEAST_CALLS = 20
+
 
 def served_without_links(history: History) -> Iterator[Verdict]:
     """Daemons without links serve callers nearly as often as those that have them."""
@@ -28,6 +30,23 @@
         yield _verdict(history, fault, here, elsewhere)
 
 
+def served_after_loss(history: History) -> Iterator[Verdict]:
+    """Daemons that were all lost at once serve again."""
+    bounds = history.bounds
+    losses = {
+        (fault.began_at, fault.ended_at)
+        for fault in history.observations.faults
+        if fault.kind == 'kill_all'
+    }
+    for began_at, ended_at in losses:
+        since = ended_at + bounds.recover_s
+        calls = [each for each in history.calm_callers() if each.sent_at > since]
+        if len(calls) >= _LEAST_CALLS:
+            served = _served(calls)
+            text = f'{served} of {len(calls)} served after all were lost at {began_at}'
+            yield Verdict(served >= bounds.recover_share * len(calls), since, text)
+
+
 def _verdict(
     history: History,
     fault: FaultRecord,
--- a/src/pimentohoist_standins/_soak/disruptions.py
+++ b/src/pimentohoist_standins/_soak/disruptions.py
@@ -17,7 +17,7 @@
     'term hup restart roll new_address key_withdrawn config_change config_storm '
     'config_invalid caller_leaves caller_slow engine_fail engine_twice engine_leaves '
     'engine_quiet engine_limit engine_endless engine_cut '
-    'engine_brittle engines_reset engines_hang engines_live'.split(),
+    'engine_brittle engine_cut_head store_odd_entry engines_reset engines_hang engines_live'.split(),
 )
 LINK_LOSSES = frozenset('engines_reset engines_hang engines_live'.split())
 _STORE_KINDS = frozenset(
@@ -28,7 +28,7 @@
     'engine_crash engine_freeze engine_silent engine_pause engine_fall'.split(),
 )
 _PROCESS_OR_LINK_KINDS = frozenset(
-    'kill pause link_delay link_reset link_cut link_silent link_slow link_close '
+    'kill kill_all pause link_delay link_reset link_cut link_silent link_slow link_close '
     'link_cut_requests link_cut_responses'.split(),
 )
 
--- a/src/pimentohoist_standins/_soak/endpoints.py
+++ b/src/pimentohoist_standins/_soak/endpoints.py
@@ -27,6 +27,7 @@
         self.group = group
         self.fleet = fleet
         self.incarnations = 0
+        self.releases = 0
         self._lock = threading.Lock()
         self.start()
 
@@ -45,10 +46,19 @@
         document = self.process.call('document', state=state)
         self.fleet.set_entry(self.endpoint_id, document)
 
-    def replace(self, down_s: float) -> str:
-        """End the process and start another one after a time; return the ended one's id."""
+    def software_version(self) -> str:
+        """Return the version of the current incarnation."""
+        release = f'.{self.releases}' if self.releases else ''
+        return f'v{self.number % _VERSIONS}{release}'
+
+    def replace(self, down_s: float, *, is_release: bool = False) -> str:
+        """End the process and start another one after a time; return the ended one's id.
+
+        In a release that one has newer software.
+        """
         with self._lock:
             self.process.kill()
+            self.releases += is_release
             ended_id = self.endpoint_id
             time.sleep(down_s)
             self.fleet.set_entry(ended_id, None)
@@ -123,7 +133,7 @@
             endpoint_id=name,
             group=endpoint.group,
             model=MODEL if endpoint.group == ENGINE_GROUP else '',
-            version=f'v{endpoint.number % _VERSIONS}',
+            version=endpoint.software_version(),
             path=str(self.folder / f'{name}.records'),
         )
         with self._lock:
--- a/src/pimentohoist_standins/_soak/faults.py
+++ b/src/pimentohoist_standins/_soak/faults.py
@@ -37,6 +37,14 @@
 _ENTRIES_BACK_S = 1.5
 """Time after the store's return from a copy until endpoints' entries are back."""
 
+_ODD_ID = 'a-odd-1'
+_ODD_ENTRY: Mapping[str, Any] = MappingProxyType(
+    {
+        **{'service': 'models', 'address': '127.0.0.1:9', 'zone': 'z', 'slots': 8},
+        **{'version': 'v1', 'state': ['ready'], 'born': 1, 'seq': 0},
+    }
+)
+
 _LINK_FAULTS: Mapping[str, Mapping[str, Any]] = MappingProxyType(
     {
         'link_delay': {'delay_s': 0.15},
@@ -61,6 +69,7 @@
         'engine_fail': {'failures': 5},
         'engine_twice': {'extra_responses': 3},
         'engine_cut': {'cut_after_events': 3},
+        'engine_cut_head': {'cut_heads': [17, 120, 150, 165, 180, 195, 210]},
         'engine_quiet': {'quiet_s': 0.5},
         'engine_limit': {'limits': [str(LIMIT_PER_S)]},
     }
@@ -179,6 +188,8 @@
             parts.links.cut_endpoints(process.host, form)
             time.sleep(fault.duration_s)
             parts.links.mend_endpoints(process.host)
+        case 'kill_all':
+            return _kill_all(parts, fault.duration_s)
         case 'roll':
             return _roll(parts, fault.duration_s)
         case _:
@@ -188,6 +199,21 @@
     return [process.host]
 
 
+def _kill_all(parts: Parts, down_s: float) -> list[str]:
+    """Kill all daemons at once; an engine gets newer software before they are back."""
+    daemons = parts.daemons.daemons
+    began_at = time.monotonic()
+    hosts = [daemon.process.host for daemon in daemons]
+    for killed in daemons:
+        killed.process.kill()
+    ended_id = parts.endpoints.endpoints[0].replace(down_s, is_release=True)
+    for daemon in daemons:
+        daemon.restart()
+    crash = FaultRecord('engine_crash', ended_id, began_at, time.monotonic())
+    parts.falls.add(crash)
+    return hosts
+
+
 def _roll(parts: Parts, pause_s: float) -> list[str]:
     """Restart all daemons, each some time after the one before has begun to stop."""
     hosts = [daemon.process.host for daemon in parts.daemons.daemons]
@@ -229,6 +255,9 @@
             store.call('configure', is_silent=True)
             time.sleep(fault.duration_s)
             store.call('end_silence')
+        case 'store_odd_entry':
+            entries = {_ODD_ID: dict(_ODD_ENTRY)}
+            store.call('put_documents', topic='keyed.servers', documents=entries)
         case 'store_restored':
             store.call('save_copy')
             time.sleep(fault.duration_s)
--- a/src/pimentohoist_standins/_soak/plan.py
+++ b/src/pimentohoist_standins/_soak/plan.py
@@ -18,6 +18,9 @@
 ROLL_PAUSE_S = 1.0
 """Least time between the stops of two daemons in a rolling restart."""
 
+_RECOVERED_S = 4.0
+"""Time in which it is seen whether daemons serve again."""
+
 _STOPS = frozenset(('term', 'new_address'))
 _MEAN_PAUSE_S = 0.8
 _BURST_SHARE = 0.3
@@ -48,6 +51,7 @@
     for target, range_s, names in (
         (_DAEMON, _MOMENT_S, 'hup'),
         (_DAEMON, _SHORT_S, 'term new_address kill roll'),
+        (_DAEMON, (1.4, 2), 'kill_all'),
         (_DAEMON, _LONG_S, 'pause'),
         (_DAEMON, _CUT_S, 'engines_reset engines_hang engines_live'),
         ('link', _MOMENT_S, 'link_reset'),
@@ -55,7 +59,8 @@
         ('link', _LONG_S, 'link_silent link_slow link_close'),
         ('store', _LONG_S, 'store_down store_slow store_silent store_restored'),
         ('store', _SHORT_S, 'store_lose_calls store_lose_answers'),
-        (_ENDPOINT, _MOMENT_S, 'engine_fail engine_twice engine_cut'),
+        ('store', _MOMENT_S, 'store_odd_entry'),
+        (_ENDPOINT, _MOMENT_S, 'engine_fail engine_twice engine_cut engine_cut_head'),
         (_ENDPOINT, _SHORT_S, 'engine_crash engine_leaves engine_quiet'),
         (_ENDPOINT, _LONG_S, 'engine_freeze engine_silent'),
         (_ENDPOINT, (4, 7), 'engine_limit'),
@@ -163,6 +168,8 @@
     most_s = KINDS[kind].most_s
     if kind in _STOPS:
         return most_s + Bounds().grace_s
+    if kind == 'kill_all':
+        return most_s + Bounds().recover_s + _RECOVERED_S
     if kind == 'roll':
         return options.daemons * (most_s + ROLL_PAUSE_S) + Bounds().grace_s
     return most_s
--- a/src/pimentohoist_standins/_soak/records.py
+++ b/src/pimentohoist_standins/_soak/records.py
@@ -249,6 +249,8 @@
     reach_share: float = 2 / 3
     reach_failures: float = 10
     reach_failed_share: float = 0.02
+    recover_s: float = 12
+    recover_share: float = 0.25
     brittle_falls: float = 2
     brittle_falls_share: float = 0.1
 
--- a/src/pimentohoist_standins/keyed_store.py
+++ b/src/pimentohoist_standins/keyed_store.py
@@ -161,7 +161,7 @@
         }
         rows = [
             {'key': key, 'value': base64.b64encode(body).decode(), 'offset': 0}
-            for key, body in viewed.items()
+            for key, body in sorted(viewed.items())
         ]
         has_more = self.has_endless_pages
         if has_more:
