--- a/features/entry_stop.feature
+++ b/features/entry_stop.feature
@@ -8,6 +8,19 @@
     Then each is answered whole or surely not run
     And the daemon is gone before the kill
 
+  # Guards against requests that are taken late in the grace period and end with no answer.
+  Scenario Outline: Payments sent late in the grace period aren't cut off (<daemons>)
+    Given a stopping fleet of <daemons> whose streams take 0.2 s
+    And it has answered 25 payments
+    When payments of 3.5 s are sent on kept connections each 0.25 s from 1 s to 7.75 s after SIGTERM
+    Then each is answered whole or surely not run
+    And the daemon is gone before the kill
+
+    Examples:
+      | daemons   |
+      | 1 daemon  |
+      | 2 daemons |
+
   # Guards against reading requests between the check that none is in flight and the exit.
   Scenario: Streams that arrive once the daemon has found itself idle aren't cut off
     Given a stopping fleet of 2 daemons whose streams take 1.8 s
--- a/features/steps/entry_stop.py
+++ b/features/steps/entry_stop.py
@@ -33,6 +33,7 @@
 
 _STREAM = '/models/x'
 _SHORT = '/look/x'
+_PAYMENT = '/pay/x'
 _EVENTS = 6
 _STREAM_CALLERS = 12
 _SHORT_CALLERS = 28
@@ -147,6 +148,28 @@
     context.stop.join()
 
 
+@given('it has answered {count:d} payments')
+def answer_payments(context: Context, count: int) -> None:
+    for _ in range(count):
+        assert context.fleet.send_request(_PAYMENT).status == 200
+
+
+@when(
+    'payments of {work_s:g} s are sent on kept connections each {step_s:g} s '
+    'from {first_s:g} s to {last_s:g} s after SIGTERM'
+)
+def send_payments(
+    context: Context, work_s: float, step_s: float, first_s: float, last_s: float
+) -> None:
+    count = int((last_s - first_s) / step_s) + 1
+    callers = [Caller(context.stop, int(work_s * 1000)) for _ in range(count)]
+    context.stop.begin()
+    for number, caller in enumerate(callers):
+        sent_at_s = first_s + number * step_s
+        context.stop.start_thread(caller.send_at, sent_at_s, _PAYMENT, f'pay-{number}')
+    context.stop.join()
+
+
 @when(
     'streams are sent on kept connections as soon as the daemon has found itself idle'
 )
--- a/features/stop_callers.py
+++ b/features/stop_callers.py
@@ -12,6 +12,8 @@
 
 from entry_fleet import KEY, MODEL, EntryFleet, EntryProcess
 
+from pimentohoist_standins.opaque_engine_handler import WORK_MS
+
 GRACE_S = 8.0
 _LOSS_SLACK_S = 0.2
 """A connection may close without an answer within this time of a request's last byte."""
@@ -98,8 +100,9 @@
 class Caller:
     """A caller with one connection to the stopping daemon."""
 
-    def __init__(self, stop: Stop) -> None:
+    def __init__(self, stop: Stop, work_ms: int = 0) -> None:
         self.stop = stop
+        self.work_ms = work_ms
         self.sock = socket.create_connection((stop.daemon.host, 8000), 2)
         self.sock.settimeout(_READ_TIMEOUT_S)
 
@@ -113,7 +116,7 @@
         sent = SentRequest(request_id, self.stop.elapsed_s())
         self.stop.requests.append(sent)
         try:
-            self.sock.sendall(_request(path, request_id))
+            self.sock.sendall(_request(path, request_id, self.work_ms))
             while not sent.is_whole:
                 part = self.sock.recv(65_536)
                 if not part:
@@ -168,13 +171,14 @@
         time.sleep(_POLL_S)
 
 
-def _request(path: str, request_id: str) -> bytes:
+def _request(path: str, request_id: str, work_ms: int) -> bytes:
     lines = [
         f'POST {path} HTTP/1.1',
         'Host: house.example',
         f'Pimentohoist-Attempt-Id: {request_id}',
         f'Api-Key: {KEY}',
         'Content-Length: 2',
+        f'{WORK_MS}: {work_ms}',
     ]
     if path.startswith('/models'):
         lines.append(f'Pimentohoist-Model: {MODEL}/a0')
