--- a/features/steps/version_history.py
+++ b/features/steps/version_history.py
@@ -4,6 +4,7 @@
 
 import json
 import sys
+import threading
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
@@ -34,6 +35,7 @@
 _STREAM = '00f1c4ad09e2b7a3'
 _RECORD_EVERY_S = 10
 _WAIT_S = 2.0
+_SWITCH_INTERVAL_S = 1e-6
 
 
 class _Log:
@@ -195,3 +197,48 @@
 
 def _stream_log(log: Any) -> StreamLog:
     return StreamLog(log, 'front-2', 'incarnation-2', lambda: 1)
+
+
+@then(
+    'versions can be asked for while {count:d} records of {daemons:d} daemons'
+    ' are applied'
+)
+def check_concurrent(context: Context, count: int, daemons: int) -> None:
+    history = VersionHistory()
+    failures: list[Exception] = []
+    applying = threading.Thread(target=_apply_many, args=(history, count, daemons))
+
+    def ask() -> None:
+        while applying.is_alive():
+            try:
+                _ask_all(history, 0)
+            except Exception as error:
+                failures.append(error)
+                return
+
+    asking = [threading.Thread(target=ask) for _ in range(4)]
+    interval_s = sys.getswitchinterval()
+    sys.setswitchinterval(_SWITCH_INTERVAL_S)
+    try:
+        for thread in (applying, *asking):
+            thread.start()
+        for started in (applying, *asking):
+            started.join()
+    finally:
+        sys.setswitchinterval(interval_s)
+    assert not failures, failures
+
+
+def _apply_many(history: VersionHistory, count: int, daemons: int) -> None:
+    for number in range(count):
+        name = f'daemon-{number % daemons}.{number // (daemons * 10)}'
+        ages = {_GROUP: {f'v{number % 7}': 0}}
+        record = VersionRecord(name, 1, number, ages)
+        history.apply(record, number / daemons)
+
+
+def _ask_all(history: VersionHistory, now: float) -> None:
+    live = frozenset(('daemon-1.0', 'daemon-2.1'))
+    history.departed(live, now)
+    history.only_versions(_GROUP, live, now)
+    history.has_lost_records(live, 2, now)
--- a/features/version_history.feature
+++ b/features/version_history.feature
@@ -65,3 +65,7 @@
     When it appends to the log
     Then the former landing reads both versions, and that the stream began at v2
     And it reads a heartbeat of this build, and this build one of the former landing
+
+  # Guards against a caller's request that fails as another one reads new records.
+  Scenario: Records are applied while versions are asked for
+    Then versions can be asked for while 20000 records of 200 daemons are applied
--- a/src/pimentohoist/_decisions/version_history.py
+++ b/src/pimentohoist/_decisions/version_history.py
@@ -61,7 +61,10 @@
 
 
 class VersionHistory:
-    """Versions by the daemon that recorded them, for as long as streams can be taken up."""
+    """Versions by the daemon that recorded them, for as long as streams can be taken up.
+
+    One thread at a time applies records; others may ask meanwhile.
+    """
 
     def __init__(self) -> None:
         self._writers: dict[str, _Writer] = {}
@@ -87,7 +90,7 @@
     def departed(self, live: Set[str], now: float) -> VersionAges:
         """Return the versions that daemons saw which aren't live, with their ages."""
         found: defaultdict[str, dict[str, float]] = defaultdict(dict)
-        for name, writer in self._writers.items():
+        for name, writer in tuple(self._writers.items()):
             if name in live:
                 continue
             for group, version, age_s in self._recent(writer, now):
@@ -101,8 +104,10 @@
         Such a daemon hasn't told others of the streams that it began.
         """
         found: set[str] = set()
-        for name in live & self._writers.keys():
-            recent = self._recent(self._writers[name], now)
+        for name, writer in tuple(self._writers.items()):
+            if name not in live:
+                continue
+            recent = self._recent(writer, now)
             versions = {version for seen, version, _ in recent if seen == group}
             if len(versions) == 1:
                 found |= versions
@@ -115,7 +120,7 @@
         """
         return any(
             writer.era < era and self._age_s(writer.written, now) < VERSION_KEPT_S
-            for name, writer in self._writers.items()
+            for name, writer in tuple(self._writers.items())
             if name not in live
         )
 
@@ -134,7 +139,7 @@
 
     def _recent(self, writer: _Writer, now: float) -> Iterator[tuple[str, str, float]]:
         """Yield group, version and age of the versions that served lately."""
-        for (group, version), (moment, age_s) in writer.seen.items():
+        for (group, version), (moment, age_s) in tuple(writer.seen.items()):
             total_s = age_s + self._age_s(moment, now)
             if total_s < VERSION_KEPT_S:
                 yield group, version, total_s
--- a/src/pimentohoist/_entry/member_list.py
+++ b/src/pimentohoist/_entry/member_list.py
@@ -10,8 +10,8 @@
 
 from pimentohoist import _clock
 from pimentohoist._addresses import split_address
-from pimentohoist.exceptions import PimentohoistError
 from pimentohoist._entry.topic_follower import apply_each
+from pimentohoist.exceptions import PimentohoistError
 from pimentohoist.platform import MEMBER_RECORDS, KeyedRecord, Store
 
 _READ_INTERVAL_S = 30.0
