--- a/features/stop_callers.py
+++ b/features/stop_callers.py
@@ -178,8 +178,9 @@
         f'Pimentohoist-Attempt-Id: {request_id}',
         f'Api-Key: {KEY}',
         'Content-Length: 2',
-        f'{WORK_MS}: {work_ms}',
     ]
+    if work_ms:
+        lines.append(f'{WORK_MS}: {work_ms}')
     if path.startswith('/models'):
         lines.append(f'Pimentohoist-Model: {MODEL}/a0')
         lines.append('Pimentohoist-Token-Count: 10,20')
