Heartbeats: relays are the daemons with the fastest links

Cause: relays were chosen by rendezvous hashing alone. On a deployment of 79 daemons whose links carry 5 to 100 Mbit/s, most relays had links of 5 Mbit/s, which their bundles filled: heartbeats were lost, daemons took one another as dead, and engines had no owner in the view of many. Change: daemons state the speed of their links in heartbeats and in the list of members; the two fastest of a failure domain relay. While one of a domain doesn't state it, as earlier builds, links don't count there. Bundles that are the same for many targets are encoded once.

--- a/features/heartbeat_relays.feature
+++ b/features/heartbeat_relays.feature
@@ -15,6 +15,23 @@
       | 64      | 3       | 1920  |
       | 195     | 5       | 5850  |
 
+  # Guards against relays whose slow links lose the heartbeats of a whole failure domain:
+  # 79 daemons, six of them with links of 100 Mbit/s, the others of 5.
+  Scenario: Instances with fast and slow links
+    Given 79 daemons in 3 failure domains, 2 of each with a link of 100 Mbit/s and the others of 5
+    When they run for 4 s
+    Then each daemon takes all others as live
+    And the relays are the daemons with fast links
+    And daemons that are no relays send at most 30 datagrams and 8 KB a second
+
+  # Guards against two builds that choose different relays during a rolling update.
+  Scenario: Daemons of an earlier build, which do not state their links
+    Given 79 daemons in 3 failure domains, 2 of each with a link of 100 Mbit/s and the others of 5
+    And a daemon of each failure domain is of a build that does not state its link
+    When they run for 4 s
+    Then each daemon takes all others as live
+    And the relays are those of a fleet that states no links
+
   # Guards against adapters that are evicted in use, since their use is reported late.
   Scenario: The owner of an engine hears of requests in time
     Given 42 daemons in 3 failure domains
--- a/features/relay_world.py
+++ b/features/relay_world.py
@@ -66,7 +66,7 @@
         for number in range(daemons):
             self.add(f'10.0.{number // 200}.{number % 200 + 1}:8002', number % domains)
 
-    def add(self, address: str, domain: int) -> None:
+    def add(self, address: str, domain: int, link_mbps: float = 0) -> None:
         """Start a daemon that knows the addresses of those before it."""
         host = address.partition(':')[0]
         settings: Any = SimpleNamespace(
@@ -76,6 +76,7 @@
             host=host,
             peer_port=0,
             seeds=tuple(self.members)[:3],
+            link_mbps=link_mbps,
         )
         store: Any = mock.MagicMock()
         members = MembersController(settings, store, lambda: _heartbeat(settings))
@@ -130,6 +131,8 @@
             other.member_list.domains[members.member] = own.failure_domain
             members.member_list.confirmed_at[other.member] = self.now
             members.member_list.domains[other.member] = other.settings.failure_domain
+            other.member_list.link_mbps[members.member] = own.link_mbps
+            members.member_list.link_mbps[other.member] = other.settings.link_mbps
 
     def _step(self) -> None:
         self.now += _STEP_S
@@ -160,4 +163,5 @@
         generation=0,
         in_flight={'i-0123456789': {'model/a17': 2}, 'i-1123456789': {'': 1}},
         admitted_tokens={'workspace-1': 12345.0, 'workspace-2': 77.0},
+        link_mbps=settings.link_mbps,
     )
--- a/features/steps/heartbeat_relays.py
+++ b/features/steps/heartbeat_relays.py
@@ -41,6 +41,52 @@
             _make_earlier_build(members)
 
 
+@given(
+    '{daemons:d} daemons in {domains:d} failure domains, {count:d} of each with a link'
+    ' of {fast:g} Mbit/s and the others of {slow:g}'
+)
+def start_uneven(
+    context: Context, daemons: int, domains: int, count: int, fast: float, slow: float
+) -> None:
+    start_world(context, 0, domains)
+    context.world.chance.seed(daemons)
+    context.fast = set()
+    for number in range(daemons):
+        address = f'10.0.0.{number + 1}:8002'
+        # The fast ones are neither the first nor the last by address.
+        is_fast = daemons // 2 <= number < daemons // 2 + count * domains
+        context.world.add(address, number % domains, fast if is_fast else slow)
+        context.fast |= {address} if is_fast else set()
+
+
+@given('a daemon of each failure domain is of a build that does not state its link')
+def hide_links(context: Context) -> None:
+    hidden = {members.settings.failure_domain: members for members in _others(context)}
+    for members in hidden.values():
+        members.settings.link_mbps = 0
+        for other in context.world.members.values():
+            other.member_list.link_mbps[members.member] = 0
+
+
+@then('the relays are the daemons with fast links')
+def check_fast_relays(context: Context) -> None:
+    assert context.world.relays() == context.fast, context.world.relays()
+
+
+@then('the relays are those of a fleet that states no links')
+def check_plain_relays(context: Context) -> None:
+    relays = context.world.relays()
+    world = RelayWorld(0, 0, seed=1)
+    for address, members in context.world.members.items():
+        world.add(address, int(members.settings.failure_domain.partition('-')[-1]))
+    assert relays == world.relays(), relays
+
+
+def _others(context: Context) -> list[Any]:
+    members = context.world.members
+    return [members[name] for name in members if name not in context.fast]
+
+
 @when('they run for {seconds:g} s')
 def run(context: Context, seconds: float) -> None:
     world = context.world
--- a/src/pimentohoist/_decisions/heartbeat_routes.py
+++ b/src/pimentohoist/_decisions/heartbeat_routes.py
@@ -2,8 +2,9 @@
 
 In a small fleet each daemon sends to each other. In a larger one two relays a failure
 domain collect the heartbeats of their domain, exchange them with the relays of the others
-and pass all of them on within their domain. Each daemon also sends to a few others at
-random, which pass the heartbeat to their relays: it isn't lost with the relays of its
+and pass all of them on within their domain. The relays are those with the fastest links: passing
+all heartbeats on takes several Mbit/s, which would fill a slow link and delay requests
+there. Each daemon also sends to a few others at random, which pass the heartbeat to their relays: it isn't lost with the relays of its
 domain.
 """
 
@@ -11,7 +12,7 @@
 
 import random
 from collections.abc import Collection, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import IntEnum
 from functools import cached_property
 
@@ -54,6 +55,8 @@
         Daemons that aren't taken as relays, since they are silent.
     unrelayed : collection of str
         Daemons of earlier builds, which know no relays and send to each.
+    link_mbps : mapping of str to float
+        Speed of each daemon's link in Mbit/s by its address, as far as it is known.
     """
 
     own: str
@@ -61,6 +64,7 @@
     domains: Mapping[str, str]
     suspects: Collection[str] = ()
     unrelayed: Collection[str] = ()
+    link_mbps: Mapping[str, float] = field(default_factory=dict)
 
     @property
     def is_relayed(self) -> bool:
@@ -126,4 +130,9 @@
         ]
         if domain == self.own_domain:
             members.append(self.own)
-        return rank_names(domain, members)[:_RELAYS_PER_DOMAIN]
+        ranked = rank_names(domain, members)
+        if all(self.link_mbps.get(address) for address in ranked):
+            # Earlier builds don't state their links, and rank without them: as long as
+            # one of them is in the domain, all daemons do.
+            ranked.sort(key=lambda address: -self.link_mbps[address])
+        return ranked[:_RELAYS_PER_DOMAIN]
--- a/src/pimentohoist/_entry/heartbeat_relay.py
+++ b/src/pimentohoist/_entry/heartbeat_relay.py
@@ -26,6 +26,11 @@
 _MAX_MEMBERS = 4096
 """Names that are remembered; several times the largest fleet."""
 
+_Entries = list[list[Any]]
+_NextHops = tuple[Hop | None, ...]
+"""For each hop, by its number, how far a heartbeat has come at the target; None if it isn't
+sent there."""
+
 
 @dataclass(frozen=True, slots=True)
 class RelayedHeartbeat:
@@ -104,23 +109,45 @@
             self._collected[heartbeat.member] = relayed
 
     def bundles(self, routes: HeartbeatRoutes) -> Iterator[tuple[str, bytes]]:
-        """Yield each target with a datagram for it; drop what was collected."""
-        for target, entries in self._take_entries(routes).items():
+        """Yield each target with a datagram for it; drop what was collected.
+
+        Targets that get the same heartbeats get the same bytes, which are encoded once:
+        a relay has dozens of targets. They drop their own heartbeat themselves.
+        """
+        for entries, targets in self._take_entries(routes):
             for start in range(0, len(entries), _MAX_ENTRIES_PER_BUNDLE):
                 part = entries[start : start + _MAX_ENTRIES_PER_BUNDLE]
-                yield target, encode_bundle(self.member, part)
+                data = encode_bundle(self.member, part)
+                yield from ((target, data) for target in targets)
 
-    def _take_entries(self, routes: HeartbeatRoutes) -> dict[str, list[list[Any]]]:
+    def _take_entries(
+        self, routes: HeartbeatRoutes
+    ) -> Iterator[tuple[_Entries, list[str]]]:
+        """Yield lists of heartbeats, and the targets that get them."""
         with self._lock:
             collected, self._collected = self._collected, {}
-        now = _clock.now()
-        by_target: defaultdict[str, list[list[Any]]] = defaultdict(list)
-        for origin, heartbeat in collected.items():
-            age_s = round(max(0, now - heartbeat.sent_at), 3)
-            for target, hop in routes.onward(heartbeat.hop).items():
-                if target != origin:
-                    by_target[target].append([age_s, int(hop), heartbeat.fields])
-        return by_target
+        for next_hops, targets in _targets_by_hops(routes).items():
+            entries = [
+                _entry(relayed, next_hops[relayed.hop])
+                for relayed in collected.values()
+                if next_hops[relayed.hop] is not None
+            ]
+            yield entries, targets
+
+
+def _targets_by_hops(routes: HeartbeatRoutes) -> dict[_NextHops, list[str]]:
+    """Return the targets that get the same heartbeats, by the next hop for each hop."""
+    onward = tuple(routes.onward(hop) for hop in Hop)
+    found: defaultdict[_NextHops, list[str]] = defaultdict(list)
+    all_targets = set().union(*onward)
+    for target in all_targets:
+        found[tuple(targets.get(target) for targets in onward)].append(target)
+    return found
+
+
+def _entry(relayed: RelayedHeartbeat, next_hop: Hop | None) -> list[Any]:
+    age_s = round(max(0, _clock.now() - relayed.sent_at), 3)
+    return [age_s, int(next_hop or Hop.ORIGIN), relayed.fields]
 
 
 def encode_bundle(member: str, entries: list[list[Any]]) -> bytes:
--- a/src/pimentohoist/_entry/heartbeat_sender.py
+++ b/src/pimentohoist/_entry/heartbeat_sender.py
@@ -128,7 +128,15 @@
         }
         domain = self.settings.failure_domain
         return HeartbeatRoutes(
-            self.member, domain, domains, self.suspicion.suspects(), unrelayed
+            self.member,
+            domain,
+            domains,
+            self.suspicion.suspects(),
+            unrelayed,
+            {
+                address: self._link_mbps_of(address)
+                for address in (self.member, *domains)
+            },
         )
 
     def send_soon(self) -> None:
@@ -180,6 +188,15 @@
             return self.member_list.domains.get(address, '')
         return received.heartbeat.failure_domain
 
+    def _link_mbps_of(self, address: str) -> float:
+        """Return the speed of a daemon's link in Mbit/s; 0 if it isn't known."""
+        if address == self.member:
+            return self.settings.link_mbps
+        received = self.received.get(address)
+        if received is None:
+            return self.member_list.link_mbps.get(address, 0)
+        return received.heartbeat.link_mbps
+
     def _send_heartbeats(self) -> None:
         interval_s = _STARTUP_HEARTBEAT_INTERVAL_S
         while not self._closed.wait(interval_s):
--- a/src/pimentohoist/_entry/member_list.py
+++ b/src/pimentohoist/_entry/member_list.py
@@ -39,6 +39,8 @@
     ----------
     domains : dict of str to str
         Failure domain of each daemon by its address; empty if its record names none.
+    link_mbps : dict of str to float
+        Speed of each daemon's link in Mbit/s by its address; 0 if its record names none.
     confirmed_at : dict of str to float
         When each daemon's address was last confirmed, on this daemon's clock.
     """
@@ -50,12 +52,15 @@
         address: str,
         failure_domain: str,
         is_alone: Callable[[], bool],
+        own_link_mbps: float = 0,
     ) -> None:
         self.store = store
         self.name = name
         self.address = address
         self.failure_domain = failure_domain
         self.domains: dict[str, str] = {}
+        self.own_link_mbps = own_link_mbps
+        self.link_mbps: dict[str, float] = {}
         self.is_alone = is_alone
         self.confirmed_at: dict[str, float] = {}
         self._published_era = _NOT_PUBLISHED
@@ -82,7 +87,11 @@
 
     def _publish_and_read(self) -> None:
         if self._must_publish():
-            entry = {'at': self.address, 'domain': self.failure_domain}
+            entry = {
+                'at': self.address,
+                'domain': self.failure_domain,
+                'link_mbps': self.own_link_mbps,
+            }
             self._published_era = self.store.put(MEMBER_RECORDS, self.name, entry)
         records, _ = self.store.read_newest(MEMBER_RECORDS)
         apply_each(records, MEMBER_RECORDS, self._record_address)
@@ -93,14 +102,13 @@
 
     def _record_address(self, record: KeyedRecord) -> None:
         try:
-            entry = json.loads(record.body or b'')
-            address, domain = entry['at'], entry.get('domain', '')
-            split_address(address)
+            address, domain, link_mbps = _decode_member(record.body or b'')
         except _MALFORMED as error:
             extra = {'step': 'members', 'key': record.key, 'cause': repr(error)}
             _logger.warning('member record rejected', extra=extra)
             return
-        self.domains[address] = str(domain)
+        self.domains[address] = domain
+        self.link_mbps[address] = link_mbps
         self.confirmed_at.setdefault(address, _clock.now())
 
     def _wait(self, read_at: float) -> None:
@@ -109,3 +117,11 @@
             is_due = _clock.now() - read_at > _READ_INTERVAL_S
             if is_due or self.is_alone() or self._must_publish():
                 return
+
+
+def _decode_member(text: bytes) -> tuple[str, str, float]:
+    """Return a daemon's address, failure domain and link; earlier builds lack the last."""
+    entry = json.loads(text)
+    address = entry['at']
+    split_address(address)
+    return address, str(entry.get('domain', '')), float(entry.get('link_mbps', 0))
--- a/src/pimentohoist/_entry/members.py
+++ b/src/pimentohoist/_entry/members.py
@@ -89,6 +89,7 @@
             settings.control_address,
             settings.failure_domain,
             lambda: not self.received,
+            settings.link_mbps,
         )
         self.sender = HeartbeatSender(
             settings, make_heartbeat, self.member_list, self.received
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -383,6 +383,7 @@
             room_rejections=self.rooms.announced(),
             software_versions=self.stream_versions.versions.announced(),
             versions_recorded_age_s=self.stream_versions.versions.recorded_age_s(),
+            link_mbps=self.settings.link_mbps,
         )
 
     def _auxiliary_servers(self) -> tuple[HttpServer, ...]:
--- a/src/pimentohoist/platform/_settings.py
+++ b/src/pimentohoist/platform/_settings.py
@@ -46,7 +46,13 @@
 
 @dataclass(frozen=True, slots=True)
 class EntrySettings:
-    """The daemon's name and addresses, the store's address and the fleet's limits."""
+    """The daemon's name and addresses, the store's address and the fleet's limits.
+
+    Attributes
+    ----------
+    link_mbps : float
+        Speed of the instance's link in Mbit/s; 0 if it isn't stated.
+    """
 
     name: str
     failure_domain: str
@@ -63,6 +69,7 @@
     seeds: tuple[str, ...]
     store_address: str
     bounds: EntryBounds
+    link_mbps: float = 0
 
     @property
     def peer_address(self) -> str:
@@ -101,6 +108,7 @@
             reader.number('bounds.grace_s'),
             reader.number('bounds.most_directory_age_s'),
         ),
+        reader.number('limits.link_mbps', 0),
     )
 
 
@@ -117,8 +125,8 @@
             raise self._field_error(field, f'must be a string, got {found!r}')
         return found
 
-    def number(self, field: str) -> float:
-        found = self._find(field, None)
+    def number(self, field: str, default: float | None = None) -> float:
+        found = self._find(field, default)
         if not isinstance(found, (int, float)) or isinstance(found, bool) or found < 0:
             raise self._field_error(field, f'must be a number >= 0, got {found!r}')
         return found
