--- a/features/steps/heartbeat_relays.py
+++ b/features/steps/heartbeat_relays.py
@@ -10,6 +10,7 @@
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
 from behave import given, then, when
 from behave.runner import Context
@@ -206,8 +207,10 @@
     target, other = tuple(world.members.values())[:2]
     former = target.received[other.member].heartbeat
     current = replace(former, incarnation='next', sequence=1)
-    target._handle_datagram(json.dumps(encode_heartbeat(current)).encode())
-    target._handle_datagram(_bundle([[0.5, 2, encode_heartbeat(former)]]))
+    # The machine's own clock may be behind the simulated one, so that both would be old.
+    with mock.patch('pimentohoist._clock.now', lambda: world.now):
+        target._handle_datagram(json.dumps(encode_heartbeat(current)).encode())
+        target._handle_datagram(_bundle([[0.5, 2, encode_heartbeat(former)]]))
     context.kept = target.received[other.member].heartbeat
 
 
