Choice of engines: a few read the long prompts

Cause: an engine reads prompts one after the other. Change: daemons measure reading times and tell one another how many engines their long prompts keep busy; that many engines, with a margin, get long prompts first and short ones last.

--- a/src/pimentohoist/_decisions/endpoint_choice.py
+++ b/src/pimentohoist/_decisions/endpoint_choice.py
@@ -37,6 +37,8 @@
         Adapter slots that are free or hold an evictable adapter.
     is_limited : bool
         Whether it limits the requests of all daemons.
+    is_better_elsewhere : bool
+        Whether prompts of this length are read at other engines first.
     """
 
     endpoint_id: str
@@ -48,6 +50,7 @@
     has_adapter: bool = False
     free_adapter_slots: int = 0
     is_limited: bool = False
+    is_better_elsewhere: bool = False
 
     @property
     def load(self) -> float:
@@ -95,13 +98,8 @@
     has_no_free_slot = not candidate.has_adapter and candidate.free_adapter_slots <= 0
     # Its few requests are for the adapters that it has.
     is_reserved = candidate.is_limited and not candidate.has_adapter
-    return (
-        is_failing,
-        is_reserved,
-        is_overloaded,
-        not candidate.has_adapter,
-        has_no_free_slot,
-    )
+    drawbacks = [is_failing, is_reserved, is_overloaded, candidate.is_better_elsewhere]
+    return (*drawbacks, not candidate.has_adapter, has_no_free_slot)
 
 
 def _expected_cost(candidate: Candidate, assumed_latency_s: float) -> float:
--- a/src/pimentohoist/_entry/dispatch.py
+++ b/src/pimentohoist/_entry/dispatch.py
@@ -222,6 +222,9 @@
         )
         first = relay.first_events()
         self.retry_policy.check_response(context, exchange, head)
+        self.chooser.prompt_lengths.record_first_event(
+            context, _clock.now() - exchange.sent_at
+        )
         version = _software_version(exchange, head)
         self.stream_versions.record_begun(context, version)
         if context.request.last_event_id:
--- a/src/pimentohoist/_entry/endpoint_chooser.py
+++ b/src/pimentohoist/_entry/endpoint_chooser.py
@@ -5,7 +5,7 @@
 import logging
 import random
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from pimentohoist import _clock
 from pimentohoist._decisions.endpoint_choice import (
@@ -13,6 +13,7 @@
     choose_engines,
     rank_services,
 )
+from pimentohoist._decisions.prompt_separation import is_better_elsewhere
 from pimentohoist._entry.endpoint_permits import EndpointPermits
 from pimentohoist._entry.endpoint_rooms import EndpointRooms
 from pimentohoist._entry.endpoints import EndpointsController
@@ -22,6 +23,7 @@
 from pimentohoist._entry.request_context import RequestContext, log_fields
 from pimentohoist._entry.request_forwarding import RequestForwarding
 from pimentohoist._entry.owned_engines import OwnedEnginesController
+from pimentohoist._entry.prompt_lengths import PromptLengths
 from pimentohoist._entry.in_flight_requests import InFlightRequests
 from pimentohoist.entry_models import AdapterKey, Endpoint
 from pimentohoist.exceptions import (
@@ -96,6 +98,7 @@
         self.permits = permits
         self.forwarding = forwarding
         self.rooms = rooms
+        self.prompt_lengths = PromptLengths(members)
 
     def choose(self, context: RequestContext) -> ChosenEndpoint:
         """Return the endpoint of the next attempt; raises UnavailableError.
@@ -186,7 +189,7 @@
         self, context: RequestContext, adapter: AdapterKey, usable: dict[str, Endpoint]
     ) -> ChosenEndpoint:
         """Pin the adapter on one of the engines and return it."""
-        candidates = self._candidates(usable, adapter)
+        candidates = self._by_prompt_length(context, self._candidates(usable, adapter))
         ordered = choose_engines(str(adapter), candidates)
         holders = {entry.endpoint_id for entry in candidates if entry.has_adapter}
         for endpoint_id, fail_fast in _hold_attempts(ordered):
@@ -250,6 +253,33 @@
                 return self.owned_engines.declarations.version_of(adapter)
             return None
 
+    def _by_prompt_length(
+        self, context: RequestContext, candidates: list[Candidate]
+    ) -> list[Candidate]:
+        """Mark the engines where a prompt of this length would delay others, or wait."""
+        group = context.group.name
+        staying = (
+            endpoint.endpoint_id
+            for endpoint in self.endpoints.alive()
+            if endpoint.group == group
+            and not self.endpoints.notices.is_leaving(endpoint)
+        )
+        reserved = self.prompt_lengths.reserved(group, staying)
+        if not reserved:
+            return candidates
+        is_long = self.prompt_lengths.is_long(context)
+        return [
+            replace(
+                candidate,
+                is_better_elsewhere=is_better_elsewhere(
+                    is_long=is_long,
+                    is_reserved=candidate.endpoint_id in reserved,
+                    requests_in_flight=candidate.in_flight,
+                ),
+            )
+            for candidate in candidates
+        ]
+
     def _candidates(
         self, usable: dict[str, Endpoint], adapter: AdapterKey | None
     ) -> list[Candidate]:
--- a/src/pimentohoist/_entry/heartbeat.py
+++ b/src/pimentohoist/_entry/heartbeat.py
@@ -54,6 +54,8 @@
         hasn't, and from builds that don't.
     link_mbps : float
         Speed of its link in Mbit/s; 0 if it isn't known, and from builds that don't say.
+    long_prompts : mapping of str to float
+        Engines that its long prompts keep busy on average, by group.
     sequence : int
         Number of the heartbeat in its incarnation; 0 from builds that send none.
     """
@@ -84,6 +86,7 @@
     software_versions: Mapping[str, list[str]] = field(default_factory=dict)
     versions_recorded_age_s: float | None = None
     link_mbps: float = 0
+    long_prompts: Mapping[str, float] = field(default_factory=dict)
 
     def ownership(self) -> Ownership:
         """Return which partitions the daemon claims."""
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -258,6 +258,7 @@
             'endpoints_brittle': self.endpoints.brittle.limited_count(),
             'endpoints_limited': self.endpoints.limits.limited_count(),
             'stream_versions_known': len(self.stream_versions.register),
+            'engines_for_long_prompts': self.dispatch.chooser.prompt_lengths.reserved_count(),
             'prompt_parts_quarantined': self.part_quarantine.quarantined_count(),
             'configuration_unconfirmed_seconds': (
                 -1 if unconfirmed_s is None else unconfirmed_s
@@ -384,6 +385,7 @@
             software_versions=self.stream_versions.versions.announced(),
             versions_recorded_age_s=self.stream_versions.versions.recorded_age_s(),
             link_mbps=self.settings.link_mbps,
+            long_prompts=self.dispatch.chooser.prompt_lengths.announced(),
         )
 
     def _auxiliary_servers(self) -> tuple[HttpServer, ...]:
--- a/src/pimentohoist/entry_models.py
+++ b/src/pimentohoist/entry_models.py
@@ -195,6 +195,16 @@
             key: workspace for workspace in self.workspaces for key in workspace.keys
         }
 
+    @cached_property
+    def shortest_latency_targets_s(self) -> Mapping[str, float]:
+        """Return the shortest latency target of the routes to each group, in seconds."""
+        targets: dict[str, float] = {}
+        for route in self.routes:
+            for share in route.weighted_groups:
+                known_s = targets.get(share.group, route.latency_target_s)
+                targets[share.group] = min(known_s, route.latency_target_s)
+        return targets
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that matches the path, or None."""
         end = path.rfind('/')
@@ -310,6 +320,8 @@
         How long the caller waits from the moment of sending.
     tokens : int or None
         Prompt tokens plus the maximum of output tokens.
+    prompt_tokens : int
+        Tokens of the prompt; 0 if the request doesn't state them.
     arrived_at : float
         Time of `_clock.now` in seconds at which it arrived.
     protocol : str
@@ -340,6 +352,7 @@
     last_event_id: str = ''
     resumed_id: str = ''
     origin: ForwardedOrigin | None = None
+    prompt_tokens: int = 0
 
     @property
     def path(self) -> str:
--- a/src/pimentohoist/platform/_requests.py
+++ b/src/pimentohoist/platform/_requests.py
@@ -72,6 +72,7 @@
         _parse_shared_parts(found.get(header_names.PROMPT_PARTS.lower(), '')),
         found.get(header_names.LAST_EVENT_ID.lower(), ''),
         found.get(header_names.RESUMED_ATTEMPT.lower(), '')[:_MAX_ATTEMPT_ID_LENGTH],
+        prompt_tokens=0 if tokens is None else _parse_prompt_tokens(tokens),
     )
 
 
@@ -191,6 +192,10 @@
     )
 
 
+def _parse_prompt_tokens(text: str) -> int:
+    return int(_parse_number(text.partition(',')[0], header_names.TOKEN_COUNTS))
+
+
 def _parse_number(text: str, header: str) -> float:
     try:
         number = float(text)
