Endpoints: a record that lapsed and is back ends its removal

The removal of its record was recorded as a leave, which holds for 600 s by id and start, and was told to all daemons; the record that came back has the same id and start.

A removal now holds until the record is read again. It carries the era and offset up to which the store was read; heartbeats name removals and returns with these marks (endpoint_changes, appended), the newer one counts, and a daemon that has read past a removal ignores it. Leaves that an endpoint announces itself stay final. What a daemon of the former release says is dropped when the record comes back, since it doesn't tell removals from leaves; draining_endpoints names both for it.

After a restore of the store a read beyond its end gets 410, which looked like no outage, so that endpoints which the copy lacked were dropped at once. The time for records to come back now begins with the new era, however it is noticed.

--- a/src/pimentohoist/_entry/endpoints.py
+++ b/src/pimentohoist/_entry/endpoints.py
@@ -11,15 +11,19 @@
 from pimentohoist import _clock
 from pimentohoist._decisions.endpoint_health import EndpointHealth
 from pimentohoist._entry.endpoint_limits import BRITTLE, EndpointLimits
-from pimentohoist._entry.endpoint_notices import EndpointNotices
+from pimentohoist._entry.endpoint_notices import (
+    NOTHING_READ,
+    EndpointNotices,
+    StoreMark,
+)
 from pimentohoist._entry.topic_follower import PollTiming, TopicFollower, apply_each
-from pimentohoist._entry.heartbeat import Heartbeat
 from pimentohoist._entry.members import MembersController
 from pimentohoist.entry_models import Endpoint
 from pimentohoist.exceptions import DocumentError
 from pimentohoist.platform import (
     ENDPOINT_RECORDS,
     KeyedRecord,
+    ReadPosition,
     Store,
     decode_endpoint,
 )
@@ -36,7 +40,8 @@
 """Intervals are randomized so that the daemons don't all read at the same time."""
 
 _REAPPEAR_S = 2.5
-"""Records that expired in an outage of the store reappear about 2 s after its end."""
+"""Records that expired in an outage of the store reappear about 2 s after its end, and so
+do those that a restored store has lost."""
 
 _MAX_REJECTED_IDS = 256
 
@@ -64,10 +69,16 @@
         )
         self.on_applied: list[Callable[[], None]] = []
         self._removed: set[str] = set()
+        self._mark = NOTHING_READ
+        self._era_changed_at = float('-inf')
         self._replaced_incarnations: set[str] = set()
         self._rejected: set[str] = set()
         self._lock = threading.Lock()
-        members.on_heartbeat.append(self._record_heartbeat)
+        members.on_heartbeat.append(
+            lambda heartbeat, before: self.notices.record_heartbeat(
+                heartbeat, self._listed_mark
+            )
+        )
 
     def __enter__(self) -> Self:
         """Start following the store."""
@@ -168,9 +179,12 @@
             wait_s=0, pause_s=pause_s * random.uniform(_MIN_JITTER_FACTOR, 1)
         )
 
-    def _record_heartbeat(self, heartbeat: Heartbeat, before: Heartbeat | None) -> None:
-        for incarnation in heartbeat.draining_endpoints:
-            self.notices.record_leaving(incarnation, heartbeat.member)
+    def _listed_mark(self, incarnation: str) -> StoreMark | None:
+        """Return up to where the store was read if it had an incarnation's record there."""
+        endpoint_id, _, _ = incarnation.rpartition('#')
+        known = self.endpoints.get(endpoint_id)
+        is_known = known is not None and known.incarnation == incarnation
+        return self._mark if is_known and endpoint_id not in self._removed else None
 
     def _apply_records(self, records: Sequence[KeyedRecord], is_whole: bool) -> None:
         if is_whole:
@@ -178,12 +192,19 @@
             for endpoint_id in tuple(self.endpoints):
                 if endpoint_id not in listed:
                     self._record_removed(endpoint_id)
-        apply_each(records, ENDPOINT_RECORDS, self._apply_record)
+        mark = _mark_of(self.follower.position) or self._mark
+        if NOTHING_READ < self._mark and self._mark.era < mark.era:
+            # The store's answer to a read beyond its end doesn't look like an outage.
+            self._era_changed_at = _clock.now()
+        apply_each(
+            records, ENDPOINT_RECORDS, lambda record: self._apply_record(record, mark)
+        )
+        self._mark = mark
         self._drop_removed()
         for listener in self.on_applied:
             listener()
 
-    def _apply_record(self, record: KeyedRecord) -> None:
+    def _apply_record(self, record: KeyedRecord, mark: StoreMark) -> None:
         endpoint_id = record.key
         if record.body is None:
             self._record_removed(endpoint_id)
@@ -198,8 +219,11 @@
             return
         if known is None or known.is_draining != endpoint.is_draining:
             _logger.info('endpoint seen', extra=_extra(endpoint))
+        incarnation = endpoint.incarnation
         if endpoint.is_draining:
-            self.notices.record_leaving(endpoint.incarnation, 'store')
+            self.notices.record_leaving(incarnation, 'store')
+        elif endpoint_id in self._removed or self.notices.is_removed(incarnation):
+            self.notices.record_returned(incarnation, mark, 'store')
         with self._lock:
             self._removed.discard(endpoint_id)
             self.endpoints[endpoint_id] = endpoint
@@ -221,8 +245,8 @@
         if not self._removed:
             return
         now = _clock.now()
-        keep_until = self.follower.status.restored_at + _REAPPEAR_S
-        if self.follower.is_failing() or now < keep_until:
+        restored_at = max(self.follower.status.restored_at, self._era_changed_at)
+        if self.follower.is_failing() or now < restored_at + _REAPPEAR_S:
             return
         with self._lock:
             removed, self._removed = self._removed, set()
@@ -230,12 +254,18 @@
                 endpoint = self.endpoints.pop(endpoint_id, None)
                 self.health.pop(endpoint_id, None)
                 if endpoint is not None:
-                    self.notices.record_leaving(endpoint.incarnation, 'store')
+                    self.notices.record_removed(
+                        endpoint.incarnation, self._mark, 'store'
+                    )
         for endpoint_id in removed:
             extra = {'step': 'endpoints', 'endpoint': endpoint_id}
             _logger.info('endpoint removed', extra=extra)
 
 
+def _mark_of(position: ReadPosition | None) -> StoreMark | None:
+    return None if position is None else StoreMark(position.era, position.offset)
+
+
 def _extra(endpoint: Endpoint) -> dict[str, object]:
     return {
         'step': 'endpoints',
--- a/src/pimentohoist/_entry/heartbeat.py
+++ b/src/pimentohoist/_entry/heartbeat.py
@@ -26,7 +26,7 @@
     crash_reports : list of str
         Fingerprints of requests that crash endpoints.
     draining_endpoints : list of str
-        Incarnations of endpoints that it recently read as draining.
+        Incarnations of endpoints of which it lately learned that they leave or are gone.
     part_reports : list of list
         Parts of prompts that may crash engines: id, seconds since the last crash, crashed
         incarnations, those of them that had begun an answer, other parts that were always
@@ -52,6 +52,10 @@
     versions_recorded_age_s : float or None
         Time since it recorded the versions in service in the store's era; None if it
         hasn't, and from builds that don't.
+    endpoint_changes : list of list or None
+        Records of endpoints that were lately removed from the store or came back:
+        incarnation, whether it is back, era and offset up to which the store was read. None
+        from builds that don't tell removals from announced leaves.
     sequence : int
         Number of the heartbeat in its incarnation; 0 from builds that send none.
     """
@@ -81,6 +85,7 @@
     room_rejections: list[list[Any]] = field(default_factory=list)
     software_versions: Mapping[str, list[str]] = field(default_factory=dict)
     versions_recorded_age_s: float | None = None
+    endpoint_changes: list[list[Any]] | None = None
 
     def ownership(self) -> Ownership:
         """Return which partitions the daemon claims."""
--- a/src/pimentohoist/_entry/topic_follower.py
+++ b/src/pimentohoist/_entry/topic_follower.py
@@ -161,6 +161,11 @@
         """Stop after the current read."""
         self._closed.set()
 
+    @property
+    def position(self) -> ReadPosition | None:
+        """Return where the next read goes on; None if it reads the whole topic."""
+        return self._position
+
     def is_failing(self) -> bool:
         """Return whether the last read failed."""
         return self.status.failures > 0
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -246,6 +246,7 @@
     def metrics(self) -> Iterator[str]:
         """Yield metrics as text."""
         yield from self.request_handler.metrics.lines()
+        yield from self.endpoints.notices.metrics()
         unconfirmed_s = self.declarations.unconfirmed_s()
         gauges = {
             'log_lines_dropped_total': self.logs.dropped,
@@ -383,6 +384,7 @@
             room_rejections=self.rooms.announced(),
             software_versions=self.stream_versions.versions.announced(),
             versions_recorded_age_s=self.stream_versions.versions.recorded_age_s(),
+            endpoint_changes=self.endpoints.notices.announced_changes(),
         )
 
     def _auxiliary_servers(self) -> tuple[HttpServer, ...]:
