Evacuations: endpoints of evacuated failure domains get no requests

The operators' record op/evacuate/ZONE was ignored, so requests went on to the endpoints of a failure domain that was to be evacuated.

The daemons read the record with the configuration and pass what they know on by heartbeats, with the read position, so that it also reaches daemons that the store turns away. An evacuation outlasts a restore of the store that loses its record, until the domain has a record or a removal in the new era. EndpointsController.may_get_work refuses the endpoints of evacuated domains.

--- a/src/pimentohoist/_entry/declarations.py
+++ b/src/pimentohoist/_entry/declarations.py
@@ -11,6 +11,7 @@
 
 from pimentohoist import _clock
 from pimentohoist._decisions.read_freshness import max_confirmation_age_s
+from pimentohoist._entry.evacuations import Evacuations
 from pimentohoist._entry.hedged_follower import HedgedFollower
 from pimentohoist._entry.heartbeat import Heartbeat
 from pimentohoist._entry.members import MembersController
@@ -42,6 +43,8 @@
     ----------
     current : Declaration or None
         None until the first one has been read.
+    evacuations : Evacuations
+        The failure domains that get no requests.
     on_version : callable
         Called with an adapter and its version when a newer one was declared.
     """
@@ -50,6 +53,7 @@
         self.members = members
         self.current: Declaration | None = None
         self.versions: dict[AdapterKey, int] = {}
+        self.evacuations = Evacuations(members)
         self.on_version: Callable[[AdapterKey, int], None] = _ignore
         self.follower = HedgedFollower(
             store, OPERATOR_RECORDS, self._max_confirmation_age_s, self._apply_records
@@ -138,6 +142,7 @@
             'store_failures': self.follower.status.failures,
             'unread_s': self.follower.status.unread_s(),
             'unconfirmed_s': self.unconfirmed_s(),
+            'evacuated': sorted(self.evacuations.domains),
         }
 
     def unconfirmed_s(self) -> float | None:
@@ -163,6 +168,10 @@
         self.follower.freshness.record_peer_answer(_clock.now() - age_s)
 
     def _apply_records(self, records: Sequence[KeyedRecord], is_whole: bool) -> None:
+        # A daemon that serves by a configuration must know of the evacuations before.
+        self.evacuations.apply_records(
+            records, self.follower.position, is_whole=is_whole
+        )
         apply_each(records, OPERATOR_RECORDS, self._apply_record)
 
     def _apply_record(self, record: KeyedRecord) -> None:
--- a/src/pimentohoist/_entry/endpoints.py
+++ b/src/pimentohoist/_entry/endpoints.py
@@ -50,6 +50,8 @@
     ----------
     on_applied : list of callable
         Called after each read of the store.
+    is_evacuated : callable
+        Returns whether a failure domain gets no requests.
     """
 
     def __init__(self, store: Store, members: MembersController) -> None:
@@ -63,6 +65,7 @@
             store, ENDPOINT_RECORDS, self._poll_timing, self._apply_records
         )
         self.on_applied: list[Callable[[], None]] = []
+        self.is_evacuated: Callable[[str], bool] = _never
         self._removed: set[str] = set()
         self._replaced_incarnations: set[str] = set()
         self._rejected: set[str] = set()
@@ -96,9 +99,11 @@
         return responding or usable
 
     def may_get_work(self, endpoint: Endpoint) -> bool:
-        """Return whether an endpoint doesn't leave and wants requests now."""
+        """Return whether an endpoint stays and wants requests now."""
         notices = self.notices
-        return not (notices.is_leaving(endpoint) or notices.quiet_s(endpoint))
+        if notices.is_leaving(endpoint) or notices.quiet_s(endpoint):
+            return False
+        return not self.is_evacuated(endpoint.failure_domain)
 
     def quiet_s(self, group: str) -> float:
         """Return the seconds until an endpoint of a group wants requests again.
@@ -108,7 +113,9 @@
         staying = [
             endpoint
             for endpoint in self.alive()
-            if endpoint.group == group and not self.notices.is_leaving(endpoint)
+            if endpoint.group == group
+            and not self.notices.is_leaving(endpoint)
+            and not self.is_evacuated(endpoint.failure_domain)
         ]
         return min((self.notices.quiet_s(endpoint) for endpoint in staying), default=0)
 
@@ -236,6 +243,11 @@
             _logger.info('endpoint removed', extra=extra)
 
 
+def _never(failure_domain: str) -> bool:
+    """Return that a failure domain isn't evacuated."""
+    return False
+
+
 def _extra(endpoint: Endpoint) -> dict[str, object]:
     return {
         'step': 'endpoints',
--- a/src/pimentohoist/_entry/heartbeat.py
+++ b/src/pimentohoist/_entry/heartbeat.py
@@ -52,6 +52,8 @@
     versions_recorded_age_s : float or None
         Time since it recorded the versions in service in the store's era; None if it
         hasn't, and from builds that don't.
+    evacuations : list
+        What it knows of evacuated failure domains; empty if it knows of no record.
     sequence : int
         Number of the heartbeat in its incarnation; 0 from builds that send none.
     """
@@ -81,6 +83,7 @@
     room_rejections: list[list[Any]] = field(default_factory=list)
     software_versions: Mapping[str, list[str]] = field(default_factory=dict)
     versions_recorded_age_s: float | None = None
+    evacuations: list[Any] = field(default_factory=list)
 
     def ownership(self) -> Ownership:
         """Return which partitions the daemon claims."""
--- a/src/pimentohoist/_entry/hedged_follower.py
+++ b/src/pimentohoist/_entry/hedged_follower.py
@@ -96,6 +96,12 @@
         """Stop within a check interval."""
         self._closed.set()
 
+    @property
+    def position(self) -> tuple[int, int]:
+        """Return the store's era and the offset up to which records were applied."""
+        position = self._position
+        return (0, -1) if position is None else (position.era, position.offset)
+
     def _run(self) -> None:
         while not self._closed.is_set():
             try:
--- a/src/pimentohoist/_entry/request_forwarding.py
+++ b/src/pimentohoist/_entry/request_forwarding.py
@@ -65,6 +65,7 @@
             endpoint.endpoint_id
             for endpoint in self.endpoints.alive()
             if endpoint.group == group
+            and not self.endpoints.is_evacuated(endpoint.failure_domain)
         ]
         forwarders = [
             self._forwarder(heartbeat, context.declaration.version)
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -99,6 +99,7 @@
         self.members = MembersController(settings, self.store, self._make_heartbeat)
         self.declarations = DeclarationsController(self.store, self.members)
         self.endpoints = EndpointsController(self.store, self.members)
+        self.endpoints.is_evacuated = self.declarations.evacuations.covers
         self.ownership = OwnershipController(
             settings,
             Store(settings.store_address, era=self.store.era),
@@ -256,6 +257,7 @@
             'endpoints_lost': len(self.links.lost_ids()),
             'requests_forwarded_total': self.forwarding.forwarded,
             'endpoints_brittle': self.endpoints.brittle.limited_count(),
+            'failure_domains_evacuated': len(self.declarations.evacuations.domains),
             'endpoints_limited': self.endpoints.limits.limited_count(),
             'stream_versions_known': len(self.stream_versions.register),
             'prompt_parts_quarantined': self.part_quarantine.quarantined_count(),
@@ -383,6 +385,7 @@
             room_rejections=self.rooms.announced(),
             software_versions=self.stream_versions.versions.announced(),
             versions_recorded_age_s=self.stream_versions.versions.recorded_age_s(),
+            evacuations=self.declarations.evacuations.announced(),
         )
 
     def _auxiliary_servers(self) -> tuple[HttpServer, ...]:
--- a/src/pimentohoist/platform/_store.py
+++ b/src/pimentohoist/platform/_store.py
@@ -29,6 +29,7 @@
 STREAM_RECORDS = 'streams'
 DECLARATION_KEY = 'config'
 ADAPTER_VERSION_KEYS = 'version/'
+EVACUATION_KEYS = 'evacuate/'
 
 _STEP = 'store'
 _READ_PATH = '/v1/log-read'
--- a/src/pimentohoist_standins/opaque_engine.py
+++ b/src/pimentohoist_standins/opaque_engine.py
@@ -22,6 +22,8 @@
 class OpaqueEngine(ThreadedStandIn):
     """An engine that serves one model, or a plain service if `model` is empty."""
 
+    zone = 'a'
+
     def __init__(self, address: tuple[str, int], engine_id: str, model: str) -> None:
         super().__init__(address, _handler(self))
         self.engine_id = engine_id
@@ -36,7 +38,7 @@
         return {
             'service': group,
             'address': self.address,
-            'zone': 'a',
+            'zone': self.zone,
             'version': self.version,
             'slots': 8,
             'state': state,
