Cold endpoints: limited to the declared rate, over all daemons

Endpoints that have just started serve cold-per-s requests a second and crash well above that, but got as many requests as all others.

Records (cold-ms) and responses (Pimentohoist-Cold-Ms) say how long an endpoint stays cold; heartbeats pass it on. Permits limit the requests of all daemons as Server-Limit does, with shares that also count daemons out of touch, and a permit is taken after the wait for an adapter. The choice prefers warm endpoints. Endpoints whose evacuation ends count as cold until their next records are read. Groups without cold-s and cold-per-s behave as before.

--- a/src/pimentohoist/_decisions/endpoint_choice.py
+++ b/src/pimentohoist/_decisions/endpoint_choice.py
@@ -10,6 +10,9 @@
 _REMOTE_COST_FACTOR = 1.05
 """Breaks ties in favour of the own failure domain, whose traffic is cheaper."""
 
+_COLD_COST_FACTOR = 6
+"""A cold endpoint, of which no latency is known yet, is used once the warm ones have queues."""
+
 _UNKNOWN_LATENCY_SHARE = 0.5
 """Share of the least known latency that is assumed of an endpoint that has not answered
 yet, so that it is tried soon."""
@@ -37,6 +40,8 @@
         Adapter slots that are free or hold an evictable adapter.
     is_limited : bool
         Whether it limits the requests of all daemons.
+    is_cold : bool
+        Whether it has just started and serves few requests yet.
     """
 
     endpoint_id: str
@@ -48,6 +53,7 @@
     has_adapter: bool = False
     free_adapter_slots: int = 0
     is_limited: bool = False
+    is_cold: bool = False
 
     @property
     def load(self) -> float:
@@ -87,7 +93,7 @@
     return [candidate.endpoint_id for candidate in ordered]
 
 
-def _drawbacks(candidate: Candidate) -> tuple[bool, ...]:
+def _drawbacks(candidate: Candidate) -> tuple[int, ...]:
     """Return the reasons to prefer other engines, the most serious first."""
     is_failing = candidate.cost_factor > _FAILING_COST_FACTOR
     is_overloaded = candidate.load > _MAX_PREFERRED_LOAD
@@ -99,8 +105,9 @@
         is_failing,
         is_reserved,
         is_overloaded,
-        not candidate.has_adapter,
-        has_no_free_slot,
+        # The requests that it takes are kept for those that no warm engine has room for.
+        candidate.is_cold,
+        (not candidate.has_adapter) + has_no_free_slot,
     )
 
 
@@ -108,4 +115,6 @@
     queue_factor = 1 + candidate.in_flight / max(1, candidate.slots)
     domain_factor = 1 if candidate.is_in_own_domain else _REMOTE_COST_FACTOR
     latency_s = candidate.latency_s or assumed_latency_s
-    return queue_factor**2 * latency_s * candidate.cost_factor * domain_factor
+    cold_factor = _COLD_COST_FACTOR if candidate.is_cold else 1
+    cost = queue_factor**2 * latency_s * candidate.cost_factor
+    return cost * domain_factor * cold_factor
--- a/src/pimentohoist/_decisions/rate_grants.py
+++ b/src/pimentohoist/_decisions/rate_grants.py
@@ -37,10 +37,16 @@
         Requests that the endpoint is running.
     now : float
         Monotonic time in seconds.
+
+    Attributes
+    ----------
+    burst : float or None
+        Permits that are granted at once at most; None for those of a second.
     """
 
     def __init__(self, per_s: float, running: int, now: float) -> None:
         self.per_s = per_s
+        self.burst: float | None = None
         self.level = -min(running, per_s * _MAX_DEBT_S)
         self._filled_at = now
         self._asks_again_at: dict[str, float] = {}
@@ -77,7 +83,8 @@
     def _fill(self, now: float, share: float) -> None:
         rate = self.per_s * share
         accrued = max(0, now - self._filled_at) * rate
-        self.level = min(max(1, self.per_s * _BURST_S), self.level + accrued)
+        burst = self.per_s * _BURST_S if self.burst is None else self.burst
+        self.level = min(max(1, burst), self.level + accrued)
         self._filled_at = now
 
 
--- a/src/pimentohoist/_entry/declarations.py
+++ b/src/pimentohoist/_entry/declarations.py
@@ -81,6 +81,11 @@
         """Return the newest version declared of an adapter; 0 if none was."""
         return 0 if adapter is None else self.versions.get(adapter, 0)
 
+    def cold_per_s(self, group: str) -> float:
+        """Return the requests a second that a cold endpoint takes; 0 without a limit."""
+        declared = None if self.current is None else self.current.groups.get(group)
+        return 0 if declared is None else declared.cold_per_s
+
     @property
     def versions_digest(self) -> int:
         """Return a number that two daemons share if they know the same versions."""
--- a/src/pimentohoist/_entry/dispatch.py
+++ b/src/pimentohoist/_entry/dispatch.py
@@ -201,6 +201,7 @@
         notice = decode_notice(endpoint.endpoint_id, head.status, headers)
         endpoints = self.chooser.endpoints
         endpoints.notices.record(endpoint, notice)
+        endpoints.cold.record_response(endpoint, notice)
         if notice.brittle_per_s is not None or not is_not_executed(
             head.status, head.headers
         ):
--- a/src/pimentohoist/_entry/endpoint_chooser.py
+++ b/src/pimentohoist/_entry/endpoint_chooser.py
@@ -203,13 +203,16 @@
         self, context: RequestContext, endpoint: Endpoint, attempt: _HoldAttempt
     ) -> ChosenEndpoint | None:
         # A request that would get no permit must not wait for its adapter.
-        if not (self.rooms.has_room(endpoint) and self.permits.take(endpoint)):
+        if not (self.rooms.has_room(endpoint) and self.permits.may_prepare(endpoint)):
             return None
         version = self._hold(context, endpoint.endpoint_id, attempt)
         # What the endpoint asks may have changed during the wait.
         may_get_work = version is not None and self.endpoints.may_get_work(endpoint)
         if may_get_work and self.rooms.take(endpoint):
-            return ChosenEndpoint(endpoint, version or None)
+            if self.permits.may_send(endpoint):
+                return ChosenEndpoint(endpoint, version or None)
+            self.rooms.give_back(endpoint)
+            return None
         self.permits.give_back(endpoint)
         return None
 
@@ -293,6 +296,7 @@
             adapter in held,
             free,
             self.endpoints.limits.limit_per_s(endpoint.incarnation) is not None,
+            self.permits.is_cold(endpoint),
         )
 
 
--- a/src/pimentohoist/_entry/endpoints.py
+++ b/src/pimentohoist/_entry/endpoints.py
@@ -10,6 +10,7 @@
 
 from pimentohoist import _clock
 from pimentohoist._decisions.endpoint_health import EndpointHealth
+from pimentohoist._entry.cold_endpoints import ColdEndpoints
 from pimentohoist._entry.endpoint_limits import BRITTLE, EndpointLimits
 from pimentohoist._entry.endpoint_notices import EndpointNotices
 from pimentohoist._entry.topic_follower import PollTiming, TopicFollower, apply_each
@@ -61,6 +62,7 @@
         self.notices = EndpointNotices()
         self.limits = EndpointLimits(members)
         self.brittle = EndpointLimits(members, BRITTLE)
+        self.cold = ColdEndpoints(members)
         self.follower = TopicFollower(
             store, ENDPOINT_RECORDS, self._poll_timing, self._apply_records
         )
@@ -160,6 +162,7 @@
                 'group': endpoint.group,
                 'is_leaving': self.notices.is_leaving(endpoint),
                 'quiet_s': round(self.notices.quiet_s(endpoint), 3),
+                'cold_s': round(self.cold.cold_s(endpoint.incarnation), 3),
                 'limit_per_s': self.limits.limit_per_s(endpoint.incarnation),
                 'failure_share': self.health_of(endpoint.endpoint_id).failure_share(
                     now
@@ -209,6 +212,8 @@
             self.notices.record_leaving(endpoint.incarnation, 'store')
         with self._lock:
             self._removed.discard(endpoint_id)
+            # Requests must not reach a cold endpoint before this is known.
+            self.cold.record_endpoint(endpoint)
             self.endpoints[endpoint_id] = endpoint
 
     def _record_rejected(self, endpoint_id: str, error: DocumentError) -> None:
--- a/src/pimentohoist/_entry/evacuations.py
+++ b/src/pimentohoist/_entry/evacuations.py
@@ -7,7 +7,7 @@
 
 import logging
 import threading
-from collections.abc import Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import Any
 
 from pimentohoist._decisions.evacuations import (
@@ -23,11 +23,19 @@
 
 
 class Evacuations:
-    """Keeps what this daemon knows of evacuated failure domains."""
+    """Keeps what this daemon knows of evacuated failure domains.
+
+    Attributes
+    ----------
+    on_end : callable
+        Called with the failure domains whose evacuation ends, before their endpoints may
+        get requests again.
+    """
 
     def __init__(self, members: MembersController) -> None:
         self.members = members
         self.knowledge = EvacuationKnowledge()
+        self.on_end: Callable[[Collection[str]], None] = _ignore
         self._is_used = False
         self._lock = threading.Lock()
         members.on_heartbeat.append(self._record_heartbeat)
@@ -75,7 +83,11 @@
                 self._replace(self.knowledge.merged(told), heartbeat.member)
 
     def _replace(self, knowledge: EvacuationKnowledge, source: str) -> bool:
-        before, self.knowledge = self.knowledge, knowledge
+        before = self.knowledge
+        ended = before.evacuated - knowledge.evacuated
+        if ended:
+            self.on_end(ended)
+        self.knowledge = knowledge
         self._is_used = self._is_used or bool(knowledge.settled or knowledge.former)
         if knowledge.evacuated == before.evacuated:
             return False
@@ -90,3 +102,7 @@
         }
         _logger.info('evacuated failure domains changed', extra=extra)
         return True
+
+
+def _ignore(domains: Collection[str]) -> None:
+    """Do nothing as the evacuation of failure domains ends."""
--- a/src/pimentohoist/_entry/heartbeat.py
+++ b/src/pimentohoist/_entry/heartbeat.py
@@ -54,6 +54,9 @@
         hasn't, and from builds that don't.
     evacuations : list
         What it knows of evacuated failure domains; empty if it knows of no record.
+    cold_endpoints : list of list
+        Newest statements on endpoints that are or were cold: incarnation, seconds until it
+        is warm, age in seconds, requests a second that it takes meanwhile.
     sequence : int
         Number of the heartbeat in its incarnation; 0 from builds that send none.
     """
@@ -84,6 +87,7 @@
     software_versions: Mapping[str, list[str]] = field(default_factory=dict)
     versions_recorded_age_s: float | None = None
     evacuations: list[Any] = field(default_factory=list)
+    cold_endpoints: list[list[Any]] = field(default_factory=list)
 
     def ownership(self) -> Ownership:
         """Return which partitions the daemon claims."""
--- a/src/pimentohoist/_entry/owned_engines.py
+++ b/src/pimentohoist/_entry/owned_engines.py
@@ -354,5 +354,6 @@
     """
     on_answered(endpoint)
     endpoints.notices.record(endpoint, notice)
+    endpoints.cold.record_response(endpoint, notice)
     if notice.limit_per_s is not None:
         endpoints.limits.record_response(endpoint, notice, _clock.now())
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -7,7 +7,7 @@
 import sys
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from contextlib import ExitStack
 from typing import Any, Self
 
@@ -100,6 +100,8 @@
         self.declarations = DeclarationsController(self.store, self.members)
         self.endpoints = EndpointsController(self.store, self.members)
         self.endpoints.is_evacuated = self.declarations.evacuations.covers
+        self.endpoints.cold.per_s_of = self.declarations.cold_per_s
+        self.declarations.evacuations.on_end = self._presume_cold
         self.ownership = OwnershipController(
             settings,
             Store(settings.store_address, era=self.store.era),
@@ -258,6 +260,8 @@
             'requests_forwarded_total': self.forwarding.forwarded,
             'endpoints_brittle': self.endpoints.brittle.limited_count(),
             'failure_domains_evacuated': len(self.declarations.evacuations.domains),
+            'endpoints_cold': self.endpoints.cold.cold_count(),
+            'cold_permits_refused_total': self.permits.refused,
             'endpoints_limited': self.endpoints.limits.limited_count(),
             'stream_versions_known': len(self.stream_versions.register),
             'prompt_parts_quarantined': self.part_quarantine.quarantined_count(),
@@ -320,6 +324,7 @@
         retry_budgets = GroupRetryBudgets(self.members)
         self.permits = EndpointPermits(
             self.endpoints.limits,
+            self.endpoints.cold,
             self.members,
             self.ownership,
             self.peers,
@@ -386,8 +391,15 @@
             software_versions=self.stream_versions.versions.announced(),
             versions_recorded_age_s=self.stream_versions.versions.recorded_age_s(),
             evacuations=self.declarations.evacuations.announced(),
+            cold_endpoints=self.endpoints.cold.announced(),
         )
 
+    def _presume_cold(self, domains: Collection[str]) -> None:
+        """Take endpoints whose evacuation ends as cold until their records are read."""
+        alive = self.endpoints.alive()
+        returning = (entry for entry in alive if entry.failure_domain in domains)
+        self.endpoints.cold.presume(returning)
+
     def _auxiliary_servers(self) -> tuple[HttpServer, ...]:
         settings = self.settings
         directory = DirectoryApp(self.addresses, settings.bounds.max_directory_age_s)
--- a/src/pimentohoist/entry_models.py
+++ b/src/pimentohoist/entry_models.py
@@ -117,11 +117,22 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointGroup:
-    """Interchangeable endpoints; `engine` is None for plain services."""
+    """Interchangeable endpoints; `engine` is None for plain services.
+
+    Attributes
+    ----------
+    cold_s : float
+        Time for which an endpoint is cold after it has started; 0 if it never is.
+    cold_per_s : float
+        Requests a second that a cold endpoint takes from all daemons together; 0 without
+        a limit.
+    """
 
     name: str
     max_connections: int
     engine: EngineLimits | None = None
+    cold_s: float = 0
+    cold_per_s: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -232,6 +243,8 @@
         Version of its software; streams can't go on at another one.
     is_daemon : bool
         Whether it is another daemon, which sends requests on to endpoints.
+    cold_s : float
+        How much longer it was to stay cold when it wrote the record.
     models : tuple of str
         Names of the base models that it holds.
     adapters : mapping of AdapterKey to int
@@ -250,6 +263,7 @@
     adapters: Mapping[AdapterKey, int] = field(default_factory=dict)
     software_version: str = ''
     is_daemon: bool = False
+    cold_s: float = 0
 
     @property
     def incarnation(self) -> str:
@@ -388,6 +402,8 @@
         if it doesn't fall over.
     is_brittle_readable : bool
         Whether the response doesn't name that, or it could be read.
+    cold_s : float or None
+        Seconds for which it stays cold; None if the response doesn't say.
     """
 
     is_leaving: bool = False
@@ -396,3 +412,4 @@
     is_limit_readable: bool = True
     brittle_per_s: float | None = None
     is_brittle_readable: bool = True
+    cold_s: float | None = None
--- a/src/pimentohoist/platform/_declaration_documents.py
+++ b/src/pimentohoist/platform/_declaration_documents.py
@@ -97,7 +97,21 @@
 def _group(entry: Mapping[str, Any]) -> EndpointGroup:
     engine = entry.get('engine')
     limits = None if engine is None else _engine_limits(engine)
-    return EndpointGroup(entry['name'], int(entry['max-conns']), limits)
+    return EndpointGroup(
+        entry['name'],
+        int(entry['max-conns']),
+        limits,
+        *_cold_limit(entry),
+    )
+
+
+def _cold_limit(entry: Mapping[str, Any]) -> tuple[float, float]:
+    """Return `cold-s` and `cold-per-s`; both are 0 unless both are in force."""
+    cold_s = float(entry.get('cold-s') or 0)
+    cold_per_s = float(entry.get('cold-per-s') or 0)
+    if not all(0 <= number < float('inf') for number in (cold_s, cold_per_s)):
+        raise DocumentError('cold-s, cold-per-s: expected numbers from 0', step=_STEP)
+    return (cold_s, cold_per_s) if cold_s and cold_per_s else (0, 0)
 
 
 def _engine_limits(entry: Mapping[str, Any]) -> EngineLimits:
--- a/src/pimentohoist/platform/_document_fields.py
+++ b/src/pimentohoist/platform/_document_fields.py
@@ -10,6 +10,7 @@
 
 _STEP = 'decode'
 _MAX_CAUSE_LENGTH = 200
+_MS_PER_S = 1000
 _MAX_INTEGER = 9_007_199_254_740_992
 """Larger integers aren't exact in JSON."""
 
@@ -67,6 +68,17 @@
     return number
 
 
+def milliseconds_field(document: Mapping[str, Any], field: str) -> float:
+    """Return a time in ms as seconds, 0 if it is absent; raises DocumentError."""
+    number = document.get(field) or 0
+    is_number = isinstance(number, int | float) and not isinstance(number, bool)
+    if not (is_number and 0 <= number <= _MAX_INTEGER):
+        raise DocumentError(
+            f'{field}: expected milliseconds from 0 on, got {number!r:.80}', step=_STEP
+        )
+    return float(number) / _MS_PER_S
+
+
 def _document(text: bytes) -> dict[str, Any]:
     try:
         document = json.loads(text)
--- a/src/pimentohoist/platform/_documents.py
+++ b/src/pimentohoist/platform/_documents.py
@@ -17,6 +17,7 @@
 from pimentohoist.platform._document_fields import (
     decode_document,
     integer_field,
+    milliseconds_field,
     text_field,
 )
 
@@ -59,6 +60,7 @@
         held_models,
         adapters,
         text_field(document, 'version'),
+        cold_s=milliseconds_field(document, 'cold-ms'),
     )
 
 
--- a/src/pimentohoist/platform/_headers.py
+++ b/src/pimentohoist/platform/_headers.py
@@ -41,6 +41,9 @@
 """Requests that the endpoint turns away in a second for want of room; beyond that it falls
 over."""
 
+COLD_MS = 'Pimentohoist-Cold-Ms'
+"""How much longer an endpoint stays cold, in milliseconds."""
+
 STORE_ERA = 'Store-Era'
 """Rises by one each time the store comes back from an older copy of itself."""
 
--- a/src/pimentohoist/platform/_notices.py
+++ b/src/pimentohoist/platform/_notices.py
@@ -12,6 +12,8 @@
 
 _MAX_QUIET_S = 120.0
 _SECONDS = re.compile(r'[0-9]{1,6}(\.[0-9]{1,6})?')
+_MILLISECONDS = re.compile(r'[0-9]{1,7}(\.[0-9]{1,6})?')
+_MS_PER_S = 1000
 _LEAVING = '1'
 _REQUESTS_PER_S = re.compile(r'[0-9]{1,9}(\.[0-9]{1,20})?')
 _MIN_LIMIT_PER_S = 0.1
@@ -40,6 +42,7 @@
         limit_per_s,
         is_limit_readable,
         *_decode_brittle(endpoint_id, headers),
+        _decode_cold_s(endpoint_id, headers),
     )
 
 
@@ -85,6 +88,16 @@
     return float(text), True
 
 
+def _decode_cold_s(endpoint_id: str, headers: Mapping[str, str]) -> float | None:
+    text = header_names.find(headers, header_names.COLD_MS)
+    if text is None:
+        return None
+    if _MILLISECONDS.fullmatch(text):
+        return float(text) / _MS_PER_S
+    _log_invalid(endpoint_id, header_names.COLD_MS, text)
+    return None
+
+
 def _log_invalid(endpoint_id: str, header: str, text: str | None) -> None:
     key = (endpoint_id, header)
     if key in _logged_endpoints or len(_logged_endpoints) >= _MAX_LOGGED_ENDPOINTS:
--- a/src/pimentohoist/platform/_settings.py
+++ b/src/pimentohoist/platform/_settings.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+from pimentohoist._decisions.cold_endpoints import ColdBounds
 from pimentohoist.exceptions import SettingsError
 
 SETTINGS_VARIABLE = 'PIMENTOHOIST_BOOT'
@@ -15,6 +16,9 @@
 
 _STEP = 'settings'
 _MS_PER_S = 1000
+_COLD_BOUNDS = ColdBounds(over=3 / 2, slack=5)
+"""For groups with cold endpoints on a platform that states no limit of its own."""
+
 _PORTS = 3
 """For heartbeats, metrics and forwarded requests."""
 
@@ -63,6 +67,7 @@
     seeds: tuple[str, ...]
     store_address: str
     bounds: EntryBounds
+    cold_bounds: ColdBounds = _COLD_BOUNDS
 
     @property
     def peer_address(self) -> str:
@@ -101,6 +106,10 @@
             reader.number('bounds.grace_s'),
             reader.number('bounds.most_directory_age_s'),
         ),
+        ColdBounds(
+            reader.number('bounds.cold_over', _COLD_BOUNDS.over),
+            reader.number('bounds.cold_slack', _COLD_BOUNDS.slack),
+        ),
     )
 
 
@@ -117,8 +126,8 @@
             raise self._field_error(field, f'must be a string, got {found!r}')
         return found
 
-    def number(self, field: str) -> float:
-        found = self._find(field, None)
+    def number(self, field: str, default: float | None = None) -> float:
+        found = self._find(field, default)
         if not isinstance(found, (int, float)) or isinstance(found, bool) or found < 0:
             raise self._field_error(field, f'must be a number >= 0, got {found!r}')
         return found
--- a/src/pimentohoist_standins/opaque_engine.py
+++ b/src/pimentohoist_standins/opaque_engine.py
@@ -18,11 +18,14 @@
     EngineState,
 )
 
+_MS_PER_S = 1000
+
 
 class OpaqueEngine(ThreadedStandIn):
     """An engine that serves one model, or a plain service if `model` is empty."""
 
     zone = 'a'
+    cold_until: float = 0
 
     def __init__(self, address: tuple[str, int], engine_id: str, model: str) -> None:
         super().__init__(address, _handler(self))
@@ -42,12 +45,16 @@
             'version': self.version,
             'slots': 8,
             'state': state,
-            'cold-ms': 0,
+            'cold-ms': self.cold_ms(),
             'born': 1,
             'seq': self.state.accepted_orders,
             **({'models': self.models()} if self.model else {}),
         }
 
+    def cold_ms(self) -> int:
+        """Return how much longer it stays cold, in milliseconds."""
+        return max(0, round((self.cold_until - time.monotonic()) * _MS_PER_S))
+
     def models(self) -> list[dict[str, Any]]:
         """Return the model with its loaded adapters."""
         now = time.monotonic()
