--- a/src/pimentohoist/_entry/endpoints.py
+++ b/src/pimentohoist/_entry/endpoints.py
@@ -10,6 +10,7 @@
 
 from pimentohoist import _clock
 from pimentohoist._decisions.endpoint_health import EndpointHealth
+from pimentohoist._entry.cold_endpoints import ColdEndpoints
 from pimentohoist._entry.endpoint_limits import BRITTLE, EndpointLimits
 from pimentohoist._entry.endpoint_notices import (
     NOTHING_READ,
@@ -55,6 +56,8 @@
     ----------
     on_applied : list of callable
         Called after each read of the store.
+    is_evacuated : callable
+        Returns whether a failure domain gets no requests.
     """
 
     def __init__(self, store: Store, members: MembersController) -> None:
@@ -64,10 +67,12 @@
         self.notices = EndpointNotices()
         self.limits = EndpointLimits(members)
         self.brittle = EndpointLimits(members, BRITTLE)
+        self.cold = ColdEndpoints(members)
         self.follower = TopicFollower(
             store, ENDPOINT_RECORDS, self._poll_timing, self._apply_records
         )
         self.on_applied: list[Callable[[], None]] = []
+        self.is_evacuated: Callable[[str], bool] = _never
         self._removed: set[str] = set()
         self._mark = NOTHING_READ
         self._era_changed_at = float('-inf')
@@ -107,9 +112,11 @@
         return responding or usable
 
     def may_get_work(self, endpoint: Endpoint) -> bool:
-        """Return whether an endpoint doesn't leave and wants requests now."""
+        """Return whether an endpoint stays and wants requests now."""
         notices = self.notices
-        return not (notices.is_leaving(endpoint) or notices.quiet_s(endpoint))
+        if notices.is_leaving(endpoint) or notices.quiet_s(endpoint):
+            return False
+        return not self.is_evacuated(endpoint.failure_domain)
 
     def quiet_s(self, group: str) -> float:
         """Return the seconds until an endpoint of a group wants requests again.
@@ -119,7 +126,9 @@
         staying = [
             endpoint
             for endpoint in self.alive()
-            if endpoint.group == group and not self.notices.is_leaving(endpoint)
+            if endpoint.group == group
+            and not self.notices.is_leaving(endpoint)
+            and not self.is_evacuated(endpoint.failure_domain)
         ]
         return min((self.notices.quiet_s(endpoint) for endpoint in staying), default=0)
 
@@ -164,6 +173,7 @@
                 'group': endpoint.group,
                 'is_leaving': self.notices.is_leaving(endpoint),
                 'quiet_s': round(self.notices.quiet_s(endpoint), 3),
+                'cold_s': round(self.cold.cold_s(endpoint.incarnation), 3),
                 'limit_per_s': self.limits.limit_per_s(endpoint.incarnation),
                 'failure_share': self.health_of(endpoint.endpoint_id).failure_share(
                     now
@@ -226,6 +236,8 @@
             self.notices.record_returned(incarnation, mark, 'store')
         with self._lock:
             self._removed.discard(endpoint_id)
+            # Requests must not reach a cold endpoint before this is known.
+            self.cold.record_endpoint(endpoint)
             self.endpoints[endpoint_id] = endpoint
 
     def _record_rejected(self, endpoint_id: str, error: DocumentError) -> None:
@@ -266,6 +278,11 @@
     return None if position is None else StoreMark(position.era, position.offset)
 
 
+def _never(failure_domain: str) -> bool:
+    """Return that a failure domain isn't evacuated."""
+    return False
+
+
 def _extra(endpoint: Endpoint) -> dict[str, object]:
     return {
         'step': 'endpoints',
--- a/src/pimentohoist/_entry/heartbeat.py
+++ b/src/pimentohoist/_entry/heartbeat.py
@@ -58,6 +58,11 @@
         Records of endpoints that were lately removed from the store or came back:
         incarnation, whether it is back, era and offset up to which the store was read. None
         from builds that don't tell removals from announced leaves.
+    evacuations : list
+        What it knows of evacuated failure domains; empty if it knows of no record.
+    cold_endpoints : list of list
+        Newest statements on endpoints that are or were cold: incarnation, seconds until it
+        is warm, age in seconds, requests a second that it takes meanwhile.
     sequence : int
         Number of the heartbeat in its incarnation; 0 from builds that send none.
     """
@@ -89,6 +94,8 @@
     versions_recorded_age_s: float | None = None
     link_mbps: float = 0
     endpoint_changes: list[list[Any]] | None = None
+    evacuations: list[Any] = field(default_factory=list)
+    cold_endpoints: list[list[Any]] = field(default_factory=list)
 
     def ownership(self) -> Ownership:
         """Return which partitions the daemon claims."""
--- a/src/pimentohoist/platform/_settings.py
+++ b/src/pimentohoist/platform/_settings.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+from pimentohoist._decisions.cold_endpoints import ColdBounds
 from pimentohoist.exceptions import SettingsError
 
 SETTINGS_VARIABLE = 'PIMENTOHOIST_BOOT'
@@ -15,6 +16,9 @@
 
 _STEP = 'settings'
 _MS_PER_S = 1000
+_COLD_BOUNDS = ColdBounds(over=3 / 2, slack=5)
+"""For groups with cold endpoints on a platform that states no limit of its own."""
+
 _PORTS = 3
 """For heartbeats, metrics and forwarded requests."""
 
@@ -70,6 +74,7 @@
     store_address: str
     bounds: EntryBounds
     link_mbps: float = 0
+    cold_bounds: ColdBounds = _COLD_BOUNDS
 
     @property
     def peer_address(self) -> str:
@@ -109,6 +114,10 @@
             reader.number('bounds.most_directory_age_s'),
         ),
         reader.number('limits.link_mbps', 0),
+        ColdBounds(
+            reader.number('bounds.cold_over', _COLD_BOUNDS.over),
+            reader.number('bounds.cold_slack', _COLD_BOUNDS.slack),
+        ),
     )
 
 
