--- a/src/pimentohoist/_decisions/endpoint_choice.py
+++ b/src/pimentohoist/_decisions/endpoint_choice.py
@@ -10,6 +10,9 @@
 _REMOTE_COST_FACTOR = 1.05
 """Breaks ties in favour of the own failure domain, whose traffic is cheaper."""
 
+_COLD_COST_FACTOR = 6
+"""A cold endpoint, of which no latency is known yet, is used once the warm ones have queues."""
+
 _UNKNOWN_LATENCY_SHARE = 0.5
 """Share of the least known latency that is assumed of an endpoint that has not answered
 yet, so that it is tried soon."""
@@ -39,6 +42,8 @@
         Whether it limits the requests of all daemons.
     is_better_elsewhere : bool
         Whether prompts of this length are read at other engines first.
+    is_cold : bool
+        Whether it has just started and serves few requests yet.
     """
 
     endpoint_id: str
@@ -51,6 +56,7 @@
     free_adapter_slots: int = 0
     is_limited: bool = False
     is_better_elsewhere: bool = False
+    is_cold: bool = False
 
     @property
     def load(self) -> float:
@@ -90,7 +96,7 @@
     return [candidate.endpoint_id for candidate in ordered]
 
 
-def _drawbacks(candidate: Candidate) -> tuple[bool, ...]:
+def _drawbacks(candidate: Candidate) -> tuple[int, ...]:
     """Return the reasons to prefer other engines, the most serious first."""
     is_failing = candidate.cost_factor > _FAILING_COST_FACTOR
     is_overloaded = candidate.load > _MAX_PREFERRED_LOAD
@@ -98,12 +104,21 @@
     has_no_free_slot = not candidate.has_adapter and candidate.free_adapter_slots <= 0
     # Its few requests are for the adapters that it has.
     is_reserved = candidate.is_limited and not candidate.has_adapter
-    drawbacks = [is_failing, is_reserved, is_overloaded, candidate.is_better_elsewhere]
-    return (*drawbacks, not candidate.has_adapter, has_no_free_slot)
+    drawbacks = [
+        is_failing,
+        is_reserved,
+        is_overloaded,
+        # The requests that it takes are kept for those that no warm engine has room for.
+        candidate.is_cold,
+        candidate.is_better_elsewhere,
+    ]
+    return (*drawbacks, (not candidate.has_adapter) + has_no_free_slot)
 
 
 def _expected_cost(candidate: Candidate, assumed_latency_s: float) -> float:
     queue_factor = 1 + candidate.in_flight / max(1, candidate.slots)
     domain_factor = 1 if candidate.is_in_own_domain else _REMOTE_COST_FACTOR
     latency_s = candidate.latency_s or assumed_latency_s
-    return queue_factor**2 * latency_s * candidate.cost_factor * domain_factor
+    cold_factor = _COLD_COST_FACTOR if candidate.is_cold else 1
+    cost = queue_factor**2 * latency_s * candidate.cost_factor
+    return cost * domain_factor * cold_factor
--- a/src/pimentohoist/_entry/endpoints.py
+++ b/src/pimentohoist/_entry/endpoints.py
@@ -10,16 +10,21 @@
 
 from pimentohoist import _clock
 from pimentohoist._decisions.endpoint_health import EndpointHealth
+from pimentohoist._entry.cold_endpoints import ColdEndpoints
 from pimentohoist._entry.endpoint_limits import BRITTLE, EndpointLimits
-from pimentohoist._entry.endpoint_notices import EndpointNotices
+from pimentohoist._entry.endpoint_notices import (
+    NOTHING_READ,
+    EndpointNotices,
+    StoreMark,
+)
 from pimentohoist._entry.topic_follower import PollTiming, TopicFollower, apply_each
-from pimentohoist._entry.heartbeat import Heartbeat
 from pimentohoist._entry.members import MembersController
 from pimentohoist.entry_models import Endpoint
 from pimentohoist.exceptions import DocumentError
 from pimentohoist.platform import (
     ENDPOINT_RECORDS,
     KeyedRecord,
+    ReadPosition,
     Store,
     decode_endpoint,
 )
@@ -36,7 +41,8 @@
 """Intervals are randomized so that the daemons don't all read at the same time."""
 
 _REAPPEAR_S = 2.5
-"""Records that expired in an outage of the store reappear about 2 s after its end."""
+"""Records that expired in an outage of the store reappear about 2 s after its end, and so
+do those that a restored store has lost."""
 
 _MAX_REJECTED_IDS = 256
 
@@ -50,6 +56,8 @@
     ----------
     on_applied : list of callable
         Called after each read of the store.
+    is_evacuated : callable
+        Returns whether a failure domain gets no requests.
     """
 
     def __init__(self, store: Store, members: MembersController) -> None:
@@ -59,15 +67,23 @@
         self.notices = EndpointNotices()
         self.limits = EndpointLimits(members)
         self.brittle = EndpointLimits(members, BRITTLE)
+        self.cold = ColdEndpoints(members)
         self.follower = TopicFollower(
             store, ENDPOINT_RECORDS, self._poll_timing, self._apply_records
         )
         self.on_applied: list[Callable[[], None]] = []
+        self.is_evacuated: Callable[[str], bool] = _never
         self._removed: set[str] = set()
+        self._mark = NOTHING_READ
+        self._era_changed_at = float('-inf')
         self._replaced_incarnations: set[str] = set()
         self._rejected: set[str] = set()
         self._lock = threading.Lock()
-        members.on_heartbeat.append(self._record_heartbeat)
+        members.on_heartbeat.append(
+            lambda heartbeat, before: self.notices.record_heartbeat(
+                heartbeat, self._listed_mark
+            )
+        )
 
     def __enter__(self) -> Self:
         """Start following the store."""
@@ -96,9 +112,11 @@
         return responding or usable
 
     def may_get_work(self, endpoint: Endpoint) -> bool:
-        """Return whether an endpoint doesn't leave and wants requests now."""
+        """Return whether an endpoint stays and wants requests now."""
         notices = self.notices
-        return not (notices.is_leaving(endpoint) or notices.quiet_s(endpoint))
+        if notices.is_leaving(endpoint) or notices.quiet_s(endpoint):
+            return False
+        return not self.is_evacuated(endpoint.failure_domain)
 
     def quiet_s(self, group: str) -> float:
         """Return the seconds until an endpoint of a group wants requests again.
@@ -108,7 +126,9 @@
         staying = [
             endpoint
             for endpoint in self.alive()
-            if endpoint.group == group and not self.notices.is_leaving(endpoint)
+            if endpoint.group == group
+            and not self.notices.is_leaving(endpoint)
+            and not self.is_evacuated(endpoint.failure_domain)
         ]
         return min((self.notices.quiet_s(endpoint) for endpoint in staying), default=0)
 
@@ -153,6 +173,7 @@
                 'group': endpoint.group,
                 'is_leaving': self.notices.is_leaving(endpoint),
                 'quiet_s': round(self.notices.quiet_s(endpoint), 3),
+                'cold_s': round(self.cold.cold_s(endpoint.incarnation), 3),
                 'limit_per_s': self.limits.limit_per_s(endpoint.incarnation),
                 'failure_share': self.health_of(endpoint.endpoint_id).failure_share(
                     now
@@ -168,9 +189,12 @@
             wait_s=0, pause_s=pause_s * random.uniform(_MIN_JITTER_FACTOR, 1)
         )
 
-    def _record_heartbeat(self, heartbeat: Heartbeat, before: Heartbeat | None) -> None:
-        for incarnation in heartbeat.draining_endpoints:
-            self.notices.record_leaving(incarnation, heartbeat.member)
+    def _listed_mark(self, incarnation: str) -> StoreMark | None:
+        """Return up to where the store was read if it had an incarnation's record there."""
+        endpoint_id, _, _ = incarnation.rpartition('#')
+        known = self.endpoints.get(endpoint_id)
+        is_known = known is not None and known.incarnation == incarnation
+        return self._mark if is_known and endpoint_id not in self._removed else None
 
     def _apply_records(self, records: Sequence[KeyedRecord], is_whole: bool) -> None:
         if is_whole:
@@ -178,12 +202,19 @@
             for endpoint_id in tuple(self.endpoints):
                 if endpoint_id not in listed:
                     self._record_removed(endpoint_id)
-        apply_each(records, ENDPOINT_RECORDS, self._apply_record)
+        mark = _mark_of(self.follower.position) or self._mark
+        if NOTHING_READ < self._mark and self._mark.era < mark.era:
+            # The store's answer to a read beyond its end doesn't look like an outage.
+            self._era_changed_at = _clock.now()
+        apply_each(
+            records, ENDPOINT_RECORDS, lambda record: self._apply_record(record, mark)
+        )
+        self._mark = mark
         self._drop_removed()
         for listener in self.on_applied:
             listener()
 
-    def _apply_record(self, record: KeyedRecord) -> None:
+    def _apply_record(self, record: KeyedRecord, mark: StoreMark) -> None:
         endpoint_id = record.key
         if record.body is None:
             self._record_removed(endpoint_id)
@@ -198,10 +229,15 @@
             return
         if known is None or known.is_draining != endpoint.is_draining:
             _logger.info('endpoint seen', extra=_extra(endpoint))
+        incarnation = endpoint.incarnation
         if endpoint.is_draining:
-            self.notices.record_leaving(endpoint.incarnation, 'store')
+            self.notices.record_leaving(incarnation, 'store')
+        elif endpoint_id in self._removed or self.notices.is_removed(incarnation):
+            self.notices.record_returned(incarnation, mark, 'store')
         with self._lock:
             self._removed.discard(endpoint_id)
+            # Requests must not reach a cold endpoint before this is known.
+            self.cold.record_endpoint(endpoint)
             self.endpoints[endpoint_id] = endpoint
 
     def _record_rejected(self, endpoint_id: str, error: DocumentError) -> None:
@@ -221,8 +257,8 @@
         if not self._removed:
             return
         now = _clock.now()
-        keep_until = self.follower.status.restored_at + _REAPPEAR_S
-        if self.follower.is_failing() or now < keep_until:
+        restored_at = max(self.follower.status.restored_at, self._era_changed_at)
+        if self.follower.is_failing() or now < restored_at + _REAPPEAR_S:
             return
         with self._lock:
             removed, self._removed = self._removed, set()
@@ -230,12 +266,23 @@
                 endpoint = self.endpoints.pop(endpoint_id, None)
                 self.health.pop(endpoint_id, None)
                 if endpoint is not None:
-                    self.notices.record_leaving(endpoint.incarnation, 'store')
+                    self.notices.record_removed(
+                        endpoint.incarnation, self._mark, 'store'
+                    )
         for endpoint_id in removed:
             extra = {'step': 'endpoints', 'endpoint': endpoint_id}
             _logger.info('endpoint removed', extra=extra)
 
 
+def _mark_of(position: ReadPosition | None) -> StoreMark | None:
+    return None if position is None else StoreMark(position.era, position.offset)
+
+
+def _never(failure_domain: str) -> bool:
+    """Return that a failure domain isn't evacuated."""
+    return False
+
+
 def _extra(endpoint: Endpoint) -> dict[str, object]:
     return {
         'step': 'endpoints',
--- a/src/pimentohoist/_entry/heartbeat.py
+++ b/src/pimentohoist/_entry/heartbeat.py
@@ -26,7 +26,7 @@
     crash_reports : list of str
         Fingerprints of requests that crash endpoints.
     draining_endpoints : list of str
-        Incarnations of endpoints that it recently read as draining.
+        Incarnations of endpoints of which it lately learned that they leave or are gone.
     part_reports : list of list
         Parts of prompts that may crash engines: id, seconds since the last crash, crashed
         incarnations, those of them that had begun an answer, other parts that were always
@@ -56,6 +56,15 @@
         Speed of its link in Mbit/s; 0 if it isn't known, and from builds that don't say.
     long_prompts : mapping of str to float
         Engines that its long prompts keep busy on average, by group.
+    endpoint_changes : list of list or None
+        Records of endpoints that were lately removed from the store or came back:
+        incarnation, whether it is back, era and offset up to which the store was read. None
+        from builds that don't tell removals from announced leaves.
+    evacuations : list
+        What it knows of evacuated failure domains; empty if it knows of no record.
+    cold_endpoints : list of list
+        Newest statements on endpoints that are or were cold: incarnation, seconds until it
+        is warm, age in seconds, requests a second that it takes meanwhile.
     sequence : int
         Number of the heartbeat in its incarnation; 0 from builds that send none.
     """
@@ -87,6 +96,9 @@
     versions_recorded_age_s: float | None = None
     link_mbps: float = 0
     long_prompts: Mapping[str, float] = field(default_factory=dict)
+    endpoint_changes: list[list[Any]] | None = None
+    evacuations: list[Any] = field(default_factory=list)
+    cold_endpoints: list[list[Any]] = field(default_factory=list)
 
     def ownership(self) -> Ownership:
         """Return which partitions the daemon claims."""
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -7,7 +7,7 @@
 import sys
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from contextlib import ExitStack
 from typing import Any, Self
 
@@ -99,6 +99,9 @@
         self.members = MembersController(settings, self.store, self._make_heartbeat)
         self.declarations = DeclarationsController(self.store, self.members)
         self.endpoints = EndpointsController(self.store, self.members)
+        self.endpoints.is_evacuated = self.declarations.evacuations.covers
+        self.endpoints.cold.per_s_of = self.declarations.cold_per_s
+        self.declarations.evacuations.on_end = self._presume_cold
         self.ownership = OwnershipController(
             settings,
             Store(settings.store_address, era=self.store.era),
@@ -246,6 +249,7 @@
     def metrics(self) -> Iterator[str]:
         """Yield metrics as text."""
         yield from self.request_handler.metrics.lines()
+        yield from self.endpoints.notices.metrics()
         unconfirmed_s = self.declarations.unconfirmed_s()
         gauges = {
             'log_lines_dropped_total': self.logs.dropped,
@@ -256,6 +260,9 @@
             'endpoints_lost': len(self.links.lost_ids()),
             'requests_forwarded_total': self.forwarding.forwarded,
             'endpoints_brittle': self.endpoints.brittle.limited_count(),
+            'failure_domains_evacuated': len(self.declarations.evacuations.domains),
+            'endpoints_cold': self.endpoints.cold.cold_count(),
+            'cold_permits_refused_total': self.permits.refused,
             'endpoints_limited': self.endpoints.limits.limited_count(),
             'stream_versions_known': len(self.stream_versions.register),
             'engines_for_long_prompts': self.dispatch.chooser.prompt_lengths.reserved_count(),
@@ -319,6 +326,7 @@
         retry_budgets = GroupRetryBudgets(self.members)
         self.permits = EndpointPermits(
             self.endpoints.limits,
+            self.endpoints.cold,
             self.members,
             self.ownership,
             self.peers,
@@ -386,8 +394,17 @@
             versions_recorded_age_s=self.stream_versions.versions.recorded_age_s(),
             link_mbps=self.settings.link_mbps,
             long_prompts=self.dispatch.chooser.prompt_lengths.announced(),
+            endpoint_changes=self.endpoints.notices.announced_changes(),
+            evacuations=self.declarations.evacuations.announced(),
+            cold_endpoints=self.endpoints.cold.announced(),
         )
 
+    def _presume_cold(self, domains: Collection[str]) -> None:
+        """Take endpoints whose evacuation ends as cold until their records are read."""
+        alive = self.endpoints.alive()
+        returning = (entry for entry in alive if entry.failure_domain in domains)
+        self.endpoints.cold.presume(returning)
+
     def _auxiliary_servers(self) -> tuple[HttpServer, ...]:
         settings = self.settings
         directory = DirectoryApp(self.addresses, settings.bounds.max_directory_age_s)
