Choice of engines: long prompts are counted from the first second

Change: the sums are related to the time since they began; three requests in flight, not four, send a long prompt past a reserved engine.

--- a/src/pimentohoist/_decisions/prompt_separation.py
+++ b/src/pimentohoist/_decisions/prompt_separation.py
@@ -22,6 +22,9 @@
 """A prompt is long if reading it takes up this share of the shortest latency target, which
 those behind it miss then together with the load of an adapter."""
 
+_MIN_MEASURED_S = 1.0
+"""The sums of the first second or so stand for no rate."""
+
 _MIN_SAMPLE_TOKENS = 1000
 """The time of shorter prompts is mostly that of the first event."""
 
@@ -35,7 +38,7 @@
 _MIN_ENGINES = 12
 """In a smaller group one engine is too large a part of all adapter slots."""
 
-_MAX_RESERVED_IN_FLIGHT = 4
+_MAX_RESERVED_IN_FLIGHT = 3
 """With more requests on a reserved engine, a long prompt is read earlier at another one."""
 
 _MIN_KEPT = 0.5
@@ -58,6 +61,7 @@
         self._tokens = float(0)
         self._reading_s = float(0)
         self._recorded_at = -math.inf
+        self._began_at: float | None = None
 
     def is_long(self, prompt_tokens: int, latency_target_s: float) -> bool:
         """Return whether a prompt delays others too long; False until times are known.
@@ -77,6 +81,8 @@
     ) -> None:
         """Record the time from sending a request to its first event, in seconds."""
         self._decay(now)
+        if self._began_at is None:
+            self._began_at = now - first_event_s
         if prompt_tokens >= _MIN_SAMPLE_TOKENS:
             self._tokens += prompt_tokens
             self._reading_s += first_event_s
@@ -85,8 +91,13 @@
 
     def busy_engines(self, now: float) -> float:
         """Return how many engines the long prompts of this daemon keep busy on average."""
+        if self._began_at is None:
+            return 0
         self._decay(now)
-        return self.long_s * math.log(2) / _HALF_LIFE_S
+        measured_s = max(_MIN_MEASURED_S, now - self._began_at)
+        # The sums have not reached their level yet if measuring has just begun.
+        weight_s = _HALF_LIFE_S / math.log(2) * (1 - 0.5 ** (measured_s / _HALF_LIFE_S))
+        return float(self.long_s / weight_s)
 
     def _decay(self, now: float) -> None:
         factor = 0.5 ** (max(0, now - self._recorded_at) / _HALF_LIFE_S)
