--- a/src/pimentohoist_standins/bench.py
+++ b/src/pimentohoist_standins/bench.py
@@ -11,6 +11,7 @@
     bench_requests,
     bench_serving,
     bench_streams,
+    bench_waiting,
 )
 
 _DEFAULT_SEED = 20
@@ -49,6 +50,10 @@
         """Measure first tokens and the time between tokens at callers."""
         bench_streams.main()
 
+    def waiting(self, seed: int = _DEFAULT_SEED) -> None:
+        """Measure the processor time of decisions on waiting requests."""
+        bench_waiting.bench(seed)
+
 
 def main() -> None:
     """Run ``pimentohoist-bench``."""
