Owner of an engine: waiting requests are served in their order

Requests waited on one condition, and whichever thread woke up first began its load or took a free adapter slot, also one that asked once and wasn't waiting.

AdapterQueue begins loads in the order of WaitingOrder, one for each adapter, and refuses whom it can't serve before its deadline. HoldAdapter carries priority, times to the target and the deadline, work and workspace; the reply tells the expected wait. Calls without the fields count as of middle priority until the end of their wait. No caller sends them yet.

--- /dev/null
+++ b/features/steps/waiting_owners.py
@@ -0,0 +1,261 @@
+"""Steps on owners of engines that serve waiting requests."""
+
+from __future__ import annotations
+
+import sys
+import time
+from collections import Counter
+from concurrent.futures import Future, ThreadPoolExecutor
+from pathlib import Path
+
+from behave import given, then, when
+from behave.runner import Context
+
+sys.path.append(str(Path(__file__).resolve().parent.parent))
+from entry_engine import key  # noqa: E402
+
+from pimentohoist._decisions.waiting_order import (  # noqa: E402
+    MIDDLE_PRIORITY,
+    ExpectedWork,
+    RefusalReason,
+    RequestNeeds,
+)
+from pimentohoist._entry.adapter_queue import (  # noqa: E402
+    AdapterQueue,
+    default_needs,
+)
+from pimentohoist._entry.hold_messages import (  # noqa: E402
+    decode_needs,
+    decode_refusal,
+    encode_needs,
+    encode_refusal,
+)
+from pimentohoist._generated import peer_pb2  # noqa: E402
+from pimentohoist.entry_models import AdapterKey  # noqa: E402
+from pimentohoist.exceptions import (  # noqa: E402
+    DeadlineError,
+    NotOwnerError,
+    UnavailableError,
+)
+
+_TURN_S = 0.1
+_KINDS = ('urgent', 'unhurried', 'late')
+
+
+class _FakeLoads:
+    """Test double of an owner's loads: each takes a slot until it is freed."""
+
+    def __init__(self) -> None:
+        self.free = 0
+        self.begun: list[AdapterKey] = []
+
+    def is_loaded_or_loading(self, adapter: AdapterKey) -> bool:
+        return adapter in self.begun
+
+    def begin_load(self, adapter: AdapterKey, version: int) -> bool:
+        if self.free <= 0 or adapter in self.begun:
+            return False
+        self.free -= 1
+        self.begun.append(adapter)
+        return True
+
+
+def _needs(kind: str, now: float) -> RequestNeeds:
+    urgent = RequestNeeds(0, now + 0.5, now + 6)
+    return {
+        'urgent': urgent,
+        'unhurried': RequestNeeds(1, now + 1, now + 25),
+        'late': RequestNeeds(0, now - 1, now + 5),
+    }[kind]
+
+
+def _adapter(kind: str) -> AdapterKey:
+    return AdapterKey('m', kind)
+
+
+def _start(context: Context, waiting: list[tuple[str, AdapterKey]]) -> None:
+    context.loads = _FakeLoads()
+    context.queue = AdapterQueue(context.loads)
+    context.waiters = [
+        context.queue.add(adapter, 1, _needs(kind, 0), 0) for kind, adapter in waiting
+    ]
+
+
+@given(
+    'an engine of 1 adapter slot in use, for which an unhurried, a late and an urgent'
+    ' request wait'
+)
+def wait_all_kinds(context: Context) -> None:
+    kinds = ('unhurried', 'late', 'urgent')
+    _start(context, [(kind, _adapter(kind)) for kind in kinds])
+
+
+@given('an engine of 1 adapter slot in use, for which an urgent request waits')
+def wait_urgent(context: Context) -> None:
+    _start(context, [('urgent', _adapter('urgent'))])
+
+
+@given(
+    'an engine of 2 adapter slots in use, for which {count:d} requests for one adapter'
+    ' and an unhurried one wait'
+)
+def wait_same(context: Context, count: int) -> None:
+    same = [('urgent', _adapter('urgent')) for _ in range(count)]
+    _start(context, [*same, ('unhurried', _adapter('unhurried'))])
+
+
+@given('an engine of 1 adapter slot in use, for which {count:d} urgent requests wait')
+def wait_many(context: Context, count: int) -> None:
+    _start(context, [('urgent', key(number)) for number in range(count)])
+
+
+@when('the slot becomes free {count:d} times')
+def free_slots(context: Context, count: int) -> None:
+    for turn in range(count):
+        context.loads.free += 1
+        context.queue.serve(turn / 100)
+
+
+@when("the slot becomes free as an unhurried request comes that doesn't wait")
+def free_for_newcomer(context: Context) -> None:
+    context.loads.free += 1
+    needs = _needs('unhurried', 0)
+    waiter = context.queue.add(_adapter('unhurried'), 1, needs, 0)
+    context.queue.remove(waiter, 0)
+
+
+@then('the adapters are loaded in the order {names}')
+def check_order(context: Context, names: str) -> None:
+    assert context.loads.begun == [_adapter(name) for name in names.split(', ')]
+
+
+@then('one load begins for each adapter')
+def check_same(context: Context) -> None:
+    assert sorted(map(str, context.loads.begun)) == ['m/unhurried', 'm/urgent']
+
+
+@then('{count:d} of them are refused since the queue is full')
+def check_full(context: Context, count: int) -> None:
+    reasons = Counter(waiter.refusal for waiter in context.waiters)
+    assert reasons[RefusalReason.FULL] == count, reasons
+    assert reasons[None] == len(context.waiters) - count, reasons
+
+
+@given('an engine whose slots became free each {turn_s:f} s while requests waited')
+def measure_pace(context: Context, turn_s: float) -> None:
+    _start(context, [('urgent', key(number)) for number in range(10)])
+    for turn, waiter in enumerate(context.waiters, 1):
+        context.loads.free += 1
+        context.queue.serve(turn * turn_s)
+        context.queue.remove(waiter, turn * turn_s)
+
+
+@when('a minute without waiting requests passes')
+def idle_minute(context: Context) -> None:
+    probe = context.queue.add(key(50), 1, _needs('urgent', 2), 2)
+    context.queue.remove(probe, 2)
+    context.loads.free = 1
+    served = context.queue.add(key(51), 1, _needs('urgent', 62), 62)
+    context.queue.remove(served, 62)
+
+
+@then('the expected wait of the next one is still {wait_s:f} s')
+def check_pace(context: Context, wait_s: float) -> None:
+    waiter = context.queue.add(key(52), 1, _needs('urgent', 62), 62)
+    assert round(context.queue.wait_s(waiter), 3) == wait_s
+
+
+def _wait_for(context: Context, kind: str) -> Future[int]:
+    callers = context.stack.enter_context(ThreadPoolExecutor(1))
+    now = time.monotonic()
+    return callers.submit(
+        context.owner.load_and_pin, _adapter(kind), 1, now + 5, needs=_needs(kind, now)
+    )
+
+
+def _await_queue(context: Context, count: int) -> None:
+    while len(context.owner._queue) < count:
+        time.sleep(0.001)
+
+
+@when('an unhurried and then an urgent request wait and the slot becomes free')
+def wait_two(context: Context) -> None:
+    context.waits = [_wait_for(context, kind) for kind in ('unhurried', 'urgent')]
+    _await_queue(context, 2)
+    context.owner.record_use('daemon', frozenset())
+
+
+@then('the urgent one gets its adapter first and the unhurried one afterwards')
+def check_two(context: Context) -> None:
+    unhurried, urgent = context.waits
+    assert urgent.result(timeout=5) == 1
+    assert not unhurried.done()
+    context.owner.record_use('daemon', frozenset())
+    assert unhurried.result(timeout=5) == 1
+
+
+@then('a request whose deadline its prompt alone would miss is refused at once')
+def check_missed(context: Context) -> None:
+    now = time.monotonic()
+    needs = RequestNeeds(0, now + 0.5, now + 4, ExpectedWork(800_000))
+    try:
+        context.owner.load_and_pin(key(5), 1, now + 60, needs=needs)
+    except DeadlineError as error:
+        assert 'deadline' in error.message
+    else:
+        raise AssertionError('not refused')
+
+
+@when('the ownership ends while an urgent request waits')
+def end_ownership(context: Context) -> None:
+    context.wait = _wait_for(context, 'urgent')
+    _await_queue(context, 1)
+    context.engine.may_order = lambda: False
+    context.owner.record_use('daemon', frozenset())
+
+
+@then('the request is refused at once as not run, and another owner may be asked')
+def check_ended(context: Context) -> None:
+    error = context.wait.exception(timeout=2)
+    assert isinstance(error, NotOwnerError), error
+    assert error.run_state == 'not_run'
+
+
+@then(
+    'a call without the new fields counts as one of middle priority until the end of its'
+    ' wait'
+)
+def check_former_call(context: Context) -> None:
+    former = peer_pb2.HoldRequest(endpoint='e', wait_ms=500)
+    assert decode_needs(former, 10) is None
+    assert default_needs(10.5, 10) == RequestNeeds(MIDDLE_PRIORITY, 10.5, 10.5)
+
+
+@then('a call with them reads the same at an owner that knows them')
+def check_new_call(context: Context) -> None:
+    needs = RequestNeeds(0, 99.5, 106, ExpectedWork(646, 70), 'w', 9)
+    request = peer_pb2.HoldRequest(endpoint='e', wait_ms=500)
+    encode_needs(needs, 100, request)
+    assert decode_needs(request, 100) == needs
+
+
+@then('a refusal without the new fields is no reason to give up')
+def check_former_reply(context: Context) -> None:
+    error = decode_refusal(peer_pb2.HoldReply(refusal='not loaded in time'), 'a')
+    assert isinstance(error, UnavailableError)
+    assert not isinstance(error, (DeadlineError, NotOwnerError))
+    assert error.retry_after_s is None
+
+
+@then('a refusal with them tells the wait, and whether waiting is useless')
+def check_new_reply(context: Context) -> None:
+    for kind in (DeadlineError, UnavailableError, NotOwnerError):
+        sent = kind('refused', step='hold_adapter', retry_after_s=0.25)
+        reply = encode_refusal(sent)
+        assert reply.refusal == 'refused'
+        assert reply.is_no_home == (kind is NotOwnerError)
+        read = decode_refusal(reply, 'a')
+        assert isinstance(read, kind)
+        assert isinstance(read, DeadlineError) == (kind is DeadlineError)
+        if kind is not NotOwnerError:
+            assert read.retry_after_s == sent.retry_after_s
--- a/src/pimentohoist/_decisions/waiting_order.py
+++ b/src/pimentohoist/_decisions/waiting_order.py
@@ -271,10 +271,17 @@
                 self.late_pace.record_turn(now)
                 self._turns_since_late = 0
         waiting = [entry for entry in decision.order if entry not in started]
-        is_late_waiting = any(entry in decision.late for entry in waiting)
+        self.record_waiting(decision, waiting, now)
+
+    def record_waiting(
+        self, decision: WaitingDecision, waiting: Iterable[WaitingRequest], now: float
+    ) -> None:
+        """Record which requests still wait after a decision."""
+        still = tuple(waiting)
+        is_late_waiting = any(request in decision.late for request in still)
         if not is_late_waiting:
             self._turns_since_late = 0
-        self.pace.record_queue(now, is_waiting=bool(waiting))
+        self.pace.record_queue(now, is_waiting=bool(still))
         self.late_pace.record_queue(now, is_waiting=is_late_waiting)
 
     def _merge(
--- a/src/pimentohoist/_entry/engine_owner.py
+++ b/src/pimentohoist/_entry/engine_owner.py
@@ -12,10 +12,13 @@
     unpopular_slot_count,
 )
 from pimentohoist._decisions.adapter_slots import AdapterSlots
+from pimentohoist._decisions.waiting_order import RequestNeeds
 from pimentohoist._entry.adapter_loader import AdapterLoader
+from pimentohoist._entry.adapter_queue import AdapterQueue, Waiter, default_needs
 from pimentohoist._entry.engine_session import EngineLease, EngineSession, LoadOutcome
 from pimentohoist.entry_models import AdapterKey, Endpoint, EngineReport
 from pimentohoist.exceptions import (
+    DeadlineError,
     DocumentError,
     NotOwnerError,
     PeerError,
@@ -23,10 +26,6 @@
 )
 
 _STEP = 'hold_adapter'
-_RECHECK_S = 0.1
-"""Pins expire without an event, so waiting requests check the adapter slots this often:
-a third of the time for which an adapter stays pinned."""
-
 _MS_PER_S = 1000
 _FIRST_VERSION = 1
 """Version of an adapter for which none has been declared."""
@@ -62,6 +61,7 @@
         self.adapter_slots = AdapterSlots(capacity)
         self._pending_loads: set[AdapterKey] = set()
         self._changed = threading.Condition()
+        self._queue = AdapterQueue(self)
         self.loader = AdapterLoader(self.session, self.adapter_slots, self._changed)
 
     def start(self) -> None:
@@ -83,6 +83,7 @@
         version: int,
         deadline: float,
         *,
+        needs: RequestNeeds | None = None,
         fail_fast: bool = False,
     ) -> int:
         """Wait until an adapter is loaded, pin it for a while and return its version.
@@ -91,6 +92,8 @@
         ----------
         deadline : float
             Time at which the wait ends, on the daemon's clock.
+        needs : RequestNeeds or None
+            What decides on the request's turn; None if only its wait is known.
         fail_fast : bool
             Refuse at once if a load can't begin now.
 
@@ -98,25 +101,25 @@
         ------
         NotOwnerError
             This daemon may not order the engine.
+        DeadlineError
+            The request can't be served here before its own deadline.
         UnavailableError
-            The adapter isn't loaded by the deadline.
+            The adapter isn't loaded by the end of the wait. `retry_after_s` is the
+            expected wait.
         """
         with self._changed:
-            self.adapter_slots.record_demand(adapter, _clock.now())
-            pinned_version = self._pin_or_load(adapter, version)
-            if (
-                pinned_version is None
-                and fail_fast
-                and not self._is_loaded_or_loading(adapter)
-            ):
-                raise self._unavailable(f'adapter {adapter} cannot be loaded now')
-            while pinned_version is None:
-                remaining_s = deadline - _clock.now()
-                if remaining_s <= 0:
-                    raise self._unavailable(f'adapter {adapter} not loaded in time')
-                self._changed.wait(min(remaining_s, _RECHECK_S))
-                pinned_version = self._pin_or_load(adapter, version)
-            return pinned_version
+            now = _clock.now()
+            self.adapter_slots.record_demand(adapter, now)
+            pinned_version = self.adapter_slots.grant(adapter, version, now)
+            if pinned_version is not None:
+                return pinned_version
+            _check_lease(self.session, self.endpoint)
+            needs = needs or default_needs(deadline, now)
+            waiter = self._queue.add(adapter, version, needs, now)
+            try:
+                return self._wait(waiter, deadline, fail_fast=fail_fast)
+            finally:
+                self._queue.remove(waiter, _clock.now())
 
     def prepare(self, adapter: AdapterKey, version: int) -> int:
         """Begin to load an adapter if that evicts none that was requested lately.
@@ -132,12 +135,15 @@
             if pinned_version is not None:
                 return pinned_version
             room = unpopular_slot_count(self.adapter_slots, now)
-            is_known = self._is_loaded_or_loading(adapter)
+            is_known = self.is_loaded_or_loading(adapter)
             if not is_known and room > len(self._pending_loads):
                 # Otherwise the next prepared adapter would evict this one.
+                _check_lease(self.session, self.endpoint)
                 self.adapter_slots.record_demand(adapter, now)
-                self._begin_load(adapter, version)
-            raise self._unavailable(f'adapter {adapter} not loaded yet')
+                self.begin_load(adapter, version)
+            raise _unavailable(
+                f'adapter {adapter} not loaded yet', self.endpoint.endpoint_id
+            )
 
     def record_use(self, member: str, adapters: frozenset[AdapterKey]) -> None:
         """Record which adapters the requests of a daemon use."""
@@ -145,7 +151,7 @@
             before = self.adapter_slots.in_use.get(member, frozenset())
             self.adapter_slots.in_use[member] = adapters
             if before - adapters:
-                self._changed.notify_all()
+                self._serve_waiting()
 
     def forget_members(self, live: frozenset[str]) -> None:
         """Drop the uses recorded for daemons that are no longer live."""
@@ -158,7 +164,8 @@
         """Replace an adapter by a newer version if an older one is loaded."""
         with self._changed:
             if self.adapter_slots.is_outdated(adapter, version):
-                self._begin_load(adapter, version)
+                _check_lease(self.session, self.endpoint)
+                self.begin_load(adapter, version)
 
     def status(self) -> tuple[int, list[str]]:
         """Return the number of free adapter slots and the adapters in the slots."""
@@ -183,31 +190,68 @@
             self._changed.notify_all()
         self.session.orders.close()
 
-    def _pin_or_load(self, adapter: AdapterKey, version: int) -> int | None:
-        pinned_version = self.adapter_slots.grant(adapter, version, _clock.now())
-        if pinned_version is None:
-            self._begin_load(adapter, version)
-        return pinned_version
-
-    def _is_loaded_or_loading(self, adapter: AdapterKey) -> bool:
+    def is_loaded_or_loading(self, adapter: AdapterKey) -> bool:
+        """Return whether an adapter has an adapter slot or is about to get one."""
         return adapter in self._pending_loads or adapter in self.adapter_slots.slots
 
-    def _begin_load(self, adapter: AdapterKey, version: int) -> None:
-        """Start a load unless one is pending or no adapter slot is free."""
-        if not self.session.may_order():
-            raise NotOwnerError(
-                'no lease on the engine', step=_STEP, peer=self.endpoint.endpoint_id
-            )
-        if adapter in self._pending_loads or not self.session.is_state_known:
-            return
+    def begin_load(self, adapter: AdapterKey, version: int) -> bool:
+        """Begin a load if that is needed and possible now; return whether it was begun.
+
+        The caller holds the lock of the adapter slots.
+        """
+        can_order = self.session.may_order() and self.session.is_state_known
+        if adapter in self._pending_loads or not can_order:
+            return False
         now = _clock.now()
         loads_without_slot = sum(
             pending not in self.adapter_slots.slots for pending in self._pending_loads
         )
         can_load = self.adapter_slots.can_load(adapter, now, loads_without_slot)
-        if can_load or self.adapter_slots.needs_load_order(adapter, version):
-            self._pending_loads.add(adapter)
-            self.loaders.submit(self._load, adapter, version or _FIRST_VERSION, now)
+        if not (can_load or self.adapter_slots.needs_load_order(adapter, version)):
+            return False
+        self._pending_loads.add(adapter)
+        self.loaders.submit(self._load, adapter, version or _FIRST_VERSION, now)
+        return True
+
+    def _wait(self, waiter: Waiter, deadline: float, *, fail_fast: bool) -> int:
+        """Wait until the adapter of a queued request is loaded, and pin it."""
+        while True:
+            now = _clock.now()
+            pinned_version = self.adapter_slots.grant(
+                waiter.adapter, waiter.version, now
+            )
+            if pinned_version is not None:
+                return pinned_version
+            self._check_wait(waiter, deadline - now, fail_fast=fail_fast)
+            self._changed.wait(min(deadline - now, self._queue.recheck_s))
+            if self._queue.is_due(_clock.now()):
+                self._serve_waiting()
+
+    def _check_wait(self, waiter: Waiter, left_s: float, *, fail_fast: bool) -> None:
+        """Raise an error if a queued request may not wait any longer."""
+        _check_lease(self.session, self.endpoint)
+        adapter = waiter.adapter
+        endpoint_id = self.endpoint.endpoint_id
+        wait_s = self._queue.wait_s(waiter)
+        if waiter.refusal is not None:
+            message = f'adapter {adapter} cannot be loaded in time: {waiter.refusal}'
+            raise DeadlineError(
+                message, step=_STEP, peer=endpoint_id, retry_after_s=wait_s
+            )
+        if fail_fast and not self.is_loaded_or_loading(adapter):
+            raise _unavailable(
+                f'adapter {adapter} cannot be loaded now', endpoint_id, wait_s
+            )
+        if left_s <= 0:
+            raise _unavailable(
+                f'adapter {adapter} not loaded in time', endpoint_id, wait_s
+            )
+
+    def _serve_waiting(self) -> None:
+        """Begin what loads can begin after a change of the adapter slots."""
+        if len(self._queue) and self.session.may_order():
+            self._queue.serve(_clock.now())
+        self._changed.notify_all()
 
     def _load(self, adapter: AdapterKey, version: int, requested_at: float) -> None:
         try:
@@ -226,7 +270,8 @@
             )
             if not outcome.failure and not is_settled:
                 self.adapter_slots.finish(adapter, version, _clock.now())
-            self._changed.notify_all()
+                self._queue.record_load(_clock.now() - requested_at)
+            self._serve_waiting()
         extra = {
             **self.session.log_fields(),
             'adapter': str(adapter),
@@ -242,5 +287,15 @@
         while not (self.session.is_ended or self.session.is_state_known):
             self.session.resync(self.apply_report)
 
-    def _unavailable(self, message: str) -> UnavailableError:
-        return UnavailableError(message, step=_STEP, peer=self.endpoint.endpoint_id)
+
+def _check_lease(session: EngineSession, endpoint: Endpoint) -> None:
+    if not session.may_order():
+        raise NotOwnerError(
+            'no lease on the engine', step=_STEP, peer=endpoint.endpoint_id
+        )
+
+
+def _unavailable(
+    message: str, endpoint_id: str, wait_s: float | None = None
+) -> UnavailableError:
+    return UnavailableError(message, step=_STEP, peer=endpoint_id, retry_after_s=wait_s)
--- a/src/pimentohoist/_entry/owned_engines.py
+++ b/src/pimentohoist/_entry/owned_engines.py
@@ -5,16 +5,24 @@
 import logging
 import threading
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from functools import partial
 from typing import Any, Self
 
 from pimentohoist import _clock
+from pimentohoist._decisions.waiting_order import RequestNeeds
 from pimentohoist._entry.declarations import DeclarationsController
 from pimentohoist._entry.endpoint_notices import EndpointNotices
 from pimentohoist._entry.endpoints import EndpointsController
 from pimentohoist._entry.engine_owner import EngineOwner
 from pimentohoist._entry.ownership import OwnershipController
 from pimentohoist._entry.heartbeat import Heartbeat
+from pimentohoist._entry.hold_messages import (
+    decode_needs,
+    decode_refusal,
+    encode_needs,
+    encode_refusal,
+)
 from pimentohoist._entry.members import MembersController
 from pimentohoist._elastic_pool import ElasticExecutor
 from pimentohoist._generated import peer_pb2
@@ -38,6 +46,17 @@
 _logger = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class _HoldOrder:
+    """What an engine's owner is asked to load and pin, and for how long it may wait."""
+
+    adapter: AdapterKey
+    version: int
+    wait_s: float
+    needs: RequestNeeds | None
+    fail_fast: bool
+
+
 class _PartitionEngineLease:
     """Implements `EngineLease` by this daemon's lease on the engine's partition."""
 
@@ -125,6 +144,7 @@
         adapter: AdapterKey,
         wait_s: float,
         *,
+        needs: RequestNeeds | None = None,
         fail_fast: bool = False,
     ) -> int:
         """Have the engine's owner load and pin an adapter; return the version loaded.
@@ -134,6 +154,8 @@
         wait_s : float
             Longest wait in seconds. If 0, the load only begins, and only if that evicts
             no adapter that was requested lately.
+        needs : RequestNeeds or None
+            What decides on the request's turn, on this daemon's clock.
         fail_fast : bool
             Refuse at once if a load can't begin now.
 
@@ -141,17 +163,18 @@
         ------
         NotOwnerError, PeerError
             No owner could be reached.
+        DeadlineError
+            The request can't be served there before its own deadline.
         UnavailableError
-            The adapter isn't loaded in time.
+            The adapter isn't loaded in time. `retry_after_s` is the expected wait, or None.
         """
         version = self.declarations.version_of(adapter)
         address = self.ownership.owner_address(endpoint_id)
         if address is None:
             raise NotOwnerError('engine has no owner', step=_STEP, peer=endpoint_id)
         if address == self.members.member:
-            return self._load_and_pin_here(
-                endpoint_id, adapter, version, wait_s, fail_fast
-            )
+            order = _HoldOrder(adapter, version, wait_s, needs, fail_fast)
+            return self._load_and_pin_here(endpoint_id, order)
         request = peer_pb2.HoldRequest(
             endpoint=endpoint_id,
             model=adapter.model,
@@ -161,13 +184,13 @@
             wait_ms=int(wait_s * _MS_PER_S),
             is_impatient=fail_fast,
         )
+        if needs is not None:
+            encode_needs(needs, _clock.now(), request)
         timeout_s = wait_s + _CALL_OVERHEAD_S
-        response = self.peers.call(address, 'HoldAdapter', request, timeout_s=timeout_s)
-        if response.is_no_home:
-            raise NotOwnerError(response.refusal, step=_STEP, peer=address)
-        if response.refusal:
-            raise UnavailableError(response.refusal, step=_STEP, peer=address)
-        return int(response.version)
+        reply = self.peers.call(address, 'HoldAdapter', request, timeout_s=timeout_s)
+        if reply.refusal:
+            raise decode_refusal(reply, address)
+        return int(reply.version)
 
     def are_owners_known(self) -> bool:
         """Return whether endpoints are known, and an owner for each engine of them."""
@@ -205,41 +228,37 @@
         }
 
     def _handle_hold_adapter(self, request: peer_pb2.HoldRequest) -> peer_pb2.HoldReply:
-        adapter = AdapterKey(request.model, request.adapter)
+        order = _HoldOrder(
+            AdapterKey(request.model, request.adapter),
+            request.version,
+            request.wait_ms / _MS_PER_S,
+            decode_needs(request, _clock.now()),
+            request.is_impatient,
+        )
         try:
-            version = self._load_and_pin_here(
-                request.endpoint,
-                adapter,
-                request.version,
-                request.wait_ms / _MS_PER_S,
-                request.is_impatient,
-            )
+            version = self._load_and_pin_here(request.endpoint, order)
         except PimentohoistError as error:
-            is_not_owner = isinstance(error, NotOwnerError)
-            return peer_pb2.HoldReply(refusal=error.message, is_no_home=is_not_owner)
+            return encode_refusal(error)
         return peer_pb2.HoldReply(version=version)
 
-    def _load_and_pin_here(
-        self,
-        endpoint_id: str,
-        adapter: AdapterKey,
-        version: int,
-        wait_s: float,
-        fail_fast: bool,
-    ) -> int:
+    def _load_and_pin_here(self, endpoint_id: str, order: _HoldOrder) -> int:
         engine = self.engines.get(endpoint_id)
         if engine is None:
             raise NotOwnerError('not the owner', step=_STEP, peer=endpoint_id)
-        newest_version = max(version, self.declarations.version_of(adapter))
+        adapter = order.adapter
+        version = max(order.version, self.declarations.version_of(adapter))
         if not self.endpoints.may_get_work(engine.endpoint):
             raise UnavailableError(
                 'engine is leaving or wants no requests', step=_STEP, peer=endpoint_id
             )
-        if not wait_s:
-            return engine.prepare(adapter, newest_version)
-        deadline = _clock.now() + wait_s
+        if not order.wait_s:
+            return engine.prepare(adapter, version)
         return engine.load_and_pin(
-            adapter, newest_version, deadline, fail_fast=fail_fast
+            adapter,
+            version,
+            _clock.now() + order.wait_s,
+            needs=order.needs,
+            fail_fast=order.fail_fast,
         )
 
     def _run(self) -> None:
