Choice of engines: requests wait as long as their deadline and work allow

A request waited for its adapter until its route's latency target, at the first two engines in turn, and was then refused: also if a late response was possible, and also if the queue could never serve it, after the whole wait.

Retry-After is the shortest wait that an owner expects. An owner that can't be reached is left out, also after a time-out; a frozen one used to keep the request for the rest of its wait.

EntryRequest names the output tokens, and the priority is a property of RequestContext.

--- a/src/pimentohoist/_entry/adapter_queue.py
+++ b/src/pimentohoist/_entry/adapter_queue.py
@@ -103,13 +103,16 @@
         started = self._begin_loads(queued[request] for request in self._decision.order)
         self.order.record_turns(self._decision, started, now)
 
-    def wait_s(self, waiter: Waiter) -> float:
-        """Return the expected wait of a request or one like it, in seconds."""
+    def wait_s(self, waiter: Waiter) -> float | None:
+        """Return the expected wait in seconds of a request, or of one that comes now.
+
+        It is None as long as too few loads were measured.
+        """
         if self.loads.is_loaded_or_loading(waiter.adapter):
-            return self._least_load_s
+            return self._least_load_s or None
         if waiter.request in self._decision.order:
-            return self._decision.wait_s(waiter.request)
-        return self._decision.retry_after_s
+            return self._decision.wait_s(waiter.request) or None
+        return self._decision.retry_after_s or None
 
     def record_load(self, duration_s: float) -> None:
         """Record how long a load took."""
--- a/src/pimentohoist/_entry/dispatch.py
+++ b/src/pimentohoist/_entry/dispatch.py
@@ -46,7 +46,6 @@
 )
 
 _STEP = 'dispatch'
-_MAX_PRIORITY = 9
 _MIN_REMAINING_S = 0.01
 """A request with less time than this until its deadline isn't sent any more."""
 
@@ -156,7 +155,7 @@
             remaining_s,
             chosen.adapter_version,
             last_event_id,
-            _priority(context) if context.group.engine else None,
+            context.priority if context.group.engine else None,
         )
         return forwarded_headers(context.request, metadata)
 
@@ -343,10 +342,3 @@
     media_type = str(head.headers.get('Content-Type', ''))
     length = head.headers.get('Content-Length')
     return media_type.lower().startswith('text/event-stream') and length != '0'
-
-
-def _priority(context: RequestContext) -> int:
-    workspace = context.workspace
-    has_priority = workspace is not None and workspace.priority is not None
-    priority = workspace.priority if workspace is not None and has_priority else None
-    return min(_MAX_PRIORITY, context.route.priority if priority is None else priority)
--- a/src/pimentohoist/_entry/endpoint_chooser.py
+++ b/src/pimentohoist/_entry/endpoint_chooser.py
@@ -4,8 +4,8 @@
 
 import logging
 import random
-from collections.abc import Iterator
 from dataclasses import dataclass
+from itertools import chain
 
 from pimentohoist import _clock
 from pimentohoist._decisions.endpoint_choice import (
@@ -13,20 +13,23 @@
     choose_engines,
     rank_services,
 )
+from pimentohoist._entry.adapter_search import (
+    NO_OWNER_ERRORS,
+    AdapterSearch,
+    HoldAttempt,
+)
 from pimentohoist._entry.endpoint_permits import EndpointPermits
 from pimentohoist._entry.endpoint_rooms import EndpointRooms
 from pimentohoist._entry.endpoints import EndpointsController
 from pimentohoist._entry.filters import add_jitter
 from pimentohoist._entry.heartbeat import Heartbeat
 from pimentohoist._entry.members import MembersController
-from pimentohoist._entry.request_context import RequestContext, log_fields
+from pimentohoist._entry.request_context import RequestContext
 from pimentohoist._entry.request_forwarding import RequestForwarding
 from pimentohoist._entry.owned_engines import OwnedEnginesController
 from pimentohoist._entry.in_flight_requests import InFlightRequests
 from pimentohoist.entry_models import AdapterKey, Endpoint
 from pimentohoist.exceptions import (
-    NotOwnerError,
-    PeerError,
     PimentohoistError,
     UnavailableError,
 )
@@ -38,14 +41,6 @@
 _MAX_IMMEDIATE_HOLDS = 6
 """Engines that may refuse to hold an adapter if they can't begin to load it at once."""
 
-_MAX_WAITING_HOLDS = 2
-"""Engines on which the adapter is then waited for."""
-
-_MAX_EVENT_GAP_S = 1.0
-"""Callers leave a stream after 2 s without an event, and reading the prompt takes time."""
-
-_NO_OWNER_ERRORS = (NotOwnerError, PeerError)
-
 _logger = logging.getLogger(__name__)
 
 
@@ -57,25 +52,6 @@
     adapter_version: int | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class _HoldAttempt:
-    """How to ask an engine's owner for an adapter.
-
-    Attributes
-    ----------
-    wait_s : float
-        Longest wait in seconds.
-    fail_fast : bool
-        Refuse at once if no load can begin.
-    is_holder : bool
-        Whether the engine probably has the adapter.
-    """
-
-    wait_s: float
-    fail_fast: bool
-    is_holder: bool
-
-
 class EndpointChooser:
     """Chooses among the endpoints that may get requests."""
 
@@ -186,68 +162,90 @@
         self, context: RequestContext, adapter: AdapterKey, usable: dict[str, Endpoint]
     ) -> ChosenEndpoint:
         """Pin the adapter on one of the engines and return it."""
-        candidates = self._candidates(usable, adapter)
-        ordered = choose_engines(str(adapter), candidates)
-        holders = {entry.endpoint_id for entry in candidates if entry.has_adapter}
-        for endpoint_id, fail_fast in _hold_attempts(ordered):
-            wait_s = _max_wait_s(context)
-            if wait_s <= 0:
+        search = AdapterSearch(context)
+        while not search.is_over():
+            remaining = {
+                endpoint_id: endpoint
+                for endpoint_id, endpoint in usable.items()
+                if self.endpoints.may_get_work(endpoint)
+            }
+            candidates = self._candidates(remaining, adapter)
+            ordered = choose_engines(str(adapter), candidates)[:_MAX_IMMEDIATE_HOLDS]
+            holders = frozenset(
+                one.endpoint_id for one in candidates if one.has_adapter
+            )
+            search.begin_round(ordered, holders)
+            chosen = self._try_engines(search, usable, ordered)
+            if chosen is not None:
+                return chosen
+            if search.places.next_place() is None:
                 break
-            attempt = _HoldAttempt(wait_s, fail_fast, endpoint_id in holders)
-            chosen = self._try_engine(context, usable[endpoint_id], attempt)
+        raise self._not_provided(search, usable)
+
+    def _try_engines(
+        self, search: AdapterSearch, usable: dict[str, Endpoint], ordered: list[str]
+    ) -> ChosenEndpoint | None:
+        """Ask the owners of the engines in turn, then wait where that is shortest."""
+        at_once = map(search.ask_at_once, ordered)
+        for attempt in chain(at_once, iter(search.next_wait, None)):
+            if search.is_over():
+                return None
+            endpoint = usable[attempt.endpoint_id]
+            chosen = self._try_engine(search, endpoint, attempt)
             if chosen is not None:
                 return chosen
-        raise self._not_provided(context, usable)
+        return None
 
     def _try_engine(
-        self, context: RequestContext, endpoint: Endpoint, attempt: _HoldAttempt
+        self, search: AdapterSearch, endpoint: Endpoint, attempt: HoldAttempt
     ) -> ChosenEndpoint | None:
         # A request that would get no permit must not wait for its adapter.
         if not (self.rooms.has_room(endpoint) and self.permits.take(endpoint)):
+            search.places.drop(endpoint.endpoint_id)
             return None
-        version = self._hold(context, endpoint.endpoint_id, attempt)
+        version = self._hold(search, attempt)
         # What the endpoint asks may have changed during the wait.
-        may_get_work = version is not None and self.endpoints.may_get_work(endpoint)
-        if may_get_work and self.rooms.take(endpoint):
+        may_get_work = self.endpoints.may_get_work(endpoint)
+        if version is not None and may_get_work and self.rooms.take(endpoint):
             return ChosenEndpoint(endpoint, version or None)
         self.permits.give_back(endpoint)
+        if version is not None or not may_get_work:
+            search.places.drop(endpoint.endpoint_id)
         return None
 
     def _not_provided(
-        self, context: RequestContext, usable: dict[str, Endpoint]
+        self, search: AdapterSearch, usable: dict[str, Endpoint]
     ) -> PimentohoistError:
+        context = search.context
         if all(self.permits.blocked_s(endpoint) for endpoint in usable.values()):
             return self._unavailable(context)
-        adapter = context.request.adapter
+        wait_s = search.places.retry_after_s
         return UnavailableError(
-            f'no engine could provide adapter {adapter}: {context.failure}',
+            f'no engine could provide adapter {search.adapter}: {context.failure}',
             step=_STEP,
-            retry_after_s=add_jitter(RETRY_AFTER_S),
+            retry_after_s=add_jitter(RETRY_AFTER_S if wait_s is None else wait_s),
         )
 
-    def _hold(
-        self,
-        context: RequestContext,
-        endpoint_id: str,
-        attempt: _HoldAttempt,
-    ) -> int | None:
+    def _hold(self, search: AdapterSearch, attempt: HoldAttempt) -> int | None:
         """Pin the adapter on an engine; return its version, or None if that failed.
 
         The version is 0 if the engine has no reachable owner and no version was declared.
         """
-        adapter = context.request.adapter or AdapterKey('')
         try:
             return self.owned_engines.load_and_pin(
-                endpoint_id, adapter, attempt.wait_s, fail_fast=attempt.fail_fast
+                attempt.endpoint_id,
+                search.adapter,
+                attempt.wait_s,
+                needs=search.needs,
+                fail_fast=attempt.fail_fast,
             )
         except PimentohoistError as error:
-            context.failure = error
-            extra = {**log_fields(context), 'endpoint': endpoint_id}
-            _logger.info('adapter not available on engine: %s', error, extra=extra)
+            search.record_failure(attempt, error)
             # Without its owner an engine evicts nothing; it refuses the request if the
             # adapter is missing.
-            if attempt.is_holder and isinstance(error, _NO_OWNER_ERRORS):
-                return self.owned_engines.declarations.version_of(adapter)
+            is_holder = attempt.endpoint_id in search.holders
+            if is_holder and isinstance(error, NO_OWNER_ERRORS):
+                return self.owned_engines.declarations.version_of(search.adapter)
             return None
 
     def _candidates(
@@ -301,29 +299,6 @@
     return 0, [str(adapter) for adapter in endpoint.adapters]
 
 
-def _hold_attempts(ordered: list[str]) -> Iterator[tuple[str, bool]]:
-    """Yield the engines to try, and whether to refuse if no load can begin at once."""
-    for endpoint_id in ordered[:_MAX_IMMEDIATE_HOLDS]:
-        yield endpoint_id, True
-    for endpoint_id in ordered[:_MAX_WAITING_HOLDS]:
-        yield endpoint_id, False
-
-
-def _max_wait_s(context: RequestContext) -> float:
-    """Return how long to wait for an adapter.
-
-    A new request waits until its latency target or deadline. The target says nothing of a
-    stream that has begun; its caller waits for the next event.
-    """
-    if context.monitored.is_cancelled:
-        return 0
-    now = _clock.now()
-    if context.stream_version is not None:
-        return min(context.remaining_s(now), _MAX_EVENT_GAP_S)
-    until_target_s = context.request.arrived_at + context.route.latency_target_s - now
-    return min(context.remaining_s(now), until_target_s)
-
-
 def _filter_by_model(usable: dict[str, Endpoint], model: str) -> dict[str, Endpoint]:
     """Return the engines that report a model, or all engines if none reports it."""
     holders = {
--- a/src/pimentohoist/_entry/request_context.py
+++ b/src/pimentohoist/_entry/request_context.py
@@ -19,6 +19,8 @@
 from pimentohoist.exceptions import PimentohoistError
 
 
+_MAX_PRIORITY = 9
+
 RESERVED_STATUSES = frozenset(
     (
         HTTPStatus.REQUEST_TIMEOUT,
@@ -93,6 +95,14 @@
         origin = self.request.origin
         return self.route.max_executions if origin is None else origin.max_executions
 
+    @property
+    def priority(self) -> int:
+        """Return the priority of its workspace or, if that has none, of its route."""
+        workspace = self.workspace
+        if workspace is None or workspace.priority is None:
+            return min(_MAX_PRIORITY, self.route.priority)
+        return min(_MAX_PRIORITY, workspace.priority)
+
     def remaining_s(self, now: float) -> float:
         """Return the seconds until the deadline."""
         return self.monitored.deadline - now
--- a/src/pimentohoist/entry_models.py
+++ b/src/pimentohoist/entry_models.py
@@ -322,6 +322,8 @@
         Id of the caller's attempt that brought the first event of that stream.
     origin : ForwardedOrigin or None
         What another daemon has decided that forwards it; None if it came from a caller.
+    output_tokens : int or None
+        Maximum of output tokens; part of `tokens`.
     """
 
     request_id: str
@@ -340,6 +342,7 @@
     last_event_id: str = ''
     resumed_id: str = ''
     origin: ForwardedOrigin | None = None
+    output_tokens: int | None = None
 
     @property
     def path(self) -> str:
--- a/src/pimentohoist/platform/_requests.py
+++ b/src/pimentohoist/platform/_requests.py
@@ -72,6 +72,7 @@
         _parse_shared_parts(found.get(header_names.PROMPT_PARTS.lower(), '')),
         found.get(header_names.LAST_EVENT_ID.lower(), ''),
         found.get(header_names.RESUMED_ATTEMPT.lower(), '')[:_MAX_ATTEMPT_ID_LENGTH],
+        output_tokens=_parse_token_count((tokens or '').partition(',')[2] or '0'),
     )
 
 
