Waiting: log lines and metrics

Nothing told who waited for an adapter, for how long, and why a request was refused.

One line is logged for each request that waited in a queue or was refused, with its priority, wait, reason and expected loss. Metrics count the waits by priority and the refusals by priority and reason; the reply to HoldAdapter carries the owner's reason in place of a flag. /state shows each owned engine's queue.

--- a/features/steps/waiting_places.py
+++ b/features/steps/waiting_places.py
@@ -23,11 +23,11 @@
     Route,
 )
 from pimentohoist.exceptions import (
-    DeadlineError,
     PeerConnectError,
     PeerTimeoutError,
     PimentohoistError,
     UnavailableError,
+    WaitRefusedError,
 )
 
 _CALL_S = 0.005
@@ -76,9 +76,12 @@
             return PeerTimeoutError('no answer', step=_STEP)
         if self.now >= self.lost_at[endpoint_id]:
             return PeerConnectError('connection lost', step=_STEP)
-        kind = DeadlineError if endpoint_id in self.useless else UnavailableError
         wait_s = self.waits_s[endpoint_id]
-        return kind('not loaded', step=_STEP, retry_after_s=wait_s)
+        if endpoint_id in self.useless:
+            return WaitRefusedError(
+                'not loaded', step=_STEP, retry_after_s=wait_s, reason='queue'
+            )
+        return UnavailableError('not loaded', step=_STEP, retry_after_s=wait_s)
 
     def _pass(self, duration_s: float) -> None:
         self.now += duration_s
@@ -255,3 +258,17 @@
 @then('at most {count:d} calls were made')
 def check_calls(context: Context, count: int) -> None:
     assert context.owners.calls <= count, context.owners.calls
+
+
+@then(
+    'the metrics count a refusal by reason {reason} and a wait of priority {priority:d}'
+)
+def check_metrics(context: Context, reason: str, priority: int) -> None:
+    lines = list(context.chooser.waiting.lines())
+    labels = f'priority="{priority}",reason="{reason}"'
+    assert f'pimentohoist_adapter_refusals_total{{{labels}}} 1' in lines, lines
+    name = f'pimentohoist_adapter_wait_ms{{priority="{priority}"'
+    waits_ms = [float(line.split()[-1]) for line in lines if line.startswith(name)]
+    waited_ms = context.owners.now * 1000
+    assert waits_ms, lines
+    assert all(abs(wait_ms - waited_ms) < 99 for wait_ms in waits_ms), lines
--- a/features/waiting_places.feature
+++ b/features/waiting_places.feature
@@ -22,12 +22,14 @@
     Given the owners of e0, e1 and e2 find the wait useless, with 9 s, 3 s and 7 s to go
     When an engine is chosen
     Then it is refused as not run after 0 to 0.1 s with a Retry-After of 3 to 4.5 s
+    And the metrics count a refusal by reason queue and a wait of priority 0
 
   # Guards against requests that wait for as long as they like.
   Scenario: The deadline comes nearer than the prompt takes
     Given the request has a prompt of 80000 tokens
     When an engine is chosen
     Then it is refused as not run after 4.5 to 5.1 s with a Retry-After of 0.2 to 1 s
+    And the metrics count a refusal by reason deadline and a wait of priority 0
 
   # Guards against a stream that waits longer than its caller for the next event.
   Scenario: A stream that has begun looks for another engine
@@ -46,6 +48,7 @@
     Given the owners of all engines can't be reached from 0.2 s on
     When an engine is chosen
     Then it is refused as not run after 0.2 to 0.8 s with a Retry-After of 0.2 to 1 s
+    And the metrics count a refusal by reason no owner and a wait of priority 0
 
   # Guards against a frozen owner that keeps a request until its deadline.
   Scenario: An owner freezes
@@ -59,6 +62,7 @@
     Given the caller leaves after 1.2 s
     When an engine is chosen
     Then it is refused as not run after 1.2 to 1.8 s with a Retry-After of 0.2 to 1 s
+    And the metrics count a refusal by reason cancelled and a wait of priority 0
 
   # Guards against many calls to the owners for each waiting request.
   Scenario: A request waits until its deadline
--- a/src/pimentohoist/_decisions/waiting_order.py
+++ b/src/pimentohoist/_decisions/waiting_order.py
@@ -205,9 +205,8 @@
     @property
     def turn_s(self) -> float:
         """Return the mean seconds between two turns; 0 if too few were measured."""
-        if len(self._intervals_s) < _MIN_TURNS:
-            return 0
-        return fmean(self._intervals_s)
+        intervals_s = tuple(self._intervals_s)
+        return fmean(intervals_s) if len(intervals_s) >= _MIN_TURNS else 0
 
     def record_turn(self, now: float) -> None:
         """Record a turn; it counts if a request has waited for it."""
--- a/src/pimentohoist/_entry/adapter_queue.py
+++ b/src/pimentohoist/_entry/adapter_queue.py
@@ -19,6 +19,7 @@
 """Adapters that requests may wait for. Each request of another daemon holds one of the
 daemon's 96 threads for peers, and a daemon may own several engines."""
 
+_MS_PER_S = 1000
 _RECHECK_S = 0.1
 """Pins expire without an event, so the queue checks the adapter slots this often: a third
 of the time for which an adapter stays pinned."""
@@ -118,6 +119,14 @@
         """Record how long a load took."""
         self._least_load_s = min(self._least_load_s or duration_s, duration_s)
 
+    def dump(self) -> dict[str, int]:
+        """Return how many requests wait, and the time between two turns; 0 if unknown.
+
+        It may be called without the lock.
+        """
+        turn_ms = round(self.order.pace.turn_s * _MS_PER_S)
+        return {'waiting': len(self._waiters), 'turn_ms': turn_ms}
+
     def _queued(self) -> dict[WaitingRequest, Waiter]:
         """Return the most pressing request of each adapter that has to be loaded."""
         by_adapter: dict[AdapterKey, Waiter] = {}
--- a/src/pimentohoist/_entry/adapter_search.py
+++ b/src/pimentohoist/_entry/adapter_search.py
@@ -6,15 +6,20 @@
 from dataclasses import dataclass
 
 from pimentohoist import _clock
-from pimentohoist._decisions.waiting_order import ExpectedWork, RequestNeeds
+from pimentohoist._decisions.waiting_order import (
+    ExpectedWork,
+    RefusalReason,
+    RequestNeeds,
+)
 from pimentohoist._decisions.waiting_places import WaitingPlaces
 from pimentohoist._entry.request_context import RequestContext, log_fields
+from pimentohoist._entry.waiting_metrics import SearchOutcome
 from pimentohoist.entry_models import AdapterKey
 from pimentohoist.exceptions import (
-    DeadlineError,
     NotOwnerError,
     PeerError,
     PimentohoistError,
+    WaitRefusedError,
 )
 
 _SLICE_S = 0.5
@@ -34,6 +39,7 @@
 _EVENT_GAP_TARGET_S = 0.5
 """A pause beyond this makes a stream late."""
 
+_MS_PER_S = 1000
 _MIN_WAIT_S = 0.001
 """A call without a wait would only prepare the adapter."""
 
@@ -83,6 +89,7 @@
         self.needs = _needs(context, self.began_at)
         self.wait_until = _wait_until(context, self.needs, self.began_at)
         self._slices_left = 0
+        self._has_queued = False
 
     def begin_round(self, ordered: list[str], holders: frozenset[str]) -> None:
         """Ask the owners of these engines, the most suitable first."""
@@ -110,6 +117,7 @@
         if place is None or not self._slices_left:
             return None
         self._slices_left -= 1
+        self._has_queued = True
         return self._attempt(place, fail_fast=False)
 
     def record_failure(self, attempt: HoldAttempt, error: PimentohoistError) -> None:
@@ -119,7 +127,7 @@
         self.places.record_wait(endpoint_id, error.retry_after_s)
         waited_s = _clock.now() - attempt.began_at
         has_waited = waited_s >= _WAITED_SHARE * attempt.wait_s
-        is_useless = isinstance(error, (DeadlineError, *NO_OWNER_ERRORS))
+        is_useless = isinstance(error, (WaitRefusedError, *NO_OWNER_ERRORS))
         if has_waited and not is_useless:
             return
         extra = {**log_fields(self.context), 'endpoint': endpoint_id}
@@ -129,6 +137,38 @@
         elif is_useless:
             self.places.drop(endpoint_id)
 
+    def end(self, *, is_served: bool) -> SearchOutcome:
+        """Log how the search ended, unless an engine was found without waiting."""
+        now = _clock.now()
+        outcome = SearchOutcome(
+            self.needs.priority,
+            now - self.began_at,
+            '' if is_served else self._refusal_reason(),
+            0 if is_served else self.needs.loss_at(now),
+        )
+        if self._has_queued or not is_served:
+            extra = {
+                **log_fields(self.context),
+                'adapter': str(self.adapter),
+                'priority': outcome.priority,
+                'waited_ms': round(outcome.waited_s * _MS_PER_S),
+                'reason': outcome.reason,
+                'expected_loss': round(outcome.expected_loss, 2),
+            }
+            verdict = 'served' if is_served else 'refused'
+            _logger.info('request waited for its adapter: %s', verdict, extra=extra)
+        return outcome
+
+    def _refusal_reason(self) -> str:
+        if self.context.monitored.is_cancelled:
+            return 'cancelled'
+        if _clock.now() >= self.wait_until:
+            return RefusalReason.DEADLINE
+        if isinstance(self.context.failure, WaitRefusedError):
+            return self.context.failure.reason
+        has_no_owner = isinstance(self.context.failure, NO_OWNER_ERRORS)
+        return 'no owner' if has_no_owner else 'no engine'
+
     def _attempt(self, endpoint_id: str, *, fail_fast: bool) -> HoldAttempt:
         now = _clock.now()
         wait_s = max(_MIN_WAIT_S, min(_SLICE_S, self.wait_until - now))
--- a/src/pimentohoist/_entry/endpoint_chooser.py
+++ b/src/pimentohoist/_entry/endpoint_chooser.py
@@ -27,6 +27,7 @@
 from pimentohoist._entry.request_context import RequestContext
 from pimentohoist._entry.request_forwarding import RequestForwarding
 from pimentohoist._entry.owned_engines import OwnedEnginesController
+from pimentohoist._entry.waiting_metrics import WaitingMetrics
 from pimentohoist._entry.in_flight_requests import InFlightRequests
 from pimentohoist.entry_models import AdapterKey, Endpoint
 from pimentohoist.exceptions import (
@@ -72,6 +73,7 @@
         self.permits = permits
         self.forwarding = forwarding
         self.rooms = rooms
+        self.waiting = WaitingMetrics()
 
     def choose(self, context: RequestContext) -> ChosenEndpoint:
         """Return the endpoint of the next attempt; raises UnavailableError.
@@ -99,7 +101,7 @@
             raise self._unavailable(context)
         if context.group.engine is None or adapter is None or not adapter.name:
             return self._choose_service(context, adapter, usable)
-        return self._choose_engine(context, adapter, usable)
+        return self._choose_engine(context, usable)
 
     def candidates_for(self, group: str, adapter: AdapterKey) -> list[Candidate]:
         """Return the engines of a group that a request for an adapter may use."""
@@ -159,28 +161,37 @@
         return min((self.permits.blocked_s(endpoint) for endpoint in usable), default=0)
 
     def _choose_engine(
-        self, context: RequestContext, adapter: AdapterKey, usable: dict[str, Endpoint]
+        self, context: RequestContext, usable: dict[str, Endpoint]
     ) -> ChosenEndpoint:
         """Pin the adapter on one of the engines and return it."""
         search = AdapterSearch(context)
+        chosen = self._search(search, usable)
+        self.waiting.record(search.end(is_served=chosen is not None))
+        if chosen is None:
+            raise self._not_provided(search, usable)
+        return chosen
+
+    def _search(
+        self, search: AdapterSearch, usable: dict[str, Endpoint]
+    ) -> ChosenEndpoint | None:
+        """Ask and wait in rounds, until waiting is useless everywhere."""
         while not search.is_over():
             remaining = {
                 endpoint_id: endpoint
                 for endpoint_id, endpoint in usable.items()
                 if self.endpoints.may_get_work(endpoint)
             }
-            candidates = self._candidates(remaining, adapter)
-            ordered = choose_engines(str(adapter), candidates)[:_MAX_IMMEDIATE_HOLDS]
-            holders = frozenset(
-                one.endpoint_id for one in candidates if one.has_adapter
-            )
-            search.begin_round(ordered, holders)
+            candidates = self._candidates(remaining, search.adapter)
+            ordered = choose_engines(str(search.adapter), candidates)
+            ordered = ordered[:_MAX_IMMEDIATE_HOLDS]
+            holders = (one.endpoint_id for one in candidates if one.has_adapter)
+            search.begin_round(ordered, frozenset(holders))
             chosen = self._try_engines(search, usable, ordered)
             if chosen is not None:
                 return chosen
             if search.places.next_place() is None:
                 break
-        raise self._not_provided(search, usable)
+        return None
 
     def _try_engines(
         self, search: AdapterSearch, usable: dict[str, Endpoint], ordered: list[str]
--- a/src/pimentohoist/_entry/engine_owner.py
+++ b/src/pimentohoist/_entry/engine_owner.py
@@ -18,11 +18,11 @@
 from pimentohoist._entry.engine_session import EngineLease, EngineSession, LoadOutcome
 from pimentohoist.entry_models import AdapterKey, Endpoint, EngineReport
 from pimentohoist.exceptions import (
-    DeadlineError,
     DocumentError,
     NotOwnerError,
     PeerError,
     UnavailableError,
+    WaitRefusedError,
 )
 
 _STEP = 'hold_adapter'
@@ -61,7 +61,7 @@
         self.adapter_slots = AdapterSlots(capacity)
         self._pending_loads: set[AdapterKey] = set()
         self._changed = threading.Condition()
-        self._queue = AdapterQueue(self)
+        self.queue = AdapterQueue(self)
         self.loader = AdapterLoader(self.session, self.adapter_slots, self._changed)
 
     def start(self) -> None:
@@ -101,7 +101,7 @@
         ------
         NotOwnerError
             This daemon may not order the engine.
-        DeadlineError
+        WaitRefusedError
             The request can't be served here before its own deadline.
         UnavailableError
             The adapter isn't loaded by the end of the wait. `retry_after_s` is the
@@ -115,11 +115,11 @@
                 return pinned_version
             _check_lease(self.session, self.endpoint)
             needs = needs or default_needs(deadline, now)
-            waiter = self._queue.add(adapter, version, needs, now)
+            waiter = self.queue.add(adapter, version, needs, now)
             try:
                 return self._wait(waiter, deadline, fail_fast=fail_fast)
             finally:
-                self._queue.remove(waiter, _clock.now())
+                self.queue.remove(waiter, _clock.now())
 
     def prepare(self, adapter: AdapterKey, version: int) -> int:
         """Begin to load an adapter if that evicts none that was requested lately.
@@ -223,8 +223,8 @@
             if pinned_version is not None:
                 return pinned_version
             self._check_wait(waiter, deadline - now, fail_fast=fail_fast)
-            self._changed.wait(min(deadline - now, self._queue.recheck_s))
-            if self._queue.is_due(_clock.now()):
+            self._changed.wait(min(deadline - now, self.queue.recheck_s))
+            if self.queue.is_due(_clock.now()):
                 self._serve_waiting()
 
     def _check_wait(self, waiter: Waiter, left_s: float, *, fail_fast: bool) -> None:
@@ -232,11 +232,15 @@
         _check_lease(self.session, self.endpoint)
         adapter = waiter.adapter
         endpoint_id = self.endpoint.endpoint_id
-        wait_s = self._queue.wait_s(waiter)
+        wait_s = self.queue.wait_s(waiter)
         if waiter.refusal is not None:
             message = f'adapter {adapter} cannot be loaded in time: {waiter.refusal}'
-            raise DeadlineError(
-                message, step=_STEP, peer=endpoint_id, retry_after_s=wait_s
+            raise WaitRefusedError(
+                message,
+                step=_STEP,
+                peer=endpoint_id,
+                retry_after_s=wait_s,
+                reason=waiter.refusal,
             )
         if fail_fast and not self.is_loaded_or_loading(adapter):
             raise _unavailable(
@@ -249,8 +253,8 @@
 
     def _serve_waiting(self) -> None:
         """Begin what loads can begin after a change of the adapter slots."""
-        if len(self._queue) and self.session.may_order():
-            self._queue.serve(_clock.now())
+        if len(self.queue) and self.session.may_order():
+            self.queue.serve(_clock.now())
         self._changed.notify_all()
 
     def _load(self, adapter: AdapterKey, version: int, requested_at: float) -> None:
@@ -270,7 +274,7 @@
             )
             if not outcome.failure and not is_settled:
                 self.adapter_slots.finish(adapter, version, _clock.now())
-                self._queue.record_load(_clock.now() - requested_at)
+                self.queue.record_load(_clock.now() - requested_at)
             self._serve_waiting()
         extra = {
             **self.session.log_fields(),
--- a/src/pimentohoist/_entry/hold_messages.py
+++ b/src/pimentohoist/_entry/hold_messages.py
@@ -5,10 +5,10 @@
 from pimentohoist._decisions.waiting_order import ExpectedWork, RequestNeeds
 from pimentohoist._generated import peer_pb2
 from pimentohoist.exceptions import (
-    DeadlineError,
     NotOwnerError,
     PimentohoistError,
     UnavailableError,
+    WaitRefusedError,
 )
 
 _STEP = 'hold_adapter'
@@ -52,7 +52,7 @@
         expected_wait_ms=0
         if wait_s is None
         else max(_MIN_KNOWN_WAIT_MS, int(wait_s * _MS_PER_S)),
-        is_hopeless=isinstance(error, DeadlineError),
+        wait_refusal=error.reason if isinstance(error, WaitRefusedError) else '',
     )
 
 
@@ -61,10 +61,15 @@
     if reply.is_no_home:
         return NotOwnerError(reply.refusal, step=_STEP, peer=address)
     wait_ms = reply.expected_wait_ms
-    kind = DeadlineError if reply.is_hopeless else UnavailableError
-    return kind(
-        reply.refusal,
-        step=_STEP,
-        peer=address,
-        retry_after_s=wait_ms / _MS_PER_S if wait_ms else None,
+    wait_s = wait_ms / _MS_PER_S if wait_ms else None
+    if reply.wait_refusal:
+        return WaitRefusedError(
+            reply.refusal,
+            step=_STEP,
+            peer=address,
+            retry_after_s=wait_s,
+            reason=reply.wait_refusal,
+        )
+    return UnavailableError(
+        reply.refusal, step=_STEP, peer=address, retry_after_s=wait_s
     )
--- a/src/pimentohoist/_entry/owned_engines.py
+++ b/src/pimentohoist/_entry/owned_engines.py
@@ -163,7 +163,7 @@
         ------
         NotOwnerError, PeerError
             No owner could be reached.
-        DeadlineError
+        WaitRefusedError
             The request can't be served there before its own deadline.
         UnavailableError
             The adapter isn't loaded in time. `retry_after_s` is the expected wait, or None.
@@ -222,6 +222,7 @@
             endpoint_id: {
                 'status': engine.status(),
                 'loads': engine.loader.loads,
+                **engine.queue.dump(),
                 'may_order': engine.session.may_order(),
             }
             for endpoint_id, engine in tuple(self.engines.items())
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -246,6 +246,7 @@
     def metrics(self) -> Iterator[str]:
         """Yield metrics as text."""
         yield from self.request_handler.metrics.lines()
+        yield from self.dispatch.chooser.waiting.lines()
         unconfirmed_s = self.declarations.unconfirmed_s()
         gauges = {
             'log_lines_dropped_total': self.logs.dropped,
--- a/src/pimentohoist/exceptions.py
+++ b/src/pimentohoist/exceptions.py
@@ -184,6 +184,22 @@
     code = 'deadline_unreachable'
 
 
+class WaitRefusedError(DeadlineError):
+    """A queue can't serve the request before its deadline; ``reason`` says why."""
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        step: str,
+        peer: str = '',
+        retry_after_s: float | None = None,
+        reason: str = '',
+    ) -> None:
+        super().__init__(message, step=step, peer=peer, retry_after_s=retry_after_s)
+        self.reason = reason
+
+
 class QuarantinedError(PimentohoistError):
     """The request has crashed endpoints and is no longer accepted."""
 
