--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -250,6 +250,7 @@
         """Yield metrics as text."""
         yield from self.request_handler.metrics.lines()
         yield from self.endpoints.notices.metrics()
+        yield from self.dispatch.chooser.waiting.lines()
         unconfirmed_s = self.declarations.unconfirmed_s()
         gauges = {
             'log_lines_dropped_total': self.logs.dropped,
--- a/src/pimentohoist/platform/_requests.py
+++ b/src/pimentohoist/platform/_requests.py
@@ -73,6 +73,7 @@
         found.get(header_names.LAST_EVENT_ID.lower(), ''),
         found.get(header_names.RESUMED_ATTEMPT.lower(), '')[:_MAX_ATTEMPT_ID_LENGTH],
         prompt_tokens=0 if tokens is None else _parse_prompt_tokens(tokens),
+        output_tokens=_parse_token_count((tokens or '').partition(',')[2] or '0'),
     )
 
 
