--- a/features/steps/waiting_places.py
+++ b/features/steps/waiting_places.py
@@ -103,6 +103,10 @@
     )
 
 
+def _accept(endpoint: Endpoint) -> bool:
+    return True
+
+
 @given("{count:d} engines whose owners can't load the adapter now")
 def full_engines(context: Context, count: int) -> None:
     ids = [f'e{number}' for number in range(count)]
@@ -110,7 +114,8 @@
     health = SimpleNamespace(latency_s=0.1, cost_factor=lambda now: 1)
     endpoints: Any = SimpleNamespace(
         usable=lambda group: [_endpoint(name) for name in ids],
-        may_get_work=lambda endpoint: True,
+        alive=list,
+        may_get_work=_accept,
         health_of=lambda endpoint_id: health,
         limits=SimpleNamespace(limit_per_s=lambda incarnation: None),
         quiet_s=lambda group: 0,
@@ -120,7 +125,9 @@
     )
     permits: Any = SimpleNamespace(
         blocked_s=lambda endpoint: 0,
-        take=lambda endpoint: True,
+        may_prepare=_accept,
+        may_send=_accept,
+        is_cold=lambda endpoint: False,
         give_back=lambda endpoint: None,
     )
     forwarding: Any = SimpleNamespace(
@@ -128,7 +135,9 @@
         links=SimpleNamespace(is_cut_off=lambda group: False),
     )
     rooms: Any = SimpleNamespace(
-        has_room=lambda endpoint: True, take=lambda endpoint: True
+        has_room=_accept,
+        take=_accept,
+        is_bounded=lambda endpoint: False,
     )
     context.chooser = EndpointChooser(
         endpoints,
--- a/src/pimentohoist/_entry/adapter_search.py
+++ b/src/pimentohoist/_entry/adapter_search.py
@@ -97,6 +97,14 @@
         self.holders = holders
         self._slices_left = _MAX_SLICES
 
+    def end_at_target(self) -> None:
+        """Search no longer than until the latency target.
+
+        Endpoints that fall over when they are full have room for few requests: one that
+        has waited for its adapter would often find none.
+        """
+        self.wait_until = min(self.wait_until, self.needs.target_at)
+
     def is_over(self) -> bool:
         """Return whether the request was cancelled, or can't be served in time."""
         return self.context.monitored.is_cancelled or _clock.now() >= self.wait_until
--- a/src/pimentohoist/_entry/endpoint_chooser.py
+++ b/src/pimentohoist/_entry/endpoint_chooser.py
@@ -168,6 +168,8 @@
     ) -> ChosenEndpoint:
         """Pin the adapter on one of the engines and return it."""
         search = AdapterSearch(context)
+        if any(map(self.rooms.is_bounded, usable.values())):
+            search.end_at_target()
         chosen = self._search(search, usable)
         self.waiting.record(search.end(is_served=chosen is not None))
         if chosen is None:
--- a/src/pimentohoist/_entry/endpoint_rooms.py
+++ b/src/pimentohoist/_entry/endpoint_rooms.py
@@ -52,6 +52,10 @@
         brittle.on_end.append(self._forget)
         members.on_heartbeat.append(self._record_heartbeat)
 
+    def is_bounded(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint is brittle, so that its room is kept to."""
+        return self.brittle.limit_per_s(endpoint.incarnation) is not None
+
     def has_room(self, endpoint: Endpoint) -> bool:
         """Return whether a request may be sent to an endpoint now."""
         if self.brittle.limit_per_s(endpoint.incarnation) is None:
