--- a/src/pimentohoist/_decisions/waiting_order.py
+++ b/src/pimentohoist/_decisions/waiting_order.py
@@ -244,16 +244,17 @@
         """Return the order of the waiting requests and whom to refuse."""
         timely, late, missed = _classify(waiting, now)
         refused = dict.fromkeys(missed, RefusalReason.DEADLINE)
+        # First, so that the rest of the decision costs no more than the room allows.
+        excess = self._excess(timely, late)
+        if excess:
+            refused.update(dict.fromkeys(excess, RefusalReason.FULL))
+            timely, late = _without(timely, excess), _without(late, excess)
         limits = [request.on_time_until for request in timely]
         timely, put_off = _fit(timely, limits, self.pace.turn_s, now)
         late += put_off
         limits = [request.in_time_until for request in late]
         late, hopeless = _fit(late, limits, self.late_pace.turn_s, now)
         refused.update(dict.fromkeys(hopeless, RefusalReason.QUEUE))
-        excess = self._excess(timely, late)
-        if excess:
-            refused.update(dict.fromkeys(excess, RefusalReason.FULL))
-            timely, late = _without(timely, excess), _without(late, excess)
         return WaitingDecision(
             self._merge(timely, late),
             refused,
@@ -308,8 +309,8 @@
         if not excess:
             return frozenset()
         density = attrgetter('loss_density')
-        of_late = heapq.nsmallest(min(excess, len(late)), late, key=density)
-        of_timely = heapq.nsmallest(excess - len(of_late), timely, key=density)
+        of_late = sorted(late, key=density)[:excess]
+        of_timely = sorted(timely, key=density)[: excess - len(of_late)]
         return frozenset((*of_late, *of_timely))
 
 
--- a/src/pimentohoist_standins/bench_waiting.py
+++ b/src/pimentohoist_standins/bench_waiting.py
@@ -5,6 +5,7 @@
 import random
 import sys
 import time
+from itertools import product
 
 from pimentohoist._decisions.waiting_order import (
     ExpectedWork,
@@ -28,16 +29,17 @@
 
 
 def bench(seed: int) -> None:
-    """Print the least processor time of a decision by the number of requests."""
-    sys.stdout.write('| waiting | us of a decision | refused |\n|---|---|---|\n')
-    for count in _COUNTS:
-        duration_s, refused = _measure(random.Random(seed), count)
+    """Print the least processor time of a decision by the number of requests and the room."""
+    sys.stdout.write('| waiting | room | us of a decision | refused |\n')
+    sys.stdout.write('|---|---|---|---|\n')
+    for count, room in product(_COUNTS, (min(_COUNTS), max(_COUNTS))):
+        duration_s, refused = _measure(random.Random(seed), count, room)
         took_us = round(duration_s * _US_PER_S)
-        sys.stdout.write(f'| {count} | {took_us} | {refused} |\n')
+        sys.stdout.write(f'| {count} | {room} | {took_us} | {refused} |\n')
 
 
-def _measure(source: random.Random, count: int) -> tuple[float, int]:
-    order = WaitingOrder(count)
+def _measure(source: random.Random, count: int, room: int) -> tuple[float, int]:
+    order = WaitingOrder(room)
     for pace in (order.pace, order.late_pace):
         pace.record_queue(-_TURN_S * _TURNS, is_waiting=True)
         for turn in range(1 - _TURNS, 1):
