Directory: ended daemons are named for less than 7 s

A daemon that hears of fewer than half of the others takes itself as cut off and named all daemons that it had heard of in the last 10 s. As more than half of a fleet was killed at once, the directory named killed daemons for 10 s; rule DRAIN allows 7 s. It names those that were silent for less than 6.5 s now.

--- a/src/pimentohoist/_entry/members.py
+++ b/src/pimentohoist/_entry/members.py
@@ -38,6 +38,10 @@
 DEPARTED_TIMEOUT_S = 10.0
 """After this silence a daemon has departed, and its share is split among the others."""
 
+MAX_NAMED_SILENCE_S = 6.5
+"""The directory may name a daemon for 7 s after its end, and its last heartbeat may arrive
+up to half a second after the end."""
+
 _MAX_REJECTIONS_LOGGED = 100
 _MALFORMED = (
     ValueError,
@@ -130,16 +134,23 @@
         """Return the newest heartbeats of the daemons that callers can probably reach.
 
         A daemon for which fewer than half of the others are live is probably cut off
-        from them itself. Its callers aren't, so it returns all that have not departed.
+        from them itself. Its callers aren't, so it returns all that it has heard of in the
+        last `MAX_NAMED_SILENCE_S`.
         """
         live = self.live()
-        since = _clock.now() - DEPARTED_TIMEOUT_S
-        known = [
-            entry.heartbeat
+        now = _clock.now()
+        silences = [
+            (now - entry.received_at, entry.heartbeat)
             for entry in tuple(self.received.values())
-            if entry.received_at >= since
+            if entry.received_at >= now - DEPARTED_TIMEOUT_S
+        ]
+        if len(live) >= len(silences) / 2:
+            return live
+        return [
+            heartbeat
+            for silence_s, heartbeat in silences
+            if silence_s < MAX_NAMED_SILENCE_S
         ]
-        return known if len(live) < len(known) / 2 else live
 
     def known_count(self) -> int:
         """Return how many other daemons have not departed."""
