Homes: requests stay in the regions that route and workspace allow

The field allowed-regions of routes and workspaces was ignored: requests reached endpoints, and their bodies daemons, in any region.

The choice of an endpoint and of a daemon to forward to keeps to the homes of the route and of the workspace, and the directory names daemons of the homes of the host that is asked for and of the caller's region. The settings name the regions of failure domains; a domain without a region is no home. Nothing changes without homes.

--- a/src/pimentohoist/_entry/declarations.py
+++ b/src/pimentohoist/_entry/declarations.py
@@ -10,6 +10,7 @@
 from typing import Any, Self
 
 from pimentohoist import _clock
+from pimentohoist._decisions.homes import Homes, Regions, directory_regions
 from pimentohoist._decisions.read_freshness import max_confirmation_age_s
 from pimentohoist._entry.evacuations import Evacuations
 from pimentohoist._entry.hedged_follower import HedgedFollower
@@ -22,6 +23,7 @@
     ADAPTER_VERSION_KEYS,
     DECLARATION_KEY,
     OPERATOR_RECORDS,
+    DirectoryQuery,
     KeyedRecord,
     Store,
     decode_adapter_version,
@@ -81,6 +83,17 @@
         """Return the newest version declared of an adapter; 0 if none was."""
         return 0 if adapter is None else self.versions.get(adapter, 0)
 
+    def directory_regions(self, query: DirectoryQuery, regions: Regions) -> Homes:
+        """Return the regions whose daemons a caller may be sent to; None for all."""
+        routes = () if self.current is None else self.current.routes
+        asked = (
+            route.homes
+            for route in routes
+            if query.name in {route.host, route.name.lower()}
+        )
+        caller_region = query.region or regions.by_domain.get(query.failure_domain, '')
+        return directory_regions(asked, caller_region)
+
     def cold_per_s(self, group: str) -> float:
         """Return the requests a second that a cold endpoint takes; 0 without a limit."""
         declared = None if self.current is None else self.current.groups.get(group)
--- a/src/pimentohoist/_entry/endpoint_chooser.py
+++ b/src/pimentohoist/_entry/endpoint_chooser.py
@@ -77,7 +77,13 @@
 
 
 class EndpointChooser:
-    """Chooses among the endpoints that may get requests."""
+    """Chooses among the endpoints that may get requests.
+
+    Attributes
+    ----------
+    without_home : int
+        Requests with homes for which no endpoint could be chosen, since the start.
+    """
 
     def __init__(
         self,
@@ -96,6 +102,7 @@
         self.permits = permits
         self.forwarding = forwarding
         self.rooms = rooms
+        self.without_home = 0
 
     def choose(self, context: RequestContext) -> ChosenEndpoint:
         """Return the endpoint of the next attempt; raises UnavailableError.
@@ -109,17 +116,19 @@
         if self.forwarding.links.is_cut_off(context.group.name):
             raise self._unavailable(context)
         adapter = context.request.adapter
+        homes, regions = context.homes, self.members.settings.regions
         usable = {
             endpoint.endpoint_id: endpoint
             for endpoint in self.endpoints.usable(context.group.name)
             if endpoint.endpoint_id not in context.tried_endpoints
-            and not self.permits.blocked_s(endpoint)
-            and self.rooms.has_room(endpoint)
+            and self._takes_requests(endpoint)
+            and regions.is_home(homes, endpoint.failure_domain)
             and context.stream_version in {None, endpoint.software_version}
         }
         if adapter is not None and context.group.engine is not None:
             usable = _filter_by_model(usable, adapter.model)
         if not usable:
+            self._record_no_home(context)
             raise self._unavailable(context)
         if context.group.engine is None or adapter is None or not adapter.name:
             return self._choose_service(context, adapter, usable)
@@ -132,6 +141,18 @@
         }
         return self._candidates(_filter_by_model(usable, adapter.model), adapter)
 
+    def _record_no_home(self, context: RequestContext) -> None:
+        """Log a request for which there is no endpoint, since it has homes."""
+        if context.homes is None:
+            return
+        self.without_home += 1
+        extra = {**log_fields(context), 'homes': sorted(context.homes)}
+        _logger.info('no endpoint in the homes of a request', extra=extra)
+
+    def _takes_requests(self, endpoint: Endpoint) -> bool:
+        is_blocked = bool(self.permits.blocked_s(endpoint))
+        return not is_blocked and self.rooms.has_room(endpoint)
+
     def _choose_service(
         self,
         context: RequestContext,
--- a/src/pimentohoist/_entry/evacuations.py
+++ b/src/pimentohoist/_entry/evacuations.py
@@ -7,7 +7,7 @@
 
 import logging
 import threading
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from pimentohoist._decisions.evacuations import (
@@ -35,7 +35,7 @@
     def __init__(self, members: MembersController) -> None:
         self.members = members
         self.knowledge = EvacuationKnowledge()
-        self.on_end: Callable[[Collection[str]], None] = _ignore
+        self.on_end: Callable[[frozenset[str]], None] = _ignore
         self._is_used = False
         self._lock = threading.Lock()
         members.on_heartbeat.append(self._record_heartbeat)
@@ -104,5 +104,5 @@
         return True
 
 
-def _ignore(domains: Collection[str]) -> None:
+def _ignore(domains: frozenset[str]) -> None:
     """Do nothing as the evacuation of failure domains ends."""
--- a/src/pimentohoist/_entry/heartbeat.py
+++ b/src/pimentohoist/_entry/heartbeat.py
@@ -57,6 +57,8 @@
     cold_endpoints : list of list
         Newest statements on endpoints that are or were cold: incarnation, seconds until it
         is warm, age in seconds, requests a second that it takes meanwhile.
+    keeps_homes : bool
+        Whether it sends requests to endpoints in their homes only.
     sequence : int
         Number of the heartbeat in its incarnation; 0 from builds that send none.
     """
@@ -88,6 +90,7 @@
     versions_recorded_age_s: float | None = None
     evacuations: list[Any] = field(default_factory=list)
     cold_endpoints: list[list[Any]] = field(default_factory=list)
+    keeps_homes: bool = False
 
     def ownership(self) -> Ownership:
         """Return which partitions the daemon claims."""
--- a/src/pimentohoist/_entry/request_context.py
+++ b/src/pimentohoist/_entry/request_context.py
@@ -7,6 +7,7 @@
 from http import HTTPStatus
 from typing import Protocol
 
+from pimentohoist._decisions.homes import Homes, request_homes
 from pimentohoist._entry.response_head import Framing
 from pimentohoist._entry.request_monitor import MonitoredRequest
 from pimentohoist.entry_models import (
@@ -93,6 +94,14 @@
         origin = self.request.origin
         return self.route.max_executions if origin is None else origin.max_executions
 
+    @property
+    def homes(self) -> Homes:
+        """Return the regions in which it may be executed; None for all."""
+        workspace = self.workspace
+        return request_homes(
+            self.route.homes, frozenset() if workspace is None else workspace.homes
+        )
+
     def remaining_s(self, now: float) -> float:
         """Return the seconds until the deadline."""
         return self.monitored.deadline - now
--- a/src/pimentohoist/_entry/request_forwarding.py
+++ b/src/pimentohoist/_entry/request_forwarding.py
@@ -66,6 +66,7 @@
             for endpoint in self.endpoints.alive()
             if endpoint.group == group
             and not self.endpoints.is_evacuated(endpoint.failure_domain)
+            and self._is_home(context, endpoint.failure_domain)
         ]
         forwarders = [
             self._forwarder(heartbeat, context.declaration.version)
@@ -110,10 +111,30 @@
     ) -> bool:
         if not heartbeat.is_ready or heartbeat.member in context.tried_endpoints:
             return False
+        if not self._keeps_homes(heartbeat, context):
+            return False
         health = self.endpoints.health_of(heartbeat.member)
         is_paused = max(health.paused_until, health.silent_until) > _clock.now()
         return not is_paused and reaches_any(endpoint_ids, heartbeat.lost_endpoints)
 
+    def _is_home(self, context: RequestContext, failure_domain: str) -> bool:
+        return self.members.settings.regions.is_home(context.homes, failure_domain)
+
+    def _keeps_homes(self, heartbeat: Heartbeat, context: RequestContext) -> bool:
+        """Return whether a request's body may be sent to a daemon.
+
+        The caller's region isn't known here, so only homes qualify. A daemon that doesn't
+        know the request's homes could send it to an endpoint elsewhere.
+        """
+        if context.homes is None:
+            return True
+        knows_homes = heartbeat.version >= context.declaration.version
+        return (
+            knows_homes
+            and heartbeat.keeps_homes
+            and self._is_home(context, heartbeat.failure_domain)
+        )
+
     def _forwarder(self, heartbeat: Heartbeat, version: int) -> Forwarder:
         in_flight = sum(
             count
--- a/src/pimentohoist/_entry/wsgi_apps.py
+++ b/src/pimentohoist/_entry/wsgi_apps.py
@@ -17,7 +17,9 @@
 from pimentohoist.exceptions import PimentohoistError
 from pimentohoist.platform import (
     DIRECTORY_PATH,
+    DirectoryQuery,
     RawRequest,
+    decode_directory_query,
     encode_directory,
     forwarding_error_headers,
     read_request,
@@ -105,7 +107,9 @@
 class DirectoryApp:
     """Serves the directory: the addresses to which callers connect."""
 
-    def __init__(self, addresses: Callable[[], list[str]], max_age_s: float) -> None:
+    def __init__(
+        self, addresses: Callable[[DirectoryQuery], list[str]], max_age_s: float
+    ) -> None:
         self.addresses = addresses
         self.max_age_s = min(_MAX_DIRECTORY_AGE_S, max_age_s)
 
@@ -115,7 +119,8 @@
         """Return the addresses of the ready daemons, or 503 if there are none."""
         if environ['PATH_INFO'] != DIRECTORY_PATH:
             return _send_json(HTTPStatus.NOT_FOUND, {}, start_response)
-        addresses = self.addresses()
+        query = decode_directory_query(environ.get('QUERY_STRING', ''))
+        addresses = self.addresses(query)
         if not addresses:
             return _send_json(HTTPStatus.SERVICE_UNAVAILABLE, {}, start_response)
         document = encode_directory(addresses, self.max_age_s)
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -7,7 +7,7 @@
 import sys
 import threading
 import time
-from collections.abc import Collection, Iterator
+from collections.abc import Iterator
 from contextlib import ExitStack
 from typing import Any, Self
 
@@ -56,6 +56,7 @@
 from pimentohoist.exceptions import SettingsError
 from pimentohoist.platform import (
     SETTINGS_VARIABLE,
+    DirectoryQuery,
     EntrySettings,
     Store,
     read_entry_settings,
@@ -213,10 +214,23 @@
             self._has_started_up = is_late or self.owned_engines.are_owners_known()
         return self._has_started_up
 
-    def addresses(self) -> list[str]:
-        """Return the addresses to which callers may connect."""
-        own = [self.settings.callers_address] if self.is_ready() else []
-        return own + self._ready_others()
+    def addresses(self, query: DirectoryQuery) -> list[str]:
+        """Return the addresses to which a caller may connect."""
+        regions = self.settings.regions
+        wanted = self.declarations.directory_regions(query, regions)
+        named = {
+            heartbeat.callers_address: heartbeat.failure_domain
+            for heartbeat in self.members.reachable()
+            if heartbeat.is_ready
+        }
+        own = {}
+        if self.is_ready():
+            own[self.settings.callers_address] = self.settings.failure_domain
+        return [
+            address
+            for address, domain in {**own, **named}.items()
+            if regions.is_home(wanted, domain)
+        ]
 
     def leave(self, schedule: ShutdownSchedule) -> None:
         """Accept no new callers; finish the requests in flight, until the deadline."""
@@ -262,6 +276,7 @@
             'failure_domains_evacuated': len(self.declarations.evacuations.domains),
             'endpoints_cold': self.endpoints.cold.cold_count(),
             'cold_permits_refused_total': self.permits.refused,
+            'requests_without_home_total': self.dispatch.chooser.without_home,
             'endpoints_limited': self.endpoints.limits.limited_count(),
             'stream_versions_known': len(self.stream_versions.register),
             'prompt_parts_quarantined': self.part_quarantine.quarantined_count(),
@@ -392,9 +407,10 @@
             versions_recorded_age_s=self.stream_versions.versions.recorded_age_s(),
             evacuations=self.declarations.evacuations.announced(),
             cold_endpoints=self.endpoints.cold.announced(),
+            keeps_homes=True,
         )
 
-    def _presume_cold(self, domains: Collection[str]) -> None:
+    def _presume_cold(self, domains: frozenset[str]) -> None:
         """Take endpoints whose evacuation ends as cold until their records are read."""
         alive = self.endpoints.alive()
         returning = (entry for entry in alive if entry.failure_domain in domains)
--- a/src/pimentohoist/entry_models.py
+++ b/src/pimentohoist/entry_models.py
@@ -54,6 +54,8 @@
         Whether requests need no key.
     can_resume : bool
         Whether a broken stream may resume at another endpoint.
+    homes : frozenset of str
+        Regions in which requests may be executed; empty for all.
     """
 
     name: str
@@ -67,6 +69,7 @@
     max_executions: int
     is_public: bool
     can_resume: bool
+    homes: frozenset[str] = frozenset()
 
     @property
     def may_retry(self) -> bool:
@@ -147,6 +150,8 @@
         Tokens a second, and tokens; a rate of 0 means no limit.
     default_tokens : int
         Tokens charged for a request that states none.
+    homes : frozenset of str
+        Regions in which its requests may be executed; empty for all.
     """
 
     name: str
@@ -155,6 +160,7 @@
     rate: float
     burst: float
     default_tokens: int
+    homes: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True)
--- a/src/pimentohoist/platform/__init__.py
+++ b/src/pimentohoist/platform/__init__.py
@@ -4,7 +4,12 @@
 of `pimentohoist.entry_models`.
 """
 
-from pimentohoist.platform._directory import DIRECTORY_PATH, encode_directory
+from pimentohoist.platform._directory import (
+    DIRECTORY_PATH,
+    DirectoryQuery,
+    decode_directory_query,
+    encode_directory,
+)
 from pimentohoist.platform._declaration_documents import (
     decode_adapter_version,
     decode_declaration,
@@ -56,6 +61,7 @@
     'SETTINGS_VARIABLE',
     'STREAM_RECORDS',
     'Attribution',
+    'DirectoryQuery',
     'EngineOrders',
     'EntrySettings',
     'EraChangedError',
@@ -75,6 +81,7 @@
     'response_headers',
     'decode_adapter_version',
     'decode_declaration',
+    'decode_directory_query',
     'decode_endpoint',
     'decode_notice',
     'decode_report',
--- a/src/pimentohoist/platform/_declaration_documents.py
+++ b/src/pimentohoist/platform/_declaration_documents.py
@@ -91,9 +91,21 @@
         int(entry.get('attempts') or 1),
         bool(entry.get('public')),
         bool(entry.get('can-resume')),
+        _homes(entry),
     )
 
 
+def _homes(entry: Mapping[str, Any]) -> frozenset[str]:
+    regions = entry.get('allowed-regions') or []
+    is_list = isinstance(regions, list)
+    if not (is_list and all(isinstance(region, str) for region in regions)):
+        raise DocumentError(
+            f'allowed-regions: expected a list of names, got {regions!r:.80}',
+            step=_STEP,
+        )
+    return frozenset(regions)
+
+
 def _group(entry: Mapping[str, Any]) -> EndpointGroup:
     engine = entry.get('engine')
     limits = None if engine is None else _engine_limits(engine)
@@ -136,4 +148,5 @@
         entry.get('rate-per-s') or 0,
         entry.get('burst') or 0,
         int(plain) if entry.get('unit') == 'tokens' else 1,
+        _homes(entry),
     )
--- a/src/pimentohoist/platform/_settings.py
+++ b/src/pimentohoist/platform/_settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -9,6 +10,7 @@
 from typing import Any
 
 from pimentohoist._decisions.cold_endpoints import ColdBounds
+from pimentohoist._decisions.homes import Regions
 from pimentohoist.exceptions import SettingsError
 
 SETTINGS_VARIABLE = 'PIMENTOHOIST_BOOT'
@@ -68,6 +70,7 @@
     store_address: str
     bounds: EntryBounds
     cold_bounds: ColdBounds = _COLD_BOUNDS
+    regions: Regions = Regions()
 
     @property
     def peer_address(self) -> str:
@@ -110,6 +113,7 @@
             reader.number('bounds.cold_over', _COLD_BOUNDS.over),
             reader.number('bounds.cold_slack', _COLD_BOUNDS.slack),
         ),
+        reader.regions(),
     )
 
 
@@ -147,6 +151,20 @@
             )
         return int(first), int(last)
 
+    def regions(self) -> Regions:
+        """Return the regions of failure domains; that of the own one may stand alone."""
+        field = 'regions.of_domains'
+        pairs = {}
+        for pair in filter(None, re.split(r'[,;\s]+', self.text(field, ''))):
+            domain, _, region = pair.removeprefix('zones.').partition('=')
+            if not (domain and region):
+                raise self._field_error(field, f'must be DOMAIN=REGION, got {pair!r}')
+            pairs[domain] = region
+        own = self.text('regions.own', '')
+        if own:
+            pairs.setdefault(self.text('daemon.failure_domain'), own)
+        return Regions(pairs)
+
     def _find(self, field: str, default: object) -> object:
         table: Any = self.document
         for part in field.split('.'):
