--- a/src/pimentohoist/_entry/endpoint_chooser.py
+++ b/src/pimentohoist/_entry/endpoint_chooser.py
@@ -25,7 +25,7 @@
 from pimentohoist._entry.filters import add_jitter
 from pimentohoist._entry.heartbeat import Heartbeat
 from pimentohoist._entry.members import MembersController
-from pimentohoist._entry.request_context import RequestContext
+from pimentohoist._entry.request_context import RequestContext, log_fields
 from pimentohoist._entry.request_forwarding import RequestForwarding
 from pimentohoist._entry.owned_engines import OwnedEnginesController
 from pimentohoist._entry.prompt_lengths import PromptLengths
@@ -56,7 +56,13 @@
 
 
 class EndpointChooser:
-    """Chooses among the endpoints that may get requests."""
+    """Chooses among the endpoints that may get requests.
+
+    Attributes
+    ----------
+    without_home : int
+        Requests with homes for which no endpoint could be chosen, since the start.
+    """
 
     def __init__(
         self,
@@ -77,6 +83,7 @@
         self.rooms = rooms
         self.prompt_lengths = PromptLengths(members)
         self.waiting = WaitingMetrics()
+        self.without_home = 0
 
     def choose(self, context: RequestContext) -> ChosenEndpoint:
         """Return the endpoint of the next attempt; raises UnavailableError.
@@ -90,17 +97,19 @@
         if self.forwarding.links.is_cut_off(context.group.name):
             raise self._unavailable(context)
         adapter = context.request.adapter
+        homes, regions = context.homes, self.members.settings.regions
         usable = {
             endpoint.endpoint_id: endpoint
             for endpoint in self.endpoints.usable(context.group.name)
             if endpoint.endpoint_id not in context.tried_endpoints
-            and not self.permits.blocked_s(endpoint)
-            and self.rooms.has_room(endpoint)
+            and self._takes_requests(endpoint)
+            and regions.is_home(homes, endpoint.failure_domain)
             and context.stream_version in {None, endpoint.software_version}
         }
         if adapter is not None and context.group.engine is not None:
             usable = _filter_by_model(usable, adapter.model)
         if not usable:
+            self._record_no_home(context)
             raise self._unavailable(context)
         if context.group.engine is None or adapter is None or not adapter.name:
             return self._choose_service(context, adapter, usable)
@@ -113,6 +122,18 @@
         }
         return self._candidates(_filter_by_model(usable, adapter.model), adapter)
 
+    def _record_no_home(self, context: RequestContext) -> None:
+        """Log a request for which there is no endpoint, since it has homes."""
+        if context.homes is None:
+            return
+        self.without_home += 1
+        extra = {**log_fields(context), 'homes': sorted(context.homes)}
+        _logger.info('no endpoint in the homes of a request', extra=extra)
+
+    def _takes_requests(self, endpoint: Endpoint) -> bool:
+        is_blocked = bool(self.permits.blocked_s(endpoint))
+        return not is_blocked and self.rooms.has_room(endpoint)
+
     def _choose_service(
         self,
         context: RequestContext,
--- a/src/pimentohoist/_entry/request_context.py
+++ b/src/pimentohoist/_entry/request_context.py
@@ -7,6 +7,7 @@
 from http import HTTPStatus
 from typing import Protocol
 
+from pimentohoist._decisions.homes import Homes, request_homes
 from pimentohoist._entry.response_head import Framing
 from pimentohoist._entry.request_monitor import MonitoredRequest
 from pimentohoist.entry_models import (
@@ -103,6 +104,14 @@
             return min(_MAX_PRIORITY, self.route.priority)
         return min(_MAX_PRIORITY, workspace.priority)
 
+    @property
+    def homes(self) -> Homes:
+        """Return the regions in which it may be executed; None for all."""
+        workspace = self.workspace
+        return request_homes(
+            self.route.homes, frozenset() if workspace is None else workspace.homes
+        )
+
     def remaining_s(self, now: float) -> float:
         """Return the seconds until the deadline."""
         return self.monitored.deadline - now
