Store: count the calls by purpose

Each call to the store costs worth, and nothing says which of them a deployment makes. All clients of a daemon share a count by topic and kind of call. A request that is sent again after its kept connection failed counts once.

--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -101,7 +101,7 @@
         self.endpoints = EndpointsController(self.store, self.members)
         self.ownership = OwnershipController(
             settings,
-            Store(settings.store_address, era=self.store.era),
+            self.store.sharing(),
             self.members,
         )
         self.members.sender.owners_of = self.ownership.owners_of
@@ -123,9 +123,7 @@
         self.owned_engines.on_unanswered = self.links.doubt
         self.forwarding = RequestForwarding(self.links, self.endpoints, self.members)
         self.request_monitor = RequestMonitor(self.links)
-        stream_store = Store(
-            settings.store_address, timeout_s=_STREAM_LOG_TIMEOUT_S, era=self.store.era
-        )
+        stream_store = self.store.sharing(timeout_s=_STREAM_LOG_TIMEOUT_S)
         self.stream_versions = StreamVersions(
             self.endpoints,
             self.members,
@@ -199,6 +197,7 @@
         """Stop everything."""
         with self.shutdown.timed('close servers and controllers'):
             self._stack.close()
+        self.store.calls.log()
         self.shutdown.record_cut(self.request_monitor.in_flight())
 
     def is_ready(self) -> bool:
@@ -238,6 +237,7 @@
     def end(self) -> None:
         """End the process, since its time is over; log what that cuts off."""
         try:
+            self.store.calls.log()
             self.shutdown.record_cut(self.request_monitor.in_flight())
             self.logs.flush(_MIN_FLUSH_S)
         finally:
@@ -246,6 +246,7 @@
     def metrics(self) -> Iterator[str]:
         """Yield metrics as text."""
         yield from self.request_handler.metrics.lines()
+        yield from self.store.calls.metrics()
         unconfirmed_s = self.declarations.unconfirmed_s()
         gauges = {
             'log_lines_dropped_total': self.logs.dropped,
--- a/src/pimentohoist/platform/_store.py
+++ b/src/pimentohoist/platform/_store.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from http import HTTPStatus
+from types import MappingProxyType
 from typing import Any
 from urllib.parse import urlencode
 
@@ -22,6 +23,7 @@
     PimentohoistError,
 )
 from pimentohoist.platform._era import EraChangedError, EraTracker
+from pimentohoist.platform._store_calls import StoreCalls
 
 OPERATOR_RECORDS = 'keyed.op'
 ENDPOINT_RECORDS = 'keyed.servers'
@@ -32,6 +34,15 @@
 
 _STEP = 'store'
 _READ_PATH = '/v1/log-read'
+_OPERATIONS = MappingProxyType(
+    {
+        _READ_PATH: 'changes',
+        '/v1/log-newest': 'newest',
+        '/v1/log-append': 'append',
+        '/v1/log-join': 'join',
+        '/v1/log-leave': 'leave',
+    }
+)
 _TIMEOUT_S = 1.5
 _MS_PER_S = 1000
 _LENGTH_BYTES = 4
@@ -105,6 +116,8 @@
     ----------
     era : EraTracker
         Shared by all clients of the store.
+    calls : StoreCalls
+        Shared by all clients of the store.
     """
 
     def __init__(
@@ -113,11 +126,19 @@
         *,
         timeout_s: float = _TIMEOUT_S,
         era: EraTracker | None = None,
+        calls: StoreCalls | None = None,
     ) -> None:
         self.client = HttpClient(
             address, timeout_s=timeout_s, step=_STEP, max_body_bytes=_MAX_ANSWER_BYTES
         )
         self.era = EraTracker() if era is None else era
+        self.calls = StoreCalls() if calls is None else calls
+
+    def sharing(self, *, timeout_s: float = _TIMEOUT_S) -> Store:
+        """Return another client of the same store, which shares the era and the counts."""
+        return Store(
+            self.client.address, timeout_s=timeout_s, era=self.era, calls=self.calls
+        )
 
     def read_newest(self, topic: str) -> tuple[list[KeyedRecord], ReadPosition]:
         """Return the newest record of each key, and the position to read on from.
@@ -170,13 +191,42 @@
         """Send a read of keyed records on a new connection, to be answered later."""
         query = _changes_query(topic, position.offset, wait_s)
         target = f'{_READ_PATH}?{urlencode(query)}'
+        self.calls.record_sent(_purpose(_READ_PATH, query))
         request = self.client.send(HttpRequest('GET', target))
-        return SentRead(self, request, target, position)
+        return SentRead(self, request, query, position)
 
     def check_position(self, position: ReadPosition) -> None:
         """Raise EraChangedError if a position is of a former era of the store."""
         _check_era(position, self.era.current)
 
+    def check_status(
+        self, response: HttpResponse, path: str, query: Mapping[str, object]
+    ) -> None:
+        """Count and raise what an error status means.
+
+        Raises
+        ------
+        RecordsExpiredError
+            The requested records have expired.
+        PeerRefusedError
+            The call was refused.
+        """
+        if response.status >= HTTPStatus.BAD_REQUEST:
+            self.calls.record_refused(_purpose(path, query))
+        if response.status == HTTPStatus.GONE:
+            expired = RecordsExpiredError(
+                f'{path}?{urlencode(query)}: records expired', step=_STEP
+            )
+            expired.first_offset = _first_offset(response)
+            raise expired
+        if response.status >= HTTPStatus.BAD_REQUEST:
+            raise PeerRefusedError(
+                f'{path}: status {response.status}',
+                step=_STEP,
+                peer=self.client.address,
+                peer_status=response.status,
+            )
+
     def put(self, topic: str, key: str, document: Any) -> int:
         """Set the newest value of a key of the daemons' topics; return the store's era."""
         name = key.encode()
@@ -237,9 +287,10 @@
         headers = {'Content-Type': 'application/json'} if body else {}
         request = HttpRequest(method, target, body, headers, wait_s=wait_s)
         timeout_s = self.client.timeout_s + wait_s
+        self.calls.record_sent(_purpose(path, query))
         response = self.client.request(request, timeout_s=timeout_s)
         era = self.era.record_answer(response.headers)
-        _check_status(response, target, self.client.address)
+        self.check_status(response, path, query)
         return response, era
 
 
@@ -270,11 +321,15 @@
     """A read that was sent on a connection of its own."""
 
     def __init__(
-        self, store: Store, request: SentRequest, target: str, position: ReadPosition
+        self,
+        store: Store,
+        request: SentRequest,
+        query: Mapping[str, object],
+        position: ReadPosition,
     ) -> None:
         self.store = store
         self.request = request
-        self.target = target
+        self.query = query
         self.position = position
 
     def close(self) -> None:
@@ -289,25 +344,19 @@
         """Return the records and the position after them, as `Store.read_changes`."""
         response = self.request.read_response()
         era = self.store.era.record_answer(response.headers)
-        _check_status(response, self.target, self.request.client.address)
+        self.store.check_status(response, _READ_PATH, self.query)
         return _decode_changes(
             response, self.position, era, self.request.client.address
         )
 
 
-def _check_status(response: HttpResponse, target: str, peer: str) -> None:
-    if response.status == HTTPStatus.GONE:
-        expired = RecordsExpiredError(f'{target}: records expired', step=_STEP)
-        expired.first_offset = _first_offset(response)
-        raise expired
-    if response.status >= HTTPStatus.BAD_REQUEST:
-        path = target.partition('?')[0]
-        raise PeerRefusedError(
-            f'{path}: status {response.status}',
-            step=_STEP,
-            peer=peer,
-            peer_status=response.status,
-        )
+def _purpose(path: str, query: Mapping[str, object]) -> str:
+    """Return the purpose of a call: the topic, if it has one, and what is done there."""
+    operation = _OPERATIONS[path]
+    if path == _READ_PATH and query['wait-ms']:
+        operation = 'poll'
+    topic = str(query.get('topic', 'group')).rpartition('.')[2]
+    return f'{topic}_{operation}'
 
 
 def _first_offset(response: HttpResponse) -> int:
