Endpoints: in large fleets a few daemons read the store for all

79 daemons read the endpoints' records every 1.3 s each, 60 calls a second, and 1,000 from their start to the start of traffic; one read could answer for all.

In fleets of more than 16 daemons one daemon of each failure domain reads every 0.5 s. Its heartbeats carry position, digest and the records that changed in the last 2.5 s (5 KB at most). A daemon whose last confirmation is older than 1.5 s, the longest interval until now, reads for itself, so that nothing is later than before if readers die, freeze or lose the store. A daemon that the store turns away goes by the others' reads. Retries of daemons on which nobody relies back off up to 4 s, until some daemon reads again. Fleets of up to 16 read as before.

--- a/features/store_calls.feature
+++ b/features/store_calls.feature
@@ -6,3 +6,81 @@
     When each kind of call is sent once and the store refuses one more read
     Then the counts equal the calls that the store received, by purpose
     And the counts are logged once until they change
+
+  # Guards against calls that grow with the number of daemons: 79 daemons that each read the
+  # endpoints for themselves send 60 a second, and 1,000 in the time from their start to the
+  # start of traffic.
+  Scenario: 79 daemons start within 0.3 s and follow 34 endpoints
+    Given 79 daemons in 3 failure domains and 34 endpoints, not started
+    When all daemons start within 0.3 s
+    Then 1 s later all daemons know all endpoints
+    And in 16 s they have sent at most 200 calls
+    When they follow them for 5 s more
+    Then they read at most 8 times a second
+
+  # Shows that the check above can fail.
+  Scenario: 79 daemons that share no reads
+    Given 79 daemons in 3 failure domains and 34 endpoints, not started
+    And each daemon reads for itself
+    When all daemons start within 0.3 s
+    Then in 4 s they have sent more than 200 calls
+
+  # Guards against daemons that wait for others which have nothing to tell either.
+  Scenario: All 79 daemons are lost at once and start again
+    Given 79 daemons in 3 failure domains and 34 endpoints
+    When all daemons start again within 0.3 s
+    Then 1 s later all daemons know all endpoints
+    And in 4 s they have sent at most 130 calls
+
+  # Guards against requests to an endpoint that leaves, later than 2 s after the store's
+  # acknowledgement, since the daemon that reads for others tells them nothing.
+  Scenario Outline: An endpoint leaves (<readers>: <fail>)
+    Given 42 daemons in 3 failure domains and 10 endpoints
+    When <readers>: <fail>, and an endpoint is marked as leaving
+    Then 2 s later no running daemon sends requests there
+    When an endpoint restarts with another software version
+    Then 2 s later all running daemons know that
+
+    Examples:
+      | readers     | fail                      |
+      | one reader  | dies                      |
+      | one reader  | freezes                   |
+      | one reader  | is turned away            |
+      | one reader  | gets no answers           |
+      | all readers | die                       |
+      | all readers | freeze                    |
+      | all readers | get no answers            |
+      | a domain    | is turned away            |
+      | all daemons | lose a fifth of datagrams |
+
+  # Guards against endpoints that are dropped because their records lapsed while the store was
+  # away, and against refused calls of all daemons at once.
+  Scenario: The store is away for 6 s
+    Given 42 daemons in 3 failure domains and 10 endpoints
+    When the store is down for 6 s and an endpoint ends meanwhile
+    Then meanwhile at most 40 calls a second were refused
+    And 2 s after its return all daemons know all other endpoints, and none has missed one
+    And 5 s after its return no running daemon sends requests to the ended endpoint
+
+  # Guards against endpoints that registered after the copy was made and are dropped, and
+  # against daemons that compare positions of two eras.
+  Scenario: The store is restored from a copy that is 4 s older
+    Given 42 daemons in 3 failure domains and 10 endpoints
+    When the store is restored from a copy that is 4 s older and lacks an endpoint
+    Then 4 s later all daemons know all endpoints, and none has missed one
+
+  # Guards against daemons of an earlier build that are taken for readers, as they read on for
+  # themselves and tell nothing.
+  Scenario: Half of the daemons are of an earlier build
+    Given 42 daemons in 3 failure domains and 10 endpoints
+    And half of them say nothing of their reads
+    When an endpoint is marked as leaving
+    Then 2 s later no running daemon sends requests there
+
+  # Guards against a heartbeat that ends the receiver's thread or is taken at its word.
+  Scenario: A daemon's heartbeats carry reads that can't be
+    Given 42 daemons in 3 failure domains and 10 endpoints
+    And one daemon sends reads that can't be
+    When an endpoint is marked as leaving
+    Then 2 s later no running daemon sends requests there
+    And no running daemon has lost a peer
--- a/src/pimentohoist/_entry/endpoints.py
+++ b/src/pimentohoist/_entry/endpoints.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import random
 import threading
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Self
@@ -12,7 +11,8 @@
 from pimentohoist._decisions.endpoint_health import EndpointHealth
 from pimentohoist._entry.endpoint_limits import BRITTLE, EndpointLimits
 from pimentohoist._entry.endpoint_notices import EndpointNotices
-from pimentohoist._entry.topic_follower import PollTiming, TopicFollower, apply_each
+from pimentohoist._entry.shared_follower import SharedFollower
+from pimentohoist._entry.topic_follower import apply_each
 from pimentohoist._entry.heartbeat import Heartbeat
 from pimentohoist._entry.members import MembersController
 from pimentohoist.entry_models import Endpoint
@@ -22,19 +22,9 @@
     KeyedRecord,
     Store,
     decode_endpoint,
+    endpoint_identity,
 )
 
-_READ_INTERVAL_PER_DAEMON_S = 0.25
-_MAX_READ_INTERVAL_S = 1.5
-"""Each daemon's interval grows with their number, so that together they read every
-`_READ_INTERVAL_PER_DAEMON_S`: a leaving endpoint has 2 s until it gets no more work.
-
-Heartbeats carry what one daemon has read of leaving endpoints to the others.
-"""
-
-_MIN_JITTER_FACTOR = 0.75
-"""Intervals are randomized so that the daemons don't all read at the same time."""
-
 _REAPPEAR_S = 2.5
 """Records that expired in an outage of the store reappear about 2 s after its end."""
 
@@ -49,7 +39,7 @@
     Attributes
     ----------
     on_applied : list of callable
-        Called after each read of the store.
+        Called after each read of the store, by this daemon or by one that reads for it.
     """
 
     def __init__(self, store: Store, members: MembersController) -> None:
@@ -59,8 +49,13 @@
         self.notices = EndpointNotices()
         self.limits = EndpointLimits(members)
         self.brittle = EndpointLimits(members, BRITTLE)
-        self.follower = TopicFollower(
-            store, ENDPOINT_RECORDS, self._poll_timing, self._apply_records
+        self.follower = SharedFollower(
+            store,
+            ENDPOINT_RECORDS,
+            members,
+            endpoint_identity,
+            self._apply_records,
+            self._notify_applied,
         )
         self.on_applied: list[Callable[[], None]] = []
         self._removed: set[str] = set()
@@ -161,13 +156,6 @@
             for endpoint in self.alive()
         }
 
-    def _poll_timing(self) -> PollTiming:
-        daemons = 1 + len(self.members.live())
-        pause_s = min(_MAX_READ_INTERVAL_S, _READ_INTERVAL_PER_DAEMON_S * daemons)
-        return PollTiming(
-            wait_s=0, pause_s=pause_s * random.uniform(_MIN_JITTER_FACTOR, 1)
-        )
-
     def _record_heartbeat(self, heartbeat: Heartbeat, before: Heartbeat | None) -> None:
         for incarnation in heartbeat.draining_endpoints:
             self.notices.record_leaving(incarnation, heartbeat.member)
@@ -180,6 +168,9 @@
                     self._record_removed(endpoint_id)
         apply_each(records, ENDPOINT_RECORDS, self._apply_record)
         self._drop_removed()
+
+    def _notify_applied(self) -> None:
+        self._drop_removed()
         for listener in self.on_applied:
             listener()
 
--- a/src/pimentohoist/_entry/heartbeat.py
+++ b/src/pimentohoist/_entry/heartbeat.py
@@ -52,6 +52,10 @@
     versions_recorded_age_s : float or None
         Time since it recorded the versions in service in the store's era; None if it
         hasn't, and from builds that don't.
+    endpoint_reads : list
+        What it knows of the endpoints' records: a list of the store's era, offset and
+        digest, seconds since it read them, whether it can read, and records that have
+        changed lately, as lists of offset, id and text or None; empty from other builds.
     sequence : int
         Number of the heartbeat in its incarnation; 0 from builds that send none.
     """
@@ -81,6 +85,7 @@
     room_rejections: list[list[Any]] = field(default_factory=list)
     software_versions: Mapping[str, list[str]] = field(default_factory=dict)
     versions_recorded_age_s: float | None = None
+    endpoint_reads: list[Any] = field(default_factory=list)
 
     def ownership(self) -> Ownership:
         """Return which partitions the daemon claims."""
--- a/src/pimentohoist/_entry/topic_follower.py
+++ b/src/pimentohoist/_entry/topic_follower.py
@@ -1,24 +1,14 @@
-"""Follows a keyed topic of the store and retries when the store fails."""
+"""What all followers of a keyed topic of the store share."""
 
 from __future__ import annotations
 
 import logging
 import math
 import random
-import threading
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
-from typing import Self
 
 from pimentohoist import _clock
-from pimentohoist.exceptions import PimentohoistError
-from pimentohoist.platform import (
-    EraChangedError,
-    KeyedRecord,
-    ReadPosition,
-    RecordsExpiredError,
-    Store,
-)
+from pimentohoist.platform import EraChangedError, KeyedRecord
 
 _MIN_RETRY_DELAY_S = 0.15
 _MAX_RETRY_DELAY_S = 0.6
@@ -32,22 +22,6 @@
 """Called after each read with new records, and whether they are the topic's whole content."""
 
 
-@dataclass(frozen=True, slots=True)
-class PollTiming:
-    """How often a topic is read.
-
-    Attributes
-    ----------
-    wait_s : float
-        Time after which the store answers although nothing has changed.
-    pause_s : float
-        Time between two reads, so that frequent changes are read together.
-    """
-
-    wait_s: float
-    pause_s: float
-
-
 def apply_each(
     records: Sequence[KeyedRecord], topic: str, apply: Callable[[KeyedRecord], None]
 ) -> None:
@@ -125,74 +99,3 @@
         self.failures += 1
         limit_s = min(_MAX_RETRY_DELAY_S, _MIN_RETRY_DELAY_S * 2**self.failures)
         return random.uniform(_MIN_RETRY_DELAY_S, limit_s)
-
-
-class TopicFollower:
-    """Implements `Controller`: reads a topic's changes in a thread of its own.
-
-    Attributes
-    ----------
-    status : ReadStatus
-        Whether the store answers.
-    """
-
-    def __init__(
-        self,
-        store: Store,
-        topic: str,
-        poll_timing: Callable[[], PollTiming],
-        sink: Sink,
-    ) -> None:
-        self.store = store
-        self.topic = topic
-        self.poll_timing = poll_timing
-        self.sink = sink
-        self.status = ReadStatus(topic)
-        self._position: ReadPosition | None = None
-        self._closed = threading.Event()
-        self._thread = threading.Thread(target=self._run, name=topic, daemon=True)
-
-    def __enter__(self) -> Self:
-        """Start reading."""
-        self._thread.start()
-        return self
-
-    def __exit__(self, *exc_info: object) -> None:
-        """Stop after the current read."""
-        self._closed.set()
-
-    def is_failing(self) -> bool:
-        """Return whether the last read failed."""
-        return self.status.failures > 0
-
-    def _run(self) -> None:
-        while not self._closed.is_set():
-            poll_timing = self.poll_timing()
-            pause_s = poll_timing.pause_s
-            sent_at = _clock.now()
-            try:
-                self._read(poll_timing)
-                self.status.last_sent_at = sent_at
-            except (RecordsExpiredError, EraChangedError) as error:
-                self._position = None
-                self.status.record_restart(error)
-                pause_s = _MIN_RETRY_DELAY_S
-            except PimentohoistError as error:
-                pause_s = self.status.record_failure(error, sent_at)
-            except Exception:
-                _logger.exception('topic follower failed', extra={'topic': self.topic})
-                pause_s = _MAX_RETRY_DELAY_S
-                self._position = None
-            self._closed.wait(pause_s)
-
-    def _read(self, poll_timing: PollTiming) -> None:
-        if self._position is None:
-            records, self._position = self.store.read_newest(self.topic)
-            self.status.record_success()
-            self.sink(records, True)
-            return
-        records, self._position = self.store.read_changes(
-            self.topic, self._position, wait_s=poll_timing.wait_s
-        )
-        self.status.record_success()
-        self.sink(records, False)
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -256,6 +256,9 @@
             'store_era': self.store.era.current,
             'endpoints_lost': len(self.links.lost_ids()),
             'requests_forwarded_total': self.forwarding.forwarded,
+            'endpoints_unconfirmed_seconds': self.endpoints.follower.reads.unconfirmed_s(
+                _clock.now()
+            ),
             'endpoints_brittle': self.endpoints.brittle.limited_count(),
             'endpoints_limited': self.endpoints.limits.limited_count(),
             'stream_versions_known': len(self.stream_versions.register),
@@ -384,6 +387,7 @@
             room_rejections=self.rooms.announced(),
             software_versions=self.stream_versions.versions.announced(),
             versions_recorded_age_s=self.stream_versions.versions.recorded_age_s(),
+            endpoint_reads=self.endpoints.follower.announced(),
         )
 
     def _auxiliary_servers(self) -> tuple[HttpServer, ...]:
--- a/src/pimentohoist/platform/__init__.py
+++ b/src/pimentohoist/platform/__init__.py
@@ -11,6 +11,7 @@
 )
 from pimentohoist.platform._documents import decode_endpoint, decode_report
 from pimentohoist.platform._era import EraChangedError, EraTracker, StaleAnswerError
+from pimentohoist.platform._record_identity import endpoint_identity
 from pimentohoist.platform._notices import decode_notice
 from pimentohoist.platform._orders import EngineOrders, OrderReply
 from pimentohoist.platform._requests import (
@@ -77,6 +78,7 @@
     'decode_notice',
     'decode_report',
     'encode_directory',
+    'endpoint_identity',
     'is_not_executed',
     'forwarded_headers',
     'read_entry_settings',
