--- a/src/pimentohoist/_entry/endpoints.py
+++ b/src/pimentohoist/_entry/endpoints.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import random
 import threading
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Self
@@ -17,7 +16,8 @@
     EndpointNotices,
     StoreMark,
 )
-from pimentohoist._entry.topic_follower import PollTiming, TopicFollower, apply_each
+from pimentohoist._entry.shared_follower import SharedFollower
+from pimentohoist._entry.topic_follower import apply_each
 from pimentohoist._entry.members import MembersController
 from pimentohoist.entry_models import Endpoint
 from pimentohoist.exceptions import DocumentError
@@ -27,19 +27,9 @@
     ReadPosition,
     Store,
     decode_endpoint,
+    endpoint_identity,
 )
 
-_READ_INTERVAL_PER_DAEMON_S = 0.25
-_MAX_READ_INTERVAL_S = 1.5
-"""Each daemon's interval grows with their number, so that together they read every
-`_READ_INTERVAL_PER_DAEMON_S`: a leaving endpoint has 2 s until it gets no more work.
-
-Heartbeats carry what one daemon has read of leaving endpoints to the others.
-"""
-
-_MIN_JITTER_FACTOR = 0.75
-"""Intervals are randomized so that the daemons don't all read at the same time."""
-
 _REAPPEAR_S = 2.5
 """Records that expired in an outage of the store reappear about 2 s after its end, and so
 do those that a restored store has lost."""
@@ -55,7 +45,7 @@
     Attributes
     ----------
     on_applied : list of callable
-        Called after each read of the store.
+        Called after each read of the store, by this daemon or by one that reads for it.
     is_evacuated : callable
         Returns whether a failure domain gets no requests.
     """
@@ -68,8 +58,13 @@
         self.limits = EndpointLimits(members)
         self.brittle = EndpointLimits(members, BRITTLE)
         self.cold = ColdEndpoints(members)
-        self.follower = TopicFollower(
-            store, ENDPOINT_RECORDS, self._poll_timing, self._apply_records
+        self.follower = SharedFollower(
+            store,
+            ENDPOINT_RECORDS,
+            members,
+            endpoint_identity,
+            self._apply_records,
+            self._notify_applied,
         )
         self.on_applied: list[Callable[[], None]] = []
         self.is_evacuated: Callable[[str], bool] = _never
@@ -182,19 +177,14 @@
             for endpoint in self.alive()
         }
 
-    def _poll_timing(self) -> PollTiming:
-        daemons = 1 + len(self.members.live())
-        pause_s = min(_MAX_READ_INTERVAL_S, _READ_INTERVAL_PER_DAEMON_S * daemons)
-        return PollTiming(
-            wait_s=0, pause_s=pause_s * random.uniform(_MIN_JITTER_FACTOR, 1)
-        )
-
     def _listed_mark(self, incarnation: str) -> StoreMark | None:
         """Return up to where the store was read if it had an incarnation's record there."""
         endpoint_id, _, _ = incarnation.rpartition('#')
         known = self.endpoints.get(endpoint_id)
         is_known = known is not None and known.incarnation == incarnation
-        return self._mark if is_known and endpoint_id not in self._removed else None
+        if not is_known or endpoint_id in self._removed:
+            return None
+        return _mark_of(self.follower.position) or self._mark
 
     def _apply_records(self, records: Sequence[KeyedRecord], is_whole: bool) -> None:
         if is_whole:
@@ -211,6 +201,9 @@
         )
         self._mark = mark
         self._drop_removed()
+
+    def _notify_applied(self) -> None:
+        self._drop_removed()
         for listener in self.on_applied:
             listener()
 
--- a/src/pimentohoist/_entry/heartbeat.py
+++ b/src/pimentohoist/_entry/heartbeat.py
@@ -67,6 +67,10 @@
         is warm, age in seconds, requests a second that it takes meanwhile.
     keeps_homes : bool
         Whether it sends requests to endpoints in their homes only.
+    endpoint_reads : list
+        What it knows of the endpoints' records: a list of the store's era, offset and
+        digest, seconds since it read them, whether it can read, and records that have
+        changed lately, as lists of offset, id and text or None; empty from other builds.
     sequence : int
         Number of the heartbeat in its incarnation; 0 from builds that send none.
     """
@@ -102,6 +106,7 @@
     evacuations: list[Any] = field(default_factory=list)
     cold_endpoints: list[list[Any]] = field(default_factory=list)
     keeps_homes: bool = False
+    endpoint_reads: list[Any] = field(default_factory=list)
 
     def ownership(self) -> Ownership:
         """Return which partitions the daemon claims."""
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -105,7 +105,7 @@
         self.declarations.evacuations.on_end = self._presume_cold
         self.ownership = OwnershipController(
             settings,
-            Store(settings.store_address, era=self.store.era),
+            self.store.sharing(),
             self.members,
         )
         self.members.sender.owners_of = self.ownership.owners_of
@@ -127,9 +127,7 @@
         self.owned_engines.on_unanswered = self.links.doubt
         self.forwarding = RequestForwarding(self.links, self.endpoints, self.members)
         self.request_monitor = RequestMonitor(self.links)
-        stream_store = Store(
-            settings.store_address, timeout_s=_STREAM_LOG_TIMEOUT_S, era=self.store.era
-        )
+        stream_store = self.store.sharing(timeout_s=_STREAM_LOG_TIMEOUT_S)
         self.stream_versions = StreamVersions(
             self.endpoints,
             self.members,
@@ -203,6 +201,7 @@
         """Stop everything."""
         with self.shutdown.timed('close servers and controllers'):
             self._stack.close()
+        self.store.calls.log()
         self.shutdown.record_cut(self.request_monitor.in_flight())
 
     def is_ready(self) -> bool:
@@ -255,6 +254,7 @@
     def end(self) -> None:
         """End the process, since its time is over; log what that cuts off."""
         try:
+            self.store.calls.log()
             self.shutdown.record_cut(self.request_monitor.in_flight())
             self.logs.flush(_MIN_FLUSH_S)
         finally:
@@ -265,6 +265,7 @@
         yield from self.request_handler.metrics.lines()
         yield from self.endpoints.notices.metrics()
         yield from self.dispatch.chooser.waiting.lines()
+        yield from self.store.calls.metrics()
         unconfirmed_s = self.declarations.unconfirmed_s()
         gauges = {
             'log_lines_dropped_total': self.logs.dropped,
@@ -274,6 +275,9 @@
             'store_era': self.store.era.current,
             'endpoints_lost': len(self.links.lost_ids()),
             'requests_forwarded_total': self.forwarding.forwarded,
+            'endpoints_unconfirmed_seconds': self.endpoints.follower.reads.unconfirmed_s(
+                _clock.now()
+            ),
             'endpoints_brittle': self.endpoints.brittle.limited_count(),
             'failure_domains_evacuated': len(self.declarations.evacuations.domains),
             'endpoints_cold': self.endpoints.cold.cold_count(),
@@ -414,6 +418,7 @@
             evacuations=self.declarations.evacuations.announced(),
             cold_endpoints=self.endpoints.cold.announced(),
             keeps_homes=True,
+            endpoint_reads=self.endpoints.follower.announced(),
         )
 
     def _presume_cold(self, domains: frozenset[str]) -> None:
