Waiting: tests of calls between this release and the former one

The former release's call is fixed as bytes, and so is its refusal. A call without the new fields waits and is served at an owner of this release, and a refusal without them names no wait.

--- a/features/steps/waiting_owners.py
+++ b/features/steps/waiting_owners.py
@@ -7,6 +7,8 @@
 from collections import Counter
 from concurrent.futures import Future, ThreadPoolExecutor
 from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
 
 from behave import given, then, when
 from behave.runner import Context
@@ -14,6 +16,7 @@
 sys.path.append(str(Path(__file__).resolve().parent.parent))
 from entry_engine import key  # noqa: E402
 
+from pimentohoist._decisions.adapter_slots import PIN_S  # noqa: E402
 from pimentohoist._decisions.waiting_order import (  # noqa: E402
     MIDDLE_PRIORITY,
     ExpectedWork,
@@ -30,6 +33,7 @@
     encode_needs,
     encode_refusal,
 )
+from pimentohoist._entry.owned_engines import OwnedEnginesController  # noqa: E402
 from pimentohoist._generated import peer_pb2  # noqa: E402
 from pimentohoist.entry_models import AdapterKey  # noqa: E402
 from pimentohoist.exceptions import (  # noqa: E402
@@ -38,8 +42,10 @@
     WaitRefusedError,
 )
 
-_TURN_S = 0.1
-_KINDS = ('urgent', 'unhurried', 'late')
+_FORMER_CALL = b'\n\x06engine\x12\x01m\x1a\x06urgent"\x01d(\x010\xc8\x01'
+"""A call of the former release that waits for 200 ms, as sent."""
+
+_FORMER_REFUSAL = b'\n\x16adapter not loaded yet'
 
 
 class _FakeLoads:
@@ -276,3 +282,73 @@
         assert isinstance(read, kind)
         assert read.retry_after_s == sent.retry_after_s
         assert getattr(read, 'reason', '') == getattr(sent, 'reason', '')
+
+
+def _controller(peers: Any) -> OwnedEnginesController:
+    """Return a daemon's engines, of which another daemon owns all that it lacks."""
+    declarations: Any = SimpleNamespace(version_of=lambda adapter: 1)
+    endpoints: Any = SimpleNamespace(may_get_work=lambda endpoint: True)
+    members: Any = SimpleNamespace(on_heartbeat=[], member='d1')
+    ownership: Any = SimpleNamespace(
+        on_change=[], owner_address=lambda endpoint_id: 'd2'
+    )
+    return OwnedEnginesController(declarations, endpoints, members, ownership, peers)
+
+
+def _former_call(context: Context) -> peer_pb2.HoldReply:
+    controller = _controller(None)
+    controller.engines['engine'] = context.owner
+    request = peer_pb2.HoldRequest.FromString(_FORMER_CALL)
+    reply = controller.peer_methods()['HoldAdapter'](request)
+    return peer_pb2.HoldReply.FromString(reply.SerializeToString())
+
+
+@when(
+    'a daemon of the former release asks its owner to wait {wait_s:f} s for an adapter'
+)
+def call_as_former(context: Context, wait_s: float) -> None:
+    began_at = time.monotonic()
+    context.reply = _former_call(context)
+    context.waited_s = time.monotonic() - began_at
+    assert context.waited_s >= wait_s
+
+
+@then('the reply is a refusal that the former release reads as one after the wait')
+def check_former_refusal(context: Context) -> None:
+    assert context.reply.refusal
+    assert not context.reply.is_no_home
+    assert not context.reply.version
+
+
+@then('once the slot is free the next such call gets version {version:d}')
+def check_former_version(context: Context, version: int) -> None:
+    context.owner.record_use('daemon', frozenset())
+    time.sleep(2 * PIN_S)
+    reply = _former_call(context)
+    assert reply.version == version, reply
+    assert not reply.refusal
+
+
+@given("an owner of the former release that doesn't load the adapter in time")
+def former_owner(context: Context) -> None:
+    context.calls = []
+
+    def call(address: str, method: str, request: Any, timeout_s: float) -> Any:
+        context.calls.append(request)
+        return peer_pb2.HoldReply.FromString(_FORMER_REFUSAL)
+
+    context.controller = _controller(SimpleNamespace(call=call))
+
+
+@then('a call with the new fields is refused, and the wait is unknown')
+def check_former_owner(context: Context) -> None:
+    needs = _needs('urgent', time.monotonic())
+    try:
+        context.controller.load_and_pin('engine', key(1), 0.2, needs=needs)
+    except UnavailableError as error:
+        assert not isinstance(error, (WaitRefusedError, NotOwnerError))
+        assert error.retry_after_s is None
+    else:
+        raise AssertionError('not refused')
+    assert context.calls[0].wait_ms == 200
+    assert context.calls[0].HasField('priority')
--- a/features/waiting_owners.feature
+++ b/features/waiting_owners.feature
@@ -52,6 +52,17 @@
     When the ownership ends while an urgent request waits
     Then the request is refused at once as not run, and another owner may be asked
 
+  # Guards against an upgrade in which one release's calls fail at the other.
+  Scenario: A daemon of the former release calls an owner of this one
+    Given an engine of 1 adapter slot that a request uses
+    When a daemon of the former release asks its owner to wait 0.2 s for an adapter
+    Then the reply is a refusal that the former release reads as one after the wait
+    And once the slot is free the next such call gets version 1
+
+  Scenario: A daemon of this release calls an owner of the former one
+    Given an owner of the former release that doesn't load the adapter in time
+    Then a call with the new fields is refused, and the wait is unknown
+
   # Guards against daemons of two releases that misread each other.
   Scenario: A daemon of the former release asks an owner, and an owner of it answers
     Then a call without the new fields counts as one of middle priority until the end of its wait
