--- a/features/endpoint_readers.py
+++ b/features/endpoint_readers.py
@@ -46,7 +46,12 @@
     def __init__(self, name: str, store_address: str) -> None:
         self.name = name
         self.store = GatedStore(store_address)
-        self.members: Any = SimpleNamespace(on_heartbeat=[], live=list)
+        self.members: Any = SimpleNamespace(
+            on_heartbeat=[],
+            live=list,
+            member=name,
+            settings=SimpleNamespace(failure_domain='z'),
+        )
         self.endpoints = EndpointsController(self.store, self.members)
 
     def uses(self, endpoint_id: str) -> bool:
