--- a/features/entry_fleet.py
+++ b/features/entry_fleet.py
@@ -85,6 +85,7 @@
         self.engines: list[OpaqueEngine] = []
         self.requests = 0
         self.is_output_read = True
+        self.extra_settings = ''
 
     def __enter__(self) -> Self:
         self.folder = Path(self.stack.enter_context(tempfile.TemporaryDirectory()))
@@ -126,7 +127,7 @@
                 store=self.store_address(host),
                 bounds=Bounds(),
             )
-            settings.write_text(text)
+            settings.write_text(text + self.extra_settings)
             daemon = EntryProcess(
                 host, settings, self.folder, is_output_read=self.is_output_read
             )
