Responses: malformed statuses and sizes are no response

Cause: http.client reads numbers as int() does: 600, 999, +200 and 0200 were statuses, +5, 0_5, 5,5 and lengths that are no numbers were taken, and neither signs in chunk sizes nor what follows a chunk was refused.

Change: StrictResponse reads them as the protocol writes them, for responses of endpoints, daemons and the store. The outcome of such a request is unknown.

--- a/src/pimentohoist/_entry/own_response.py
+++ b/src/pimentohoist/_entry/own_response.py
@@ -10,6 +10,7 @@
 from http import HTTPStatus
 from typing import cast
 
+from pimentohoist._strict_response import StrictResponse
 from pimentohoist._entry.upstream_connection import UpstreamConnection
 from pimentohoist.entry_models import Endpoint, EntryRequest
 from pimentohoist.platform import Attribution, attribute_response
@@ -37,7 +38,7 @@
         """Read the head of the next response; raises OSError and HTTPException."""
         shared_socket = self.connection.shared_socket
         shared_socket.limits.allow_head()
-        response = http.client.HTTPResponse(
+        response = StrictResponse(
             cast('socket.socket', shared_socket), method=self.request.method
         )
         response.begin()
--- a/src/pimentohoist/_limited_reader.py
+++ b/src/pimentohoist/_limited_reader.py
@@ -14,6 +14,8 @@
 
 from typing import Any, cast
 
+from pimentohoist._strict_response import StrictResponse
+
 MAX_HEAD_BYTES = 65_536
 MAX_READ_BYTES = 16_384
 _MAX_FRAMING_BYTES = 65_536
@@ -134,7 +136,7 @@
             raise IncompleteHeadError('connection closed before the end of the head')
 
 
-class LimitedResponse(http.client.HTTPResponse):
+class LimitedResponse(StrictResponse):
     """A response with limits on its bytes and a deadline for all of it.
 
     The socket's timeout, which `http.client` applies to each read, applies to the
