Callers: bytes, bodies and connections outside the limits are bounded

Cause: bodies above half a MiB went to temporary files, also without a key; an unfinished chunk line or trailer was held up to six times the largest body and copied with each read; nothing bounded all bodies together, nor connections by the descriptors; a body that stopped short held its memory for the idle time.

Change: one account of the bytes held for callers, against a budget derived from limits.memory_mb; bodies wait unread, the one without progress for the longest time gets 503. Route and key are checked on the head. Bodies are held in memory; chunked ones are parsed in linear time with bounded framing. A body has a time to come (408). Connections are limited by limits.max_descriptors. Requests given up so have not run, and endpoints see nothing of them.

--- a/src/pimentohoist/_entry/filters.py
+++ b/src/pimentohoist/_entry/filters.py
@@ -7,7 +7,7 @@
 from pimentohoist._entry.crash_reports import CrashReportsController, fingerprint_of
 from pimentohoist._entry.request_context import RequestContext
 from pimentohoist._entry.quotas import QuotasController
-from pimentohoist.entry_models import Declaration, EndpointGroup, Route
+from pimentohoist.entry_models import Declaration, EndpointGroup, Route, Workspace
 from pimentohoist.exceptions import (
     AuthenticationError,
     LimitExceededError,
@@ -27,12 +27,9 @@
 
     def __call__(self, context: RequestContext) -> None:
         """Set the workspace; raises AuthenticationError if a required key is unknown."""
-        declaration = context.declaration
-        workspace = declaration.workspaces_by_key.get(context.request.key)
-        is_key_required = bool(declaration.workspaces) and not context.route.is_public
-        if workspace is None and is_key_required:
-            raise AuthenticationError('the key is not valid', step='authenticate')
-        context.workspace = None if context.route.is_public else workspace
+        context.workspace = find_workspace(
+            context.declaration, context.route, context.request.key
+        )
 
 
 class ChargeQuota:
@@ -75,6 +72,24 @@
             )
 
 
+def find_workspace(
+    declaration: Declaration, route: Route, key: str
+) -> Workspace | None:
+    """Return the workspace of a key, None on a public route.
+
+    Raises
+    ------
+    AuthenticationError
+        The route needs a key that is known, and this one isn't.
+    """
+    if route.is_public:
+        return None
+    workspace = declaration.workspaces_by_key.get(key)
+    if workspace is None and declaration.workspaces:
+        raise AuthenticationError('the key is not valid', step='authenticate')
+    return workspace
+
+
 def find_route(
     declaration: Declaration | None, host: str, path: str
 ) -> tuple[Declaration, Route, EndpointGroup]:
--- a/src/pimentohoist/_entry/forwarded_server.py
+++ b/src/pimentohoist/_entry/forwarded_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from pimentohoist._entry.caller_memory import CallerMemory
 from pimentohoist._entry.request_context import Filter
 from pimentohoist._entry.request_forwarding import AcceptForwarded
 from pimentohoist._entry.request_handler import RequestHandler
@@ -10,7 +11,10 @@
 
 
 def forwarded_server(
-    callers: RequestHandler, filters: tuple[Filter, ...], address: str
+    callers: RequestHandler,
+    filters: tuple[Filter, ...],
+    address: str,
+    memory: CallerMemory,
 ) -> CallersServer:
     """Return a server that dispatches requests as the callers' handler does.
 
@@ -20,6 +24,8 @@
     ----------
     filters : tuple of Filter
         What is checked here as well.
+    memory : CallerMemory
+        Account of the bytes held for callers.
     """
     handler = RequestHandler(
         callers.declarations,
@@ -29,6 +35,8 @@
         callers.request_monitor,
         callers.shutdown,
     )
-    server = CallersServer(ForwardedApp(handler), address)
+    server = CallersServer(
+        ForwardedApp(handler), address, memory=memory, is_forwarding=True
+    )
     server.refusal = ForwardingRefusalApp(callers.shutdown)
     return server
--- a/src/pimentohoist/_entry/request_handler.py
+++ b/src/pimentohoist/_entry/request_handler.py
@@ -6,11 +6,12 @@
 import random
 from collections.abc import Callable, Iterator, Sequence
 from http import HTTPStatus
+from typing import NoReturn
 
 from pimentohoist import _clock
 from pimentohoist._entry.declarations import DeclarationsController
 from pimentohoist._entry.dispatch import Dispatch
-from pimentohoist._entry.filters import find_route
+from pimentohoist._entry.filters import find_route, find_workspace
 from pimentohoist._entry.request_metrics import RequestMetrics
 from pimentohoist._entry.request_context import (
     RESERVED_STATUSES,
@@ -74,6 +75,22 @@
             response.status, response.reason, response.headers, parts, response.length
         )
 
+    def check_head(self, request: EntryRequest) -> str:
+        """Check the route and the key of a request whose body hasn't been read.
+
+        Returns the name of its workspace, empty without one; raises PimentohoistError.
+        """
+        declaration, route, _ = find_route(
+            self.declarations.current, request.host, request.path
+        )
+        workspace = find_workspace(declaration, route, request.key)
+        return '' if workspace is None else workspace.name
+
+    def refuse(self, request: EntryRequest, error: PimentohoistError) -> NoReturn:
+        """Log that a request is refused before it was read completely; raise the error."""
+        self._log_refusal(request, error)
+        raise error
+
     def _begin(
         self, request: EntryRequest, poll_disconnected: Callable[[], bool]
     ) -> RequestContext:
@@ -115,7 +132,7 @@
             raise
 
     def _log_refusal(self, request: EntryRequest, error: PimentohoistError) -> None:
-        """Log the end of a request whose route or group isn't known."""
+        """Log the end of a request that wasn't admitted to a route."""
         extra = {
             'step': error.step,
             'id': request.request_id,
--- a/src/pimentohoist/_entry/wsgi_apps.py
+++ b/src/pimentohoist/_entry/wsgi_apps.py
@@ -8,10 +8,11 @@
 from http import HTTPStatus
 from typing import Any
 
+from pimentohoist import _clock
 from pimentohoist._entry.forwarded_request import decode_origin, without_origin
 from pimentohoist._entry.request_context import EntryResponse
 from pimentohoist._entry.request_handler import RequestHandler
-from pimentohoist._entry.server import RECEIVED_AT
+from pimentohoist._entry.server import RECEIVED_AT, REFUSAL
 from pimentohoist._entry.shutdown import Shutdown
 from pimentohoist.entry_models import EntryRequest
 from pimentohoist.exceptions import PimentohoistError
@@ -45,6 +46,7 @@
         """Handle a request and return the response's body as it arrives."""
         try:
             request = read_request(_raw_request(environ), environ[RECEIVED_AT])
+            _check_refusal(self.handler, request, environ)
             response = self.handler.handle(
                 request, environ['waitress.client_disconnected']
             )
@@ -52,6 +54,20 @@
             return _send_error(error, start_response)
         return _send_response(response, start_response)
 
+    def check_head(self, method: str, target: str, headers: Mapping[str, str]) -> str:
+        """Return the workspace of a request whose body hasn't come; raises its error.
+
+        Parameters
+        ----------
+        headers : mapping of str to str
+            By name as in the WSGI environment, without a prefix.
+        """
+        named = tuple(
+            (_header_name(_HTTP_PREFIX + name), text) for name, text in headers.items()
+        )
+        head = RawRequest(method, target, named, b'')
+        return self.handler.check_head(read_request(head, _clock.now()))
+
 
 class ForwardedApp:
     """Serves callers' requests that other daemons forward."""
@@ -66,6 +82,7 @@
         raw = _raw_request(environ)
         try:
             request = _read_forwarded(raw, environ[RECEIVED_AT])
+            _check_refusal(self.handler, request, environ)
             response = self.handler.handle(
                 request, environ['waitress.client_disconnected']
             )
@@ -176,6 +193,15 @@
     )
 
 
+def _check_refusal(
+    handler: RequestHandler, request: EntryRequest, environ: Environ
+) -> None:
+    """Raise the error of a request whose body wasn't read to the end."""
+    refusal = environ[REFUSAL]
+    if refusal is not None:
+        handler.refuse(request, refusal)
+
+
 def _header_name(name: str) -> str:
     return name[len(_HTTP_PREFIX) :].replace('_', '-').title()
 
--- a/src/pimentohoist/_http_server.py
+++ b/src/pimentohoist/_http_server.py
@@ -112,6 +112,14 @@
         self._ends_with_response = is_last
         self._has_ended_response = self._has_ended_response or is_last
 
+    def idle_s(self) -> float:
+        """Return for how many seconds no byte has been received, written or taken."""
+        return time.monotonic() - self.active_at
+
+    def is_unused_for(self, min_idle_s: float) -> bool:
+        """Return whether it was idle for some seconds and nothing waits to be read."""
+        return self.idle_s() >= min_idle_s and not has_input(self.socket)
+
     def readable(self) -> Any:
         """Return whether to read on; called by the thread that also reads."""
         if not self.requests and self._is_expired(time.monotonic() - self.active_at):
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -63,6 +63,9 @@
 
 _EXIT_SETTINGS = 2
 _AUXILIARY_THREADS = 2
+_MAX_AUXILIARY_BODY_BYTES = 65_536
+"""Their requests have no body; one of this size is held in memory."""
+
 _MAX_PEER_THREADS = 96
 """Each call that waits for an adapter takes a thread; under the heaviest load there are
 some threads to spare."""
@@ -152,14 +155,17 @@
             self.request_monitor,
             self.shutdown,
         )
+        callers_app = RequestsApp(self.request_handler)
         self.callers = CallersServer(
-            RequestsApp(self.request_handler), settings.callers_address
+            callers_app, settings.callers_address, limits=settings.limits
         )
+        self.callers.check_head = callers_app.check_head
         self.callers.refusal = RefusalApp(self.shutdown)
         self.forwarded = forwarded_server(
             self.request_handler,
             common_filters,
             f'{settings.host}:{settings.forwarding_port}',
+            self.callers.memory,
         )
         self._stack = ExitStack()
         self._created_at = _clock.now()
@@ -246,6 +252,7 @@
     def metrics(self) -> Iterator[str]:
         """Yield metrics as text."""
         yield from self.request_handler.metrics.lines()
+        yield from self.callers.memory.lines()
         unconfirmed_s = self.declarations.unconfirmed_s()
         gauges = {
             'log_lines_dropped_total': self.logs.dropped,
@@ -396,7 +403,12 @@
             (metrics, metrics_address),
         )
         return tuple(
-            HttpServer(app, address, threads=_AUXILIARY_THREADS)
+            HttpServer(
+                app,
+                address,
+                threads=_AUXILIARY_THREADS,
+                max_body_bytes=_MAX_AUXILIARY_BODY_BYTES,
+            )
             for app, address in apps
         )
 
--- a/src/pimentohoist/exceptions.py
+++ b/src/pimentohoist/exceptions.py
@@ -199,6 +199,13 @@
     run_state = RunState.RUN
 
 
+class BodyTimeoutError(PimentohoistError):
+    """The request's body did not come in time; the request was not executed."""
+
+    code = 'body_timeout'
+    status = HTTPStatus.REQUEST_TIMEOUT
+
+
 class PeerError(PimentohoistError):
     """Another process failed or did not respond."""
 
--- a/src/pimentohoist/platform/__init__.py
+++ b/src/pimentohoist/platform/__init__.py
@@ -27,6 +27,7 @@
 from pimentohoist.platform._settings import (
     SETTINGS_VARIABLE,
     EntrySettings,
+    InstanceLimits,
     read_entry_settings,
 )
 from pimentohoist.platform._store import (
@@ -58,6 +59,7 @@
     'EntrySettings',
     'EraChangedError',
     'EraTracker',
+    'InstanceLimits',
     'KeyedRecord',
     'Membership',
     'OrderReply',
--- a/src/pimentohoist/platform/_settings.py
+++ b/src/pimentohoist/platform/_settings.py
@@ -4,7 +4,7 @@
 
 import tomllib
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -44,6 +44,26 @@
     max_directory_age_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class InstanceLimits:
+    """What an instance has, from which limits on callers are derived.
+
+    Attributes
+    ----------
+    memory_mb : float
+        Its memory in MiB.
+    max_descriptors : int
+        Descriptors that the daemon may have open.
+    body_timeout_s : float
+        Time for a request's body to come; 4 MiB take 7 s at 5 Mbit/s, or 42 s if each byte
+        is a chunk.
+    """
+
+    memory_mb: float = 256
+    max_descriptors: int = 8192
+    body_timeout_s: float = 60
+
+
 @dataclass(frozen=True, slots=True)
 class EntrySettings:
     """The daemon's name and addresses, the store's address and the fleet's limits."""
@@ -63,6 +83,7 @@
     seeds: tuple[str, ...]
     store_address: str
     bounds: EntryBounds
+    limits: InstanceLimits = field(default_factory=InstanceLimits)
 
     @property
     def peer_address(self) -> str:
@@ -101,6 +122,16 @@
             reader.number('bounds.grace_s'),
             reader.number('bounds.most_directory_age_s'),
         ),
+        _read_limits(reader),
+    )
+
+
+def _read_limits(reader: _FieldReader) -> InstanceLimits:
+    defaults = InstanceLimits()
+    return InstanceLimits(
+        reader.positive('limits.memory_mb', defaults.memory_mb),
+        int(reader.positive('limits.max_descriptors', defaults.max_descriptors)),
+        reader.positive('limits.body_timeout_s', defaults.body_timeout_s),
     )
 
 
@@ -123,6 +154,15 @@
             raise self._field_error(field, f'must be a number >= 0, got {found!r}')
         return found
 
+    def positive(self, field_name: str, default: float) -> float:
+        found: Any = self._find(field_name, default)
+        is_number = isinstance(found, (int, float)) and not isinstance(found, bool)
+        if not (is_number and 0 < found < float('inf')):
+            raise self._field_error(
+                field_name, f'must be a number above 0, got {found!r}'
+            )
+        return float(found)
+
     def flag(self, field: str) -> bool:
         found = self._find(field, None)
         if not isinstance(found, bool):
