Callers: a received body is held once while its request runs

Cause: reading a body joined a list of its parts beside what was held. Change: the parts are written to one buffer, which its reader shares.

--- a/src/pimentohoist/_entry/body_receiver.py
+++ b/src/pimentohoist/_entry/body_receiver.py
@@ -54,9 +54,13 @@
 
     def getfile(self) -> io.BytesIO:
         """Return the body as a file, once; the buffer is empty afterwards."""
-        body = io.BytesIO(b''.join(self._held))
+        body = io.BytesIO()
+        # A join would hold a list of all parts beside the body and its copy.
+        for part in self._held:
+            body.write(part)
         self._held.clear()
-        return body
+        # The value is trimmed to its size, and shared with the file and its reader.
+        return io.BytesIO(body.getvalue())
 
     def close(self) -> None:
         """Discard the body."""
