Members: large fleets read the list of daemons less often

79 daemons read it every 30 s each, 2.6 calls a second, though heartbeats tell of daemons that start. In fleets of more than 20 the interval is 1.5 s per daemon, 0.7 calls a second together. A daemon that hears of no other still reads each second.

features/run.py store_calls, 'read their list': 2 passed; make lint is clean.

--- a/features/steps/join_times.py
+++ b/features/steps/join_times.py
@@ -15,6 +15,8 @@
 from entry_group import PARTITIONS, PartitionGroup  # noqa: E402
 
 from pimentohoist._decisions.join_times import JoinTimes  # noqa: E402
+from pimentohoist._entry.member_list import MemberList  # noqa: E402
+from pimentohoist.platform import Store  # noqa: E402
 
 _TICK_S = 0.005
 _HEARTBEAT_S = 0.01
@@ -72,6 +74,14 @@
         joiner.next_at = joiner.times.next_join_at(has_unclaimed=has_unclaimed)
 
 
+@then('the list of {count:d} daemons is read every {interval:d} s by each')
+def check_list_interval(context: Context, count: int, interval: int) -> None:
+    store = Store('127.0.0.1:1')
+    members = MemberList(store, 'own', '127.0.0.1:1', 'zone', lambda: False)
+    members.confirmed_at = {f'127.0.0.1:{number}': 0 for number in range(count)}
+    assert members.read_interval_s() == interval, members.read_interval_s()
+
+
 @given('daemons that join at each change')
 def join_at_each_change(context: Context) -> None:
     delay = 'pimentohoist._decisions.join_times._MAX_CONFIRM_DELAY_S'
--- a/features/store_calls.feature
+++ b/features/store_calls.feature
@@ -97,3 +97,12 @@
     Given daemons that join at each change
     And 79 daemons that join a group of 12 partitions within 0.3 s
     Then some daemons have joined more than 10 times in the 2 s from the first start on
+
+  # Guards against reads of the list of daemons that grow with their number.
+  Scenario Outline: <daemons> daemons read their list every <interval> s
+    Then the list of <daemons> daemons is read every <interval> s by each
+
+    Examples:
+      | daemons | interval |
+      | 8       | 30       |
+      | 80      | 120      |
--- a/src/pimentohoist/_entry/member_list.py
+++ b/src/pimentohoist/_entry/member_list.py
@@ -15,6 +15,10 @@
 from pimentohoist.platform import MEMBER_RECORDS, KeyedRecord, Store
 
 _READ_INTERVAL_S = 30.0
+_READ_INTERVAL_PER_DAEMON_S = 1.5
+"""Large fleets read together every 1.5 s. Each daemon publishes its address before it reads
+the list: of two that start at once, at least one finds the other and tells it by heartbeat."""
+
 _MIN_READ_INTERVAL_S = 1.0
 _NOT_PUBLISHED = -1
 
@@ -71,6 +75,11 @@
         """Stop after the current call."""
         self._closed.set()
 
+    def read_interval_s(self) -> float:
+        """Return the seconds between two reads of a daemon that hears of others."""
+        by_size_s = _READ_INTERVAL_PER_DAEMON_S * len(self.confirmed_at)
+        return max(_READ_INTERVAL_S, by_size_s)
+
     def _run(self) -> None:
         while not self._closed.is_set():
             try:
@@ -106,6 +115,6 @@
     def _wait(self, read_at: float) -> None:
         """Wait until the list is to be read, or the record published, again."""
         while not self._closed.wait(_MIN_READ_INTERVAL_S):
-            is_due = _clock.now() - read_at > _READ_INTERVAL_S
+            is_due = _clock.now() - read_at > self.read_interval_s()
             if is_due or self.is_alone() or self._must_publish():
                 return
