Streams: the start of an engine is read from its report, not its record

It took the version from the record that it had read last, and a request names only the id. Streams that began at a restarted engine were recorded under the old version as well.

Once the connection for a stream that may be resumed is open, the daemon reads the engine's report and takes its start from there, once for each connection. A connection outlives no process, so the request reaches that start or none. A stream goes on only where the record of that start has its version; otherwise nothing is sent. A new stream whose start has no known record is recorded under the incarnation, which is resolved once a daemon has read the record.

The stand-in for the store has a gate that turns some clients away, and an engine's start can be set.

Not measured: the cost of one report for each new connection under load.

--- a/src/pimentohoist/_entry/dispatch.py
+++ b/src/pimentohoist/_entry/dispatch.py
@@ -37,7 +37,12 @@
     ExecutionPolicy,
     ForwardingMetadata,
 )
-from pimentohoist.exceptions import PeerError, PimentohoistError
+from pimentohoist.exceptions import (
+    PeerConnectError,
+    PeerError,
+    PimentohoistError,
+    UnavailableError,
+)
 from pimentohoist.platform import (
     decode_notice,
     forwarded_headers,
@@ -77,6 +82,7 @@
         self.retry_budgets = retry_budgets
         self.in_flight = in_flight
         self.stream_versions = stream_versions
+        self.incarnations = stream_versions.incarnations
         self.forwarding = retry_policy.forwarding
 
     def __call__(self, context: RequestContext) -> EntryResponse:
@@ -132,15 +138,49 @@
         self._track(context, endpoint)
         try:
             exchange = self.connections.send(
-                endpoint, context.request, headers, context.monitored.attach
+                endpoint,
+                context.request,
+                headers,
+                lambda opened: self._check_incarnation(context, opened),
             )
         except PimentohoistError as error:
             context.run_cleanups()
-            raise self.retry_policy.classify_failure(
-                context, endpoint, error
-            ) from error
+            raise self._send_failure(context, endpoint, error) from error
         return exchange
 
+    def _send_failure(
+        self, context: RequestContext, endpoint: Endpoint, error: PimentohoistError
+    ) -> PimentohoistError:
+        """Return the error to raise when a request wasn't sent, or not completely."""
+        if isinstance(error, UnavailableError):
+            return self.retry_policy.classify_refusal(context, error)
+        if isinstance(error, PeerConnectError) and context.monitored.is_cancelled:
+            # The caller's time ended before the endpoint told of its start.
+            return cancellation_error(context)
+        return self.retry_policy.classify_failure(context, endpoint, error)
+
+    def _check_incarnation(
+        self, context: RequestContext, exchange: UpstreamExchange
+    ) -> None:
+        """Find out which software answers before a stream that may be resumed is sent.
+
+        Raises
+        ------
+        PeerConnectError
+            The endpoint didn't tell.
+        UnavailableError
+            It isn't the software that began the stream.
+        """
+        context.monitored.attach(exchange)
+        if exchange.endpoint.is_daemon or not context.route.can_resume:
+            # The daemon that sends the request to an endpoint asks there.
+            return
+        try:
+            self.incarnations.check(exchange, context.stream_version)
+        except BaseException:
+            exchange.close()
+            raise
+
     def _headers(
         self,
         context: RequestContext,
@@ -222,7 +262,7 @@
         )
         first = relay.first_events()
         self.retry_policy.check_response(context, exchange, head)
-        version = _software_version(exchange, head)
+        version = self._software_version(exchange, head)
         self.stream_versions.record_begun(context, version)
         if context.request.last_event_id:
             _log_resumed('stream taken up by its caller', context, exchange)
@@ -233,6 +273,11 @@
             head.status, head.reason, headers, relay.events(first), None
         )
 
+    def _software_version(self, exchange: UpstreamExchange, head: ResponseHead) -> str:
+        if exchange.endpoint.is_daemon:
+            return decode_version(head.headers.items())
+        return self.incarnations.software_version(exchange)
+
     def _resume(self, relay: StreamRelay, error: PeerError) -> UpstreamExchange:
         """Return the exchange that resumes a broken stream.
 
@@ -253,6 +298,9 @@
             }
             _logger.info('stream not resumed: no attempt is left', extra=extra)
             raise StreamBrokenError(str(error))
+        if context.stream_version is not None:
+            # The record of the incarnation that began it may have been read by now.
+            context.stream_version = self.incarnations.resolved(context.stream_version)
         while True:
             try:
                 return self._send_resumption(context, relay.splitter.last_event_id)
@@ -309,12 +357,6 @@
             )
 
 
-def _software_version(exchange: UpstreamExchange, head: ResponseHead) -> str:
-    if exchange.endpoint.is_daemon:
-        return decode_version(head.headers.items())
-    return exchange.endpoint.software_version
-
-
 def _log_resumed(
     message: str, context: RequestContext, exchange: UpstreamExchange
 ) -> None:
--- a/src/pimentohoist/_entry/retry_policy.py
+++ b/src/pimentohoist/_entry/retry_policy.py
@@ -121,6 +121,13 @@
             self.detect_crash(context, endpoint)
         return _retryable(error) if self.may_retry(context) else error
 
+    def classify_refusal(
+        self, context: RequestContext, refused: UnavailableError
+    ) -> PimentohoistError:
+        """Return the error to raise when nothing was sent to an endpoint that answers."""
+        context.failure = refused
+        return _retryable(refused) if _attempts_left(context) > 0 else refused
+
     def may_retry(self, context: RequestContext) -> bool:
         """Return whether a request that may have run may be retried; counts the retry."""
         return context.route.may_retry and self._take_retry(context)
--- a/src/pimentohoist/_entry/stream_versions.py
+++ b/src/pimentohoist/_entry/stream_versions.py
@@ -20,6 +20,7 @@
     stream_digest,
 )
 from pimentohoist._decisions.version_history import VERSION_KEPT_S
+from pimentohoist._entry.endpoint_incarnations import EndpointIncarnations
 from pimentohoist._entry.endpoints import EndpointsController
 from pimentohoist._entry.filters import add_jitter
 from pimentohoist._entry.heartbeat import Heartbeat
@@ -75,6 +76,7 @@
         self.stream_log = stream_log
         self.register = StreamRegister()
         self.versions = ServiceVersions(endpoints, members, stream_log)
+        self.incarnations = EndpointIncarnations(endpoints)
         self._started_at = _clock.now()
         self._appended_at: dict[tuple[str, int], float] = {}
         self._heard_at = float('-inf')
@@ -97,8 +99,12 @@
             return
         if context.stream_version is not None:
             # The daemon that forwards the request has found it.
+            named = context.stream_version
+            context.stream_version = self.incarnations.resolved(named)
             return
         version, source = self._find(context.group.name, request.resumed_id)
+        if version is not None:
+            version = self.incarnations.resolved(version)
         candidates: set[str] = set()
         if version is None:
             candidates = self._candidates(context.group.name)
@@ -132,7 +138,7 @@
         group = context.group.name
         stream = stream_digest(context.request.resumed_id or context.request.request_id)
         self._record(stream, version, group)
-        if len(self.versions.of_group(group)) > 1:
+        if len(self.versions.of_group(group) | {version}) > 1:
             ranked = rank_names(stream, self._others())
             self.members.send_stream_version(stream, version, ranked[:_COPIES])
             self.stream_log.append([StreamRecord(stream, version, group, 0)])
--- a/src/pimentohoist/_entry/upstream_connection.py
+++ b/src/pimentohoist/_entry/upstream_connection.py
@@ -70,6 +70,8 @@
     ----------
     carried : set of str
         Ids of the requests that were written to it.
+    started_ms : int or None
+        Start that the endpoint reported after the connection was opened; None before.
 
     Parameters
     ----------
@@ -80,6 +82,7 @@
     def __init__(self, address: str, connected: socket.socket | None = None) -> None:
         self.address = address
         self.carried: set[str] = set()
+        self.started_ms: int | None = None
         self.idle_since: float | None = None
         self.max_idle_s = _MAX_IDLE_S
         self.sock = connected or socket.create_connection(
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -247,6 +247,7 @@
         """Yield metrics as text."""
         yield from self.request_handler.metrics.lines()
         yield from self.endpoints.notices.metrics()
+        yield from self.stream_versions.incarnations.metrics()
         unconfirmed_s = self.declarations.unconfirmed_s()
         gauges = {
             'log_lines_dropped_total': self.logs.dropped,
--- a/src/pimentohoist_standins/keyed_store.py
+++ b/src/pimentohoist_standins/keyed_store.py
@@ -192,6 +192,31 @@
         return _json_reply({'offset': 0, 'end': len(self._records[topic])})
 
 
+class StoreGate(ThreadedStandIn):
+    """An address at which some clients reach a store.
+
+    Attributes
+    ----------
+    is_closed : bool
+        Whether these clients are turned away.
+    """
+
+    def __init__(self, address: tuple[str, int], store: KeyedStore) -> None:
+        super().__init__(address, _handler(self))
+        self.store = store
+        self.is_closed = False
+
+    def __getattr__(self, name: str) -> Any:
+        """Return how the store behaves."""
+        return getattr(self.store, name)
+
+    def answer(self, path: str, query: dict[str, str], body: bytes) -> _Reply:
+        """Answer a call as the store does, or turn it away."""
+        if self.is_closed:
+            return _Reply(HTTPStatus.SERVICE_UNAVAILABLE, b'')
+        return self.store.answer(path, query, body)
+
+
 class _Reply:
     def __init__(self, status: HTTPStatus, body: bytes) -> None:
         self.status = status
@@ -209,7 +234,7 @@
 
 
 class _Handler(SilentHandler):
-    store: KeyedStore
+    store: KeyedStore | StoreGate
 
     def setup(self) -> None:
         self.opened_at = time.monotonic()
@@ -265,5 +290,5 @@
             self.rfile.read()
 
 
-def _handler(store: KeyedStore) -> type[SilentHandler]:
+def _handler(store: KeyedStore | StoreGate) -> type[SilentHandler]:
     return type('_BoundHandler', (_Handler,), {'store': store})
--- a/src/pimentohoist_standins/opaque_engine.py
+++ b/src/pimentohoist_standins/opaque_engine.py
@@ -27,6 +27,7 @@
         self.engine_id = engine_id
         self.model = model
         self.version = 'v1'
+        self.started_ms = 1
         self.faults = EngineFaults()
         self.state = EngineState()
         self.lock = threading.Lock()
@@ -41,7 +42,7 @@
             'slots': 8,
             'state': state,
             'cold-ms': 0,
-            'born': 1,
+            'born': self.started_ms,
             'seq': self.state.accepted_orders,
             **({'models': self.models()} if self.model else {}),
         }
@@ -65,7 +66,7 @@
             if ready_at > now
         ]
         return {
-            'born': 1,
+            'born': self.started_ms,
             'seq': self.state.accepted_orders,
             'models': self.models(),
             'coming': loading,
