--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -273,6 +273,7 @@
         yield from self.dispatch.chooser.waiting.lines()
         yield from self.store.calls.metrics()
         yield from self.callers.memory.lines()
+        yield from self.stream_versions.incarnations.metrics()
         unconfirmed_s = self.declarations.unconfirmed_s()
         gauges = {
             'log_lines_dropped_total': self.logs.dropped,
