Stand-in engine: says in its responses that it is cold

The stand-in named its cold time in its record only, so that nothing tested the header Pimentohoist-Cold-Ms, nor values of it that can't be read.

--- a/features/cold_endpoints.feature
+++ b/features/cold_endpoints.feature
@@ -45,6 +45,17 @@
     And a cold engine comes before warm ones that are overloaded
     And a cold service comes after a warm one with requests in all but one of its slots
 
+  # Guards against values that would end a thread, or keep an endpoint cold for good.
+  Scenario: Times that can't be read
+    Then generated header values and records are read without an error, or rejected
+
+  # Guards against the limit of an endpoint of which only a response says that it is cold.
+  Scenario: A service becomes cold, and only its responses say so
+    Given a fleet of 3 daemons with one ledger that takes 4 requests a second while it is cold
+    And callers of all daemons send 40 look-ups a second
+    When the ledger is cold for 6 s, and its record says nothing of it
+    Then from 3 s on no second had more requests than one and a half times 4 and 5
+
   # Guards against daemons that each send what an endpoint takes from all of them.
   Scenario: A service becomes cold during traffic, and its owner is stopped
     Given a fleet of 3 daemons with one ledger that takes 4 requests a second while it is cold
--- a/features/steps/cold_endpoints.py
+++ b/features/steps/cold_endpoints.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import json
 import random
 import signal
 import sys
 import time
 from bisect import bisect_right
+from contextlib import suppress
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
@@ -14,6 +16,9 @@
 
 from behave import given, then, when
 from behave.runner import Context
+from hypothesis import given as generated
+from hypothesis import settings
+from hypothesis import strategies as st
 
 sys.path.append(str(Path(__file__).resolve().parent.parent))
 from entry_fleet import EntryFleet, configuration_document  # noqa: E402
@@ -29,6 +34,8 @@
 from pimentohoist._decisions.rate_grants import RateGranter, RatePacer  # noqa: E402
 from pimentohoist._entry.cold_endpoints import ColdEndpoints  # noqa: E402
 from pimentohoist.entry_models import Endpoint, EndpointNotice  # noqa: E402
+from pimentohoist.exceptions import DocumentError  # noqa: E402
+from pimentohoist.platform import decode_endpoint, decode_notice  # noqa: E402
 
 _BOUNDS = ColdBounds(over=1.5, slack=5)
 _DURATION_S = 60
@@ -38,6 +45,7 @@
 """The time until all daemons have read that an endpoint is cold."""
 
 _MAX_TRANSIT_S = 0.1
+_MAX_COLD_S = 10_000
 
 
 @given(
@@ -198,6 +206,38 @@
     stopped.popen.send_signal(signal.SIGCONT)
 
 
+@when('the ledger is cold for {duration_s:d} s, and its record says nothing of it')
+def make_cold_unrecorded(context: Context, duration_s: int) -> None:
+    time.sleep(1)
+    context.cold_at = time.monotonic()
+    context.warm_at = context.cold_at + duration_s
+    context.fleet.ledger.cold_until = context.warm_at
+    time.sleep(duration_s)
+
+
+@then('generated header values and records are read without an error, or rejected')
+def check_values(context: Context) -> None:
+    texts = st.one_of(
+        st.text(max_size=30), st.integers().map(str), st.floats().map(str)
+    )
+    numbers = st.one_of(st.none(), st.booleans(), st.integers(), st.floats(), texts)
+    record = {
+        **{'service': 'g', 'address': '127.0.0.9:9000', 'zone': 'z', 'slots': 4},
+        **{'state': 'ready', 'born': 1, 'seq': 2, 'version': 'v1'},
+    }
+
+    @settings(max_examples=300, deadline=None)
+    @generated(texts, numbers)
+    def check(text: str, number: Any) -> None:
+        notice = decode_notice('engine', 200, {'Pimentohoist-Cold-Ms': text})
+        assert notice.cold_s is None or 0 <= notice.cold_s < _MAX_COLD_S
+        body = json.dumps({**record, 'cold-ms': number}).encode()
+        with suppress(DocumentError):
+            assert 0 <= decode_endpoint('engine', body).cold_s < float('inf')
+
+    check()
+
+
 @then('from 3 s on no second had more requests than one and a half times 4 and 5')
 def check_fleet_seconds(context: Context) -> None:
     since = context.cold_at + _CONTACT_S
--- a/src/pimentohoist_standins/opaque_engine_handler.py
+++ b/src/pimentohoist_standins/opaque_engine_handler.py
@@ -64,6 +64,9 @@
     def end_headers(self) -> None:
         if self.engine.faults.is_leaving:
             self.send_header('Server-Leaving', '1')
+        cold_ms = self.engine.cold_ms()
+        if cold_ms:
+            self.send_header('Pimentohoist-Cold-Ms', str(cold_ms))
         if self.engine.faults.brittle is not None:
             self.send_header('Server-Brittle', str(self.engine.faults.brittle))
         for limit in tuple(self.engine.faults.limits):
