Streams: engines are asked for their start only if their records may be out of date

Cause: each new connection for a stream that may be resumed cost a report of the engine; large fleets open a connection for most streams. Change: while the records of endpoints were confirmed within 1.6 s, they are believed. Result: restarted_engines and stream_versions, 25 passed, 0 failed.

--- a/src/pimentohoist/_entry/endpoint_incarnations.py
+++ b/src/pimentohoist/_entry/endpoint_incarnations.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterator
 from functools import partial
 
+from pimentohoist import _clock
 from pimentohoist._entry.connections import UpstreamExchange
 from pimentohoist._entry.endpoint_chooser import RETRY_AFTER_S
 from pimentohoist._entry.endpoints import EndpointsController
@@ -26,6 +27,10 @@
 from pimentohoist.platform import EngineOrders
 
 _STEP = 'incarnation'
+_MAX_CONFIRMED_AGE_S = 1.6
+"""Endpoints' records that were confirmed within this time, the longest interval of reads with
+its call, are believed: asking each endpoint on each connection would cost a call for most
+streams, and an engine that has restarted loads its model before it begins one."""
 
 _logger = logging.getLogger(__name__)
 
@@ -50,6 +55,8 @@
     def check(self, exchange: UpstreamExchange, stream_version: str | None) -> None:
         """Find out the start of the endpoint, once for each connection.
 
+        It is asked only if the endpoints' records may be out of date.
+
         Parameters
         ----------
         stream_version : str or None
@@ -62,7 +69,7 @@
         UnavailableError
             It doesn't run that version. Nothing of the request has been sent.
         """
-        if exchange.connection.started_ms is None:
+        if exchange.connection.started_ms is None and not self._is_record_current():
             self._ask(exchange)
         version = self.software_version(exchange)
         if stream_version not in {None, version}:
@@ -100,6 +107,10 @@
         yield f'pimentohoist_incarnations_checked_total {self.checked}'
         yield f'pimentohoist_incarnations_replaced_total {self.replaced}'
 
+    def _is_record_current(self) -> bool:
+        unconfirmed_s = self.endpoints.follower.reads.unconfirmed_s(_clock.now())
+        return 0 <= unconfirmed_s < _MAX_CONFIRMED_AGE_S
+
     def _ask(self, exchange: UpstreamExchange) -> None:
         connection, endpoint = exchange.connection, exchange.endpoint
         try:
