Settings: what an instance has comes from the environment

Change: limits, regions and bounds of cold endpoints are rendered into PIMENTOHOIST_INSTANCE by the deploy file, as TOML; the file's settings go first. The line 'started' says which link and memory were read.

--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -475,7 +475,12 @@
 def _run_until_stopped(
     daemon: EntryDaemon, signals: ReceivedSignals, settings_path: str
 ) -> None:
-    _logger.info('started', extra={'step': 'start'})
+    extra = {
+        'step': 'start',
+        'link_mbps': daemon.settings.link_mbps,
+        'memory_mb': daemon.settings.limits.memory_mb,
+    }
+    _logger.info('started', extra=extra)
     while signals.stopped_at is None:
         time.sleep(_POLL_INTERVAL_S)
         if signals.is_reload_requested:
--- a/src/pimentohoist/platform/_settings.py
+++ b/src/pimentohoist/platform/_settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import re
 import tomllib
 from collections.abc import Mapping
@@ -16,6 +17,10 @@
 SETTINGS_VARIABLE = 'PIMENTOHOIST_BOOT'
 """Environment variable that holds the path of the settings file."""
 
+INSTANCE_VARIABLE = 'PIMENTOHOIST_INSTANCE'
+"""Environment variable that may hold further settings as TOML; those of the file go first.
+The deploy file sets it, so that the template of the file has what each deployment states."""
+
 _STEP = 'settings'
 _MS_PER_S = 1000
 _COLD_BOUNDS = ColdBounds(over=3 / 2, slack=5)
@@ -112,7 +117,7 @@
         document = tomllib.loads(Path(path).read_text(encoding='utf-8'))
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
         raise SettingsError(f'{path}: {error}', step=_STEP) from error
-    reader = _FieldReader(path, document)
+    reader = _FieldReader(path, _with_instance_settings(document))
     first_port, _ = reader.ports('daemon.port_range')
     return EntrySettings(
         reader.text('daemon.name'),
@@ -147,6 +152,20 @@
     )
 
 
+def _with_instance_settings(document: Mapping[str, Any]) -> Mapping[str, Any]:
+    """Return the settings of the file and those of the environment's variable."""
+    try:
+        instance = tomllib.loads(os.environ.get(INSTANCE_VARIABLE, ''))
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError(f'{INSTANCE_VARIABLE}: {error}', step=_STEP) from error
+    merged = dict(document)
+    for name, table in instance.items():
+        own = document.get(name, {})
+        is_table = isinstance(table, Mapping) and isinstance(own, Mapping)
+        merged[name] = {**table, **own} if is_table else document.get(name, table)
+    return merged
+
+
 def _read_limits(reader: _FieldReader) -> InstanceLimits:
     defaults = InstanceLimits()
     return InstanceLimits(
