--- a/features/steps/instance_settings.py
+++ b/features/steps/instance_settings.py
@@ -13,7 +13,7 @@
 from pimentohoist.exceptions import SettingsError
 from pimentohoist.platform import EntrySettings, read_entry_settings
 
-_VARIABLE = 'PIMENTOHOIST_INSTANCE'
+_INSTANCE_SETTINGS = 'PIMENTOHOIST_INSTANCE'
 _FILE = """
 [daemon]
 name = "d1"
@@ -98,5 +98,5 @@
 
 
 def _read(context: Context) -> EntrySettings:
-    with mock.patch.dict(os.environ, {_VARIABLE: context.environment}):
+    with mock.patch.dict(os.environ, {_INSTANCE_SETTINGS: context.environment}):
         return read_entry_settings(str(context.settings_path))
