--- a/features/steps/declaration_sync.py
+++ b/features/steps/declaration_sync.py
@@ -34,6 +34,7 @@
             failure_domain='a',
             host='127.0.0.1',
             peer_port=0,
+            link_mbps=0,
         )
         store: Any = None
         self.name = name
--- a/features/steps/waiting_places.py
+++ b/features/steps/waiting_places.py
@@ -10,6 +10,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from pimentohoist._decisions.homes import Regions
 from pimentohoist._entry.endpoint_chooser import EndpointChooser
 from pimentohoist._entry.request_context import RequestContext
 from pimentohoist._entry.request_monitor import Cancellation, MonitoredRequest
@@ -121,7 +122,7 @@
         quiet_s=lambda group: 0,
     )
     members: Any = SimpleNamespace(
-        live=list, settings=SimpleNamespace(failure_domain='z')
+        live=list, settings=SimpleNamespace(failure_domain='z', regions=Regions())
     )
     permits: Any = SimpleNamespace(
         blocked_s=lambda endpoint: 0,
