Requests: logs and metrics tell when a request was cancelled, and how late checks are

The incident on departed callers has three hypotheses that the logs can't tell apart: a request that is sent after its caller has left, an end of a connection that isn't seen, and a verdict that comes late.

The record of a request's end has the times at which it was last sent and cancelled; cancellations are counted by reason and by whether an endpoint had got the request; turns of the monitor that come over 0.2 s late are logged and counted.

No logic is changed. mypy and flake8 pass on the changed modules; no test was run yet.

--- a/src/pimentohoist/_entry/request_handler.py
+++ b/src/pimentohoist/_entry/request_handler.py
@@ -179,6 +179,7 @@
             'framing': context.framing or '',
             'protocol': context.request.protocol,
             'took_ms': round(duration_s * _MS_PER_S),
+            **context.monitored.times_ms(),
             'outcome': 'answered' if error is None else str(error),
         }
         _logger.info('request ended', extra=extra)
--- a/src/pimentohoist/_entry/request_monitor.py
+++ b/src/pimentohoist/_entry/request_monitor.py
@@ -4,7 +4,8 @@
 
 import logging
 import threading
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from enum import Enum, auto
 from typing import Protocol, Self
@@ -20,6 +21,11 @@
 """An endpoint that has requests and sends no byte for this time counts as silent; its
 usual gaps are many times shorter."""
 
+_LATE_S = 0.2
+"""Turns of the monitor that are later than this leave too little of the half second."""
+
+_MS_PER_S = 1000
+
 _logger = logging.getLogger(__name__)
 
 
@@ -47,6 +53,8 @@
         Its newest exchange with an endpoint.
     cancellation : Cancellation or None
         Why it was cancelled; None if it wasn't.
+    cancelled_at : float or None
+        Time of `_clock.now` in seconds at which it was cancelled.
     may_repeat : bool
         Whether it may be sent again although it may have run.
     """
@@ -57,6 +65,7 @@
     poll_disconnected: Callable[[], bool]
     exchange: UpstreamExchange | None = None
     cancellation: Cancellation | None = None
+    cancelled_at: float | None = None
     may_repeat: bool = False
 
     @property
@@ -72,10 +81,22 @@
 
     def cancel(self, cancellation: Cancellation) -> None:
         """Abort the exchange and let no other begin."""
+        if self.cancelled_at is None:
+            self.cancelled_at = _clock.now()
         self.cancellation = cancellation
         if self.exchange is not None:
             self.exchange.abort()
 
+    def times_ms(self) -> dict[str, int]:
+        """Return after how many ms it was last sent, and cancelled, if it was."""
+        sent_at = None if self.exchange is None else self.exchange.sent_at
+        times = {'sent_ms': sent_at, 'cancelled_ms': self.cancelled_at}
+        return {
+            name: round((at - self.arrived_at) * _MS_PER_S)
+            for name, at in times.items()
+            if at is not None
+        }
+
 
 class SilenceListener(Protocol):
     """Learns of endpoints that have requests and send nothing."""
@@ -88,10 +109,23 @@
 
 
 class RequestMonitor:
-    """Implements `Controller`: checks all requests several times a second."""
+    """Implements `Controller`: checks all requests several times a second.
+
+    Attributes
+    ----------
+    cancelled : Counter of (str, str)
+        Requests that were cancelled, by reason and by whether they were sent to an endpoint.
+    late_turns : int
+        Turns that came so late that departed callers may have been noticed too late.
+    max_late_s : float
+        How late the latest turn came, in seconds.
+    """
 
     def __init__(self, listener: SilenceListener) -> None:
         self.listener = listener
+        self.cancelled: Counter[tuple[str, str]] = Counter()
+        self.late_turns = 0
+        self.max_late_s = float(0)
         self._requests: dict[int, MonitoredRequest] = {}
         self._closed = threading.Event()
         self._thread = threading.Thread(target=self._run, name='watch', daemon=True)
@@ -125,11 +159,26 @@
 
     def remove(self, monitored: MonitoredRequest) -> None:
         """Stop checking a request."""
-        self._requests.pop(id(monitored), None)
+        known = self._requests.pop(id(monitored), None)
+        if known is not None and known.cancellation is not None:
+            stage = 'waiting' if known.exchange is None else 'sent'
+            self.cancelled[known.cancellation.name.lower(), stage] += 1
+
+    def lines(self) -> Iterator[str]:
+        """Yield metrics as text."""
+        for (reason, stage), count in tuple(self.cancelled.items()):
+            labels = f'reason="{reason}",stage="{stage}"'
+            yield f'pimentohoist_requests_cancelled_total{{{labels}}} {count}'
+        yield f'pimentohoist_request_checks_late_total {self.late_turns}'
+        max_late_ms = round(self.max_late_s * _MS_PER_S)
+        yield f'pimentohoist_request_checks_late_ms_max {max_late_ms}'
 
     def _run(self) -> None:
+        due_at = _clock.now() + _CHECK_INTERVAL_S
         while not self._closed.wait(_CHECK_INTERVAL_S):
             now = _clock.now()
+            self._record_turn(now - due_at)
+            due_at = now + _CHECK_INTERVAL_S
             for monitored in tuple(self._requests.values()):
                 try:
                     self._check(monitored, now)
@@ -138,6 +187,18 @@
                         'checking a request failed', extra={'step': 'watch'}
                     )
 
+    def _record_turn(self, late_s: float) -> None:
+        self.max_late_s = max(self.max_late_s, late_s)
+        if late_s <= _LATE_S:
+            return
+        self.late_turns += 1
+        extra = {
+            'step': 'watch',
+            'late_ms': round(late_s * _MS_PER_S),
+            'requests': len(self._requests),
+        }
+        _logger.warning('requests were checked late', extra=extra)
+
     def _check(self, monitored: MonitoredRequest, now: float) -> None:
         if monitored.is_cancelled:
             return
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -269,6 +269,7 @@
     def metrics(self) -> Iterator[str]:
         """Yield metrics as text."""
         yield from self.request_handler.metrics.lines()
+        yield from self.request_monitor.lines()
         yield from self.endpoints.notices.metrics()
         yield from self.dispatch.chooser.waiting.lines()
         yield from self.store.calls.metrics()
