Dispatch: each attempt asks whether the caller has left

A request reached an endpoint although its caller had left, since an attempt went by what the monitor had seen up to 0.1 s before, or more if its turn came late. Now the caller is asked for before the filters, before an endpoint is chosen, between two engines that are asked for an adapter, before the request is sent and once its connection is open, in first attempts, retries and resumptions.

"A caller leaves ..." in departed_callers: 4 of 4 scenarios sent the request before, none does now.

--- a/features/departed_callers.feature
+++ b/features/departed_callers.feature
@@ -55,3 +55,16 @@
     And 24 callers send slow safe requests and one more request to the server of callers, and close after 0.3 s
     Then 2 s later no endpoint is at work for them
     And no endpoint has got a request of these callers
+
+  # Guards against attempts that go by what a monitor saw some time before.
+  Scenario Outline: A caller leaves <moment>
+    Given a dispatch of requests to an endpoint
+    When a caller leaves <moment>
+    Then its request isn't sent, and ends as one of a departed caller
+
+    Examples:
+      | moment                                 |
+      | before an endpoint is chosen           |
+      | while its request waits for an adapter |
+      | while a connection is opened           |
+      | while the first of two attempts fails  |
--- a/src/pimentohoist/_entry/adapter_search.py
+++ b/src/pimentohoist/_entry/adapter_search.py
@@ -107,7 +107,8 @@
 
     def is_over(self) -> bool:
         """Return whether the request was cancelled, or can't be served in time."""
-        return self.context.monitored.is_cancelled or _clock.now() >= self.wait_until
+        is_cancelled = self.context.monitored.check_caller()
+        return is_cancelled or _clock.now() >= self.wait_until
 
     def ask_at_once(self, endpoint_id: str) -> HoldAttempt:
         """Return a call that waits only if the adapter is loaded or its load begins."""
--- a/src/pimentohoist/_entry/dispatch.py
+++ b/src/pimentohoist/_entry/dispatch.py
@@ -118,6 +118,8 @@
             raise
 
     def _choose(self, context: RequestContext) -> ChosenEndpoint:
+        if context.monitored.check_caller():
+            raise cancellation_error(context)
         try:
             return self.chooser.choose(context)
         except PimentohoistError as error:
@@ -130,7 +132,7 @@
     ) -> UpstreamExchange:
         endpoint = chosen.endpoint
         remaining_s = context.remaining_s(_clock.now())
-        if remaining_s < _MIN_REMAINING_S or context.monitored.is_cancelled:
+        if remaining_s < _MIN_REMAINING_S or context.monitored.check_caller():
             raise cancellation_error(context)
         headers = self._headers(context, chosen, remaining_s, last_event_id)
         context.framing = None
@@ -140,7 +142,7 @@
                 endpoint,
                 context.request,
                 headers,
-                lambda opened: self._check_incarnation(context, opened),
+                lambda opened: self._check_opened(context, opened),
             )
         except PimentohoistError as error:
             context.run_cleanups()
@@ -154,30 +156,36 @@
         if isinstance(error, UnavailableError):
             return self.retry_policy.classify_refusal(context, error)
         if isinstance(error, PeerConnectError) and context.monitored.is_cancelled:
-            # The caller's time ended before the endpoint told of its start.
+            # The caller's time ended, or the caller left, before the request was sent.
             return cancellation_error(context)
         return self.retry_policy.classify_failure(context, endpoint, error)
 
-    def _check_incarnation(
+    def _check_opened(
         self, context: RequestContext, exchange: UpstreamExchange
     ) -> None:
-        """Find out which software answers before a stream that may be resumed is sent.
+        """Check whether a request may be sent on a connection that has been opened.
 
         Raises
         ------
         PeerConnectError
-            The endpoint didn't tell.
+            The caller has left, or the endpoint didn't tell which software answers.
         UnavailableError
             It isn't the software that began the stream.
         """
         context.monitored.attach(exchange)
-        if exchange.endpoint.is_daemon or not context.route.can_resume:
-            # The daemon that sends the request to an endpoint asks there.
-            return
         try:
-            self.incarnations.check(exchange, context.stream_version)
+            # The daemon that sends a forwarded request to an endpoint asks there.
+            if context.route.can_resume and not exchange.endpoint.is_daemon:
+                self.incarnations.check(exchange, context.stream_version)
+            if context.monitored.check_caller():
+                raise PeerConnectError(
+                    'the caller left before the request was sent',
+                    step=_STEP,
+                    peer=exchange.endpoint.address,
+                )
         except BaseException:
             exchange.close()
+            context.monitored.exchange = None
             raise
 
     def _headers(
--- a/src/pimentohoist/_entry/request_handler.py
+++ b/src/pimentohoist/_entry/request_handler.py
@@ -21,6 +21,7 @@
 )
 from pimentohoist._entry.quotas import QuotasController
 from pimentohoist._entry.request_monitor import RequestMonitor, MonitoredRequest
+from pimentohoist._entry.retry_policy import cancellation_error
 from pimentohoist._entry.shutdown import Shutdown
 from pimentohoist.entry_models import EntryRequest
 from pimentohoist.exceptions import (
@@ -121,6 +122,8 @@
         return RequestContext(request, monitored, declaration, route, group)
 
     def _process(self, context: RequestContext) -> EntryResponse:
+        if context.monitored.check_caller():
+            raise cancellation_error(context)
         for request_filter in self.filters:
             request_filter(context)
         try:
--- a/src/pimentohoist/_entry/request_monitor.py
+++ b/src/pimentohoist/_entry/request_monitor.py
@@ -73,6 +73,12 @@
         """Return whether no attempt may begin or go on."""
         return self.cancellation is not None
 
+    def check_caller(self) -> bool:
+        """Cancel the request if its caller has left; return whether it is cancelled."""
+        if not self.is_cancelled and self.poll_disconnected():
+            self.cancel(Cancellation.DISCONNECTED)
+        return self.is_cancelled
+
     def attach(self, exchange: UpstreamExchange) -> None:
         """Set the exchange to abort on cancellation; abort it now if already cancelled."""
         self.exchange = exchange
@@ -200,11 +206,9 @@
         _logger.warning('requests were checked late', extra=extra)
 
     def _check(self, monitored: MonitoredRequest, now: float) -> None:
-        if monitored.is_cancelled:
+        if monitored.check_caller():
             return
-        if monitored.poll_disconnected():
-            monitored.cancel(Cancellation.DISCONNECTED)
-        elif now >= monitored.deadline:
+        if now >= monitored.deadline:
             monitored.cancel(Cancellation.DEADLINE)
         elif monitored.exchange is not None:
             self._check_silence(monitored, monitored.exchange, now)
