Servers: a departed caller shows in the state of its connection

Callers had left and endpoints still worked for them, or got their requests afterwards. Whether a caller is there was known only from reading its connection, which takes a turn of the server's loop, and doesn't happen at all while the connection holds more than one further request, has bytes to be sent, or waits for memory; without bytes to send it isn't even polled.

Now the state of the socket is asked, which tells the end of a connection whatever lies unread before it, for callers and for daemons that forward.

--- a/src/pimentohoist/_http_server.py
+++ b/src/pimentohoist/_http_server.py
@@ -18,13 +18,13 @@
 
 from pimentohoist._addresses import split_address
 from pimentohoist._elastic_pool import ElasticDispatcher
-from pimentohoist._sockets import has_input
+from pimentohoist._sockets import has_ended, has_input
 
 WsgiApp = Callable[..., Iterable[bytes]]
 
 _SHUTDOWN_TIMEOUT_S = 1.0
 _REFUSAL_BODY = b'the server is stopping'
-# Above 0, waitress reads on while a request runs and so detects a disconnected client.
+# Above 0, waitress reads on while a request runs, and so closes what its client has left.
 _LOOKAHEAD_REQUESTS = 1
 _IDLE_CONNECTION_TIMEOUT_S = 60
 _NO_TIMEOUT_S = 10_000_000_000
@@ -112,6 +112,13 @@
         self._ends_with_response = is_last
         self._has_ended_response = self._has_ended_response or is_last
 
+    def check_client_disconnected(self) -> Any:
+        """Return whether the client has left; any thread may call this.
+
+        The connection isn't read while it holds a further request, or bytes to send.
+        """
+        return not self.connected or has_ended(self.socket)
+
     def idle_s(self) -> float:
         """Return for how many seconds no byte has been received, written or taken."""
         return time.monotonic() - self.active_at
