Dispatch: what an unsent request took at its endpoint is given back

A request that was given up between the choice of its endpoint and its sending, since its caller had left, its time was over or its prompt was quarantined, kept its place at a brittle endpoint until that was brittle no more, and its permit for a limited one was lost. Found while looking where the checks of departed callers end an attempt, which they now do more often.

"A request is given up ..." in departed_callers: 3 of 3 scenarios failed before (1 place and 1 permit, or 1 permit, not given back), 3 pass. With brittle_rooms, brittle_endpoints, endpoint_limits and cold_endpoints: 65 passed.

--- a/features/departed_callers.feature
+++ b/features/departed_callers.feature
@@ -68,3 +68,16 @@
       | while its request waits for an adapter |
       | while a connection is opened           |
       | while the first of two attempts fails  |
+
+  # Guards against places at brittle endpoints, and permits for limited ones, that are lost with
+  # requests that aren't sent.
+  Scenario Outline: A request is given up <moment>
+    Given a dispatch of requests to an endpoint
+    When a caller leaves <moment>
+    Then the place and the permit that it took are given back
+
+    Examples:
+      | moment                                 |
+      | while its request waits for an adapter |
+      | while its prompt is quarantined        |
+      | while a connection is opened           |
--- a/features/steps/departed_dispatch.py
+++ b/features/steps/departed_dispatch.py
@@ -27,6 +27,7 @@
     CallerDisconnectedError,
     PeerError,
     PimentohoistError,
+    UnavailableError,
 )
 
 _ENDPOINT = Endpoint('s1', 'g', '127.0.0.1:9', 'a', 8, False, 0, 0)
@@ -36,6 +37,7 @@
     'while its request waits for an adapter',
     'while a connection is opened',
     'while the first of two attempts fails',
+    'while its prompt is quarantined',
 )
 
 
@@ -47,14 +49,17 @@
         self.moments: list[str] = []
         self.sent: list[str] = []
         self.places = 0
+        self.permits = 0
         forwarding = SimpleNamespace(in_flight=InFlightRequests())
         rooms = SimpleNamespace(give_back=self._give_back)
+        permits = SimpleNamespace(give_back=self._give_permit_back)
+        chooser = SimpleNamespace(choose=self._choose, rooms=rooms, permits=permits)
         self.parts: dict[str, Any] = {
-            'chooser': SimpleNamespace(choose=self._choose, rooms=rooms),
+            'chooser': chooser,
             'retry_policy': SimpleNamespace(
                 forwarding=forwarding, classify_failure=self._classify
             ),
-            'part_quarantine': self._pass,
+            'part_quarantine': self._check_parts,
             'connections': SimpleNamespace(send=self._send),
             'retry_budgets': SimpleNamespace(record_request=self._pass),
             'in_flight': InFlightRequests(),
@@ -67,12 +72,20 @@
 
     def _choose(self, context: RequestContext) -> ChosenEndpoint:
         self.places += 1
+        self.permits += 1
         self.moments.append('while its request waits for an adapter')
         return ChosenEndpoint(_ENDPOINT)
 
     def _give_back(self, endpoint: Endpoint) -> None:
         self.places -= 1
 
+    def _give_permit_back(self, endpoint: Endpoint) -> None:
+        self.permits -= 1
+
+    def _check_parts(self, context: RequestContext) -> None:
+        if self.moment == 'while its prompt is quarantined':
+            raise UnavailableError('quarantined', step='test', retry_after_s=1)
+
     def _send(
         self,
         endpoint: Endpoint,
@@ -144,3 +157,9 @@
 def check_unsent(context: Context) -> None:
     assert 'next' not in context.platform.sent, context.platform.sent
     assert isinstance(context.error, CallerDisconnectedError), context.error
+
+
+@then('the place and the permit that it took are given back')
+def check_given_back(context: Context) -> None:
+    taken = context.platform.places, context.platform.permits
+    assert taken == (0, 0), taken
--- a/src/pimentohoist/_entry/dispatch.py
+++ b/src/pimentohoist/_entry/dispatch.py
@@ -107,8 +107,12 @@
 
     def _attempt(self, context: RequestContext) -> EntryResponse:
         chosen = self._choose(context)
-        # A part may have been quarantined during the wait for an adapter.
-        self.part_quarantine(context)
+        try:
+            # A part may have been quarantined during the wait for an adapter.
+            self.part_quarantine(context)
+        except PimentohoistError:
+            _release(self.chooser, chosen.endpoint)
+            raise
         exchange = self._send(context, chosen, None)
         try:
             return self._receive(context, exchange)
@@ -133,6 +137,7 @@
         endpoint = chosen.endpoint
         remaining_s = context.remaining_s(_clock.now())
         if remaining_s < _MIN_REMAINING_S or context.monitored.check_caller():
+            _release(self.chooser, endpoint)
             raise cancellation_error(context)
         headers = self._headers(context, chosen, remaining_s, last_event_id)
         context.framing = None
@@ -157,6 +162,7 @@
             return self.retry_policy.classify_refusal(context, error)
         if isinstance(error, PeerConnectError) and context.monitored.is_cancelled:
             # The caller's time ended, or the caller left, before the request was sent.
+            self.chooser.permits.give_back(endpoint)
             return cancellation_error(context)
         return self.retry_policy.classify_failure(context, endpoint, error)
 
@@ -368,6 +374,12 @@
             )
 
 
+def _release(chooser: EndpointChooser, endpoint: Endpoint) -> None:
+    """Give back what a request took at its endpoint that isn't sent there."""
+    chooser.rooms.give_back(endpoint)
+    chooser.permits.give_back(endpoint)
+
+
 def _log_resumed(
     message: str, context: RequestContext, exchange: UpstreamExchange
 ) -> None:
