pimentohoistd: requests of departed callers aren't sent

The same cause as in the entry daemon: a generation looked at its caller only between tokens, a call of a plain service never. Both ask now before they wait for a slot and once they have it, at each attempt.

A call that a plain service has begun still goes on until its answer or its timeout; that is open.

--- a/features/departed_callers.feature
+++ b/features/departed_callers.feature
@@ -81,3 +81,20 @@
       | while its request waits for an adapter |
       | while its prompt is quarantined        |
       | while a connection is opened           |
+
+  # Guards against the same in pimentohoistd.
+  Scenario Outline: A paused pimentohoistd reads <kind> after their callers have left
+    Given a daemon with 2 ledgers as plain services
+    When it is paused for 0.8 s while 24 callers send <kind> and leave
+    Then no endpoint of it has got a request of these callers
+
+    Examples:
+      | kind       |
+      | GET calls  |
+      | POST calls |
+
+  # Guards against the same for generations.
+  Scenario: A paused pimentohoistd reads completions after their callers have left
+    Given a retrying fleet of 1 daemon and 1 engine
+    When it is paused for 0.8 s while 24 callers send completions and leave
+    Then no endpoint of it has got a request of these callers
--- a/src/pimentohoist/_filters/dispatch_service.py
+++ b/src/pimentohoist/_filters/dispatch_service.py
@@ -90,7 +90,9 @@
         self, exchange: Exchange, call: ServiceCall, attempts: _Attempts
     ) -> bool:
         """Return whether the response is final, so that no other endpoint is tried."""
+        exchange.check_caller(_STEP)
         with self.slots.acquire(_slot_request(exchange, attempts)) as slot:
+            exchange.check_caller(_STEP)
             exchange.endpoint = slot.endpoint.name
             attempts.excluded.add(slot.endpoint.name)
             service = self.slots.service(slot.endpoint)
--- a/src/pimentohoist/_filters/generation_run.py
+++ b/src/pimentohoist/_filters/generation_run.py
@@ -24,7 +24,6 @@
 from pimentohoist._filters.retry_dependencies import RetryDependencies
 from pimentohoist._filters.slot_acquirer import SlotAcquirer
 from pimentohoist.exceptions import (
-    CallerDisconnectedError,
     PeerConnectError,
     PeerError,
     PeerTimeoutError,
@@ -99,11 +98,13 @@
         self.attempts += 1
         timing = self.exchange.timing
         wait_started_at = self.dependencies.clock()
+        self.exchange.check_caller(_STEP)
         slot = yield from self._acquire_in_background()
         acquired_at = self.dependencies.clock()
         timing.slot_wait_s += acquired_at - wait_started_at
         self.exchange.endpoint = slot.endpoint.name
         with slot:
+            self.exchange.check_caller(_STEP)
             try:
                 yield from self._read_answer(slot)
             except PeerError as error:
@@ -157,8 +158,7 @@
     ) -> Iterator[Sequence[TokenChunk]]:
         request_id = self._attempt_id()
         for batch in parts:
-            if self.exchange.is_cancelled():
-                raise CallerDisconnectedError('the caller has disconnected', step=_STEP)
+            self.exchange.check_caller(_STEP)
             if batch:
                 yield self._accept_batch(batch, request_id, slot)
             else:
--- a/src/pimentohoist/exchanges.py
+++ b/src/pimentohoist/exchanges.py
@@ -9,6 +9,7 @@
 from typing import Any, Protocol
 
 from pimentohoist.configuration import Adapter, EndpointGroup, Route, Workspace
+from pimentohoist.exceptions import CallerDisconnectedError
 from pimentohoist.models import AdapterVersion
 
 _MS_PER_S = 1000
@@ -154,6 +155,11 @@
     readiness: ReadReadiness = field(default_factory=ReadReadiness)
     annotations: dict[str, Any] = field(default_factory=dict)
 
+    def check_caller(self, step: str) -> None:
+        """Raise CallerDisconnectedError if the caller has left."""
+        if self.is_cancelled():
+            raise CallerDisconnectedError('the caller has disconnected', step=step)
+
 
 @dataclass(frozen=True, slots=True)
 class SlotRequest:
