--- a/features/departed_callers.feature
+++ b/features/departed_callers.feature
@@ -44,7 +44,7 @@
   # Guards against an end of a connection that isn't read since the next body waits for memory.
   Scenario: Callers leave whose next bodies wait for memory
     Given a daemon with low limits
-    When 40 callers send slow safe requests and a body of the declared size to the server of callers, and close after 1 s
+    When 16 callers send slow safe requests and a body of the declared size to the server of callers, and close after 1 s
     Then 0.6 s later no endpoint is at work for them
     And only the first requests of these callers have reached an endpoint
 
