Tests: crowds at all servers of a daemon, and callers that read nothing (known red)

- 80 connections to the directory, the readiness check or the metrics are all accepted: 115 to 117 descriptors.
- 80 callers that send 200 requests ahead and read none of the answers of 1 MB make the daemon grow by 59.8 MB.

The forwarding server, bodies sent to the directory, and callers that read nothing of one answer passed.

--- a/features/callers_outside_limits.feature
+++ b/features/callers_outside_limits.feature
@@ -31,6 +31,47 @@
       | a head one byte at a time                       | with keys    |
       | all of these forms                              | mixed keys   |
 
+  # Guards against a crowd at the other servers that callers or daemons reach. The crowd and the
+  # bounds stay as they are.
+  Scenario Outline: A crowd at the <server> sends <form>
+    Given a daemon with low limits
+    When a crowd of 80 callers at the <server> sends <form>
+    Then the daemon runs, its memory and files grew by less than 32 MB and its descriptors are at most 112
+    And no incomplete request of the crowd has reached an endpoint
+    And an ordinary request is answered
+    And the directory and the readiness check answer
+
+    Examples:
+      | server              | form                                            |
+      | directory           | nothing                                         |
+      | directory           | half a head                                     |
+      | directory           | a head one byte at a time                       |
+      | directory           | large heads                                     |
+      | directory           | large chunks that stop short of their end       |
+      | directory           | chunks of one byte that stop short of their end |
+      | directory           | legal bodies that stop short of their end       |
+      | directory           | all of these forms                              |
+      | readiness check     | nothing                                         |
+      | readiness check     | all of these forms                              |
+      | metrics             | all of these forms                              |
+      | forwarding server   | nothing                                         |
+      | forwarding server   | large chunks that stop short of their end       |
+      | forwarding server   | whole bodies of legal size                      |
+      | forwarding server   | all of these forms                              |
+
+  # Guards against responses that nobody reads, and requests that are sent ahead.
+  Scenario Outline: A crowd sends <form>, and reads nothing
+    Given a daemon with low limits
+    And the answers of the plain service have 1 MB
+    When a crowd of 80 callers sends <form>, with keys
+    Then the daemon runs, its memory and files grew by less than 32 MB and its descriptors are at most 112
+    And an ordinary request is answered
+
+    Examples:
+      | form                         |
+      | requests for large answers   |
+      | many requests ahead          |
+
   # Guards against limits that refuse a caller who keeps to the declared ones.
   Scenario: Single legal bodies in calm
     Given a daemon with low limits
--- a/features/steps/callers_outside_limits.py
+++ b/features/steps/callers_outside_limits.py
@@ -44,6 +44,7 @@
 _SEND_TIMEOUT_S = 4.0
 """A caller that the daemon doesn't read for this time stays open and sends no more."""
 
+_REQUESTS_AHEAD = 200
 _HOLD_S = 3.0
 """The crowd stays open for this time, in which the daemon reads what the kernel holds."""
 
@@ -52,7 +53,10 @@
 _BYTES_PER_MB = 1_048_576
 _WHOLE = 'whole bodies of legal size'
 
+_CALLERS_PORT = 8000
+
 Pieces = Iterator[bytes]
+Form = Callable[[str, str], Pieces]
 
 
 def _head(request_id: str, key: str, *fields: str) -> bytes:
@@ -137,13 +141,29 @@
     yield _length_head(request_id, key, 1)[:80]
 
 
+def _large_head(request_id: str, key: str) -> Pieces:
+    yield _length_head(request_id, key, 1)[:-2]
+    for piece in _filler(_BODY_BYTES // 4):
+        yield b'x-%s: x\r\n' % piece[:1000]
+
+
+def _large_answer(request_id: str, key: str) -> Pieces:
+    yield _length_head(request_id, key, 0).replace(b'/pay/', b'/look/')
+
+
+def _many_ahead(request_id: str, key: str) -> Pieces:
+    for number in range(_REQUESTS_AHEAD):
+        head = _length_head(f'{request_id}-{number}', key, 0)
+        yield head.replace(b'/pay/', b'/look/')
+
+
 def _slow_head(request_id: str, key: str) -> Pieces:
     for byte in _length_head(request_id, key, 1)[:-2]:
         yield bytes((byte,))
         time.sleep(_POLL_S)
 
 
-_FORMS: MappingProxyType[str, Callable[[str, str], Pieces]] = MappingProxyType(
+_FORMS: MappingProxyType[str, Form] = MappingProxyType(
     {
         'large chunks that stop short of their end': _large_chunks,
         'chunks of one byte that stop short of their end': _tiny_chunks,
@@ -157,8 +177,24 @@
         'nothing': _nothing,
         'half a head': _half_head,
         'a head one byte at a time': _slow_head,
+        'large heads': _large_head,
+    }
+)
+_FORMS_OF_REQUESTS: MappingProxyType[str, Form] = MappingProxyType(
+    {
+        'requests for large answers': _large_answer,
+        'many requests ahead': _many_ahead,
+    }
+)
+_SERVERS = MappingProxyType(
+    {
+        'directory': 8003,
+        'readiness check': 8001,
+        'metrics': 7601,
+        'forwarding server': 7602,
     }
 )
+_WHOLE_FORMS = (_whole_bodies, _large_answer, _many_ahead)
 _KEYS = MappingProxyType(
     {'with keys': (KEY,), 'without keys': ('none',), 'mixed keys': (KEY, 'none')}
 )
@@ -222,11 +258,25 @@
 
 @when('a crowd of {count:d} callers sends {form}, {keys}')
 def send_crowd(context: Context, count: int, form: str, keys: str) -> None:
-    forms = (form,) if form in _FORMS else tuple(_FORMS)
+    _send_crowd(context, count, form, keys, _CALLERS_PORT)
+
+
+@when('a crowd of {count:d} callers at the {server} sends {form}')
+def send_crowd_elsewhere(context: Context, count: int, server: str, form: str) -> None:
+    _send_crowd(context, count, form, 'with keys', _SERVERS[server])
+
+
+def _send_crowd(context: Context, count: int, form: str, keys: str, port: int) -> None:
+    known = {**_FORMS, **_FORMS_OF_REQUESTS}
+    forms = (known[form],) if form in known else tuple(_FORMS.values())
     context.usage = context.stack.enter_context(DaemonUsage(context.fleet.daemons[0]))
     pool = context.stack.enter_context(ThreadPoolExecutor(count))
     sent = [
-        pool.submit(_send, context.stack.enter_context(_connect(context.fleet)), pieces)
+        pool.submit(
+            _send,
+            context.stack.enter_context(_connect(context.fleet, port=port)),
+            pieces,
+        )
         for pieces in islice(_requests(cycle(product(_KEYS[keys], forms))), count)
     ]
     for caller in sent:
@@ -234,14 +284,16 @@
     time.sleep(_HOLD_S)
 
 
-def _requests(kinds: Iterator[tuple[str, str]]) -> Iterator[Pieces]:
+def _requests(kinds: Iterator[tuple[str, Form]]) -> Iterator[Pieces]:
     for number, (key, form) in enumerate(kinds):
-        mark = 'whole' if form == _WHOLE else 'broken'
-        yield _FORMS[form](f'{mark}-{number}', key)
+        mark = 'whole' if form in _WHOLE_FORMS else 'broken'
+        yield form(f'{mark}-{number}', key)
 
 
-def _connect(fleet: EntryFleet, timeout_s: float = _SEND_TIMEOUT_S) -> socket.socket:
-    return socket.create_connection((fleet.daemons[0].host, 8000), timeout_s)
+def _connect(
+    fleet: EntryFleet, timeout_s: float = _SEND_TIMEOUT_S, port: int = _CALLERS_PORT
+) -> socket.socket:
+    return socket.create_connection((fleet.daemons[0].host, port), timeout_s)
 
 
 def _send(caller: socket.socket, pieces: Pieces) -> None:
@@ -349,3 +401,21 @@
     status = _status_of(context.fleet, _stopped('refused-5', KEY))
     assert status == 408, status
     _check_not_executed(context, 'refused')
+
+
+@given('the answers of the plain service have 1 MB')
+def enlarge_answers(context: Context) -> None:
+    context.fleet.ledger.faults.answer_bytes = _BODY_BYTES
+
+
+@then('the directory and the readiness check answer')
+def check_other_servers(context: Context) -> None:
+    wait_for(lambda: _is_listed(context.fleet), _ANSWER_TIMEOUT_S)
+    wait_for(context.fleet.daemons[0].is_ready, _ANSWER_TIMEOUT_S)
+
+
+def _is_listed(fleet: EntryFleet) -> bool:
+    try:
+        return fleet.daemons[0].get(8003, '/v1/resolve?name=x').status == 200
+    except OSError:
+        return False
