Directory, readiness and metrics: connections, heads and bodies are bounded

A crowd at the directory, the readiness check or the metrics took as many descriptors as it opened connections, up to 1,000 a server beside those of callers; on an instance with 1,638 descriptors that is more than all. These servers had neither a limit by the descriptors nor the account of bytes, nor the time limits of the callers' server.

They are callers' servers now, with a share of the connections of their own: an eighth for the directory, a sixty-fourth for each of the others, 8 at least. Where none is free, one that has been idle for 2 s is closed. A body is refused with its head: their requests have none, and one that stopped short of its end would hold its connection (with the limits alone, 3 of 15 scenarios had no look-up answered within 30 s).

--- a/src/pimentohoist/_decisions/caller_budget.py
+++ b/src/pimentohoist/_decisions/caller_budget.py
@@ -30,8 +30,11 @@
 
 _MAX_CONNECTIONS = 2000
 _MIN_CONNECTIONS = 8
-_CALLERS_SHARE = 0.375
-_FORWARDED_SHARE = 0.125
+CALLERS_SHARE = 0.375
+FORWARDED_SHARE = 0.125
+DIRECTORY_SHARE = 0.125
+CHECKS_SHARE = 0.015625
+"""Shares of the connections that a daemon may have with others, by server."""
 
 
 @dataclass(slots=True)
@@ -188,11 +191,15 @@
     return max(_MIN_BUDGET_BYTES, int(memory_mb * _MEMORY_SHARE * _BYTES_PER_MB))
 
 
-def connection_limit(max_descriptors: int, *, is_forwarding: bool) -> int:
-    """Return how many connections callers, or forwarding daemons, may open.
+def connection_limit(max_descriptors: int, share: float) -> int:
+    """Return how many connections may be open to a server.
 
-    Each may need another one to an endpoint.
+    One to a server of requests may need another one to an endpoint.
+
+    Parameters
+    ----------
+    share : float
+        The server's share of the descriptors that the daemon doesn't use itself.
     """
-    share = _FORWARDED_SHARE if is_forwarding else _CALLERS_SHARE
     connections = int((max_descriptors - _OWN_DESCRIPTORS) * share)
     return max(_MIN_CONNECTIONS, min(_MAX_CONNECTIONS, connections))
--- a/src/pimentohoist/_entry/forwarded_server.py
+++ b/src/pimentohoist/_entry/forwarded_server.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+from pimentohoist._decisions.caller_budget import FORWARDED_SHARE
 from pimentohoist._entry.caller_memory import CallerMemory
 from pimentohoist._entry.request_context import Filter
 from pimentohoist._entry.request_forwarding import AcceptForwarded
 from pimentohoist._entry.request_handler import RequestHandler
-from pimentohoist._entry.server import CallersServer
+from pimentohoist._entry.server import CallersServer, ServerSize
 from pimentohoist._entry.wsgi_apps import ForwardedApp, ForwardingRefusalApp
 
 
@@ -36,7 +37,10 @@
         callers.shutdown,
     )
     server = CallersServer(
-        ForwardedApp(handler), address, memory=memory, is_forwarding=True
+        ForwardedApp(handler),
+        address,
+        memory=memory,
+        size=ServerSize(connections_share=FORWARDED_SHARE),
     )
     server.refusal = ForwardingRefusalApp(callers.shutdown)
     return server
--- a/src/pimentohoist/_entry/server.py
+++ b/src/pimentohoist/_entry/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from functools import partial
 from typing import Any, cast
 
@@ -11,7 +12,10 @@
 from waitress.utilities import RequestEntityTooLarge
 
 from pimentohoist import _clock
-from pimentohoist._decisions.caller_budget import connection_limit
+from pimentohoist._decisions.caller_budget import (
+    CALLERS_SHARE,
+    connection_limit,
+)
 from pimentohoist._entry.body_receiver import BodyBuffer, ChunkedReceiver
 from pimentohoist._entry.caller_memory import CallerMemory
 from pimentohoist._http_server import HttpServer, ServerChannel, ServerTask, WsgiApp
@@ -57,6 +61,28 @@
 """Limits that apply until a configuration with the operators' limits is known."""
 
 
+@dataclass(frozen=True, slots=True)
+class ServerSize:
+    """What a server may use of its daemon.
+
+    Attributes
+    ----------
+    connections_share : float
+        Share of the daemon's connections.
+    threads : int
+        Requests that are handled at once.
+    max_body_bytes : int
+        Size of a body, until a configuration declares another one.
+    """
+
+    connections_share: float = CALLERS_SHARE
+    threads: int = _THREADS
+    max_body_bytes: int = _MAX_BODY_BYTES
+
+
+_CALLERS_SIZE = ServerSize()
+
+
 class CallersServer(HttpServer):
     """Serves callers; while it drains, connections close after their next response.
 
@@ -67,8 +93,8 @@
         its own.
     limits : InstanceLimits
         What the instance has, if the account is its own.
-    is_forwarding : bool
-        Whether other daemons are the callers.
+    size : ServerSize
+        What the server may use; by default that of the server for callers.
 
     Attributes
     ----------
@@ -87,18 +113,16 @@
         *,
         memory: CallerMemory | None = None,
         limits: InstanceLimits = _DEFAULT_LIMITS,
-        is_forwarding: bool = False,
+        size: ServerSize = _CALLERS_SIZE,
     ) -> None:
         self.memory = memory or CallerMemory(limits)
         max_descriptors = self.memory.limits.max_descriptors
         super().__init__(
             app,
             address,
-            threads=_THREADS,
-            max_body_bytes=_MAX_WIRE_FACTOR * _MAX_BODY_BYTES,
-            connection_limit=connection_limit(
-                max_descriptors, is_forwarding=is_forwarding
-            ),
+            threads=size.threads,
+            max_body_bytes=_MAX_WIRE_FACTOR * size.max_body_bytes,
+            connection_limit=connection_limit(max_descriptors, size.connections_share),
             max_request_header_size=_MAX_HEADER_BYTES,
             clear_untrusted_proxy_headers=False,
             log_socket_errors=False,
@@ -111,7 +135,7 @@
         self.check_head: CheckHead = accept_head
         self._server.callers_server = self
         self._server.adj.callers_server = self
-        self._server.adj.max_body_bytes = _MAX_BODY_BYTES
+        self._server.adj.max_body_bytes = size.max_body_bytes
         self._server.channel_class = _Channel
 
     def apply_limits(self, limits: CallerLimits) -> None:
--- a/src/pimentohoist/_entry/wsgi_apps.py
+++ b/src/pimentohoist/_entry/wsgi_apps.py
@@ -14,6 +14,7 @@
 from pimentohoist._entry.request_handler import RequestHandler
 from pimentohoist._entry.server import RECEIVED_AT, REFUSAL
 from pimentohoist._entry.shutdown import Shutdown
+from pimentohoist._http_server import WsgiApp
 from pimentohoist.entry_models import EntryRequest
 from pimentohoist.exceptions import PimentohoistError
 from pimentohoist.platform import (
@@ -121,6 +122,22 @@
         return _send_forwarding_error(error, _raw_request(environ), start_response)
 
 
+class RefusableApp:
+    """Serves an application, except for requests that weren't read to their end."""
+
+    def __init__(self, app: WsgiApp) -> None:
+        self.app = app
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Return the application's response, or why the request was given up."""
+        refusal = environ[REFUSAL]
+        if refusal is not None:
+            return _send_error(refusal, start_response)
+        return self.app(environ, start_response)
+
+
 class DirectoryApp:
     """Serves the directory: the addresses to which callers connect."""
 
--- a/src/pimentohoist/entry.py
+++ b/src/pimentohoist/entry.py
@@ -13,6 +13,7 @@
 
 from pimentohoist import _clock
 from pimentohoist._decisions.shutdown_schedule import ShutdownSchedule
+from pimentohoist._entry.auxiliary_servers import auxiliary_servers
 from pimentohoist._entry.endpoint_chooser import EndpointChooser
 from pimentohoist._entry.connections import ConnectionPool
 from pimentohoist._entry.crash_reports import CrashReportsController
@@ -50,7 +51,6 @@
 from pimentohoist._entry.server import CallersServer
 from pimentohoist._entry.shutdown import Shutdown
 from pimentohoist._entry.request_monitor import Cancellation, RequestMonitor
-from pimentohoist._http_server import HttpServer
 from pimentohoist._logs import BoundedLogs
 from pimentohoist._peers import PeerClients, PeerServer
 from pimentohoist.exceptions import SettingsError
@@ -63,10 +63,6 @@
 )
 
 _EXIT_SETTINGS = 2
-_AUXILIARY_THREADS = 2
-_MAX_AUXILIARY_BODY_BYTES = 65_536
-"""Their requests have no body; one of this size is held in memory."""
-
 _MAX_PEER_THREADS = 96
 """Each call that waits for an adapter takes a thread; under the heaviest load there are
 some threads to spare."""
@@ -436,24 +432,17 @@
         returning = (entry for entry in alive if entry.failure_domain in domains)
         self.endpoints.cold.presume(returning)
 
-    def _auxiliary_servers(self) -> tuple[HttpServer, ...]:
+    def _auxiliary_servers(self) -> tuple[CallersServer, ...]:
         settings = self.settings
         directory = DirectoryApp(self.addresses, settings.bounds.max_directory_age_s)
         metrics = MetricsApp(self.metrics, self.state)
         metrics_address = f'{settings.host}:{settings.metrics_port}'
-        apps = (
-            (directory, settings.directory_address),
+        checks = (
             (ReadyApp(self.is_ready), settings.ready_address),
             (metrics, metrics_address),
         )
-        return tuple(
-            HttpServer(
-                app,
-                address,
-                threads=_AUXILIARY_THREADS,
-                max_body_bytes=_MAX_AUXILIARY_BODY_BYTES,
-            )
-            for app, address in apps
+        return auxiliary_servers(
+            (directory, settings.directory_address), checks, self.callers.memory
         )
 
 
