Servers: a request sent ahead begins once the response before it has been taken

A caller that sends requests ahead and reads nothing had the answers to all of them made and held: about as many as fit into one read of 8 KiB. The next request of a connection now waits, without a thread, until the bytes of the response before it have been sent.

The bound is 32 MB, so the scenario stays known red: what is held of one answer, 1 MiB a connection, is not tied to the account of bytes.

--- a/src/pimentohoist/_http_server.py
+++ b/src/pimentohoist/_http_server.py
@@ -81,6 +81,7 @@
     server: Any
     socket: Any
     connected: bool
+    requests_lock: Any
 
     def __init__(self, *args: Any, **options: Any) -> None:
         self.active_at = time.monotonic()
@@ -88,8 +89,31 @@
         self._ends_with_response = False
         self._has_ended_response = False
         self._is_lingering = False
+        self._is_deferred = False
         super().__init__(*args, **options)
 
+    def service(self) -> None:
+        """Handle a request once the response before it has been taken.
+
+        A client that sends requests ahead and reads nothing would have all their responses
+        held for it.
+        """
+        with self.outbuf_lock:
+            self._is_deferred = self.connected and bool(self.total_outbufs_len)
+            if self._is_deferred:
+                self.server.pull_trigger()
+                return
+        super().service()
+
+    def handle_write(self) -> None:
+        """Send bytes; begin the request that waited for that."""
+        super().handle_write()
+        with self.outbuf_lock:
+            is_due = self._is_deferred and not self.total_outbufs_len
+            self._is_deferred = self._is_deferred and not is_due
+        if is_due:
+            self.server.add_task(self)
+
     def write_soon(self, data: Any) -> Any:
         """Queue bytes of a response and record when they came."""
         self.active_at = time.monotonic()
@@ -148,6 +172,7 @@
         """
         if self._is_lingering or not self._is_reset_likely():
             super().handle_close()
+            self._discard_deferred()
             return
         self._is_lingering = True
         self.will_close = False
@@ -163,6 +188,16 @@
         with suppress(OSError):
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESETS)
 
+    def _discard_deferred(self) -> None:
+        """Close the requests that wait for a response to be taken, as no thread will."""
+        with self.outbuf_lock:
+            is_deferred, self._is_deferred = self._is_deferred, False
+        if is_deferred:
+            with self.requests_lock:
+                for request in self.requests:
+                    request.close()
+                self.requests = []
+
     def _is_reset_likely(self) -> bool:
         if self._is_reset_wanted:
             return False
