--- a/src/pimentohoist/_entry/auxiliary_servers.py
+++ b/src/pimentohoist/_entry/auxiliary_servers.py
@@ -11,7 +11,7 @@
 from pimentohoist._http_server import WsgiApp
 from pimentohoist.exceptions import OversizedRequestError
 
-AppAt = tuple[WsgiApp, str]
+AddressedApp = tuple[WsgiApp, str]
 
 _THREADS = 2
 _STEP = 'receive'
@@ -27,7 +27,7 @@
 
 
 def auxiliary_servers(
-    directory: AppAt, checks: Iterable[AppAt], memory: CallerMemory
+    directory: AddressedApp, checks: Iterable[AddressedApp], memory: CallerMemory
 ) -> tuple[CallersServer, ...]:
     """Return the servers of applications, each at its address.
 
--- a/src/pimentohoist/_http_server.py
+++ b/src/pimentohoist/_http_server.py
@@ -24,7 +24,7 @@
 
 _SHUTDOWN_TIMEOUT_S = 1.0
 _REFUSAL_BODY = b'the server is stopping'
-# Above 0, waitress reads on while a request runs, and so closes what its client has left.
+# Above 0, waitress reads on while a request runs and closes connections that have ended.
 _LOOKAHEAD_REQUESTS = 1
 _IDLE_CONNECTION_TIMEOUT_S = 60
 _NO_TIMEOUT_S = 10_000_000_000
