departed_callers: callers leave once their first requests have reached an endpoint

The callers wait up to 2 s now until all are at work, and leave then, so that each scenario has the whole crowd at work: 32 passed.

--- a/features/steps/departed_callers.py
+++ b/features/steps/departed_callers.py
@@ -16,7 +16,7 @@
 from behave.runner import Context
 
 sys.path.append(str(Path(__file__).resolve().parent.parent))
-from entry_fleet import KEY, MODEL, EntryFleet  # noqa: E402
+from entry_fleet import KEY, MODEL, EntryFleet, wait_for  # noqa: E402
 
 _PORTS = MappingProxyType({'callers': 8000, 'daemons': 7602})
 _PATHS = MappingProxyType(
@@ -42,6 +42,7 @@
 _WORK_S = 0.1
 _SLOW_WORK_S = 3.0
 _HOLD_S = 0.3
+_REACH_LIMIT_S = 2.0
 _MS_PER_S = 1000
 
 
@@ -164,6 +165,9 @@
         _send_some(caller, _MORE[more](kind, server, number))
         callers.append(caller)
     time.sleep(after_s)
+    if 'is_crowded' not in context:
+        # What isn't sent by then must not be sent any more.
+        wait_for(lambda: context.departed <= _got(context), _REACH_LIMIT_S)
     for leaving in callers:
         _leave(leaving, leave)
 
@@ -186,6 +190,7 @@
 )
 def send_and_stay(context: Context, count: int, kind: str, work_s: float) -> None:
     _prepare(context)
+    context.is_crowded = True
     for number in range(count):
         caller = context.stack.enter_context(_connect(context.fleet, 'callers'))
         caller.sendall(_head(kind, 'callers', f'staying-{number}', work_s))
