Tests: heads with a line that isn't a field reach callers (known red)

- strict_responses: malformed heads, status lines, interim heads and trailers are taken.
Two sound forms aren't: "chunked" with a blank behind it makes the chunks' framing the body, and a 103 is taken for the answer by calls.

--- a/features/steps/plain_services.py
+++ b/features/steps/plain_services.py
@@ -30,11 +30,11 @@
     for name in _LEDGER_NAMES:
         fleet.start_standin(name, 'service')
     fleet.start_daemon('entry-1')
-    section, context.key = create_key('line-1', 'lipstick-house')
+    context.section, context.key = create_key('line-1', 'lipstick-house')
     addresses = map(fleet.addresses.__getitem__, _LEDGER_NAMES)
     endpoints = tuple(map(Endpoint, _LEDGER_NAMES, addresses, 'ab'))
     group = EndpointGroup('ledger', GroupKind.SERVICE, endpoints)
-    sections = (*demo_sections(fleet), section)
+    sections = (*demo_sections(fleet), context.section)
     others = [entry for entry in sections if entry.name != 'ledger']
     report = fleet.publish(Configuration.of(*others, group))
     assert report.is_in_force, report.text()
--- a/features/steps/strict_responses.py
+++ b/features/steps/strict_responses.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import http.client
 import socket
 import struct
 import threading
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager, suppress
+from collections.abc import Callable
+from functools import partial
 from types import MappingProxyType
 
 from behave import register_type, then
@@ -17,11 +18,25 @@
 from pimentohoist._http_connection import HttpRequest
 from pimentohoist.entry_models import Endpoint, EntryRequest
 from pimentohoist.exceptions import PeerError
+from pimentohoist.platform import ReadPosition, Store
+from pimentohoist_standins.odd_heads import (
+    MALFORMED_LINES,
+    MALFORMED_RESPONSES,
+    SOUND_RESPONSES,
+    OddResponse,
+    Place,
+)
+from pimentohoist_standins.raw_server import (
+    RawServer,
+    send_in_turn,
+    send_once,
+    send_slowly,
+)
 
-_LOOPBACK = '127.0.0.1'
 _LINGER_RESETS = struct.pack('ii', 1, 0)
 _READ_BYTES = 65_536
 _TIMEOUT_S = 5.0
+_REQUEST = HttpRequest('GET', '/x')
 _OWN = 'Pimentohoist-Attempt-Id: r1\r\nPimentohoist-Response-Seal: 1\r\n'
 _CHUNKED = 'Transfer-Encoding: chunked\r\n'
 _RESPONSES = MappingProxyType(
@@ -49,41 +64,23 @@
 _part_name.pattern = '|'.join(_RESPONSES)  # type: ignore[attr-defined]
 register_type(PartName=_part_name)
 
-Serve = Callable[[socket.socket], None]
-
-
-@contextmanager
-def _server(serve: Serve) -> Iterator[str]:
-    """Serve connections with a function until the context ends."""
-
-    def accept() -> None:
-        with suppress(OSError):
-            while True:
-                connection, _ = listener.accept()
-                with connection, suppress(OSError):
-                    serve(connection)
-
-    with socket.create_server((_LOOPBACK, 0)) as listener:
-        threading.Thread(target=accept, daemon=True).start()
-        yield f'{_LOOPBACK}:{listener.getsockname()[1]}'
-        listener.shutdown(socket.SHUT_RDWR)
-
-
-def _answer(response: str) -> Serve:
-    def serve(connection: socket.socket) -> None:
-        connection.recv(_READ_BYTES)
-        connection.sendall(response.encode())
 
-    return serve
-
-
-def _exchange(address: str, size: int = 0) -> bytes:
+def _exchange(
+    address: str,
+    size: int = 0,
+    *,
+    request_id: str = 'r1',
+    pool: ConnectionPool | None = None,
+    is_daemon: bool = False,
+) -> bytes:
     """Return the body of an endpoint's response; raises PeerError."""
-    endpoint = Endpoint('e', 's', address, 'a', 4, False, 1, 0)
+    endpoint = Endpoint('e', 's', address, 'a', 4, False, 1, 0, is_daemon=is_daemon)
     body = b'x' * size
-    request = EntryRequest('r1', 'POST', 'h', '/x', (), body, '', None, None, None, 0)
-    pool = ConnectionPool()
-    exchange = pool.send(endpoint, request, [('Host', 'h')], lambda opened: None)
+    request = EntryRequest(
+        request_id, 'POST', 'h', '/x', (), body, '', None, None, None, 0
+    )
+    connections = pool or ConnectionPool()
+    exchange = connections.send(endpoint, request, [('Host', 'h')], lambda opened: None)
     timer = threading.Timer(_TIMEOUT_S, exchange.abort)
     timer.start()
     try:
@@ -94,22 +91,48 @@
         exchange.close()
 
 
-def _call(address: str) -> bytes:
+def _client(address: str) -> HttpClient:
+    return HttpClient(address, timeout_s=_TIMEOUT_S, step='test')
+
+
+def _call(address: str, *, client: HttpClient | None = None) -> bytes:
     """Return the body of a response of the store or of another daemon."""
-    client = HttpClient(address, timeout_s=_TIMEOUT_S, step='test')
-    return client.request(HttpRequest('GET', '/x')).body
+    return (client or _client(address)).request(_REQUEST).body
+
+
+def _stream(address: str) -> bytes:
+    with _client(address).stream(_REQUEST) as response:
+        return response.read_all(_READ_BYTES)
+
+
+def _start(address: str) -> bytes:
+    with _client(address).start(_REQUEST, timeout_s=_TIMEOUT_S) as pending:
+        return pending.response().read_all(_READ_BYTES)
+
+
+def _send(address: str) -> bytes:
+    return _client(address).send(_REQUEST).read_response().body
+
+
+_READERS = MappingProxyType(
+    {
+        'endpoint': _exchange,
+        'daemon': partial(_exchange, is_daemon=True),
+        **{'call': _call, 'stream': _stream, 'start': _start, 'send': _send},
+    }
+)
 
 
 def _bodies(response: str) -> list[bytes | None]:
     """Return what each client takes as the response's body; None if it takes none."""
-    with _server(_answer(response)) as address:
-        return [_taken(client, address) for client in (_exchange, _call)]
+    with RawServer(partial(send_once, response.encode())) as server:
+        return [_taken(client, server.address) for client in (_exchange, _call)]
 
 
 def _taken(client: Callable[[str], bytes], address: str) -> bytes | None:
     try:
         return client(address)
-    except PeerError:
+    except (PeerError, http.client.HTTPException):
         return None
 
 
@@ -149,6 +172,80 @@
             left -= len(connection.recv(min(left, _READ_BYTES)))
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESETS)
 
-    with _server(serve) as address:
-        body = _taken(lambda target: _exchange(target, size), address)
+    with RawServer(serve) as server:
+        body = _taken(lambda target: _exchange(target, size), server.address)
     assert body is None, body
+
+
+def _taken_by_readers(response: OddResponse, send: Callable = send_once) -> set:
+    with RawServer(partial(send, response.data())) as server:
+        return {_taken(read, server.address) for read in _READERS.values()}
+
+
+@then("no reader takes a response whose {part} has a line that isn't well-formed")
+def check_malformed_part(context: Context, part: str) -> None:
+    taken = {
+        response: bodies
+        for response in MALFORMED_RESPONSES[part]
+        if (bodies := _taken_by_readers(response)) != {None}
+    }
+    assert not taken, f'{len(taken)}: {list(taken.items())[:4]}'
+
+
+@then('each reader takes a response whose {part} is sound and rare')
+def check_sound_part(context: Context, part: str) -> None:
+    lost = {
+        response: bodies
+        for response in SOUND_RESPONSES[part]
+        if (bodies := _taken_by_readers(response)) != {response.body}
+    }
+    assert not lost, f'{len(lost)}: {list(lost.items())[:4]}'
+
+
+@then('heads that come byte by byte are taken if they are sound, else refused')
+def check_slow_heads(context: Context) -> None:
+    for part, (response, *_) in SOUND_RESPONSES.items():
+        bodies = _taken_by_readers(response, send_slowly)
+        assert bodies == {response.body}, (part, bodies)
+    for part, (response, *_) in MALFORMED_RESPONSES.items():
+        bodies = _taken_by_readers(response, send_slowly)
+        assert bodies == {None}, (part, bodies)
+
+
+@then('each reader takes a head whose lines end in a line feed alone')
+def check_line_feeds(context: Context) -> None:
+    data = OddResponse().data().replace(b'\r\n', b'\n')
+    with RawServer(partial(send_once, data)) as server:
+        bodies = {_taken(read, server.address) for read in _READERS.values()}
+    assert bodies == {b'hello'}, bodies
+
+
+@then('a connection that brought a malformed {part} carries no other request')
+def check_connections(context: Context, part: str) -> None:
+    for response in MALFORMED_RESPONSES[part]:
+        pool, client = ConnectionPool(), _client('')
+        exchanges = [
+            partial(_exchange, pool=pool, request_id=name) for name in ('r1', 'r2')
+        ]
+        for readers in (exchanges, [partial(_call, client=client) for _ in exchanges]):
+            answers = [response.data(), OddResponse('r2').data()]
+            with RawServer(partial(send_in_turn, answers)) as server:
+                client.address = server.address
+                bodies = [_taken(read, server.address) for read in readers]
+            assert bodies == [None, b'hello'], (response, bodies)
+            assert server.connections == len(readers), response
+
+
+@then('a store whose answer has such a line has told neither an era nor records')
+def check_store(context: Context) -> None:
+    for name, line in MALFORMED_LINES.items():
+        response = OddResponse(body=bytes(16), line=line, place=Place.FIRST)
+        data = response.data().replace(b'Pimentohoist-Attempt-Id: r1', b'Store-Era: 7')
+        with RawServer(partial(send_once, data)) as server:
+            store = Store(server.address)
+            read = _taken(partial(_read_store, store), server.address)
+        assert (read, store.era.current) == (None, 0), (name, read)
+
+
+def _read_store(store: Store, address: str) -> object:
+    return store.read_changes('topic', ReadPosition(0, 0), wait_s=0)
--- a/features/strict_responses.feature
+++ b/features/strict_responses.feature
@@ -31,6 +31,39 @@
   Scenario: Repeated blanks and lengths
     Then no client takes a status after two blanks, two lengths or an unknown coding
 
+  # Guards against a parser of mail, which drops a line that is no field and all lines behind it,
+  # and against lines that reach callers as they came.
+  Scenario Outline: A line that isn't well-formed in a <part>
+    Then no reader takes a response whose <part> has a line that isn't well-formed
+    And a connection that brought a malformed <part> carries no other request
+
+    Examples:
+      | part            |
+      | head            |
+      | status line     |
+      | interim head    |
+      | trailer section |
+
+  # Guards against a grammar that is narrower than the protocol's.
+  Scenario Outline: A <part> that is sound and rare
+    Then each reader takes a response whose <part> is sound and rare
+
+    Examples:
+      | part            |
+      | head            |
+      | status line     |
+      | interim head    |
+      | trailer section |
+
+  # Guards against checks of a line that see only the part of it that has arrived.
+  Scenario: Heads in small packets and with other ends of lines
+    Then heads that come byte by byte are taken if they are sound, else refused
+    And each reader takes a head whose lines end in a line feed alone
+
+  # Guards against an era or an offset of the store that counts although its head is malformed.
+  Scenario: The store sends a head with a line that isn't a field
+    Then a store whose answer has such a line has told neither an era nor records
+
   # Guards against an early response without a length that looks complete, since the error of
   # its reset was reported to the upload that was still being written.
   Scenario Outline: An early 200 without a length is reset during a long upload
--- a/src/pimentohoist_standins/opaque_engine_handler.py
+++ b/src/pimentohoist_standins/opaque_engine_handler.py
@@ -14,6 +14,7 @@
 from pimentohoist_standins._soak.records import RunOutcome
 from pimentohoist_standins._answering import AnsweringHandler
 from pimentohoist_standins.endless import ENDLESS_EVENT, EndlessAnswer
+from pimentohoist_standins.odd_heads import Place, insert_line
 from pimentohoist_standins.opaque_engine_state import BrokenStream, ExecutedRequest
 
 _EVENTS_PER_STREAM = 6
@@ -71,6 +72,10 @@
             self.send_header('Server-Brittle', str(self.engine.faults.brittle))
         for limit in tuple(self.engine.faults.limits):
             self.send_header('Server-Limit', limit)
+        if self.is_request and self.engine.faults.head_lines:
+            self._headers_buffer = _with_line(
+                self._headers_buffer, *self.engine.faults.head_lines.pop(0)
+            )
         if self.is_request and self.engine.faults.cut_heads:
             self.cut_head(self.engine.faults.cut_heads.pop(0))
         super().end_headers()
@@ -256,6 +261,15 @@
         self.wfile.flush()
 
 
+def _with_line(head: list[bytes], place: str, line: str) -> list[bytes]:
+    """Return a head with one more line, whether that is a field or not."""
+    if not line:
+        return head
+    status_line, *fields = b''.join(head).splitlines(keepends=True)
+    octets = f'{line}\r\n'.encode('latin-1')
+    return [status_line, *insert_line(fields, Place(place), octets)]
+
+
 def _lowered(headers: Message) -> dict[str, str]:
     return {name.lower(): text for name, text in headers.items()}
 
--- a/src/pimentohoist_standins/opaque_engine_state.py
+++ b/src/pimentohoist_standins/opaque_engine_state.py
@@ -96,6 +96,10 @@
     cut_heads : list of int
         After how many bytes of their heads the next responses to requests end with their
         connections; engines may share the list.
+    head_lines : list of tuple of str and str
+        Lines that are added to the heads of the next responses to requests, one each, and
+        their places; a response whose line is empty is left as it is. Octets are written
+        as Latin-1. Engines may share the list.
     resumption : bytes or None
         Body of the responses to requests that take a stream up.
     load_s : float
@@ -110,6 +114,7 @@
     quiet_s: float | None = None
     cut_after_events: int | None = None
     cut_heads: list[int] = field(default_factory=list)
+    head_lines: list[tuple[str, str]] = field(default_factory=list)
     endless_after_events: int | None = None
     extra_responses: int = 0
     failures: int = 0
