Responses: a head is what the protocol's grammar allows, or no response

Callers saw answers with a line that isn't a field, or without it and all lines behind it, framing among them.

Cause: http.client has heads parsed by the parser for e-mail. It ends a head at the first line that is no field, joins folded lines, takes a lone CR for a line's end, and keeps blanks behind a value, so that "chunked" with a blank wasn't the coding. Checks of what it returns can't see what it has dropped.

Change: _head_grammar parses status lines and fields by RFC 9110 and 9112; StrictResponse.begin reads the head with it. All readers of responses share it: endpoints, daemons, the store, pimentohoistd, commands. The caller gets 502 and that the request may have run; the log has the line, cut at 80 bytes and escaped. The error takes the way of any broken response, so its connection is closed.

At most 100 fields, as http.client had it.

--- a/features/steps/response_limits.py
+++ b/features/steps/response_limits.py
@@ -76,7 +76,12 @@
     b'Pimentohoist-Attempt-Id: r1\r\nPimentohoist-Response-Seal: 1\r\n'
 )
 _MIXED = st.lists(_PIECES | st.binary(max_size=20), max_size=12)
-_ANSWERS = _MIXED | _MIXED.map(lambda pieces: [_OWN_HEAD, *pieces])
+_ANSWERS = (
+    _MIXED
+    | _MIXED.map(lambda pieces: [_OWN_HEAD, *pieces])
+    | _MIXED.map(lambda pieces: [_OWN_HEAD, b'\r\n', *pieces])
+)
+"""Arbitrary pieces, and pieces behind a sound beginning of a head or a sound head."""
 _EVENT_END = re.compile(rb'\n\r?\n|\n\r[^\n]|\r\r')
 _EVENT_ENDS = (b'\n\n', b'\n\r\n', b'\n\r', b'\r\r', b'\r\r\n')
 _EVENT_PIECES = st.sampled_from(
--- a/src/pimentohoist/_entry/connections.py
+++ b/src/pimentohoist/_entry/connections.py
@@ -21,6 +21,8 @@
 from pimentohoist._entry.response_head import Framing, ResponseHead, framing_of
 from pimentohoist._entry.response_memory import ResponseMemory
 from pimentohoist._entry.upstream_connection import UpstreamConnection
+from pimentohoist._head_grammar import MalformedHeadError
+from pimentohoist._http_errors import malformed_response_error
 from pimentohoist._limited_reader import (
     MAX_READ_BYTES,
     ByteLimitError,
@@ -241,15 +243,24 @@
     def _wrap_errors(self) -> Iterator[None]:
         try:
             yield
-        except (ByteLimitError, http.client.LineTooLong) as error:
-            limits = self.connection.shared_socket.limits
-            raise self.limit_failure(_limit_error(limits, error)) from error
-        except TimeoutError as error:
-            raise PeerTimeoutError(
-                str(error), step=_STEP, peer=self.endpoint.address
-            ) from error
         except (OSError, http.client.HTTPException, ValueError) as error:
-            raise self._failure(f'{type(error).__name__}: {error}') from error
+            raise self._peer_error(error) from error
+
+    def _peer_error(self, error: Exception) -> PeerError:
+        peer = self.endpoint.address
+        match error:
+            case ByteLimitError() | http.client.LineTooLong():
+                limits = self.connection.shared_socket.limits
+                return self.limit_failure(_limit_error(limits, error))
+            case MalformedHeadError():
+                fields = {
+                    'endpoint': self.endpoint.endpoint_id,
+                    'id': self.request.request_id,
+                }
+                return malformed_response_error(error, _STEP, peer, fields)
+            case TimeoutError():
+                return PeerTimeoutError(str(error), step=_STEP, peer=peer)
+        return self._failure(f'{type(error).__name__}: {error}')
 
 
 class ConnectionPool:
--- a/src/pimentohoist/_entry/own_response.py
+++ b/src/pimentohoist/_entry/own_response.py
@@ -42,7 +42,6 @@
             cast('socket.socket', shared_socket), method=self.request.method
         )
         response.begin()
-        shared_socket.reader.check_head()
         shared_socket.limits.allow_body()
         self._responses_read += 1
         return response
--- a/src/pimentohoist/_entry/upstream_connection.py
+++ b/src/pimentohoist/_entry/upstream_connection.py
@@ -6,11 +6,12 @@
 from __future__ import annotations
 
 import http.client
+import io
 import socket
 from contextlib import suppress
 
 from pimentohoist._addresses import split_address
-from pimentohoist._limited_reader import HeadReader, LimitedReader
+from pimentohoist._limited_reader import LimitedReader
 from pimentohoist._sockets import has_input
 from pimentohoist.entry_models import EntryRequest
 
@@ -38,7 +39,7 @@
 _BODILESS = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 
 
-class _SharedReader(HeadReader):
+class _SharedReader(io.BufferedReader):
     """Stays open when a response that was read from it is closed."""
 
     def close(self) -> None:
@@ -53,7 +54,7 @@
         self.limits = LimitedReader(socket.SocketIO(sock, 'r'), sock)
         self.reader = _SharedReader(self.limits)
 
-    def makefile(self, mode: str) -> HeadReader:
+    def makefile(self, mode: str) -> io.BufferedReader:
         return self.reader
 
     def sendall(self, data: bytes) -> None:
--- a/src/pimentohoist/_http_errors.py
+++ b/src/pimentohoist/_http_errors.py
@@ -4,12 +4,18 @@
 
 import http.client
 import logging
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from contextlib import AbstractContextManager, contextmanager
 from typing import Protocol
 
+from pimentohoist._head_grammar import MalformedHeadError
 from pimentohoist._limited_reader import ByteLimitError
-from pimentohoist.exceptions import OversizedResponseError, PeerError, PeerTimeoutError
+from pimentohoist.exceptions import (
+    MalformedResponseError,
+    OversizedResponseError,
+    PeerError,
+    PeerTimeoutError,
+)
 
 _MAX_LINE_BYTES = 65_536
 """Limit of `http.client`."""
@@ -50,7 +56,26 @@
         raise _peer_error(peer, error) from error
 
 
+def malformed_response_error(
+    error: MalformedHeadError, step: str, peer: str, fields: Mapping[str, str]
+) -> MalformedResponseError:
+    """Log the line that was refused and return the error to raise.
+
+    Parameters
+    ----------
+    fields : mapping of str to str
+        Further fields of the log record.
+    """
+    extra = {'step': step, 'peer': peer, 'line': error.line, **fields}
+    _logger.warning(str(error), extra=extra)
+    return MalformedResponseError(
+        f'{error}; the request may have run', step=step, peer=peer
+    )
+
+
 def _peer_error(peer: HttpPeer, error: Exception) -> PeerError:
+    if isinstance(error, MalformedHeadError):
+        return malformed_response_error(error, peer.step, peer.address, {})
     text = f'{type(error).__name__}: {error}'
     limit_error = _limit_error(error)
     if limit_error is not None:
--- a/src/pimentohoist/_limited_reader.py
+++ b/src/pimentohoist/_limited_reader.py
@@ -19,7 +19,6 @@
 MAX_HEAD_BYTES = 65_536
 MAX_READ_BYTES = 16_384
 _MAX_FRAMING_BYTES = 65_536
-_BLANK_LINES = (b'\r\n', b'\n')
 _FRAMING_FACTOR = 8
 """A body may take `_MAX_FRAMING_BYTES` more on the wire than this factor times its data;
 a chunk of one byte takes six."""
@@ -111,31 +110,6 @@
         self._left_bytes = max_bytes
 
 
-class IncompleteHeadError(http.client.HTTPException):
-    """A response ended before its head was complete."""
-
-
-class HeadReader(io.BufferedReader):
-    """Tells whether a head was read to its blank line.
-
-    `http.client` takes the end of a connection for the end of a head.
-    """
-
-    def __init__(self, source: io.RawIOBase) -> None:
-        super().__init__(source)
-        self.last_line = b''
-
-    def readline(self, size: int | None = -1, /) -> bytes:
-        """Read a line."""
-        self.last_line = super().readline(size)
-        return self.last_line
-
-    def check_head(self) -> None:
-        """Raise IncompleteHeadError unless the last line was blank."""
-        if self.last_line not in _BLANK_LINES:
-            raise IncompleteHeadError('connection closed before the end of the head')
-
-
 class LimitedResponse(StrictResponse):
     """A response with limits on its bytes and a deadline for all of it.
 
@@ -159,18 +133,17 @@
         timeout_s = sock.gettimeout()
         if timeout_s:
             self.reader.deadline = time.monotonic() + timeout_s
-        self.head_reader = HeadReader(self.reader)
+        buffered = io.BufferedReader(self.reader)
         super().__init__(
-            cast('socket.socket', _ReaderSocket(self.head_reader)),
+            cast('socket.socket', _ReaderSocket(buffered)),
             debuglevel,
             method,
             url,
         )
 
     def begin(self) -> None:
-        """Read the head; raises IncompleteHeadError."""
+        """Read the head, then set the limit for the body."""
         super().begin()
-        self.head_reader.check_head()
         self.reader.allow_body()
 
     def read_part(self) -> bytes:
@@ -208,8 +181,8 @@
 class _ReaderSocket:
     """Passes a reader to `http.client`, which makes its own from a socket."""
 
-    def __init__(self, reader: HeadReader) -> None:
+    def __init__(self, reader: io.BufferedIOBase) -> None:
         self.reader = reader
 
-    def makefile(self, mode: str) -> HeadReader:
+    def makefile(self, mode: str) -> io.BufferedIOBase:
         return self.reader
--- a/src/pimentohoist/_strict_response.py
+++ b/src/pimentohoist/_strict_response.py
@@ -1,7 +1,8 @@
-"""HTTP responses whose numbers are read as the protocol writes them.
+"""HTTP responses whose heads and chunks are read as the protocol writes them.
 
-`http.client` takes what `int` takes: signs, blanks, underscores, leading zeros and statuses
-up to 999. It ignores a length that is no number, and what ends a chunk.
+`http.client` has heads parsed by the parser for e-mail, which ends a head at the first line
+that is no field, and takes numbers as `int` does: with signs, blanks and underscores. It
+ignores a length that is no number, and what ends a chunk.
 """
 
 from __future__ import annotations
@@ -9,50 +10,93 @@
 import http.client
 import re
 from collections.abc import Callable
+from http import HTTPStatus
+
+from pimentohoist._head_grammar import (
+    IncompleteHeadError,
+    MalformedHeadError,
+    StatusLine,
+    parse_field_line,
+    parse_status_line,
+)
 
 _MAX_LINE_BYTES = 65_536
-_STATUS_LINE = re.compile(rb'(HTTP/1\.[01]) ([1-5][0-9]{2})(?: ([^\r\n]*))?\r?\n')
+_MAX_FIELDS = 100
+_HEADER = 'header line'
 _CHUNK_SIZE = re.compile(rb'([0-9a-fA-F]{1,15})[ \t]*(?:;[^\r\n]*)?\r?\n')
 _LENGTH = re.compile('[0-9]{1,19}')
+_CHUNKED = 'chunked'
 _CHUNK_END = b'\r\n'
-_MAX_QUOTED_BYTES = 80
 _HEXADECIMAL = 16
+_FIRST_VERSION = 10
+"""HTTP/1.0, as `http.client` numbers versions."""
 
-
-class MalformedHeaderError(http.client.HTTPException):
-    """A header that tells the end of the body isn't what the protocol allows."""
+_BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 
 class StrictResponse(http.client.HTTPResponse):
-    """A response that is read only if its status and its sizes are well-formed.
+    """A response that is read only if its head and its sizes are well-formed.
 
-    Its underscored methods override those of `http.client` that parse them.
+    Its underscored methods override those of `http.client` that parse chunks.
     """
 
     _close_conn: Callable[[], None]
+    _method: str | None
 
     def begin(self) -> None:
-        """Read the head; raises BadStatusLine and MalformedHeaderError."""
-        super().begin()
-        lengths = set(self.headers.get_all('Content-Length', ()))
-        are_numbers = all(_LENGTH.fullmatch(length.strip()) for length in lengths)
-        codings = self.headers.get_all('Transfer-Encoding', ())
-        is_known = all(coding.strip().lower() == 'chunked' for coding in codings)
-        if len(lengths) > 1 or not are_numbers or len(codings) > 1 or not is_known:
+        """Read the head; ``100 Continue`` before it is checked and skipped.
+
+        Raises
+        ------
+        RemoteDisconnected
+            The connection was closed before the response.
+        IncompleteHeadError
+            It was closed within the head.
+        MalformedHeadError
+            A line of the head isn't well-formed, or the length or the coding isn't known.
+        """
+        if self.headers is not None:
+            return
+        try:
+            self._read_head()
+        except (MalformedHeadError, IncompleteHeadError):
             self._close_conn()
-            found = f'{sorted(lengths)} {codings}'[:_MAX_QUOTED_BYTES]
-            raise MalformedHeaderError(f'malformed length or coding: {found}')
+            raise
 
-    def _read_status(self) -> tuple[str, int, str]:
+    def _read_head(self) -> None:
+        status_line, headers = self._read_section()
+        while status_line.status == HTTPStatus.CONTINUE:
+            status_line, headers = self._read_section()
+        self.version = _FIRST_VERSION + status_line.minor_version
+        self.status = status_line.status
+        self.reason = status_line.reason
+        length = _length(headers)
+        self.chunked = _is_chunked(headers)
+        # Set to its size by each chunk's head.
+        self.chunk_left = None
+        is_interim = self.status < HTTPStatus.OK
+        is_bodiless = is_interim or self.status in _BODILESS_STATUSES
+        if is_bodiless or self._method == 'HEAD':
+            self.length = 0
+        else:
+            self.length = None if self.chunked else length
+        has_end = self.chunked or self.length is not None
+        self.will_close = not has_end or _is_closing(self.version, headers)
+        self.headers = headers
+
+    def _read_section(self) -> tuple[StatusLine, http.client.HTTPMessage]:
+        """Read a status line and the fields behind it."""
         line = self._read_line('status line')
         if not line:
             raise http.client.RemoteDisconnected('connection closed without a response')
-        found = _STATUS_LINE.fullmatch(line)
-        if found is None:
-            self._close_conn()
-            raise http.client.BadStatusLine(repr(line[:_MAX_QUOTED_BYTES]))
-        version, status, reason = found.groups(b'')
-        return version.decode(), int(status), reason.decode('iso-8859-1').strip()
+        status_line = parse_status_line(line)
+        headers = http.client.HTTPMessage()
+        for _ in range(_MAX_FIELDS + 1):
+            field = parse_field_line(self._read_line(_HEADER), _HEADER)
+            if field is None:
+                return status_line, headers
+            headers.add_header(*field)
+        raise http.client.HTTPException(f'more than {_MAX_FIELDS} header lines')
 
     def _read_next_chunk_size(self) -> int:
         found = _CHUNK_SIZE.fullmatch(self._read_line('chunk size'))
@@ -74,3 +118,32 @@
         if len(line) > _MAX_LINE_BYTES:
             raise http.client.LineTooLong(kind)
         return line
+
+
+def _length(headers: http.client.HTTPMessage) -> int | None:
+    """Return the length of the body; None without one. Raises MalformedHeadError."""
+    lengths = set(headers.get_all('Content-Length', ()))
+    if not lengths:
+        return None
+    text = ', '.join(sorted(lengths))
+    if _LENGTH.fullmatch(text) is None:
+        raise MalformedHeadError('length', f'Content-Length: {text}'.encode())
+    return int(text)
+
+
+def _is_chunked(headers: http.client.HTTPMessage) -> bool:
+    """Return whether the body comes in chunks; raises MalformedHeadError."""
+    codings = headers.get_all('Transfer-Encoding', ())
+    text = ', '.join(codings)
+    if codings and text.lower() != _CHUNKED:
+        raise MalformedHeadError('coding', f'Transfer-Encoding: {text}'.encode())
+    return bool(codings)
+
+
+def _is_closing(version: int, headers: http.client.HTTPMessage) -> bool:
+    """Return whether the peer closes the connection after the response."""
+    text = ','.join(headers.get_all('Connection', ()))
+    options = {option.strip().lower() for option in text.split(',')}
+    if version == _FIRST_VERSION:
+        return 'keep-alive' not in options
+    return 'close' in options
--- a/src/pimentohoist/exceptions.py
+++ b/src/pimentohoist/exceptions.py
@@ -247,6 +247,10 @@
     """The peer's response exceeds a limit on its bytes."""
 
 
+class MalformedResponseError(PeerError):
+    """The head or the trailers of the peer's response aren't what the protocol allows."""
+
+
 class PeerRefusedError(PeerError):
     """The peer refused the request; ``peer_status`` is its status code."""
 
