Responses: any number of interim heads come before a response

A 103 or 102 before a response was the response itself for calls to the store, to daemons and to orders, with an empty body; an endpoint's request failed with 502 behind the third one (strict_responses, "A interim head that is sound and rare", red before).

Cause: http.client skips 100 alone. The endpoints' reader dropped others as responses to other requests, of which it reads three.

Attribution has no case for them any more.

--- a/src/pimentohoist/_entry/own_response.py
+++ b/src/pimentohoist/_entry/own_response.py
@@ -7,7 +7,6 @@
 import math
 import socket
 import time
-from http import HTTPStatus
 from typing import cast
 
 from pimentohoist._strict_response import StrictResponse
@@ -63,8 +62,7 @@
         if attribution is Attribution.OWN:
             limits.deadline = math.inf
             return True
-        if response.status >= HTTPStatus.OK:
-            self._log_dropped(response, attribution)
+        self._log_dropped(response, attribution)
         if attribution is Attribution.UNNAMED:
             limits.deadline = time.monotonic() + _OWN_RESPONSE_TIMEOUT_S
         return False
--- a/src/pimentohoist/_strict_response.py
+++ b/src/pimentohoist/_strict_response.py
@@ -44,7 +44,7 @@
     _method: str | None
 
     def begin(self) -> None:
-        """Read the head; ``100 Continue`` before it is checked and skipped.
+        """Read the head; interim responses before it are checked and skipped.
 
         Raises
         ------
@@ -65,7 +65,7 @@
 
     def _read_head(self) -> None:
         status_line, headers = self._read_section()
-        while status_line.status == HTTPStatus.CONTINUE:
+        while status_line.status < HTTPStatus.OK:
             status_line, headers = self._read_section()
         self.version = _FIRST_VERSION + status_line.minor_version
         self.status = status_line.status
@@ -74,9 +74,7 @@
         self.chunked = _is_chunked(headers)
         # Set to its size by each chunk's head.
         self.chunk_left = None
-        is_interim = self.status < HTTPStatus.OK
-        is_bodiless = is_interim or self.status in _BODILESS_STATUSES
-        if is_bodiless or self._method == 'HEAD':
+        if self.status in _BODILESS_STATUSES or self._method == 'HEAD':
             self.length = 0
         else:
             self.length = None if self.chunked else length
--- a/src/pimentohoist/platform/_requests.py
+++ b/src/pimentohoist/platform/_requests.py
@@ -28,7 +28,7 @@
     OWN : int
         To the request that was sent last.
     OTHER : int
-        To another request, or it is an interim response.
+        To another request.
     UNNAMED : int
         A failure or a refusal that names no request.
     """
@@ -140,8 +140,6 @@
     An endpoint may refuse a request before it has read its id; so a refusal that names no
     request is only known to belong to the first request on its connection.
     """
-    if status < HTTPStatus.OK:
-        return Attribution.OTHER
     echoed = set(headers.get_all(header_names.ATTEMPT_ID, ()))
     is_own = echoed == {request_id}
     if status < HTTPStatus.BAD_REQUEST:
