Responses: trailers are what the protocol's grammar allows

A response in chunks counted as complete whatever stood between its last chunk and its end: lines that aren't fields, control bytes, or a head of another response that began there (strict_responses, "A line that isn't well-formed in a trailer section", red before).

Cause: http.client drops trailers without a look at them.

Change: each is parsed like a field of a head, and dropped. A connection that ends behind the last chunk still ends a whole body, by RFC 9112, section 8.

--- a/src/pimentohoist/_strict_response.py
+++ b/src/pimentohoist/_strict_response.py
@@ -1,8 +1,8 @@
-"""HTTP responses whose heads and chunks are read as the protocol writes them.
+"""HTTP responses whose heads, chunks and trailers are read as the protocol writes them.
 
 `http.client` has heads parsed by the parser for e-mail, which ends a head at the first line
 that is no field, and takes numbers as `int` does: with signs, blanks and underscores. It
-ignores a length that is no number, and what ends a chunk.
+ignores a length that is no number, what ends a chunk, and trailers.
 """
 
 from __future__ import annotations
@@ -23,6 +23,7 @@
 _MAX_LINE_BYTES = 65_536
 _MAX_FIELDS = 100
 _HEADER = 'header line'
+_TRAILER = 'trailer line'
 _CHUNK_SIZE = re.compile(rb'([0-9a-fA-F]{1,15})[ \t]*(?:;[^\r\n]*)?\r?\n')
 _LENGTH = re.compile('[0-9]{1,19}')
 _CHUNKED = 'chunked'
@@ -37,7 +38,7 @@
 class StrictResponse(http.client.HTTPResponse):
     """A response that is read only if its head and its sizes are well-formed.
 
-    Its underscored methods override those of `http.client` that parse chunks.
+    Its underscored methods override those of `http.client` that parse chunks and trailers.
     """
 
     _close_conn: Callable[[], None]
@@ -103,6 +104,20 @@
             raise ValueError('malformed chunk size')
         return int(found[1], _HEXADECIMAL)
 
+    def _read_and_discard_trailer(self) -> None:
+        """Check the trailers, and drop them."""
+        try:
+            self._check_trailers()
+        except (MalformedHeadError, IncompleteHeadError):
+            self._close_conn()
+            raise
+
+    def _check_trailers(self) -> None:
+        line = self._read_line(_TRAILER)
+        # The last chunk has ended the body, so the connection may end without trailers.
+        while line and parse_field_line(line, _TRAILER) is not None:
+            line = self._read_line(_TRAILER)
+
     def _safe_read(self, amt: int) -> bytes:
         """Read a number of bytes; what ends a chunk has to be a line's end."""
         found: bytes = super()._safe_read(amt)  # type: ignore[misc]
