Soak: engines answer with heads that have a line which isn't a field

Such a run counts as broken off, whose answer may reach no caller. Seeds of all kinds draw other plans now, but those of the features.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -13,6 +13,8 @@
     Then the soak ends with status 0
     When seed 4207 is played for 30 s with all daemons lost beside odd records and cut heads
     Then the soak ends with status 0
+    When seed 5301 is played for 20 s with malformed heads beside planned work
+    Then the soak ends with status 0
     And no promise is broken
     And each check has applied in some run
     And nothing of the soak is left running
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -27,7 +27,7 @@
 _TIMEOUT_S = 150
 _LATER_KINDS = frozenset(
     ('engine_limit', 'engine_brittle', 'engine_pause')
-    + ('kill_all', 'store_odd_entry', 'engine_cut_head')
+    + ('kill_all', 'store_odd_entry', 'engine_cut_head', 'engine_odd_head')
 )
 """Kinds without which seeds that are played here keep their plans."""
 
@@ -41,6 +41,9 @@
             'kill_all,store_odd_entry,engine_cut_head,engine_cut,hup,config_storm,'
             'key_withdrawn,engine_twice,engine_fail,engine_quiet,config_invalid'
         ),
+        'malformed heads beside planned work': (
+            'engine_odd_head,engine_cut,engine_leaves,term,roll,hup,config_storm'
+        ),
         'limits of endpoints': 'engine_limit,engine_cut,hup',
         'planned work only': (
             'term,hup,engine_leaves,config_storm,key_withdrawn,engine_cut'
--- a/src/pimentohoist_standins/_soak/disruptions.py
+++ b/src/pimentohoist_standins/_soak/disruptions.py
@@ -17,7 +17,8 @@
     'term hup restart roll new_address key_withdrawn config_change config_storm '
     'config_invalid caller_leaves caller_slow engine_fail engine_twice engine_leaves '
     'engine_quiet engine_limit engine_endless engine_cut '
-    'engine_brittle engine_cut_head store_odd_entry engines_reset engines_hang engines_live'.split(),
+    'engine_brittle engine_cut_head engine_odd_head store_odd_entry '
+    'engines_reset engines_hang engines_live'.split(),
 )
 LINK_LOSSES = frozenset('engines_reset engines_hang engines_live'.split())
 _STORE_KINDS = frozenset(
--- a/src/pimentohoist_standins/_soak/faults.py
+++ b/src/pimentohoist_standins/_soak/faults.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import signal
 import threading
 import time
@@ -26,6 +27,7 @@
     FaultRecord,
 )
 from pimentohoist_standins._soak.role_process import RoleProcess
+from pimentohoist_standins.odd_heads import MALFORMED_LINES, Place
 from pimentohoist_standins.opaque_engine_state import FALL_S
 
 _LEAVE_S = 2.0
@@ -63,6 +65,10 @@
         'store_lose_answers': {'is_losing_answers': True},
     }
 )
+_MALFORMED_HEAD_LINES = tuple(
+    (place, line.decode('latin-1'))
+    for place, line in zip(itertools.cycle(Place), MALFORMED_LINES.values())
+)
 _ENDPOINT_FAULTS: Mapping[str, Mapping[str, Any]] = MappingProxyType(
     {
         'engine_silent': {'is_silent': True},
@@ -70,6 +76,7 @@
         'engine_twice': {'extra_responses': 3},
         'engine_cut': {'cut_after_events': 3},
         'engine_cut_head': {'cut_heads': [17, 120, 150, 165, 180, 195, 210]},
+        'engine_odd_head': {'head_lines': _MALFORMED_HEAD_LINES},
         'engine_quiet': {'quiet_s': 0.5},
         'engine_limit': {'limits': [str(LIMIT_PER_S)]},
     }
--- a/src/pimentohoist_standins/_soak/plan.py
+++ b/src/pimentohoist_standins/_soak/plan.py
@@ -61,6 +61,7 @@
         ('store', _SHORT_S, 'store_lose_calls store_lose_answers'),
         ('store', _MOMENT_S, 'store_odd_entry'),
         (_ENDPOINT, _MOMENT_S, 'engine_fail engine_twice engine_cut engine_cut_head'),
+        (_ENDPOINT, _MOMENT_S, 'engine_odd_head'),
         (_ENDPOINT, _SHORT_S, 'engine_crash engine_leaves engine_quiet'),
         (_ENDPOINT, _LONG_S, 'engine_freeze engine_silent'),
         (_ENDPOINT, (4, 7), 'engine_limit'),
--- a/src/pimentohoist_standins/opaque_engine_handler.py
+++ b/src/pimentohoist_standins/opaque_engine_handler.py
@@ -14,7 +14,7 @@
 from pimentohoist_standins._soak.records import RunOutcome
 from pimentohoist_standins._answering import AnsweringHandler
 from pimentohoist_standins.endless import ENDLESS_EVENT, EndlessAnswer
-from pimentohoist_standins.odd_heads import Place, insert_line
+from pimentohoist_standins.odd_heads import MALFORMED_LINES, Place, insert_line
 from pimentohoist_standins.opaque_engine_state import BrokenStream, ExecutedRequest
 
 _EVENTS_PER_STREAM = 6
@@ -34,6 +34,7 @@
         self.last_event: int | None = None
         self.is_chunked = False
         self.is_request = False
+        self.is_malformed = False
         super().setup()
 
     def do_GET(self) -> None:  # noqa: N802
@@ -73,9 +74,9 @@
         for limit in tuple(self.engine.faults.limits):
             self.send_header('Server-Limit', limit)
         if self.is_request and self.engine.faults.head_lines:
-            self._headers_buffer = _with_line(
-                self._headers_buffer, *self.engine.faults.head_lines.pop(0)
-            )
+            place, line = self.engine.faults.head_lines.pop(0)
+            self.is_malformed = line.encode('latin-1') in MALFORMED_LINES.values()
+            self._headers_buffer = _with_line(self._headers_buffer, place, line)
         if self.is_request and self.engine.faults.cut_heads:
             self.cut_head(self.engine.faults.cut_heads.pop(0))
         super().end_headers()
@@ -121,12 +122,13 @@
         self.status = 0
         self.last_event = None
         self.is_request = True
+        self.is_malformed = False
         try:
             with engine.occupied() as has_room:
                 outcome = self.respond(headers, body, has_room=has_room)
         finally:
             self.is_request = False
-            engine.record_end(arrival, outcome, self.status, self.last_event)
+            _record_end(self, arrival, outcome)
 
     def respond(
         self, headers: dict[str, str], body: bytes, *, has_room: bool
@@ -261,6 +263,14 @@
         self.wfile.flush()
 
 
+def _record_end(handler: EngineHandler, arrival: int, outcome: RunOutcome) -> None:
+    last_event = handler.last_event
+    if handler.is_malformed:
+        # Nothing of the response may reach a caller.
+        outcome, last_event = RunOutcome.BROKEN_OFF, None
+    handler.engine.record_end(arrival, outcome, handler.status, last_event)
+
+
 def _with_line(head: list[bytes], place: str, line: str) -> list[bytes]:
     """Return a head with one more line, whether that is a field or not."""
     if not line:
