Stand-ins: fleets and soaks of the tests have networks of their own

Cause: a fleet reserves port 9000 at 127.(2 + pid / 250).(pid mod 250).1, a soak's proxies listen at 127.(100 + pid mod 150).(100 + slot).1, and fleets of entry daemons draw from 127.130 on: the fleet of process 33102 and the soak of process 33034, both of that time, meet there (calculated). With a socket bound to that address a soak on 127.134 ends with the same message.

Change: 127.2 to 127.96, 127.100 to 127.199 and 127.200 on, one range each. Two soaks at once may still draw the same one.

--- a/features/entry_fleet.py
+++ b/features/entry_fleet.py
@@ -79,7 +79,7 @@
 
     def __init__(self) -> None:
         self.stack = ExitStack()
-        network = f'127.{random.randint(130, 250)}.{random.randint(1, 250)}'
+        network = f'127.{random.randint(200, 250)}.{random.randint(1, 250)}'
         self.network = network
         self.daemons: list[EntryProcess] = []
         self.engines: list[OpaqueEngine] = []
--- a/src/pimentohoist_standins/fleet.py
+++ b/src/pimentohoist_standins/fleet.py
@@ -29,7 +29,10 @@
 _POLL_S = 0.02
 _CLIENT_TIMEOUT_S = 10.0
 _NETWORKS_PER_OCTET = 250
-_MIN_SECOND_OCTET = 2
+_LAST_SECOND_OCTET = 96
+_SECOND_OCTETS = range(2, _LAST_SECOND_OCTET + 1)
+"""Those from 100 on belong to soaks, and from 200 on to fleets of entry daemons."""
+
 _CALLERS_PORT = 8000
 _OPERATORS_PORT = 8001
 _PEER_PORT = 8002
@@ -243,12 +246,10 @@
 
     A socket bound to the network's first host reserves it until the fleet ends.
     """
-    for attempt in range(_NETWORKS_PER_OCTET * _NETWORKS_PER_OCTET):
-        index = os.getpid() + attempt
-        second_octet = (
-            _MIN_SECOND_OCTET + index // _NETWORKS_PER_OCTET % _NETWORKS_PER_OCTET
-        )
-        network = f'127.{second_octet}.{index % _NETWORKS_PER_OCTET}'
+    for attempt in range(len(_SECOND_OCTETS) * _NETWORKS_PER_OCTET):
+        number, third_octet = divmod(os.getpid() + attempt, _NETWORKS_PER_OCTET)
+        second_octet = _SECOND_OCTETS[number % len(_SECOND_OCTETS)]
+        network = f'127.{second_octet}.{third_octet}'
         reservation = stack.enter_context(socket.socket())
         try:
             reservation.bind((f'{network}.1', _STANDIN_PORT))
@@ -256,5 +257,5 @@
             continue
         return network
     raise PeerError(
-        'no free loopback network among 127.2.0.0/24 to 127.251.249.0/24', step=_STEP
+        'no free loopback network among 127.2.0.0/24 to 127.96.249.0/24', step=_STEP
     )
--- a/src/pimentohoist_standins/soak.py
+++ b/src/pimentohoist_standins/soak.py
@@ -31,7 +31,9 @@
 from pimentohoist_standins._soak.run import SoakRun
 
 _FIRST_NETWORK = 100
-_NETWORKS = 150
+_NETWORKS = 100
+"""Other fleets of the tests have networks before and behind these."""
+
 _BROKEN_STATUS = 1
 _BAD_INPUT_STATUS = 2
 _INTERRUPTED_STATUS = 130
