strict_responses: each of 256 octets in a name and in a value

A list of bad lines can miss an octet. Constants say which line they name, and the log has the octets of a refused length or coding as they came.

--- a/features/steps/strict_responses.py
+++ b/features/steps/strict_responses.py
@@ -4,6 +4,7 @@
 
 import http.client
 import socket
+import string
 import struct
 import threading
 from collections.abc import Callable
@@ -36,6 +37,9 @@
 _LINGER_RESETS = struct.pack('ii', 1, 0)
 _READ_BYTES = 65_536
 _TIMEOUT_S = 5.0
+_ALPHANUMERIC = string.ascii_letters + string.digits
+_TOKEN_OCTETS = _ALPHANUMERIC.encode() + b"!#$%&'*+-.^_`|~"
+_VALUE_OCTETS = b'\t' + bytes(range(0x20, 0x7F)) + bytes(range(0x80, 0x100))
 _REQUEST = HttpRequest('GET', '/x')
 _OWN = 'Pimentohoist-Attempt-Id: r1\r\nPimentohoist-Response-Seal: 1\r\n'
 _CHUNKED = 'Transfer-Encoding: chunked\r\n'
@@ -202,6 +206,18 @@
     assert not lost, f'{len(lost)}: {list(lost.items())[:4]}'
 
 
+@then('each reader takes just the octets that a token and a value may have')
+def check_octets(context: Context) -> None:
+    for octet in map(bytes, zip(range(256))):
+        # A colon ends the name, and the rest is the value.
+        in_name = OddResponse(line=b'X-%bOdd: 1' % octet)
+        expected = in_name.body if octet in _TOKEN_OCTETS + b':' else None
+        assert _taken_by_readers(in_name) == {expected}, octet
+        in_value = OddResponse(line=b'X-Odd: 1%b2' % octet)
+        expected = in_value.body if octet in _VALUE_OCTETS else None
+        assert _taken_by_readers(in_value) == {expected}, octet
+
+
 @then('heads that come byte by byte are taken if they are sound, else refused')
 def check_slow_heads(context: Context) -> None:
     for part, (response, *_) in SOUND_RESPONSES.items():
--- a/features/strict_responses.feature
+++ b/features/strict_responses.feature
@@ -55,6 +55,10 @@
       | interim head    |
       | trailer section |
 
+  # Guards against an octet that a list of bad ones doesn't name, and against one too many.
+  Scenario: Each octet in a name and in a value
+    Then each reader takes just the octets that a token and a value may have
+
   # Guards against checks of a line that see only the part of it that has arrived.
   Scenario: Heads in small packets and with other ends of lines
     Then heads that come byte by byte are taken if they are sound, else refused
--- a/src/pimentohoist/_strict_response.py
+++ b/src/pimentohoist/_strict_response.py
@@ -22,13 +22,14 @@
 
 _MAX_LINE_BYTES = 65_536
 _MAX_FIELDS = 100
-_HEADER = 'header line'
-_TRAILER = 'trailer line'
+_HEADER_LINE = 'header line'
+_TRAILER_LINE = 'trailer line'
 _CHUNK_SIZE = re.compile(rb'([0-9a-fA-F]{1,15})[ \t]*(?:;[^\r\n]*)?\r?\n')
 _LENGTH = re.compile('[0-9]{1,19}')
 _CHUNKED = 'chunked'
 _CHUNK_END = b'\r\n'
 _HEXADECIMAL = 16
+_ENCODING = 'iso-8859-1'
 _FIRST_VERSION = 10
 """HTTP/1.0, as `http.client` numbers versions."""
 
@@ -42,6 +43,7 @@
     """
 
     _close_conn: Callable[[], None]
+    # The method of the request, which is set by `http.client`.
     _method: str | None
 
     def begin(self) -> None:
@@ -91,7 +93,7 @@
         status_line = parse_status_line(line)
         headers = http.client.HTTPMessage()
         for _ in range(_MAX_FIELDS + 1):
-            field = parse_field_line(self._read_line(_HEADER), _HEADER)
+            field = parse_field_line(self._read_line(_HEADER_LINE), _HEADER_LINE)
             if field is None:
                 return status_line, headers
             headers.add_header(*field)
@@ -113,10 +115,10 @@
             raise
 
     def _check_trailers(self) -> None:
-        line = self._read_line(_TRAILER)
+        line = self._read_line(_TRAILER_LINE)
         # The last chunk has ended the body, so the connection may end without trailers.
-        while line and parse_field_line(line, _TRAILER) is not None:
-            line = self._read_line(_TRAILER)
+        while line and parse_field_line(line, _TRAILER_LINE) is not None:
+            line = self._read_line(_TRAILER_LINE)
 
     def _safe_read(self, amt: int) -> bytes:
         """Read a number of bytes; what ends a chunk has to be a line's end."""
@@ -140,7 +142,7 @@
         return None
     text = ', '.join(sorted(lengths))
     if _LENGTH.fullmatch(text) is None:
-        raise MalformedHeadError('length', f'Content-Length: {text}'.encode())
+        raise MalformedHeadError('length', f'Content-Length: {text}'.encode(_ENCODING))
     return int(text)
 
 
@@ -149,7 +151,9 @@
     codings = headers.get_all('Transfer-Encoding', ())
     text = ', '.join(codings)
     if codings and text.lower() != _CHUNKED:
-        raise MalformedHeadError('coding', f'Transfer-Encoding: {text}'.encode())
+        raise MalformedHeadError(
+            'coding', f'Transfer-Encoding: {text}'.encode(_ENCODING)
+        )
     return bool(codings)
 
 
