--- a/src/pimentohoist/_strict_response.py
+++ b/src/pimentohoist/_strict_response.py
@@ -9,7 +9,8 @@
 
 import http.client
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from http import HTTPStatus
 
 from pimentohoist._head_grammar import (
@@ -60,11 +61,8 @@
         """
         if self.headers is not None:
             return
-        try:
+        with self._closing_malformed():
             self._read_head()
-        except (MalformedHeadError, IncompleteHeadError):
-            self._close_conn()
-            raise
 
     def _read_head(self) -> None:
         status_line, headers = self._read_section()
@@ -108,17 +106,11 @@
 
     def _read_and_discard_trailer(self) -> None:
         """Check the trailers, and drop them."""
-        try:
-            self._check_trailers()
-        except (MalformedHeadError, IncompleteHeadError):
-            self._close_conn()
-            raise
-
-    def _check_trailers(self) -> None:
-        line = self._read_line(_TRAILER_LINE)
-        # The last chunk has ended the body, so the connection may end without trailers.
-        while line and parse_field_line(line, _TRAILER_LINE) is not None:
+        with self._closing_malformed():
             line = self._read_line(_TRAILER_LINE)
+            # The last chunk has ended the body, so the connection may end without trailers.
+            while line and parse_field_line(line, _TRAILER_LINE) is not None:
+                line = self._read_line(_TRAILER_LINE)
 
     def _safe_read(self, amt: int) -> bytes:
         """Read a number of bytes; what ends a chunk has to be a line's end."""
@@ -128,6 +120,15 @@
             raise http.client.IncompleteRead(b'')
         return found
 
+    @contextmanager
+    def _closing_malformed(self) -> Iterator[None]:
+        """Close the reader if a line is malformed or cut off."""
+        try:
+            yield
+        except (MalformedHeadError, IncompleteHeadError):
+            self._close_conn()
+            raise
+
     def _read_line(self, kind: str) -> bytes:
         line = self.fp.readline(_MAX_LINE_BYTES + 1)
         if len(line) > _MAX_LINE_BYTES:
