--- a/features/steps/malformed_heads.py
+++ b/features/steps/malformed_heads.py
@@ -93,7 +93,8 @@
     fleet: EntryFleet = context.fleet
     texts = [line.decode('latin-1') for line in MALFORMED_LINES.values()]
     context.statuses, context.bodies = [], set()
-    for text in itertools.islice(texts, 0, None, len(texts) // count):
+    step = len(texts) // count
+    for text in itertools.islice(texts, 0, count * step, step):
         added = [(Place.MIDDLE, text)]
         for endpoint in (fleet.ledger, context.second):
             endpoint.faults.head_lines = added
--- a/src/pimentohoist_standins/opaque_engine_state.py
+++ b/src/pimentohoist_standins/opaque_engine_state.py
@@ -97,9 +97,9 @@
         After how many bytes of their heads the next responses to requests end with their
         connections; engines may share the list.
     head_lines : list of tuple of str and str
-        Lines that are added to the heads of the next responses to requests, one each, and
-        their places; a response whose line is empty is left as it is. Octets are written
-        as Latin-1. Engines may share the list.
+        Places in the heads of the next responses to requests, one each, and the lines that
+        are added there, as Latin-1; an empty line leaves a head as it is. Engines may share
+        the list.
     resumption : bytes or None
         Body of the responses to requests that take a stream up.
     load_s : float
