Review, case 6: connections to engines that have gone use up the descriptors

Cause: the pool keeps idle connections by address and closes one only when a request to the same address draws it; engines that have gone leave up to 64 each.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -6,6 +6,7 @@
 import os
 import random
 import re
+import resource
 import signal
 import socket
 import subprocess
@@ -58,9 +59,10 @@
         store: str,
         seeds: list[str],
         ports: dict[str, int],
+        max_fds: int = 4100,
         **changes: Any,
     ) -> None:
-        self.host, self.folder = host, folder
+        self.host, self.folder, self.max_fds = host, folder, max_fds
         # The daemon takes the first three ports of the range on its own address.
         self.ports = {'range': 7600, **ports}
         ports = self.ports
@@ -99,7 +101,7 @@
             'PIMENTOHOIST_BOOT': str(self.settings),
             'PIMENTOHOIST_INSTANCE': (
                 'limits.link_mbps = 1000.0\nlimits.memory_mb = 300\n'
-                'limits.max_descriptors = 4100\nregions.own = "r"\n'
+                f'limits.max_descriptors = {self.max_fds}\nregions.own = "r"\n'
                 'regions.of_domains = "a=r"\n'
             ),
         }
@@ -110,8 +112,13 @@
                 env=environment,
                 stdout=output,
                 stderr=output,
+                preexec_fn=self._limit,
             )
 
+    def _limit(self) -> None:
+        """Give the process the descriptors of its machine, as the platform does."""
+        resource.setrlimit(resource.RLIMIT_NOFILE, (self.max_fds, self.max_fds))
+
     def is_ready(self) -> bool:
         """Return whether the daemon says that it is ready."""
         try:
